--- /dev/null
+++ b/wire/upstream/idle.go
@@ -0,0 +1,50 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+)
+
+// idleInput reports input that arrived while no exchange was running: the end
+// of the connection, or a message that belongs to no request. Without this
+// check a request sent to a server that has already left would count as "may
+// have run".
+func (c *Conn) idleInput() error {
+	if n := c.frontend.ReadBufferLen(); n > 0 {
+		return fmt.Errorf("%d bytes arrived outside an exchange", n)
+	}
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("connection state: %w", err)
+	}
+	var state error
+	err = raw.Read(func(fd uintptr) bool {
+		state = peek(int(fd))
+		return true
+	})
+	if err != nil {
+		return fmt.Errorf("connection state: %w", err)
+	}
+	return state
+}
+
+func peek(fd int) error {
+	var buf [1]byte
+	n, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return nil
+	case err != nil:
+		return fmt.Errorf("connection state: %w", err)
+	case n == 0:
+		return io.EOF
+	default:
+		return errors.New("data arrived outside an exchange")
+	}
+}
--- /dev/null
+++ b/wire/upstream/plan.go
@@ -0,0 +1,255 @@
+package upstream
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/papayarail/papayarail/wire/statement"
+)
+
+// Frontend message types of the protocol that an exchange may contain.
+const (
+	typeBind     = 'B'
+	typeClose    = 'C'
+	typeDescribe = 'D'
+	typeExecute  = 'E'
+	typeFlush    = 'H'
+	typeParse    = 'P'
+	typeQuery    = 'Q'
+	typeSync     = 'S'
+
+	objectStatement = 'S'
+	headerBytes     = 5 // type byte and length
+)
+
+// expected is one completion that the upstream owes for a message sent to it.
+type expected struct {
+	request byte
+	// swallow marks messages that papayarail added; the caller does not see
+	// their completions.
+	swallow bool
+	// name is the prepared statement that a Parse creates or a Close removes.
+	name string
+}
+
+// plan is a checked request: the bytes to send and the completions to expect.
+type plan struct {
+	out    []byte
+	queue  []expected
+	simple bool
+	used   map[string]bool // statements that the request refers to
+}
+
+// rawMessage is one encoded frontend message including its header.
+type rawMessage []byte
+
+func (m rawMessage) kind() byte   { return m[0] }
+func (m rawMessage) body() []byte { return m[headerBytes:] }
+
+// split cuts messages into single ones without copying.
+func split(messages []byte) ([]rawMessage, error) {
+	var all []rawMessage
+	for len(messages) > 0 {
+		if len(messages) < headerBytes {
+			return nil, fmt.Errorf("truncated message header of %d bytes", len(messages))
+		}
+		size := 1 + int64(binary.BigEndian.Uint32(messages[1:]))
+		if size < headerBytes || size > int64(len(messages)) {
+			return nil, fmt.Errorf("message %q states a length of %d bytes, %d are left", messages[0], size, len(messages))
+		}
+		all = append(all, rawMessage(messages[:size:size]))
+		messages = messages[size:]
+	}
+	return all, nil
+}
+
+// newPlan lays out the request. The statements known to be on the connection
+// are read and not changed: they change only when completions arrive.
+func newPlan(known *simplelru.LRU[string, struct{}], limit int, need []statement.Prepared, messages []byte) (*plan, error) {
+	all, err := split(messages)
+	if err != nil {
+		return nil, err
+	}
+	if len(all) == 0 {
+		return nil, fmt.Errorf("exchange without messages")
+	}
+	if all[0].kind() == typeQuery {
+		if len(all) > 1 {
+			return nil, fmt.Errorf("simple query followed by %d messages", len(all)-1)
+		}
+		return &plan{out: messages, simple: true}, nil
+	}
+	if all[len(all)-1].kind() != typeSync {
+		return nil, fmt.Errorf("exchange does not end with Sync")
+	}
+	return newBuilder(known, limit).build(need, all)
+}
+
+type builder struct {
+	plan    plan
+	limit   int
+	present map[string]bool // statements on the connection at this point of the plan
+	order   []string        // of the statements present at the start, least recently used first
+	inUse   map[string]bool
+}
+
+func newBuilder(known *simplelru.LRU[string, struct{}], limit int) *builder {
+	b := &builder{limit: limit, order: known.Keys(), present: make(map[string]bool), inUse: make(map[string]bool)}
+	for _, name := range b.order {
+		b.present[name] = true
+	}
+	return b
+}
+
+func (b *builder) build(need []statement.Prepared, all []rawMessage) (*plan, error) {
+	names := make([]string, len(all))
+	for i, m := range all {
+		name, err := statementName(m)
+		if err != nil {
+			return nil, err
+		}
+		names[i] = name
+		b.inUse[name] = true
+	}
+	for _, p := range need {
+		b.inUse[p.Name] = true
+	}
+	for _, p := range need {
+		if err := b.prepare(p); err != nil {
+			return nil, err
+		}
+	}
+	for i, m := range all {
+		if m.kind() == typeSync && i < len(all)-1 {
+			return nil, fmt.Errorf("exchange contains more than one Sync")
+		}
+		if err := b.add(m, names[i]); err != nil {
+			return nil, err
+		}
+	}
+	b.plan.used = b.inUse
+	return &b.plan, nil
+}
+
+// prepare adds a Parse for a statement that is not on the connection yet.
+func (b *builder) prepare(p statement.Prepared) error {
+	if b.present[p.Name] {
+		return nil
+	}
+	if err := b.makeRoom(); err != nil {
+		return err
+	}
+	parse := &pgproto3.Parse{Name: p.Name, Query: p.SQL, ParameterOIDs: p.ParameterOIDs}
+	if err := b.append(parse); err != nil {
+		return err
+	}
+	b.expect(expected{request: typeParse, swallow: true, name: p.Name})
+	b.present[p.Name] = true
+	return nil
+}
+
+// add appends a message of the caller.
+func (b *builder) add(m rawMessage, name string) error {
+	switch m.kind() {
+	case typeParse:
+		if err := b.replace(name); err != nil {
+			return err
+		}
+		b.expect(expected{request: typeParse, name: name})
+	case typeClose:
+		delete(b.present, name)
+		b.expect(expected{request: typeClose, name: name})
+	case typeBind, typeDescribe, typeExecute, typeSync:
+		b.expect(expected{request: m.kind()})
+	case typeFlush:
+	default:
+		return fmt.Errorf("message %q is not allowed in an exchange", m.kind())
+	}
+	b.plan.out = append(b.plan.out, m...)
+	return nil
+}
+
+// replace makes a named Parse succeed where the statement exists already. The
+// statement is closed and parsed again instead of answered locally, because a
+// caller parses again after a schema change has made the old plan invalid.
+func (b *builder) replace(name string) error {
+	if name == "" {
+		return nil
+	}
+	if b.present[name] {
+		return b.close(name)
+	}
+	if err := b.makeRoom(); err != nil {
+		return err
+	}
+	b.present[name] = true
+	return nil
+}
+
+// makeRoom closes the least recently used statements that this exchange does
+// not refer to. An exchange that refers to more than the limit exceeds it.
+func (b *builder) makeRoom() error {
+	for i := 0; i < len(b.order) && len(b.present) >= b.limit; i++ {
+		name := b.order[i]
+		if b.inUse[name] || !b.present[name] {
+			continue
+		}
+		if err := b.close(name); err != nil {
+			return err
+		}
+		delete(b.present, name)
+	}
+	return nil
+}
+
+func (b *builder) close(name string) error {
+	if err := b.append(&pgproto3.Close{ObjectType: objectStatement, Name: name}); err != nil {
+		return err
+	}
+	b.expect(expected{request: typeClose, swallow: true, name: name})
+	return nil
+}
+
+func (b *builder) append(m pgproto3.FrontendMessage) error {
+	out, err := m.Encode(b.plan.out)
+	if err != nil {
+		return fmt.Errorf("encode %T: %w", m, err)
+	}
+	b.plan.out = out
+	return nil
+}
+
+func (b *builder) expect(e expected) { b.plan.queue = append(b.plan.queue, e) }
+
+// statementName returns the prepared statement that a message refers to, or "".
+func statementName(m rawMessage) (string, error) {
+	switch m.kind() {
+	case typeParse:
+		var p pgproto3.Parse
+		err := p.Decode(m.body())
+		return p.Name, err
+	case typeBind:
+		var b pgproto3.Bind
+		err := b.Decode(m.body())
+		return b.PreparedStatement, err
+	case typeDescribe:
+		var d pgproto3.Describe
+		err := d.Decode(m.body())
+		if d.ObjectType != objectStatement {
+			return "", err
+		}
+		return d.Name, err
+	case typeClose:
+		var c pgproto3.Close
+		err := c.Decode(m.body())
+		if c.ObjectType != objectStatement {
+			return "", err
+		}
+		return c.Name, err
+	default:
+		return "", nil
+	}
+}
--- /dev/null
+++ b/wire/upstream/upstream_test.go
@@ -0,0 +1,218 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/wire/statement"
+)
+
+func execute(name string) []pgproto3.FrontendMessage {
+	return []pgproto3.FrontendMessage{&pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}}
+}
+
+// Guards against a connection limit that cannot be told from other failures.
+func TestRefusedStartupKeepsSQLState(t *testing.T) {
+	f := startFake(t, &fakeServer{refuse: &pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "full"}})
+	_, err := Dial(t.Context(), Config{Address: f.listener.Addr().String(), User: "u", Database: "d"})
+	var pg *pgconn.PgError
+	assert.Assert(t, errors.As(err, &pg))
+	assert.Equal(t, pg.Code, "53300")
+}
+
+// Guards against completions of added messages that reach the caller, and
+// against parsing a statement twice.
+func TestNeededStatementIsParsedOnce(t *testing.T) {
+	f := startFake(t, &fakeServer{})
+	c := f.dial(t, Config{})
+	s := statement.New("INSERT INTO lots VALUES (1)", nil)
+	for range 2 {
+		a, err := c.Exchange(t.Context(), []statement.Prepared{s}, encode(t, execute(s.Name)...))
+		assert.NilError(t, err)
+		assert.Equal(t, decode(a.Messages), "2DC")
+		assert.Equal(t, a.Position, position.Position{Term: 3, Offset: 44})
+		assert.Equal(t, a.TxStatus, byte('I'))
+		assert.Assert(t, a.Committed)
+	}
+	assert.DeepEqual(t, f.got, []string{"P " + s.Name})
+}
+
+// Guards against SQLSTATE 42P05 when a caller parses a statement that another
+// caller has left on the connection.
+func TestParseOfKnownStatement(t *testing.T) {
+	c := startFake(t, &fakeServer{}).dial(t, Config{})
+	parse := encode(t, &pgproto3.Parse{Name: "p_1", Query: "SELECT 1"})
+	for range 3 {
+		a, err := c.Exchange(t.Context(), nil, parse)
+		assert.NilError(t, err)
+		assert.Equal(t, decode(a.Messages), "1")
+		assert.Equal(t, a.SQLState, "")
+	}
+}
+
+// Guards against completions that shift after an error inside a pipeline, and
+// against counting statements whose Parse was skipped as prepared.
+func TestErrorInPipeline(t *testing.T) {
+	c := startFake(t, &fakeServer{}).dial(t, Config{})
+	good := statement.New("SELECT 1", nil)
+	messages := []pgproto3.FrontendMessage{&pgproto3.Parse{Name: "bad", Query: "syntax error"}, &pgproto3.Parse{Name: "later", Query: "SELECT 2"}}
+	a, err := c.Exchange(t.Context(), []statement.Prepared{good}, encode(t, append(messages, execute("later")...)...))
+	assert.NilError(t, err)
+	assert.Equal(t, decode(a.Messages), "E")
+	assert.Equal(t, a.SQLState, "42601")
+	assert.Assert(t, !a.Committed)
+	assert.DeepEqual(t, c.known.Keys(), []string{good.Name})
+	a, err = c.Exchange(t.Context(), []statement.Prepared{good}, encode(t, execute(good.Name)...))
+	assert.NilError(t, err)
+	assert.Equal(t, decode(a.Messages), "2DC")
+}
+
+// Guards against statements that pile up on a connection, and against closing
+// one that the same exchange uses.
+func TestPreparedStatementLimit(t *testing.T) {
+	f := startFake(t, &fakeServer{})
+	c := f.dial(t, Config{})
+	first := statement.New("SELECT 0", nil)
+	for i := range MaxPreparedStatements + 20 {
+		s := statement.New(fmt.Sprintf("SELECT %d", i), nil)
+		a, err := c.Exchange(t.Context(), []statement.Prepared{first, s}, encode(t, append(execute(s.Name), execute(first.Name)...)...))
+		assert.NilError(t, err)
+		assert.Equal(t, decode(a.Messages), "2DC2DC")
+	}
+	assert.Equal(t, c.known.Len(), MaxPreparedStatements)
+	assert.Assert(t, !strings.Contains(strings.Join(f.got, ";"), "C "+first.Name))
+}
+
+// Guards against a late answer that reaches the next request.
+func TestLateAnswerIsNeverDelivered(t *testing.T) {
+	arrived, late := make(chan struct{}), make(chan struct{})
+	f := startFake(t, &fakeServer{serve: func(be *pgproto3.Backend) {
+		_, _ = be.Receive()
+		close(arrived)
+		<-late
+		be.Send(&pgproto3.DataRow{Values: [][]byte{[]byte("old")}})
+		be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		_ = be.Flush()
+	}})
+	c := f.dial(t, Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := c.Query(ctx, "SELECT 1")
+	assert.Equal(t, verdict.From(err), verdict.MayHaveRun)
+	close(late)
+	_, err = c.Query(t.Context(), "SELECT 2")
+	assert.Equal(t, verdict.From(err), verdict.NotRun)
+}
+
+// Guards against answers that break the order of the protocol being taken for
+// an answer to the request.
+func TestProtocolSurpriseEndsConnection(t *testing.T) {
+	surprises := map[string][]pgproto3.BackendMessage{
+		"completion that is not owed": {&pgproto3.CloseComplete{}},
+		"early end":                   {&pgproto3.ReadyForQuery{TxStatus: 'I'}},
+		"unknown transaction status":  {&pgproto3.BindComplete{}, &pgproto3.CommandComplete{}, &pgproto3.ReadyForQuery{TxStatus: 'X'}},
+		"copy":                        {&pgproto3.BindComplete{}, &pgproto3.CopyInResponse{}},
+		"fatal error":                 {&pgproto3.ErrorResponse{Severity: "FATAL", Code: "57P01"}},
+		"answer above the limit":      {&pgproto3.BindComplete{}, &pgproto3.DataRow{Values: [][]byte{make([]byte, 600)}}, &pgproto3.DataRow{Values: [][]byte{make([]byte, 600)}}},
+	}
+	for name, messages := range surprises {
+		t.Run(name, func(t *testing.T) {
+			f := startFake(t, &fakeServer{serve: func(be *pgproto3.Backend) {
+				for range 3 {
+					_, _ = be.Receive()
+				}
+				for _, m := range messages {
+					be.Send(m)
+				}
+				_ = be.Flush()
+				_, _ = be.Receive()
+			}})
+			c := f.dial(t, Config{MaxAnswerBytes: 1000})
+			_, err := c.Exchange(t.Context(), nil, encode(t, execute("")...))
+			assert.Equal(t, verdict.From(err), verdict.MayHaveRun)
+			_, err = c.Exchange(t.Context(), nil, encode(t, execute("")...))
+			assert.Equal(t, verdict.From(err), verdict.NotRun)
+		})
+	}
+}
+
+// Guards against "may have run" for a request that met a session which the
+// server had already ended.
+func TestSessionEndedWhileIdle(t *testing.T) {
+	f := startFake(t, &fakeServer{serve: func(be *pgproto3.Backend) {
+		be.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "57P01"})
+		_ = be.Flush()
+		_, _ = be.Receive()
+	}})
+	c := f.dial(t, Config{})
+	for c.idleInput() == nil {
+		runtime.Gosched() // until the kernel has delivered the message
+	}
+	_, err := c.Query(t.Context(), "SELECT 1")
+	assert.Equal(t, verdict.From(err), verdict.NotRun)
+}
+
+// Guards against requests that would leave the connection out of step.
+func TestMalformedRequestIsNotSent(t *testing.T) {
+	c := startFake(t, &fakeServer{}).dial(t, Config{})
+	sync := encode(t)
+	copyData, err := (&pgproto3.CopyData{}).Encode(nil)
+	assert.NilError(t, err)
+	for _, messages := range [][]byte{nil, sync[:3], append(append([]byte{}, sync...), sync...), append(copyData, sync...)} {
+		_, err := c.Exchange(t.Context(), nil, messages)
+		assert.Equal(t, verdict.From(err), verdict.NotRun)
+	}
+	rows, err := c.Query(t.Context(), "SELECT 1")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, rows, [][]string{{"SELECT 1", ""}})
+}
+
+// Guards against a deadlock when a pipeline exceeds the socket buffers in both directions.
+func TestLargePipeline(t *testing.T) {
+	c := startFake(t, &fakeServer{serve: func(be *pgproto3.Backend) {
+		for {
+			switch m, err := be.Receive(); m := m.(type) {
+			case *pgproto3.Bind:
+				be.Send(&pgproto3.BindComplete{})
+				be.Send(&pgproto3.NoticeResponse{Message: string(m.Parameters[0])})
+				_ = be.Flush()
+			case *pgproto3.Sync:
+				be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+				_ = be.Flush()
+			default:
+				if err != nil {
+					return
+				}
+			}
+		}
+	}}).dial(t, Config{MaxAnswerBytes: 64 << 20})
+	const count, size = 200, 64 << 10
+	var messages []pgproto3.FrontendMessage
+	for range count {
+		messages = append(messages, &pgproto3.Bind{Parameters: [][]byte{[]byte(strings.Repeat("x", size))}})
+	}
+	a, err := c.Exchange(t.Context(), nil, encode(t, messages...))
+	assert.NilError(t, err)
+	assert.Assert(t, len(a.Messages) > count*size)
+}
+
+// Guards against a cancel request for another session.
+func TestCancel(t *testing.T) {
+	f := startFake(t, &fakeServer{})
+	c := f.dial(t, Config{})
+	assert.NilError(t, c.Cancel(t.Context()))
+	assert.Equal(t, <-f.cancels, c.PID())
+}
