Add the failover coordinator as a state machine

A primary that dies, is cut off from its quorum or leaves must be replaced without losing acknowledged writes (design section 6.4).

--- /dev/null
+++ b/core/failover/types.go
@@ -0,0 +1,161 @@
+package failover
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/papayarail/papayarail/core/position"
+)
+
+// MemberID names one member of a database group.
+type MemberID string
+
+// Role is the role that a member reports for itself.
+type Role uint8
+
+const (
+	// Replica follows a primary or waits for one.
+	Replica Role = iota
+	// Primary accepts writes in its term.
+	Primary
+)
+
+// String returns the role as it appears in group_status().
+func (r Role) String() string {
+	if r == Primary {
+		return "primary"
+	}
+	return "replica"
+}
+
+// Status is what a member reports about itself.
+type Status struct {
+	Role Role
+	Term uint64
+	// Last is the position of the last log entry.
+	Last position.Position
+	// Primary is the member that this one follows; empty if it follows none.
+	Primary MemberID
+	// Confirmed holds, on a primary, the offset that each member has confirmed
+	// under Term.
+	Confirmed map[MemberID]uint64
+}
+
+// Member is one member of the group and its place.
+type Member struct {
+	ID            MemberID
+	FailureDomain string
+}
+
+// Config describes one service and the timing of its coordinator.
+type Config struct {
+	Service string
+	Members []Member
+	// Instance is the name of this instance; it is part of each attempt id.
+	Instance string
+	// ProbeInterval is the time between two probes of a member.
+	ProbeInterval time.Duration
+	// ProbeTimeout is the time after which an unanswered probe counts as failed.
+	ProbeTimeout time.Duration
+	// SuspectAfter is the time for which fresh connections to a primary must
+	// fail before it is replaced.
+	SuspectAfter time.Duration
+	// StalledAfter is the time for which no quorum confirms the position of a
+	// reachable primary before it is replaced.
+	StalledAfter time.Duration
+	// StepTimeout bounds each of reservation, adoption and promotion.
+	StepTimeout time.Duration
+	// Rand supplies jitter and attempt ids.
+	Rand *rand.Rand
+}
+
+// Route names the primary of a service in a term.
+type Route struct {
+	Service string
+	Term    uint64
+	Primary MemberID
+}
+
+// ReserveOutcome is the answer of the platform to a Reserve.
+type ReserveOutcome uint8
+
+const (
+	// ReserveUnavailable means that the platform gave no usable answer.
+	ReserveUnavailable ReserveOutcome = iota
+	// ReserveWon means that this attempt holds the reservation.
+	ReserveWon
+	// ReserveLost means that another attempt holds the reservation.
+	ReserveLost
+)
+
+// State is the step of the coordinator, for status pages.
+type State uint8
+
+const (
+	// Watching means that the primary is healthy or that a back-off runs.
+	Watching State = iota
+	// Suspecting means that no healthy primary is known.
+	Suspecting
+	// Reserving means that the platform has been asked for the term.
+	Reserving
+	// Adopting means that members are moving to the new term.
+	Adopting
+	// Promoting means that the candidate has been told to take over.
+	Promoting
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	return [...]string{"watching", "suspecting", "reserving", "adopting", "promoting"}[s]
+}
+
+// Action is a Probe, Reserve, Adopt, Promote, Follow or Announce.
+type Action interface{ action() }
+
+// Probe asks a member for its status. The answer is Probed or ProbeFailed.
+type Probe struct {
+	Member MemberID
+	// Fresh requires a new connection.
+	Fresh bool
+}
+
+// Reserve writes the attempt to the platform under the condition that the term
+// is not reserved. The answer is Reserved. When the response is lost, the
+// adapter reads the item back once before it reports ReserveUnavailable.
+type Reserve struct {
+	Term    uint64
+	Attempt string
+}
+
+// Adopt asks a member to move to Term. The answer is Adopted; a call without an
+// answer may be reported as not granted with term 0 or not at all.
+type Adopt struct {
+	Member  MemberID
+	Term    uint64
+	Attempt string
+}
+
+// Promote makes a member that granted Term to Attempt its primary. The answer is
+// Promoted.
+type Promote struct {
+	Member  MemberID
+	Term    uint64
+	Attempt string
+}
+
+// Follow makes a member replicate from Primary in Term. The answer is Followed.
+type Follow struct {
+	Member  MemberID
+	Term    uint64
+	Primary MemberID
+}
+
+// Announce spreads a route to the other instances.
+type Announce struct{ Route Route }
+
+func (Probe) action()    {}
+func (Reserve) action()  {}
+func (Adopt) action()    {}
+func (Promote) action()  {}
+func (Follow) action()   {}
+func (Announce) action() {}
