schedule: add the request scheduler and the entry door

Upstreams have two slots, so the owner has to decide which request runs next and which is refused at once. Ranks are served in strict order with a floor for lower ranks, callers inside a rank by start-time fair queuing, and requests whose estimated wait exceeds their deadline are rejected on arrival. Door applies the advertised load at the entry instance.

A rapid test checks that each request ends once; a 100 s virtual flood of all ranks leaves middle and least their floors of 10% and 2%.

--- /dev/null
+++ b/core/schedule/estimate.go
@@ -0,0 +1,191 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/papayarail/papayarail/core/verdict"
+)
+
+const (
+	// usageWindow is the time constant of the measured share of each rank, and
+	// the time over which an unused floor accumulates.
+	usageWindow = time.Second
+	// serviceWeight is the weight of one measurement in the mean service time.
+	serviceWeight = 1.0 / 16
+	// minShare keeps estimates finite when higher ranks take all slots.
+	minShare = 0.01
+	// minRetryDelay and maxRetryDelay bound the retry delays before jitter.
+	minRetryDelay = 10 * time.Millisecond
+	maxRetryDelay = 30 * time.Second
+	// drainRetryDelay is sent while draining: after 3 s, entries no longer
+	// route to an upstream that is leaving.
+	drainRetryDelay = time.Second
+)
+
+// rankState is the accounting of one rank.
+type rankState struct {
+	queue   *fairQueue
+	running int
+	service time.Duration // moving mean of the measured service time
+	usage   float64       // moving mean of the share of the slots' time in use
+	credit  time.Duration // floor time owed to the rank
+}
+
+// advance accounts for the time since the last event.
+func (s *Scheduler) advance(now time.Duration) {
+	elapsed := now - s.last
+	if elapsed <= 0 {
+		return
+	}
+	s.last = now
+	keep := math.Exp(-elapsed.Seconds() / usageWindow.Seconds())
+	for r := range s.ranks {
+		st := &s.ranks[r]
+		share := 0.0
+		if s.slots > 0 {
+			share = min(float64(st.running)/float64(s.slots), 1)
+		}
+		st.usage = share + (st.usage-share)*keep
+		earned := time.Duration(s.cfg.Floor[r] * float64(s.slots) * float64(elapsed))
+		st.credit = s.clampCredit(Rank(r), st.credit+earned)
+		// A rank without waiting requests repays debt but saves nothing up.
+		if st.queue.waiting == 0 {
+			st.credit = min(st.credit, 0)
+		}
+	}
+}
+
+// clampCredit bounds the floor credit to one window, and to no less than one
+// request so that a small floor can start one at all.
+func (s *Scheduler) clampCredit(r Rank, credit time.Duration) time.Duration {
+	limit := time.Duration(s.cfg.Floor[r] * float64(s.slots) * float64(usageWindow))
+	if limit > 0 {
+		limit = max(limit, s.ranks[r].service)
+	}
+	return min(max(credit, -limit), limit)
+}
+
+// measure records the service time of a completed request.
+func (s *Scheduler) measure(it *item, took time.Duration) {
+	s.charge(it, took)
+	st := &s.ranks[it.req.Rank]
+	st.service += time.Duration(serviceWeight * float64(took-st.service))
+	st.service = max(st.service, 1)
+}
+
+// share returns the part of the slots' time that a rank can expect: what higher
+// ranks leave after the floors of lower ranks that wait, and at least its own floor.
+func (s *Scheduler) share(r Rank) float64 {
+	left := 1.0
+	for i := range s.ranks {
+		switch {
+		case i < int(r):
+			left -= s.ranks[i].usage
+		case i > int(r) && s.ranks[i].queue.waiting > 0:
+			left -= s.cfg.Floor[i]
+		}
+	}
+	return max(left, s.cfg.Floor[r], minShare)
+}
+
+// estimate returns the wait of a request of rank r that has this many requests
+// of its own rank ahead of it, given that all slots are busy.
+func (s *Scheduler) estimate(r Rank, ahead int) time.Duration {
+	if s.slots == 0 {
+		return maxRetryDelay
+	}
+	own := float64(ahead+1) * float64(s.ranks[r].service)
+	higher := 0.0
+	for i := range int(r) {
+		higher += float64(s.ranks[i].queue.waiting) * float64(s.ranks[i].service)
+	}
+	wait := (own + higher) / s.share(r)
+	// Requests of higher ranks don't delay what the floor pays for.
+	if f := s.cfg.Floor[r]; f > 0 {
+		wait = min(wait, own/f)
+	}
+	return time.Duration(wait / float64(s.slots))
+}
+
+// newcomerWait estimates the wait of a request of a caller that has none waiting.
+func (s *Scheduler) newcomerWait(r Rank) time.Duration {
+	if s.running < s.slots {
+		return 0
+	}
+	return s.estimate(r, len(s.ranks[r].queue.byTag))
+}
+
+// refusal returns the reason not to queue a request, or nil.
+func (s *Scheduler) refusal(r Request, now time.Duration) *verdict.Error {
+	st := &s.ranks[r.Rank]
+	wait := s.estimate(r.Rank, st.queue.ahead(r.Caller))
+	if r.Deadline > 0 && now+wait+st.service > r.Deadline {
+		return s.unreachable(r.Rank)
+	}
+	if limit := s.cfg.MaxWait[r.Rank]; limit > 0 && wait > limit {
+		err := verdict.New(verdict.Overloaded, "estimated wait %s exceeds the limit of %s for rank %s",
+			wait.Round(time.Millisecond), limit, r.Rank)
+		return err.After(s.retryDelay(r.Rank))
+	}
+	return nil
+}
+
+func (s *Scheduler) unreachable(r Rank) *verdict.Error {
+	err := verdict.New(verdict.DeadlineUnreachable, "estimated queueing time exceeds the deadline")
+	return err.After(s.retryDelay(r))
+}
+
+func (s *Scheduler) drainError() *verdict.Error {
+	return verdict.New(verdict.Draining, "upstream is leaving").After(s.jitter(drainRetryDelay))
+}
+
+// room estimates the time until half of the waiting requests of the rank have
+// been served. A shorter delay brings callers back to a queue that is still full.
+func (s *Scheduler) room(r Rank) time.Duration {
+	wait := s.estimate(r, s.ranks[r].queue.waiting/2)
+	return min(max(wait, minRetryDelay), maxRetryDelay)
+}
+
+func (s *Scheduler) retryDelay(r Rank) time.Duration { return s.jitter(s.room(r)) }
+
+// jitter spreads d over 1 to 1.5 times its value, so that callers which were
+// refused together don't come back together.
+func (s *Scheduler) jitter(d time.Duration) time.Duration {
+	return d + time.Duration(s.cfg.Rand.Int64N(int64(d)/2+1))
+}
+
+// Load returns what the owner advertises to entry instances. A rank is refused
+// only when even a caller with nothing waiting would be refused, so that one
+// caller's flood doesn't close the rank to the others.
+func (s *Scheduler) Load(now time.Duration) Load {
+	s.advance(now)
+	var l Load
+	for i := range s.ranks {
+		r := Rank(i)
+		l.Wait[i] = s.newcomerWait(r)
+		switch {
+		case s.draining:
+			l.RefuseFor[i] = drainRetryDelay
+		case s.refusesNewcomer(r, l.Wait[i]):
+			l.RefuseFor[i] = s.room(r)
+		}
+	}
+	return l
+}
+
+func (s *Scheduler) refusesNewcomer(r Rank, wait time.Duration) bool {
+	if limit := s.cfg.MaxWait[r]; limit > 0 && wait > limit {
+		return true
+	}
+	if s.waiting < s.cfg.QueueLimit || s.running < s.slots {
+		return false
+	}
+	for i := int(r) + 1; i < Ranks; i++ {
+		if s.ranks[i].queue.waiting > 0 {
+			return false
+		}
+	}
+	q := s.ranks[r].queue
+	return q.waiting == 0 || q.byLength[0].waiting <= 1
+}
--- /dev/null
+++ b/core/schedule/fairqueue.go
@@ -0,0 +1,257 @@
+package schedule
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// item is a request that waits or runs.
+type item struct {
+	req      Request
+	flow     *flow // nil if the request started without waiting
+	next     *item
+	prev     *item
+	order    uint64
+	running  bool
+	started  time.Duration
+	reserved time.Duration // service time charged to the flow and the floor at the start
+}
+
+// flow holds the waiting requests of one caller in one rank.
+type flow struct {
+	caller     string
+	head, tail *item
+	waiting    int
+	// tag is the virtual start time of the head, or of the next request if
+	// nothing waits. It grows by the service time that the caller has received.
+	tag      time.Duration
+	tagIndex int // position in byTag, -1 if nothing waits
+	lenIndex int // position in byLength
+}
+
+// fairQueue is a start-time fair queue among callers. Callers with waiting
+// requests receive equal service time, whatever number each has waiting.
+//
+// Invariants: byTag and byLength hold exactly the flows with waiting requests;
+// no tag of a flow in byTag is below virtual.
+type fairQueue struct {
+	flows    map[string]*flow
+	byTag    tagHeap
+	byLength lengthHeap
+	waiting  int
+	virtual  time.Duration
+	spare    []*flow
+	sorted   []*flow
+}
+
+func newFairQueue() *fairQueue { return &fairQueue{flows: make(map[string]*flow)} }
+
+// waitingOf returns how many requests of the caller wait.
+func (q *fairQueue) waitingOf(caller string) int {
+	if f := q.flows[caller]; f != nil {
+		return f.waiting
+	}
+	return 0
+}
+
+// ahead returns how many requests are served before a new one of the caller.
+func (q *fairQueue) ahead(caller string) int {
+	own := q.waitingOf(caller)
+	others := len(q.byTag)
+	if own > 0 {
+		others--
+	}
+	return min(q.waiting, others*(own+1)+own)
+}
+
+func (q *fairQueue) push(it *item) {
+	f := q.flows[it.req.Caller]
+	if f == nil {
+		f = q.newFlow(it.req.Caller)
+	}
+	it.flow, it.prev, it.next = f, f.tail, nil
+	if f.tail != nil {
+		f.tail.next = it
+	} else {
+		f.head = it
+	}
+	f.tail = it
+	f.waiting++
+	q.waiting++
+	if f.waiting > 1 {
+		heap.Fix(&q.byLength, f.lenIndex)
+		return
+	}
+	f.tag = max(f.tag, q.virtual)
+	heap.Push(&q.byTag, f)
+	heap.Push(&q.byLength, f)
+}
+
+func (q *fairQueue) newFlow(caller string) *flow {
+	f := &flow{}
+	if n := len(q.spare); n > 0 {
+		f, q.spare = q.spare[n-1], q.spare[:n-1]
+	}
+	*f = flow{caller: caller, tag: q.virtual, tagIndex: -1, lenIndex: -1}
+	q.flows[caller] = f
+	return f
+}
+
+// pop removes the request to serve next and charges its flow with cost.
+func (q *fairQueue) pop(cost time.Duration) *item {
+	f := q.byTag[0]
+	it := f.head
+	q.virtual = f.tag
+	f.tag += cost
+	q.remove(it)
+	if f.tagIndex >= 0 {
+		heap.Fix(&q.byTag, f.tagIndex)
+	}
+	q.reclaim()
+	return it
+}
+
+// remove takes a waiting request out without serving it.
+func (q *fairQueue) remove(it *item) {
+	f := it.flow
+	if it.prev != nil {
+		it.prev.next = it.next
+	} else {
+		f.head = it.next
+	}
+	if it.next != nil {
+		it.next.prev = it.prev
+	} else {
+		f.tail = it.prev
+	}
+	it.next, it.prev = nil, nil
+	f.waiting--
+	q.waiting--
+	if f.waiting > 0 {
+		heap.Fix(&q.byLength, f.lenIndex)
+		return
+	}
+	heap.Remove(&q.byTag, f.tagIndex)
+	heap.Remove(&q.byLength, f.lenIndex)
+}
+
+// correct replaces the estimated by the measured cost of a served request.
+func (q *fairQueue) correct(caller string, difference time.Duration) {
+	f := q.flows[caller]
+	if f == nil {
+		return
+	}
+	f.tag = max(f.tag+difference, q.virtual)
+	if f.tagIndex >= 0 {
+		heap.Fix(&q.byTag, f.tagIndex)
+	}
+}
+
+// spareFlows bounds the flows kept for reuse and the flows without waiting
+// requests that are tolerated before a sweep.
+const spareFlows = 64
+
+// reclaim drops flows whose past service no longer affects the order: all of
+// them once nothing waits, and otherwise those behind the virtual time.
+func (q *fairQueue) reclaim() {
+	idle := len(q.flows) - len(q.byTag)
+	if q.waiting > 0 && idle <= len(q.byTag)+spareFlows {
+		return
+	}
+	for caller, f := range q.flows {
+		if f.waiting > 0 || (q.waiting > 0 && f.tag > q.virtual) {
+			continue
+		}
+		delete(q.flows, caller)
+		if len(q.spare) < spareFlows {
+			q.spare = append(q.spare, f)
+		}
+	}
+}
+
+// newestOfLongest returns the newest request of the caller with most waiting.
+func (q *fairQueue) newestOfLongest() *item { return q.byLength[0].tail }
+
+// each calls visit for every waiting request with the number of requests
+// that are served before it. visit must not change the queue.
+func (q *fairQueue) each(visit func(it *item, ahead int)) {
+	q.sorted = append(q.sorted[:0], q.byTag...)
+	slices.SortFunc(q.sorted, func(a, b *flow) int {
+		return cmp.Or(cmp.Compare(a.tag, b.tag), cmp.Compare(a.head.order, b.head.order))
+	})
+	for i, f := range q.sorted {
+		ahead := i
+		for it := f.head; it != nil; it = it.next {
+			visit(it, min(ahead, q.waiting-1))
+			ahead += len(q.sorted)
+		}
+	}
+	clear(q.sorted)
+}
+
+// tagHeap orders flows by the virtual start time of their head.
+type tagHeap []*flow
+
+func (h tagHeap) Len() int { return len(h) }
+
+func (h tagHeap) Less(i, j int) bool {
+	if h[i].tag != h[j].tag {
+		return h[i].tag < h[j].tag
+	}
+	return h[i].head.order < h[j].head.order
+}
+
+func (h tagHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].tagIndex, h[j].tagIndex = i, j
+}
+
+func (h *tagHeap) Push(x any) {
+	f := x.(*flow)
+	f.tagIndex = len(*h)
+	*h = append(*h, f)
+}
+
+func (h *tagHeap) Pop() any {
+	n := len(*h) - 1
+	f := (*h)[n]
+	(*h)[n] = nil
+	*h = (*h)[:n]
+	f.tagIndex = -1
+	return f
+}
+
+// lengthHeap orders flows by the number of waiting requests, most first, and
+// then by their newest request.
+type lengthHeap []*flow
+
+func (h lengthHeap) Len() int { return len(h) }
+
+func (h lengthHeap) Less(i, j int) bool {
+	if h[i].waiting != h[j].waiting {
+		return h[i].waiting > h[j].waiting
+	}
+	return h[i].tail.order > h[j].tail.order
+}
+
+func (h lengthHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].lenIndex, h[j].lenIndex = i, j
+}
+
+func (h *lengthHeap) Push(x any) {
+	f := x.(*flow)
+	f.lenIndex = len(*h)
+	*h = append(*h, f)
+}
+
+func (h *lengthHeap) Pop() any {
+	n := len(*h) - 1
+	f := (*h)[n]
+	(*h)[n] = nil
+	*h = (*h)[:n]
+	f.lenIndex = -1
+	return f
+}
--- /dev/null
+++ b/core/schedule/scheduler_test.go
@@ -0,0 +1,251 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/papayarail/papayarail/core/verdict"
+)
+
+const ms = time.Millisecond
+
+// state of a request as an adapter sees it from the results alone.
+const (
+	stateWaiting = iota
+	stateRunning
+	stateGone
+)
+
+// Guards against lost and doubly started requests, more running requests than
+// slots, free slots while requests wait, and queues over their limit.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		s := New(Config{Slots: slots, QueueLimit: 8, Floor: [Ranks]float64{0, 0.1, 0.02}})
+		now, next, drained := time.Duration(0), uint64(0), false
+		states := map[uint64]int{}
+		apply := func(res Result) {
+			for _, id := range res.Started {
+				assert.Equal(t, states[id], stateWaiting, "started request %d", id)
+				states[id] = stateRunning
+			}
+			for _, rej := range res.Rejected {
+				assert.Equal(t, states[rej.ID], stateWaiting, "rejected request %d", rej.ID)
+				assert.Equal(t, rej.Err.Verdict, verdict.NotRun)
+				assert.Assert(t, rej.Err.RetryAfter > 0)
+				states[rej.ID] = stateGone
+			}
+		}
+		pick := func(t *rapid.T) uint64 {
+			return rapid.Uint64Range(1, max(next, 1)).Draw(t, "id")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				next++
+				r := Request{ID: next, Rank: Rank(rapid.IntRange(0, 2).Draw(t, "rank"))}
+				r.Caller = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller")
+				if d := rapid.IntRange(0, 50).Draw(t, "deadline"); d > 0 {
+					r.Deadline = now + time.Duration(d)*ms
+				}
+				states[next] = stateWaiting
+				apply(s.Submit(r, now))
+			},
+			"done": func(t *rapid.T) {
+				id := pick(t)
+				if states[id] == stateRunning {
+					states[id] = stateGone
+				}
+				apply(s.Done(id, now))
+				// Done of a waiting request must have no effect.
+			},
+			"cancel": func(t *rapid.T) {
+				id := pick(t)
+				states[id] = stateGone
+				apply(s.Cancel(id, now))
+			},
+			"tick":  func(t *rapid.T) { apply(s.Tick(now)) },
+			"sleep": func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 20).Draw(t, "ms")) * ms },
+			"slots": func(t *rapid.T) {
+				slots = rapid.IntRange(0, 4).Draw(t, "n")
+				apply(s.SetSlots(slots, now))
+			},
+			"drain": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "chance") == 0 {
+					drained = true
+					apply(s.Drain(now))
+				}
+			},
+			"": func(t *rapid.T) {
+				count := [3]int{}
+				for id := uint64(1); id <= next; id++ {
+					count[states[id]]++
+				}
+				assert.Equal(t, count[stateRunning], s.Running())
+				assert.Equal(t, count[stateWaiting], s.waiting)
+				assert.Assert(t, s.waiting <= 8)
+				assert.Assert(t, s.waiting == 0 || (s.running >= slots && !drained))
+				assert.Equal(t, len(s.items), s.running+s.waiting)
+				checkQueues(t, s)
+			},
+		})
+	})
+}
+
+func checkQueues(t assert.TestingT, s *Scheduler) {
+	total := 0
+	for r := range s.ranks {
+		q := s.ranks[r].queue
+		sum := 0
+		for i, f := range q.byTag {
+			assert.Equal(t, f.tagIndex, i)
+			assert.Assert(t, f.waiting > 0 && f.head != nil && f.tail != nil)
+			assert.Assert(t, f.tag >= q.virtual)
+			sum += f.waiting
+		}
+		assert.Equal(t, len(q.byTag), len(q.byLength))
+		assert.Equal(t, sum, q.waiting)
+		total += sum
+	}
+	assert.Equal(t, total, s.waiting)
+}
+
+// Guards against a flood of less urgent work that displaces urgent requests
+// from a full queue, and against shedding a modest caller before a greedy one.
+func TestFullQueueShedsLeastUrgentOfLongestCaller(t *testing.T) {
+	s := New(Config{Slots: 1, QueueLimit: 3})
+	s.Submit(Request{ID: 1, Caller: "a", Rank: Least}, 0)
+	s.Submit(Request{ID: 2, Caller: "greedy", Rank: Least}, 0)
+	s.Submit(Request{ID: 3, Caller: "greedy", Rank: Least}, 0)
+	s.Submit(Request{ID: 4, Caller: "modest", Rank: Least}, 0)
+	res := s.Submit(Request{ID: 5, Caller: "clerk", Rank: Urgent}, 0)
+	assert.Equal(t, len(res.Rejected), 1)
+	assert.Equal(t, res.Rejected[0].ID, uint64(3))
+	assert.Equal(t, res.Rejected[0].Err.Code, verdict.Overloaded)
+	assert.DeepEqual(t, s.Done(1, 5*ms).Started, []uint64{5})
+}
+
+// Guards against holding a request that cannot start before its deadline.
+func TestUnreachableDeadlineIsRejectedAtOnce(t *testing.T) {
+	s := New(Config{Slots: 1, InitialServiceTime: 10 * ms})
+	s.Submit(Request{ID: 1, Caller: "a"}, 0)
+	s.Submit(Request{ID: 2, Caller: "a"}, 0)
+	res := s.Submit(Request{ID: 3, Caller: "a", Deadline: 25 * ms}, 0)
+	assert.Equal(t, len(res.Rejected), 1)
+	assert.Equal(t, res.Rejected[0].Err.Code, verdict.DeadlineUnreachable)
+	res = s.Submit(Request{ID: 4, Caller: "a", Deadline: 45 * ms}, 0)
+	assert.Equal(t, len(res.Rejected), 0)
+	// Request 1 takes longer than estimated: 4 can no longer be met at 30 ms.
+	assert.Equal(t, len(s.Tick(10*ms).Rejected), 0)
+	assert.Equal(t, s.Tick(30 * ms).Rejected[0].ID, uint64(4))
+}
+
+// Guards against starving a rank under a permanent flood of a higher one.
+func TestFloorUnderUrgentFlood(t *testing.T) {
+	s := New(Config{Slots: 2, Floor: [Ranks]float64{0, 0.1, 0.02}, QueueLimit: 300})
+	id := uint64(0)
+	ranks := map[uint64]Rank{}
+	submit := func(r Rank, now time.Duration) []uint64 {
+		id++
+		ranks[id] = r
+		return s.Submit(Request{ID: id, Caller: fmt.Sprint(id % 7), Rank: r}, now).Started
+	}
+	var running []uint64
+	var count [Ranks]int
+	for step := range 20_000 {
+		now := time.Duration(step) * 5 * ms
+		var next []uint64
+		for _, done := range running {
+			count[ranks[done]]++
+			next = append(next, s.Done(done, now).Started...)
+		}
+		for r := Rank(0); r < Ranks; r++ {
+			for s.Waiting(r) < 90 {
+				next = append(next, submit(r, now)...)
+			}
+		}
+		running = next
+	}
+	total := float64(count[0] + count[1] + count[2])
+	assert.Assert(t, float64(count[Middle])/total > 0.095, "counts %v", count)
+	assert.Assert(t, float64(count[Least])/total > 0.019, "counts %v", count)
+	assert.Assert(t, float64(count[Urgent])/total > 0.87, "counts %v", count)
+}
+
+// Guards against a door that stays shut after recovery or admits a whole flood.
+func TestDoorProbesAndReopens(t *testing.T) {
+	d := NewDoor(rand.New(rand.NewPCG(7, 7)))
+	d.Update("u", Load{RefuseFor: [Ranks]time.Duration{Least: 100 * ms}}, 0)
+	admitted := 0
+	for range 3200 {
+		ok, after := d.Admit("u", Least, 50*ms)
+		if ok {
+			admitted++
+			continue
+		}
+		assert.Assert(t, after >= 50*ms && after <= 75*ms)
+	}
+	assert.Assert(t, admitted > 50 && admitted < 200, "admitted %d", admitted)
+	ok, _ := d.Admit("u", Urgent, 50*ms)
+	assert.Assert(t, ok)
+	ok, _ = d.Admit("u", Least, 100*ms)
+	assert.Assert(t, ok)
+	d.Update("u", Load{RefuseFor: [Ranks]time.Duration{Least: time.Hour}}, 100*ms)
+	d.Forget("u")
+	ok, _ = d.Admit("u", Least, 101*ms)
+	assert.Assert(t, ok)
+}
+
+func TestParseRank(t *testing.T) {
+	for r := Rank(0); r < Ranks; r++ {
+		got, err := ParseRank(r.String())
+		assert.NilError(t, err)
+		assert.Equal(t, got, r)
+	}
+	_, err := ParseRank("vip")
+	assert.ErrorContains(t, err, `"vip" is not a rank`)
+}
+
+func BenchmarkSubmitDone(b *testing.B) {
+	for _, depth := range []int{0, 16, 250} {
+		b.Run(fmt.Sprintf("waiting=%d", depth), func(b *testing.B) {
+			s := New(Config{Slots: 2, Floor: [Ranks]float64{0, 0.1, 0.02}})
+			callers := [16]string{}
+			for i := range callers {
+				callers[i] = fmt.Sprint("caller-", i)
+			}
+			id, now := uint64(0), time.Duration(0)
+			var running []uint64
+			submit := func() {
+				id++
+				r := Request{ID: id, Caller: callers[id%16], Rank: Rank(id % Ranks)}
+				running = append(running, s.Submit(r, now).Started...)
+			}
+			for range depth + 2 {
+				submit()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now += 2500 * time.Microsecond
+				done := running[0]
+				copy(running, running[1:])
+				running = running[:len(running)-1]
+				running = append(running, s.Done(done, now).Started...)
+				submit()
+			}
+		})
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	d := NewDoor(rand.New(rand.NewPCG(7, 7)))
+	d.Update("u", Load{RefuseFor: [Ranks]time.Duration{Least: 100 * ms}}, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Admit("u", Least, 50*ms)
+	}
+}
