--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -70,6 +70,8 @@
 	CommitUnknown
 	// ConnectionLimit means that the instance accepts no more callers.
 	ConnectionLimit
+	// InvalidParameter means that a papayarail parameter has a bad value.
+	InvalidParameter
 )
 
 type codeInfo struct {
@@ -94,6 +96,7 @@
 	TransactionRolledBack: {"transaction_rolled_back", "40001", NotRun},
 	CommitUnknown:         {"commit_unknown", "40003", MayHaveRun},
 	ConnectionLimit:       {"connection_limit", "53300", NotRun},
+	InvalidParameter:      {"invalid_parameter", "22023", NotRun},
 }
 
 // String returns the name of the code as it appears in logs and metrics.
--- /dev/null
+++ b/instance/control/coordinator.go
@@ -0,0 +1,206 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/failover"
+	"github.com/papayarail/papayarail/fleet"
+	"github.com/papayarail/papayarail/wire/group"
+)
+
+const (
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
+	suspectAfter  = 600 * time.Millisecond
+	stalledAfter  = 1500 * time.Millisecond
+	stepTimeout   = 500 * time.Millisecond
+	tickInterval  = 50 * time.Millisecond
+)
+
+// Reserver arbitrates between coordinators at the platform.
+type Reserver interface {
+	Reserve(ctx context.Context, service string, term uint64, attempt string) failover.ReserveOutcome
+}
+
+// Config describes the coordinator of one service.
+type Config struct {
+	Instance string
+	Service  *fleet.Service
+	Now      func() time.Duration
+	Reserver Reserver
+	// Announce is called with each route that this coordinator establishes.
+	Announce func(failover.Route)
+	Log      *logrus.Entry
+}
+
+// Coordinator runs the failover machine of one service.
+type Coordinator struct {
+	cfg     Config
+	ctx     context.Context
+	members map[failover.MemberID]*member
+
+	mu      sync.Mutex
+	machine *failover.Coordinator
+	active  bool
+}
+
+// Start runs a coordinator, inactive at first, until ctx ends.
+func Start(ctx context.Context, cfg Config) *Coordinator {
+	c := &Coordinator{cfg: cfg, ctx: ctx, members: make(map[failover.MemberID]*member)}
+	var members []failover.Member
+	for _, db := range cfg.Service.Databases {
+		id := failover.MemberID(db.Name)
+		members = append(members, failover.Member{ID: id, FailureDomain: db.FailureDomain})
+		c.members[id] = &member{
+			id:      id,
+			address: db.Address,
+			service: cfg.Service.Name,
+			app:     "papayarail/" + cfg.Instance + "/control",
+		}
+	}
+	c.machine = failover.New(failover.Config{
+		Service:       cfg.Service.Name,
+		Members:       members,
+		Instance:      cfg.Instance,
+		ProbeInterval: probeInterval,
+		ProbeTimeout:  probeTimeout,
+		SuspectAfter:  suspectAfter,
+		StalledAfter:  stalledAfter,
+		StepTimeout:   stepTimeout,
+		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, cfg.Now())
+	go c.loop()
+	return c
+}
+
+func (c *Coordinator) loop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			c.closeMembers()
+			return
+		case <-ticker.C:
+		}
+		c.event(func(now time.Duration) []failover.Action { return c.machine.Tick(now) })
+	}
+}
+
+// SetActive says whether this instance is the chosen coordinator of the service.
+func (c *Coordinator) SetActive(active bool) {
+	c.mu.Lock()
+	changed := c.active != active
+	c.active = active
+	c.mu.Unlock()
+	if !changed {
+		return
+	}
+	c.event(func(now time.Duration) []failover.Action { return c.machine.SetActive(active, now) })
+	if !active {
+		c.closeMembers()
+	}
+}
+
+// LearnRoute takes in a route that a peer announced.
+func (c *Coordinator) LearnRoute(r failover.Route) {
+	c.event(func(now time.Duration) []failover.Action { return c.machine.LearnRoute(r, now) })
+}
+
+// Replace moves the primary away from a member that is leaving.
+func (c *Coordinator) Replace(name string) {
+	c.event(func(now time.Duration) []failover.Action {
+		return c.machine.Replace(failover.MemberID(name), now)
+	})
+}
+
+// Active reports whether this instance coordinates the service.
+func (c *Coordinator) Active() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active
+}
+
+func (c *Coordinator) closeMembers() {
+	for _, m := range c.members {
+		go m.close()
+	}
+}
+
+// event feeds the machine and performs its actions.
+func (c *Coordinator) event(f func(now time.Duration) []failover.Action) {
+	c.mu.Lock()
+	actions := f(c.cfg.Now())
+	c.mu.Unlock()
+	for _, a := range actions {
+		go c.perform(a)
+	}
+}
+
+func (c *Coordinator) perform(a failover.Action) {
+	ctx, cancel := context.WithTimeout(c.ctx, stepTimeout)
+	defer cancel()
+	switch a := a.(type) {
+	case failover.Probe:
+		c.probe(a)
+	case failover.Reserve:
+		outcome := c.cfg.Reserver.Reserve(ctx, c.cfg.Service.Name, a.Term, a.Attempt)
+		c.event(func(now time.Duration) []failover.Action { return c.machine.Reserved(a.Term, outcome, now) })
+	case failover.Adopt:
+		c.adopt(ctx, a)
+	case failover.Promote:
+		err := c.members[a.Member].promote(ctx, a.Term, a.Attempt)
+		c.logStep("promote", a.Member, a.Term, err)
+		c.event(func(now time.Duration) []failover.Action {
+			return c.machine.Promoted(a.Member, err == nil, a.Term, now)
+		})
+	case failover.Follow:
+		err := c.members[a.Member].follow(ctx, a.Term, c.members[a.Primary])
+		c.logStep("follow", a.Member, a.Term, err)
+		c.event(func(now time.Duration) []failover.Action { return c.machine.Followed(a.Member, err == nil, now) })
+	case failover.Announce:
+		c.cfg.Log.WithFields(logrus.Fields{"service": a.Route.Service, "term": a.Route.Term, "primary": a.Route.Primary}).Info("primary established")
+		c.cfg.Announce(a.Route)
+	}
+}
+
+func (c *Coordinator) probe(a failover.Probe) {
+	ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+	defer cancel()
+	s, err := c.members[a.Member].status(ctx, a.Fresh)
+	if err != nil {
+		c.cfg.Log.WithError(err).WithField("upstream", a.Member).Debug("probe failed")
+		c.event(func(now time.Duration) []failover.Action { return c.machine.ProbeFailed(a.Member, a.Fresh, now) })
+		return
+	}
+	c.event(func(now time.Duration) []failover.Action { return c.machine.Probed(a.Member, s, now) })
+}
+
+func (c *Coordinator) adopt(ctx context.Context, a failover.Adopt) {
+	var quorum []string
+	for id := range c.members {
+		quorum = append(quorum, string(id))
+	}
+	answer, err := c.members[a.Member].adopt(ctx, a.Term, a.Attempt, quorum)
+	c.logStep("adopt", a.Member, a.Term, err)
+	if err != nil {
+		answer = group.Adoption{}
+	}
+	c.event(func(now time.Duration) []failover.Action {
+		return c.machine.Adopted(a.Member, answer.Granted, answer.Term, answer.Last, now)
+	})
+}
+
+func (c *Coordinator) logStep(step string, m failover.MemberID, term uint64, err error) {
+	entry := c.cfg.Log.WithFields(logrus.Fields{"step": step, "upstream": m, "term": term})
+	if err != nil {
+		entry.WithError(err).Warn("failover step failed")
+		return
+	}
+	entry.Info("failover step done")
+}
--- /dev/null
+++ b/instance/node/coordinators.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"github.com/papayarail/papayarail/core/failover"
+	"github.com/papayarail/papayarail/fleet"
+	"github.com/papayarail/papayarail/instance/control"
+	"github.com/papayarail/papayarail/platform/register"
+)
+
+// coordinators runs one failover coordinator per service; only those that the
+// placement assigns to this instance are active.
+type coordinators struct {
+	node *Node
+
+	mu       sync.Mutex
+	services map[string]*coordinator
+}
+
+type coordinator struct {
+	*control.Coordinator
+	cancel    context.CancelFunc
+	databases []fleet.Database
+}
+
+func newCoordinators(n *Node) *coordinators {
+	return &coordinators{node: n, services: make(map[string]*coordinator)}
+}
+
+// reconcile matches the coordinators to the configuration and the placement.
+func (c *coordinators) reconcile() {
+	_, doc := c.node.view.Document()
+	if doc == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range doc.Services {
+		c.reconcileService(&doc.Services[i])
+	}
+	for name, running := range c.services {
+		if _, found := doc.Service(name); !found {
+			running.cancel()
+			delete(c.services, name)
+		}
+	}
+}
+
+func (c *coordinators) reconcileService(s *fleet.Service) {
+	running := c.services[s.Name]
+	if running != nil && !sameMembers(running.databases, s.Databases) {
+		running.cancel()
+		running = nil
+	}
+	if running == nil {
+		running = c.start(s)
+		c.services[s.Name] = running
+	}
+	running.SetActive(c.node.view.Coordinates(s.Name))
+	route, known := c.node.view.Route(s.Name)
+	for _, db := range s.Databases {
+		if known && db.State == fleet.Leaving && db.Name == string(route.Primary) {
+			running.Replace(db.Name)
+		}
+	}
+}
+
+func (c *coordinators) start(s *fleet.Service) *coordinator {
+	ctx, cancel := context.WithCancel(c.node.workCtx)
+	out := &coordinator{cancel: cancel, databases: s.Databases}
+	out.Coordinator = control.Start(ctx, control.Config{
+		Instance: c.node.settings.Name,
+		Service:  s,
+		Now:      c.node.now,
+		Reserver: reserver{c.node.register},
+		Announce: c.node.announceRoute,
+		Log:      c.node.log,
+	})
+	if route, found := c.node.view.Route(s.Name); found {
+		out.LearnRoute(route)
+	}
+	return out
+}
+
+func (c *coordinators) learn(r failover.Route) {
+	c.mu.Lock()
+	running := c.services[r.Service]
+	c.mu.Unlock()
+	if running != nil {
+		running.LearnRoute(r)
+	}
+}
+
+// active returns the services whose failover this instance coordinates.
+func (c *coordinators) active() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for name, s := range c.services {
+		if s.Active() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func sameMembers(a, b []fleet.Database) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name || a[i].Address != b[i].Address || a[i].FailureDomain != b[i].FailureDomain {
+			return false
+		}
+	}
+	return true
+}
+
+// reserver adapts the platform's register to the coordinator.
+type reserver struct{ register *register.Register }
+
+func (r reserver) Reserve(ctx context.Context, service string, term uint64, attempt string) failover.ReserveOutcome {
+	result, _ := r.register.Reserve(ctx, service, term, attempt)
+	switch result {
+	case register.Won:
+		return failover.ReserveWon
+	case register.Lost:
+		return failover.ReserveLost
+	default:
+		return failover.ReserveUnavailable
+	}
+}
--- /dev/null
+++ b/instance/node/dump.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"sort"
+
+	"github.com/papayarail/papayarail/core/failover"
+	"github.com/papayarail/papayarail/instance/entry"
+	"github.com/papayarail/papayarail/instance/owner"
+	"github.com/papayarail/papayarail/instance/view"
+)
+
+// Dump is the state of an instance, for operators.
+type Dump struct {
+	Instance    view.Peer        `json:"instance"`
+	UptimeMS    int64            `json:"uptime_ms"`
+	Revision    uint64           `json:"revision"`
+	Deployment  string           `json:"deployment"`
+	Peers       []view.Peer      `json:"peers"`
+	Routes      []failover.Route `json:"routes"`
+	Coordinates []string         `json:"coordinates"`
+	Upstreams   []owner.State    `json:"upstreams"`
+	Entry       entry.State      `json:"entry"`
+	// Waiting names what cannot go on without the platform.
+	Waiting []string `json:"waiting_for_platform"`
+}
+
+// Dump returns a snapshot of the instance's state.
+func (n *Node) Dump() any {
+	revision, doc := n.view.Document()
+	d := Dump{
+		Instance:    n.view.Self(),
+		UptimeMS:    n.now().Milliseconds(),
+		Revision:    revision,
+		Peers:       n.view.Peers(),
+		Routes:      n.view.Routes(),
+		Coordinates: n.coordinators.active(),
+		Entry:       n.entry.State(),
+	}
+	if doc != nil {
+		d.Deployment = doc.Deployment
+	} else {
+		d.Waiting = append(d.Waiting, "the first configuration, from the platform or a peer")
+	}
+	for _, u := range n.upstreams.all("") {
+		d.Upstreams = append(d.Upstreams, u.State())
+	}
+	sort.Slice(d.Peers, func(i, j int) bool { return d.Peers[i].Name < d.Peers[j].Name })
+	sort.Slice(d.Routes, func(i, j int) bool { return d.Routes[i].Service < d.Routes[j].Service })
+	sort.Slice(d.Upstreams, func(i, j int) bool { return d.Upstreams[i].Upstream < d.Upstreams[j].Upstream })
+	sort.Strings(d.Coordinates)
+	return d
+}
+
+// Ready reports whether the instance can serve callers, and why not.
+func (n *Node) Ready() (bool, string) {
+	if _, doc := n.view.Document(); doc == nil {
+		return false, "no configuration yet"
+	}
+	if n.view.Self().Leaving {
+		return false, "leaving"
+	}
+	return true, "ok"
+}
--- /dev/null
+++ b/instance/node/gateway.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/fleet"
+	"github.com/papayarail/papayarail/instance/peer"
+	"github.com/papayarail/papayarail/instance/view"
+)
+
+const (
+	// notOwnerDelay is the time after which ownership has usually settled.
+	notOwnerDelay = 50 * time.Millisecond
+	// cancelTimeout bounds the message that stops an abandoned exchange.
+	cancelTimeout = time.Second
+	// localLink names the link of sessions that are on the owner itself.
+	localLink = "local"
+)
+
+// gateway carries the exchanges of sessions to the owners.
+type gateway struct{ node *Node }
+
+// Exchange runs r at the instance that owns its upstream.
+func (g gateway) Exchange(ctx context.Context, owner view.Peer, r *peer.ExchangeRequest) (*peer.ExchangeAnswer, error) {
+	if owner.Name == g.node.settings.Name {
+		return g.node.upstreams.exchange(ctx, localLink, r)
+	}
+	answer := &peer.ExchangeAnswer{}
+	err := g.node.links.Data(owner.Address).Call(ctx, peer.MethodExchange, r, answer)
+	if err == nil {
+		return answer, nil
+	}
+	if ctx.Err() != nil {
+		go g.cancel(owner, r)
+	}
+	return nil, g.judge(r, err)
+}
+
+// judge weakens a verdict where the request changes nothing that could have run.
+func (g gateway) judge(r *peer.ExchangeRequest, err error) error {
+	var v *verdict.Error
+	if !errors.As(err, &v) || v.Code != verdict.OutcomeUnknown {
+		return err
+	}
+	if r.Tx != "" && !r.Begins && !r.Commits {
+		return verdict.New(verdict.TransactionRolledBack, "the owner of the transaction was lost: %s", v.Message)
+	}
+	if r.Tx != "" && r.Commits && !r.Begins {
+		return verdict.New(verdict.CommitUnknown, "the owner was lost during the commit: %s", v.Message)
+	}
+	return err
+}
+
+func (g gateway) cancel(owner view.Peer, r *peer.ExchangeRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	var none peer.Empty
+	_ = g.node.links.Control(owner.Address).Call(ctx, peer.MethodCancel, &peer.CancelRequest{Upstream: r.Upstream, ID: r.ID}, &none)
+}
+
+// EndTransaction rolls back a transaction of a session that has ended.
+func (g gateway) EndTransaction(owner view.Peer, upstream, tx string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if owner.Name == g.node.settings.Name {
+		for _, u := range g.node.upstreams.all(upstream) {
+			u.EndTransaction(ctx, tx)
+		}
+		return
+	}
+	var none peer.Empty
+	err := g.node.links.Data(owner.Address).Call(ctx, peer.MethodEndTransaction, &peer.EndTransactionRequest{Upstream: upstream, Tx: tx}, &none)
+	if err != nil {
+		g.node.log.WithError(err).WithField("upstream", upstream).Debug("could not end a transaction at its owner")
+	}
+}
+
+// barrier asks the owner of the service's primary for a confirmed position.
+func (n *Node) barrier(ctx context.Context, service string) (position.Position, error) {
+	owner, err := n.primaryOwner(service)
+	if err != nil {
+		return position.Position{}, err
+	}
+	if owner.Name == n.settings.Name {
+		return n.upstreams.barrier(ctx, service)
+	}
+	var answer peer.BarrierAnswer
+	err = n.links.Control(owner.Address).Call(ctx, peer.MethodBarrier, &peer.BarrierRequest{Service: service}, &answer)
+	return answer.Position, err
+}
+
+func (n *Node) primaryOwner(service string) (view.Peer, error) {
+	route, found := n.view.Route(service)
+	if !found {
+		return view.Peer{}, verdict.New(verdict.NoPrimary, "service %q has no known primary", service).After(notOwnerDelay)
+	}
+	db, found := n.database(service, string(route.Primary))
+	if !found {
+		return view.Peer{}, verdict.New(verdict.NoPrimary, "primary %q of service %q is not in the configuration", route.Primary, service).After(notOwnerDelay)
+	}
+	owner, found := n.view.Owner(db)
+	if !found {
+		return view.Peer{}, verdict.New(verdict.CutOff, "no live instance owns upstream %q", db.Name).After(notOwnerDelay)
+	}
+	return owner, nil
+}
+
+func (n *Node) database(service, name string) (*fleet.Database, bool) {
+	s, found := n.view.Service(service)
+	if !found {
+		return nil, false
+	}
+	return s.Database(name)
+}
--- /dev/null
+++ b/instance/node/node.go
@@ -0,0 +1,295 @@
+// Package node assembles one instance: the caller, peer and operator addresses
+// around the owned upstreams, the coordinators and the configuration.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/papayarail/papayarail/core/failover"
+	"github.com/papayarail/papayarail/instance/entry"
+	"github.com/papayarail/papayarail/instance/operator"
+	"github.com/papayarail/papayarail/instance/peer"
+	"github.com/papayarail/papayarail/instance/settings"
+	"github.com/papayarail/papayarail/instance/view"
+	"github.com/papayarail/papayarail/platform/awsstore"
+	"github.com/papayarail/papayarail/platform/configstore"
+	"github.com/papayarail/papayarail/platform/register"
+	"github.com/papayarail/papayarail/wire/caller"
+)
+
+// Class groups the errors of this package.
+var Class = errs.Class("node")
+
+const (
+	// reconcileInterval bounds how late a change of placement is noticed that
+	// no event announced.
+	reconcileInterval = 250 * time.Millisecond
+	// leaveDelay lets peers learn that this instance is leaving before it gives
+	// its upstreams up.
+	leaveDelay = 700 * time.Millisecond
+	// drainLimit bounds a planned stop; open transactions after it are cut.
+	drainLimit = 60 * time.Second
+
+	maxMessageBytes = 8 << 20
+	startupTimeout  = 10 * time.Second
+	idleTimeout     = time.Hour
+	defaultCallers  = 20000
+)
+
+// Node is one running instance.
+type Node struct {
+	settings *settings.Settings
+	log      *logrus.Entry
+	began    time.Time
+	birth    uint64
+
+	view         *view.View
+	links        *peer.Links
+	store        *configstore.Store
+	register     *register.Register
+	upstreams    *upstreams
+	coordinators *coordinators
+	config       *config
+	liveness     *liveness
+	callers      *caller.Server
+	entry        *entry.Entry
+
+	// workCtx ends after the drain; it carries the owned upstreams and coordinators.
+	workCtx context.Context
+	work    sync.WaitGroup
+	kicks   chan struct{}
+	drain   chan struct{}
+	once    sync.Once
+}
+
+// New prepares an instance; Run starts it.
+func New(s *settings.Settings, log *logrus.Logger) (*Node, error) {
+	store, err := awsstore.New(awsstore.Settings{
+		TableURL:  s.Platform.TableURL,
+		ObjectURL: s.Platform.ObjectURL,
+		Table:     s.Platform.Table,
+		Bucket:    s.Platform.Bucket,
+	})
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	n := &Node{
+		settings: s,
+		log:      log.WithField("instance", s.Name),
+		began:    time.Now(),
+		birth:    uint64(time.Now().UnixMicro()),
+		view:     view.New(view.Peer{Name: s.Name, FailureDomain: s.FailureDomain, Address: s.PeerAddress, Operator: s.OperatorAddress}),
+		store:    configstore.New(store.Table, store.Objects),
+		register: register.New(store.Table, s.Name),
+		kicks:    make(chan struct{}, 1),
+		drain:    make(chan struct{}),
+	}
+	n.links = peer.NewLinks(n.hello)
+	n.upstreams = newUpstreams(n)
+	n.coordinators = newCoordinators(n)
+	n.config = &config{node: n}
+	n.liveness = newLiveness(n)
+	n.entry = entry.New(s.FailureDomain, n.view, gateway{n}, n.now, n.log)
+	n.callers = caller.NewServer(n.callerSettings(), n.entry)
+	return n, nil
+}
+
+func (n *Node) callerSettings() caller.Settings {
+	limit := n.settings.MaxCallers
+	if limit == 0 {
+		limit = defaultCallers
+	}
+	return caller.Settings{
+		MaxMessageBytes: maxMessageBytes,
+		MaxConnections:  limit,
+		StartupTimeout:  startupTimeout,
+		IdleTimeout:     idleTimeout,
+		Log:             n.log,
+		Allowed:         settings.Networks(n.settings.CallerNetworks),
+	}
+}
+
+// now is the instance's monotonic clock; it starts above zero, because zero
+// means "never" to its users.
+func (n *Node) now() time.Duration { return time.Since(n.began) + time.Millisecond }
+
+func (n *Node) hello() peer.Hello {
+	self := n.view.Self()
+	revision, _ := n.view.Document()
+	return peer.Hello{
+		Name:          self.Name,
+		FailureDomain: self.FailureDomain,
+		Address:       self.Address,
+		Operator:      self.Operator,
+		Incarnation:   n.birth,
+		Leaving:       self.Leaving,
+		Revision:      revision,
+	}
+}
+
+// Drain starts the planned stop; it returns at once.
+func (n *Node) Drain() { n.once.Do(func() { close(n.drain) }) }
+
+// Run serves until ctx ends or Drain is called, stops as planned, and returns.
+func (n *Node) Run(ctx context.Context) error {
+	workCtx, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	n.workCtx = workCtx
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(listeners))
+	n.serve(workCtx, listeners, failed)
+	n.log.WithFields(logrus.Fields{
+		"callers":   listeners.callers.Addr().String(),
+		"peers":     listeners.peers.Addr().String(),
+		"operators": listeners.operators.Addr().String(),
+	}).Info("instance started")
+	select {
+	case <-ctx.Done():
+	case <-n.drain:
+	case err := <-failed:
+		return err
+	}
+	n.stop(listeners)
+	stopWork()
+	n.links.Close()
+	n.work.Wait()
+	n.log.Info("instance stopped")
+	return nil
+}
+
+type listeners struct{ callers, peers, operators net.Listener }
+
+func (n *Node) listen() (l listeners, err error) {
+	l.callers, err = net.Listen("tcp", n.settings.CallerAddress)
+	if err != nil {
+		return l, Class.Wrap(err)
+	}
+	l.peers, err = net.Listen("tcp", n.settings.PeerAddress)
+	if err != nil {
+		return l, Class.Wrap(errors.Join(err, l.callers.Close()))
+	}
+	l.operators, err = net.Listen("tcp", n.settings.OperatorAddress)
+	if err != nil {
+		return l, Class.Wrap(errors.Join(err, l.callers.Close(), l.peers.Close()))
+	}
+	return l, nil
+}
+
+func (n *Node) serve(ctx context.Context, l listeners, failed chan<- error) {
+	allowed := settings.Networks(n.settings.AllowedNetworks)
+	links := &peer.Server{Self: n.hello, Allowed: allowed, Log: n.log, NewHandler: n.newHandler}
+	operators := operator.New(n, allowed, n.log)
+	n.work.Go(func() { report(failed, links.Serve(ctx, l.peers)) })
+	n.work.Go(func() { report(failed, operators.Serve(ctx, l.operators)) })
+	n.work.Go(func() { report(failed, n.callers.Serve(ctx, l.callers)) })
+	n.work.Go(func() { n.config.run(ctx) })
+	n.work.Go(func() { n.liveness.run(ctx) })
+	n.work.Go(func() { n.liveness.readList(ctx) })
+	n.work.Go(func() { n.reconcile(ctx) })
+}
+
+func report(failed chan<- error, err error) {
+	if err != nil {
+		failed <- Class.Wrap(err)
+	}
+}
+
+func (n *Node) newHandler(remote string) peer.Handler {
+	return handler{node: n, link: "link/" + remote}
+}
+
+// kick asks for a reconciliation now.
+func (n *Node) kick() {
+	select {
+	case n.kicks <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) reconcile(ctx context.Context) {
+	for {
+		n.coordinators.reconcile()
+		n.upstreams.reconcile()
+		n.drainIfUnwanted()
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.kicks:
+		case <-time.After(reconcileInterval):
+		}
+	}
+}
+
+// drainIfUnwanted starts the planned stop once the configuration says that this
+// instance is leaving or no longer lists it.
+func (n *Node) drainIfUnwanted() {
+	_, doc := n.view.Document()
+	if doc == nil {
+		return
+	}
+	self, found := doc.Instance(n.settings.Name)
+	if !found || self.State == "leaving" {
+		n.Drain()
+	}
+}
+
+// stop is the planned stop: announce, refuse new callers and close idle ones,
+// let transactions end, then give up the upstreams.
+func (n *Node) stop(l listeners) {
+	n.log.Info("planned stop begins")
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	l.callers.Close()
+	n.view.Leave()
+	n.kick()
+	n.liveness.announce(ctx)
+	if err := n.callers.Drain(ctx); err != nil {
+		n.log.WithError(err).Warn("callers were left when the time limit of the planned stop ran out")
+	}
+	pause(ctx, leaveDelay)
+	n.upstreams.stop()
+	for len(n.upstreams.all("")) > 0 && pause(ctx, reconcileInterval/10) {
+	}
+}
+
+// gossip is what this instance tells its peers.
+func (n *Node) gossip() *peer.Gossip {
+	return &peer.Gossip{From: n.hello(), Routes: n.view.Routes()}
+}
+
+func (n *Node) receive(g *peer.Gossip) {
+	n.liveness.heard(g.From)
+	for _, r := range g.Routes {
+		n.learnRoute(r)
+	}
+	revision, _ := n.view.Document()
+	if g.From.Revision > revision {
+		go n.config.fetch(n.workCtx, g.From.Address, g.From.Revision)
+	}
+}
+
+func (n *Node) learnRoute(r failover.Route) bool {
+	if !n.view.LearnRoute(r) {
+		return false
+	}
+	n.coordinators.learn(r)
+	n.kick()
+	return true
+}
+
+// announceRoute spreads a route that this instance's coordinator established.
+func (n *Node) announceRoute(r failover.Route) {
+	if n.learnRoute(r) {
+		n.liveness.announce(n.workCtx)
+	}
+}
--- /dev/null
+++ b/instance/owner/connections.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/papayarail/papayarail/core/pool"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/wire/upstream"
+)
+
+// sqlStateConnectionLimit is too_many_connections of PostgreSQL.
+const sqlStateConnectionLimit = "53300"
+
+type assignment struct {
+	id   pool.ConnID
+	conn *upstream.Conn
+	err  error
+}
+
+// performPool carries out the pool's actions; the caller holds mu.
+func (u *Upstream) performPool(actions []pool.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case pool.Open:
+			go u.open(a.Conn)
+		case pool.Close:
+			u.closeConn(a.Conn)
+		case pool.Assign:
+			u.assign(a)
+		case pool.Refuse:
+			u.assigned.deliver(a.Request, assignment{err: a.Err})
+		}
+	}
+}
+
+func (u *Upstream) assign(a pool.Assign) {
+	given := assignment{id: a.Conn, conn: u.conns[a.Conn]}
+	if !u.assigned.deliver(a.Request, given) {
+		u.performPool(u.pool.Release(a.Conn, true, u.now()))
+	}
+}
+
+func (u *Upstream) closeConn(id pool.ConnID) {
+	c := u.conns[id]
+	delete(u.conns, id)
+	if c != nil {
+		go c.Close()
+	}
+}
+
+func (u *Upstream) dialConfig(role string) upstream.Config {
+	return upstream.Config{
+		Address:         u.cfg.Address,
+		User:            "papayarail",
+		Database:        u.cfg.Service,
+		ApplicationName: applicationName(u.cfg.Instance, role),
+		ConnectTimeout:  connectTimeout,
+	}
+}
+
+// applicationName identifies the connections of an instance at an upstream, so
+// that a new owner can end those of a dead one.
+func applicationName(instance, role string) string {
+	return "papayarail/" + instance + "/" + role
+}
+
+func (u *Upstream) open(id pool.ConnID) {
+	ctx, cancel := context.WithTimeout(u.ctx, connectTimeout)
+	defer cancel()
+	c, err := upstream.Dial(ctx, u.dialConfig("pool"))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err != nil {
+		var pg *pgconn.PgError
+		limit := errors.As(err, &pg) && pg.Code == sqlStateConnectionLimit
+		u.cfg.Log.WithError(err).WithField("upstream", u.cfg.Name).Debug("could not open an upstream connection")
+		u.performPool(u.pool.OpenFailed(id, limit, u.now()))
+		return
+	}
+	if u.ctx.Err() != nil {
+		c.Close()
+		return
+	}
+	u.conns[id] = c
+	u.performPool(u.pool.Opened(id, u.now()))
+}
+
+// acquire returns a connection of the pool.
+func (u *Upstream) acquire(ctx context.Context) (assignment, error) {
+	u.mu.Lock()
+	id := u.id()
+	ch := u.assigned.add(id)
+	u.performPool(u.pool.Acquire(id, u.now()))
+	u.mu.Unlock()
+	select {
+	case a := <-ch:
+		return a, a.err
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if _, waiting := u.assigned[id]; waiting {
+		delete(u.assigned, id)
+		u.performPool(u.pool.Abandon(id, u.now()))
+	} else if a := <-ch; a.err == nil {
+		u.performPool(u.pool.Release(a.id, true, u.now()))
+	}
+	return assignment{}, verdict.New(verdict.DeadlineUnreachable, "no connection to upstream %q became free in time", u.cfg.Name).After(50 * time.Millisecond)
+}
+
+func (u *Upstream) release(id pool.ConnID, clean bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.performPool(u.pool.Release(id, clean, u.now()))
+}
--- /dev/null
+++ b/instance/owner/exchange.go
@@ -0,0 +1,330 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/instance/peer"
+	"github.com/papayarail/papayarail/wire/upstream"
+)
+
+const (
+	txIdle = 'I'
+	// maxExchange bounds requests that carry no deadline.
+	maxExchange = 60 * time.Second
+	// catchUpLimit bounds the time that a read waits for a replica.
+	catchUpLimit = 50 * time.Millisecond
+	// sqlStateReadOnly is read_only_sql_transaction: a replica or a deposed
+	// primary refused a write and did nothing.
+	sqlStateReadOnly = "25006"
+)
+
+// Exchange runs the messages of r and returns the whole answer, or an error
+// with a verdict. link names the connection that r came over.
+func (u *Upstream) Exchange(ctx context.Context, link string, r *peer.ExchangeRequest) (*peer.ExchangeAnswer, error) {
+	limit := r.Deadline
+	if limit <= 0 || limit > maxExchange {
+		limit = maxExchange
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := u.enter(r, cancel); err != nil {
+		return nil, err
+	}
+	defer u.leave(r.ID)
+	answer, err := u.run(ctx, link, r, limit)
+	if err != nil {
+		return nil, err
+	}
+	u.describe(answer)
+	return answer, nil
+}
+
+// enter registers the exchange; new work is refused once the upstream retires.
+func (u *Upstream) enter(r *peer.ExchangeRequest, cancel context.CancelFunc) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, continues := u.txs[r.Tx]
+	if u.retiring && !continues {
+		return errNotOwned(u.cfg.Name)
+	}
+	u.running[r.ID] = cancel
+	return nil
+}
+
+func (u *Upstream) leave(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.running, id)
+}
+
+// Cancel cancels a running exchange.
+func (u *Upstream) Cancel(id string) {
+	u.mu.Lock()
+	cancel := u.running[id]
+	u.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// describe adds what entry instances need to know of the upstream.
+func (u *Upstream) describe(a *peer.ExchangeAnswer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.now()
+	a.Load = u.scheduler.Load(now)
+	a.Applied = u.status.Last
+	a.Lag, a.Confirm = u.lag, u.confirmTime
+	a.Age, a.AgeKnown = u.age.Age(now)
+}
+
+func (u *Upstream) run(ctx context.Context, link string, r *peer.ExchangeRequest, limit time.Duration) (*peer.ExchangeAnswer, error) {
+	if r.Tx != "" && !r.Begins {
+		return u.runPinned(ctx, r)
+	}
+	asked := u.now()
+	least, err := u.leastPosition(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	slot, err := u.enqueue(ctx, r, limit)
+	if err != nil {
+		return nil, err
+	}
+	a, err := u.acquire(ctx)
+	if err != nil {
+		u.leaveSlot(slot)
+		return nil, err
+	}
+	id := u.started()
+	answer, err := u.execute(ctx, a.conn, r)
+	u.leaveSlot(slot)
+	if err != nil {
+		u.abandoned(id)
+		u.release(a.id, false)
+		return nil, err
+	}
+	u.settle(r, link, a, answer)
+	return u.prove(ctx, id, r, answer, least, asked)
+}
+
+// settle pins the connection of an open transaction and releases any other.
+func (u *Upstream) settle(r *peer.ExchangeRequest, link string, a assignment, answer upstream.Answer) {
+	if answer.TxStatus == txIdle {
+		u.release(a.id, true)
+		return
+	}
+	if r.Tx == "" {
+		u.release(a.id, false)
+		return
+	}
+	u.pin(r.Tx, link, a)
+}
+
+// runPinned runs an exchange of an open transaction. It is queued as urgent
+// work without a deadline, because an open transaction holds a connection and
+// locks that others wait for.
+func (u *Upstream) runPinned(ctx context.Context, r *peer.ExchangeRequest) (*peer.ExchangeAnswer, error) {
+	t, err := u.pinned(r.Tx)
+	if err != nil {
+		return nil, err
+	}
+	asked := u.now()
+	queued := *r
+	queued.Rank = schedule.Urgent
+	slot, err := u.enqueue(ctx, &queued, 0)
+	if err != nil {
+		u.finish(r.Tx, t, 'T', false)
+		return nil, err
+	}
+	id := u.started()
+	answer, err := u.execute(ctx, t.conn, r)
+	u.leaveSlot(slot)
+	u.finish(r.Tx, t, answer.TxStatus, err != nil)
+	if err != nil {
+		u.abandoned(id)
+		return nil, lostTransaction(r, err)
+	}
+	return u.prove(ctx, id, r, answer, position.Position{}, asked)
+}
+
+// lostTransaction gives the verdict on a transaction whose connection failed:
+// without a commit on its way it has rolled back.
+func lostTransaction(r *peer.ExchangeRequest, err error) error {
+	if r.Commits {
+		return verdict.New(verdict.CommitUnknown, "the connection failed during the commit: %v", err)
+	}
+	return verdict.New(verdict.TransactionRolledBack, "the connection failed and the transaction has rolled back: %v", err)
+}
+
+// leastPosition returns the position that a replica must have before it may
+// execute r.
+func (u *Upstream) leastPosition(ctx context.Context, r *peer.ExchangeRequest) (position.Position, error) {
+	least := r.Min
+	switch r.Proof {
+	case peer.ProofBarrier:
+		p, err := u.freshBarrier(ctx)
+		if err != nil {
+			return least, err
+		}
+		least = position.Max(least, p)
+	case peer.ProofAge:
+		p, err := u.agePosition(ctx, r.MaxAge)
+		if err != nil {
+			return least, err
+		}
+		least = position.Max(least, p)
+	case peer.ProofPosition:
+	default:
+		return position.Position{}, nil
+	}
+	return least, u.catchUp(ctx, least)
+}
+
+// catchUp waits for the position for a bounded time. Longer waits are better
+// spent on another member; entry instances learn the lag and go there at once.
+func (u *Upstream) catchUp(ctx context.Context, least position.Position) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	began := u.now()
+	err := u.waitApplied(ctx, least)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lag = smooth(u.lag, u.now()-began)
+	return err
+}
+
+// smooth is an exponentially weighted mean with weight 1/8 for the new value.
+func smooth(mean, value time.Duration) time.Duration { return mean + (value-mean)/8 }
+
+func (u *Upstream) freshBarrier(ctx context.Context) (position.Position, error) {
+	p, err := u.barriers.get(ctx, u.cfg.Service)
+	if err != nil {
+		return p, verdict.New(verdict.CutOff, "the primary of %q gave no confirmed position: %v", u.cfg.Service, err).After(monitorInterval)
+	}
+	return p, nil
+}
+
+// agePosition returns a position whose data is no older than maxAge, without
+// asking the primary if the replica's age is already proved.
+func (u *Upstream) agePosition(ctx context.Context, maxAge time.Duration) (position.Position, error) {
+	u.mu.Lock()
+	now := u.now()
+	u.ageDemand = now
+	age, proved := u.age.Age(now)
+	u.mu.Unlock()
+	if proved && age <= maxAge {
+		return position.Position{}, nil
+	}
+	return u.freshBarrier(ctx)
+}
+
+// enqueue waits for a slot.
+func (u *Upstream) enqueue(ctx context.Context, r *peer.ExchangeRequest, limit time.Duration) (uint64, error) {
+	u.mu.Lock()
+	id := u.id()
+	ch := u.slots.add(id)
+	now := u.now()
+	request := schedule.Request{ID: id, Caller: r.Caller, Rank: r.Rank}
+	if limit > 0 {
+		request.Deadline = now + limit
+	}
+	u.performScheduler(u.scheduler.Submit(request, now))
+	u.mu.Unlock()
+	select {
+	case err := <-ch:
+		return id, err
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	delete(u.slots, id)
+	u.performScheduler(u.scheduler.Cancel(id, u.now()))
+	u.mu.Unlock()
+	return id, verdict.New(verdict.DeadlineUnreachable, "the request was cancelled or timed out in the queue of %q", u.cfg.Name)
+}
+
+func (u *Upstream) leaveSlot(id uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.performScheduler(u.scheduler.Done(id, u.now()))
+}
+
+// execute runs the messages on the connection. When the caller gives up, the
+// upstream is told to cancel, so that its slot is free again.
+func (u *Upstream) execute(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
+	stop := context.AfterFunc(ctx, func() {
+		cancelCtx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+		defer cancel()
+		_ = c.Cancel(cancelCtx)
+	})
+	defer stop()
+	if r.Key != "" {
+		return executeKeyed(ctx, c, r)
+	}
+	return c.Exchange(ctx, r.Need, r.Messages)
+}
+
+// prove establishes what the caller was promised before the answer leaves.
+func (u *Upstream) prove(ctx context.Context, id uint64, r *peer.ExchangeRequest, a upstream.Answer, least position.Position, asked time.Duration) (*peer.ExchangeAnswer, error) {
+	out := &peer.ExchangeAnswer{Messages: a.Messages, TxStatus: a.TxStatus, Position: a.Position, Executed: u.now() - asked}
+	if r.Proof == peer.ProofConfirm {
+		return u.proveConfirmed(ctx, id, r, a, out)
+	}
+	u.abandoned(id)
+	if a.SQLState == sqlStateReadOnly && a.TxStatus == txIdle {
+		return nil, readOnly(u.cfg.Name, r)
+	}
+	switch r.Proof {
+	case peer.ProofPosition, peer.ProofBarrier, peer.ProofAge:
+		if !a.Position.AtLeast(least) {
+			return nil, executed(verdict.New(verdict.ReplicaBehind, "upstream %q went back behind %s", u.cfg.Name, least).After(monitorBackoff))
+		}
+	}
+	return out, nil
+}
+
+func (u *Upstream) proveConfirmed(ctx context.Context, id uint64, r *peer.ExchangeRequest, a upstream.Answer, out *peer.ExchangeAnswer) (*peer.ExchangeAnswer, error) {
+	if a.SQLState == sqlStateReadOnly && a.TxStatus == txIdle {
+		u.abandoned(id)
+		return nil, readOnly(u.cfg.Name, r)
+	}
+	began := u.now()
+	p, err := u.confirm(ctx, id, a.Committed, a.Position)
+	if err != nil {
+		return nil, err
+	}
+	u.mu.Lock()
+	u.confirmTime = smooth(u.confirmTime, u.now()-began)
+	u.mu.Unlock()
+	out.Position = p
+	return out, nil
+}
+
+// readOnly is the verdict on a write that a replica or a deposed primary refused.
+func readOnly(name string, r *peer.ExchangeRequest) error {
+	if r.Tx != "" && !r.Begins {
+		return verdict.New(verdict.TransactionRolledBack, "upstream %q stopped being the primary during the transaction", name).After(monitorBackoff)
+	}
+	return verdict.New(verdict.NoPrimary, "upstream %q accepts no writes", name).After(monitorBackoff)
+}
+
+// executed marks an error about a statement that has run although its answer
+// is withheld.
+func executed(e *verdict.Error) *verdict.Error {
+	e.Verdict = verdict.MayHaveRun
+	return e
+}
+
+func queryMessage(sql string) []byte {
+	b, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		panic(err) // a Query message of bounded size always encodes
+	}
+	return b
+}
--- /dev/null
+++ b/instance/owner/keyed.go
@@ -0,0 +1,131 @@
+package owner
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/instance/peer"
+	"github.com/papayarail/papayarail/wire/upstream"
+)
+
+const sqlStateUniqueViolation = "23505"
+
+// executeKeyed runs a request that may not be repeated in one transaction with
+// the record of its key. Because key and effect commit together, a second
+// request with the key finds the record, also after a failover.
+func executeKeyed(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
+	if r.Tx != "" && !r.Commits {
+		return c.Exchange(ctx, r.Need, r.Messages)
+	}
+	opened := r.Tx == "" || r.Begins
+	if opened {
+		if _, err := c.Query(ctx, "BEGIN"); err != nil {
+			return upstream.Answer{}, notCommitted(err)
+		}
+	}
+	if _, err := c.Query(ctx, "INSERT INTO papayarail_requests (key, answer) VALUES ("+quote(r.Key)+", '')"); err != nil {
+		return refused(ctx, c, r, err)
+	}
+	if !opened {
+		return commitKeyed(ctx, c, r)
+	}
+	answer, err := c.Exchange(ctx, r.Need, r.Messages)
+	if err != nil {
+		return answer, notCommitted(err)
+	}
+	if answer.SQLState != "" {
+		return rollBackKeyed(ctx, c, answer)
+	}
+	return record(ctx, c, r.Key, answer)
+}
+
+// commitKeyed records the answer of a COMMIT that the caller sent, ahead of it.
+func commitKeyed(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
+	preview := upstream.Answer{Messages: commitCompletion}
+	if err := store(ctx, c, r.Key, preview.Messages); err != nil {
+		return upstream.Answer{}, notCommitted(err)
+	}
+	return c.Exchange(ctx, r.Need, r.Messages)
+}
+
+// record stores the answer beside the key and commits.
+func record(ctx context.Context, c *upstream.Conn, key string, answer upstream.Answer) (upstream.Answer, error) {
+	if err := store(ctx, c, key, answer.Messages); err != nil {
+		return upstream.Answer{}, notCommitted(err)
+	}
+	committed, err := c.Exchange(ctx, nil, queryMessage("COMMIT"))
+	if err != nil {
+		return committed, err
+	}
+	if committed.SQLState != "" {
+		return committed, nil
+	}
+	answer.TxStatus = committed.TxStatus
+	answer.Position = committed.Position
+	answer.Committed = true
+	return answer, nil
+}
+
+func store(ctx context.Context, c *upstream.Conn, key string, messages []byte) error {
+	text := base64.StdEncoding.EncodeToString(messages)
+	_, err := c.Query(ctx, "UPDATE papayarail_requests SET answer = "+quote(text)+" WHERE key = "+quote(key))
+	return err
+}
+
+// refused answers a key that is already recorded with the recorded answer.
+func refused(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest, err error) (upstream.Answer, error) {
+	var pg *pgconn.PgError
+	if !errors.As(err, &pg) {
+		return upstream.Answer{}, notCommitted(err)
+	}
+	if _, err := c.Query(ctx, "ROLLBACK"); err != nil {
+		return upstream.Answer{}, notCommitted(err)
+	}
+	if pg.Code != sqlStateUniqueViolation {
+		return upstream.Answer{TxStatus: txIdle, SQLState: pg.Code}, notRun(pg)
+	}
+	rows, err := c.Query(ctx, "SELECT answer FROM papayarail_requests WHERE key = "+quote(r.Key))
+	if err != nil || len(rows) != 1 {
+		return upstream.Answer{}, verdict.New(verdict.OutcomeUnknown, "the record of the request key could not be read: %v", err)
+	}
+	messages, err := base64.StdEncoding.DecodeString(rows[0][0])
+	if err != nil {
+		return upstream.Answer{}, verdict.New(verdict.OutcomeUnknown, "the record of the request key is damaged: %v", err)
+	}
+	probe, err := c.Exchange(ctx, nil, queryMessage("SELECT 1"))
+	if err != nil {
+		return probe, err
+	}
+	return upstream.Answer{Messages: messages, TxStatus: txIdle, Position: probe.Position}, nil
+}
+
+func rollBackKeyed(ctx context.Context, c *upstream.Conn, answer upstream.Answer) (upstream.Answer, error) {
+	rolled, err := c.Exchange(ctx, nil, queryMessage("ROLLBACK"))
+	if err != nil {
+		return answer, notCommitted(err)
+	}
+	answer.TxStatus = rolled.TxStatus
+	return answer, nil
+}
+
+// notCommitted is the verdict on a keyed request that failed before its COMMIT
+// was sent: the upstream rolls it back.
+func notCommitted(err error) error {
+	return verdict.New(verdict.TransactionRolledBack, "the keyed request failed before its commit: %v", err)
+}
+
+func notRun(pg *pgconn.PgError) error {
+	if pg.Code == sqlStateReadOnly {
+		return verdict.New(verdict.NoPrimary, "the upstream accepts no writes").After(monitorBackoff)
+	}
+	return verdict.New(verdict.TransactionRolledBack, "the request key could not be recorded: %s", pg.Message)
+}
+
+func quote(s string) string {
+	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
+}
--- /dev/null
+++ b/instance/owner/monitor.go
@@ -0,0 +1,333 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/papayarail/papayarail/core/confirm"
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/wire/group"
+	"github.com/papayarail/papayarail/wire/upstream"
+)
+
+const (
+	monitorInterval = 250 * time.Millisecond
+	monitorTimeout  = time.Second
+	monitorBackoff  = 100 * time.Millisecond
+	waitLimit       = 200 * time.Millisecond
+	// barrierDelay collects the reads that arrive close together behind one barrier.
+	barrierDelay = 500 * time.Microsecond
+	// ageSampleInterval bounds how stale the proof of age is; it runs only while
+	// reads with a stated age arrive.
+	ageSampleInterval = 200 * time.Millisecond
+	ageDemandWindow   = 5 * time.Second
+)
+
+// monitor keeps one control connection to the upstream and feeds the tracker.
+func (u *Upstream) monitor() {
+	for u.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(u.ctx, connectTimeout)
+		c, err := upstream.Dial(ctx, u.dialConfig("monitor"))
+		cancel()
+		if err != nil {
+			u.unhealthy(err)
+			sleep(u.ctx, monitorBackoff)
+			continue
+		}
+		u.unhealthy(u.watch(c))
+		c.Close()
+	}
+}
+
+func (u *Upstream) unhealthy(err error) {
+	if err == nil || u.ctx.Err() != nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.healthy {
+		u.cfg.Log.WithError(err).WithField("upstream", u.cfg.Name).Warn("monitor connection lost")
+	}
+	u.healthy = false
+}
+
+// watch reads the status until the connection fails.
+func (u *Upstream) watch(c *upstream.Conn) error {
+	for {
+		if err := u.poll(c); err != nil {
+			return err
+		}
+		if u.workPending() {
+			continue
+		}
+		select {
+		case <-u.ctx.Done():
+			return nil
+		case <-u.wake:
+		case <-time.After(monitorInterval):
+		}
+	}
+}
+
+// poll does one round: a barrier if one is wanted, then a status that waits for
+// the position that somebody needs.
+func (u *Upstream) poll(c *upstream.Conn) error {
+	ctx, cancel := context.WithTimeout(u.ctx, monitorTimeout+waitLimit)
+	defer cancel()
+	if u.takeBarrier() {
+		if err := u.writeBarrier(ctx, c); err != nil {
+			return err
+		}
+	}
+	target, waiting := u.target()
+	client := group.New(c)
+	var status group.Status
+	var err error
+	if waiting {
+		status, err = client.Wait(ctx, target, waitLimit)
+	} else {
+		status, err = client.Status(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	u.observe(status)
+	return nil
+}
+
+func (u *Upstream) takeBarrier() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	wanted := u.barrier
+	u.barrier = false
+	return wanted && u.status.Role == group.Primary
+}
+
+func (u *Upstream) writeBarrier(ctx context.Context, c *upstream.Conn) error {
+	p, err := group.New(c).Barrier(ctx)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.now()
+	if err != nil {
+		u.performTracker(u.tracker.BarrierFailed(now))
+		return err
+	}
+	u.raiseTerm(p.Term, now)
+	u.pending = position.Max(u.pending, p)
+	u.performTracker(u.tracker.BarrierWritten(p, now))
+	return nil
+}
+
+// target returns the position that the next status should wait for.
+func (u *Upstream) target() (position.Position, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.status.Role == group.Primary {
+		unconfirmed := u.tracker != nil && !u.tracker.Confirmed().AtLeast(u.pending)
+		return u.pending, unconfirmed && !u.pending.IsZero()
+	}
+	var lowest position.Position
+	for _, w := range u.applied {
+		if lowest.IsZero() || lowest.AtLeast(w.min) {
+			lowest = w.min
+		}
+	}
+	return lowest, !lowest.IsZero()
+}
+
+func (u *Upstream) workPending() bool {
+	if u.ctx.Err() != nil {
+		return false
+	}
+	u.mu.Lock()
+	barrier := u.barrier && u.status.Role == group.Primary
+	u.mu.Unlock()
+	_, waiting := u.target()
+	return barrier || waiting
+}
+
+// observe takes in a status of the upstream.
+func (u *Upstream) observe(s group.Status) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.now()
+	u.status, u.statusAt, u.healthy = s, now, true
+	u.raiseTerm(s.Term, now)
+	if s.Role == group.Primary {
+		u.report(s, now)
+		return
+	}
+	u.pending = position.Position{}
+	u.reached(s.Last)
+}
+
+// raiseTerm ends what was pending under an older term; the caller holds mu.
+func (u *Upstream) raiseTerm(term uint64, now time.Duration) {
+	if u.tracker == nil {
+		u.tracker = confirm.New(confirm.Config{
+			Members:      u.cfg.Members,
+			Timeout:      confirmTimeout,
+			BarrierDelay: barrierDelay,
+		}, term)
+		return
+	}
+	if term > u.tracker.Term() {
+		u.pending = position.Position{}
+		u.performTracker(u.tracker.NewTerm(term, now))
+	}
+}
+
+func (u *Upstream) report(s group.Status, now time.Duration) {
+	if s.Last.Term == s.Term {
+		u.performTracker(u.tracker.Report(s.Member, s.Last, now))
+	}
+	for member, offset := range s.Confirmed {
+		p := position.Position{Term: s.Term, Offset: offset}
+		u.performTracker(u.tracker.Report(member, p, now))
+	}
+}
+
+// reached wakes the reads that wait for a position; the caller holds mu.
+func (u *Upstream) reached(p position.Position) {
+	u.age.Applied(p)
+	for id, w := range u.applied {
+		if p.AtLeast(w.min) {
+			close(w.done)
+			delete(u.applied, id)
+		}
+	}
+}
+
+// waitApplied returns once the replica is known to be at or past min.
+func (u *Upstream) waitApplied(ctx context.Context, min position.Position) error {
+	u.mu.Lock()
+	if u.status.Last.AtLeast(min) {
+		u.mu.Unlock()
+		return nil
+	}
+	id := u.id()
+	w := appliedWaiter{min: min, done: make(chan struct{})}
+	u.applied[id] = w
+	u.mu.Unlock()
+	u.signal()
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.applied, id)
+	return verdict.New(verdict.ReplicaBehind, "upstream %q has not reached %s", u.cfg.Name, min).After(monitorBackoff)
+}
+
+// started notes a write that is about to be sent and returns its id at the tracker.
+func (u *Upstream) started() uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	id := u.id()
+	if u.tracker != nil {
+		u.tracker.Started(id)
+	}
+	return id
+}
+
+// abandoned forgets a started write that committed nothing.
+func (u *Upstream) abandoned(id uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.tracker != nil {
+		u.tracker.Abandoned(id)
+	}
+}
+
+// confirm waits until the tracker has confirmed a commit, or has evidence for a read.
+func (u *Upstream) confirm(ctx context.Context, id uint64, write bool, p position.Position) (position.Position, error) {
+	u.mu.Lock()
+	now := u.now()
+	ch := u.confirmed.add(id)
+	u.raiseTerm(p.Term, now)
+	// A statement that changed nothing reports an earlier position. If that one
+	// is confirmed already, only new evidence shows that the primary still is one.
+	if write && !u.tracker.Confirmed().AtLeast(p) {
+		u.pending = position.Max(u.pending, p)
+		u.performTracker(u.tracker.Committed(id, p, now))
+	} else {
+		u.tracker.Abandoned(id)
+		u.performTracker(u.tracker.Read(id, p, now))
+	}
+	u.mu.Unlock()
+	u.signal()
+	return u.awaitConfirmation(ctx, id, ch, write)
+}
+
+func (u *Upstream) awaitConfirmation(ctx context.Context, id uint64, ch <-chan confirmation, write bool) (position.Position, error) {
+	select {
+	case c := <-ch:
+		return c.position, c.err
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	delete(u.confirmed, id)
+	u.mu.Unlock()
+	if write {
+		return position.Position{}, verdict.New(verdict.OutcomeUnknown, "no quorum confirmed the write on %q in time", u.cfg.Name)
+	}
+	return position.Position{}, executed(verdict.New(verdict.CutOff, "no quorum confirmed that %q is still the primary", u.cfg.Name).After(monitorInterval))
+}
+
+// Barrier returns a position that was confirmed after the call.
+func (u *Upstream) Barrier(ctx context.Context) (position.Position, error) {
+	u.mu.Lock()
+	if u.status.Role != group.Primary || u.tracker == nil || u.retiring {
+		u.mu.Unlock()
+		return position.Position{}, verdict.New(verdict.NoPrimary, "upstream %q is not the primary", u.cfg.Name).After(monitorBackoff)
+	}
+	id := u.id()
+	ch := u.confirmed.add(id)
+	u.performTracker(u.tracker.Barrier(id, u.now()))
+	u.mu.Unlock()
+	u.signal()
+	return u.awaitConfirmation(ctx, id, ch, false)
+}
+
+// sampleAge refreshes the proof of age while somebody asks for it.
+func (u *Upstream) sampleAge() {
+	ticker := time.NewTicker(ageSampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-u.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		u.mu.Lock()
+		demanded := u.ageDemand > 0 && u.now()-u.ageDemand < ageDemandWindow
+		replica := u.healthy && u.status.Role == group.Replica
+		u.mu.Unlock()
+		if demanded && replica {
+			u.sample()
+		}
+	}
+}
+
+func (u *Upstream) sample() {
+	ctx, cancel := context.WithTimeout(u.ctx, monitorTimeout)
+	defer cancel()
+	asked := u.now()
+	p, err := u.barriers.get(ctx, u.cfg.Service)
+	if err != nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.age.Sample(asked, p)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/instance/peer/messages.go
@@ -0,0 +1,139 @@
+// Package peer defines the messages between instances and the links that
+// carry them as JSON-RPC 2.0 over TCP.
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/papayarail/papayarail/core/failover"
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/wire/statement"
+)
+
+// Method names of the protocol between instances.
+const (
+	MethodHello          = "hello"
+	MethodPing           = "ping"
+	MethodExchange       = "exchange"
+	MethodEndTransaction = "end_transaction"
+	MethodCancel         = "cancel"
+	MethodBarrier        = "barrier"
+	MethodGossip         = "gossip"
+	MethodFetchConfig    = "fetch_config"
+)
+
+// Proof says what the owner must establish before it answers.
+type Proof string
+
+const (
+	// ProofNone answers as soon as the upstream has answered; it serves statements
+	// inside a transaction whose commit is confirmed later.
+	ProofNone Proof = "none"
+	// ProofConfirm waits until a quorum has confirmed a commit, or a barrier for a read.
+	ProofConfirm Proof = "confirm"
+	// ProofPosition requires the replica to be at or past MinPosition.
+	ProofPosition Proof = "position"
+	// ProofBarrier requires the replica to be at or past a barrier that is not
+	// older than the request.
+	ProofBarrier Proof = "barrier"
+	// ProofAge requires the replica's data to be no older than MaxStaleness.
+	ProofAge Proof = "age"
+)
+
+// ExchangeRequest asks an owner to run protocol messages on one of its upstreams.
+type ExchangeRequest struct {
+	ID       string               `json:"id"`
+	Service  string               `json:"service"`
+	Upstream string               `json:"upstream"`
+	Term     uint64               `json:"term,omitempty"`
+	Rank     schedule.Rank        `json:"rank"`
+	Caller   string               `json:"caller"`
+	Deadline time.Duration        `json:"deadline_ns"` // time left when the request was sent
+	Proof    Proof                `json:"proof"`
+	Writes   bool                 `json:"writes,omitempty"` // may change data: its outcome can be unknown
+	Min      position.Position    `json:"min"`
+	MaxAge   time.Duration        `json:"max_age_ns,omitempty"`
+	Tx       string               `json:"tx,omitempty"`     // transaction this exchange belongs to
+	Begins   bool                 `json:"begins,omitempty"` // the exchange may open transaction Tx
+	Commits  bool                 `json:"commits,omitempty"`
+	Key      string               `json:"key,omitempty"` // request key for work that may not be repeated
+	Need     []statement.Prepared `json:"need,omitempty"`
+	Messages []byte               `json:"messages"`
+}
+
+// ExchangeAnswer is the whole answer of the upstream.
+type ExchangeAnswer struct {
+	Messages []byte            `json:"messages"`
+	TxStatus byte              `json:"tx_status"`
+	Position position.Position `json:"position"`
+	Load     schedule.Load     `json:"load"`
+	// Applied, Lag, Confirm, Age and AgeKnown describe the upstream: its last
+	// position, the usual wait for a barrier on a replica and for a confirmation
+	// on a primary, and the proven age of a replica's data.
+	Applied  position.Position `json:"applied"`
+	Lag      time.Duration     `json:"lag_ns"`
+	Confirm  time.Duration     `json:"confirm_ns"`
+	Age      time.Duration     `json:"age_ns"`
+	AgeKnown bool              `json:"age_known"`
+	Executed time.Duration     `json:"executed_ns"` // time on the upstream
+}
+
+// EndTransactionRequest rolls back a pinned transaction and releases its connection.
+type EndTransactionRequest struct {
+	Upstream string `json:"upstream"`
+	Tx       string `json:"tx"`
+}
+
+// CancelRequest cancels a running exchange.
+type CancelRequest struct {
+	Upstream string `json:"upstream"`
+	ID       string `json:"id"`
+}
+
+// BarrierRequest asks the owner of a primary for a confirmed position.
+type BarrierRequest struct {
+	Service string `json:"service"`
+}
+
+// BarrierAnswer carries a position that was confirmed after the request arrived.
+type BarrierAnswer struct {
+	Position position.Position `json:"position"`
+}
+
+// Hello describes an instance to its peers; it answers each heartbeat.
+type Hello struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`  // peer address, IP:port
+	Operator      string `json:"operator"` // operators' address, IP:port
+	// Incarnation grows with each start of the instance.
+	Incarnation uint64 `json:"incarnation"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	Revision    uint64 `json:"revision"` // configuration in force
+}
+
+// Gossip is what instances tell each other about the fleet.
+type Gossip struct {
+	From   Hello            `json:"from"`
+	Routes []failover.Route `json:"routes,omitempty"`
+	// Membership and Config are encoded by the adapters of those machines.
+	Membership json.RawMessage `json:"membership,omitempty"`
+	Config     json.RawMessage `json:"config,omitempty"`
+}
+
+// FetchConfigRequest asks for the document of a revision or a later one.
+type FetchConfigRequest struct {
+	Revision uint64 `json:"revision"`
+}
+
+// FetchConfigAnswer carries the newest document that the peer has.
+type FetchConfigAnswer struct {
+	Revision uint64 `json:"revision"`
+	SHA256   string `json:"sha256"`
+	Document []byte `json:"document"`
+}
+
+// Empty is the result of methods that return nothing.
+type Empty struct{}
--- /dev/null
+++ b/instance/peer/server.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/papayarail/papayarail/core/verdict"
+)
+
+// Handler serves the requests of one link from another instance.
+type Handler interface {
+	Exchange(ctx context.Context, r *ExchangeRequest) (*ExchangeAnswer, error)
+	EndTransaction(ctx context.Context, r *EndTransactionRequest) error
+	Cancel(ctx context.Context, r *CancelRequest) error
+	Barrier(ctx context.Context, r *BarrierRequest) (*BarrierAnswer, error)
+	Gossip(ctx context.Context, g *Gossip) (*Gossip, error)
+	FetchConfig(ctx context.Context, r *FetchConfigRequest) (*FetchConfigAnswer, error)
+	// Close is called when the link has ended; open transactions of the link are rolled back.
+	Close()
+}
+
+// Server accepts links from other instances.
+type Server struct {
+	Self    func() Hello
+	Allowed []netip.Prefix
+	Log     *logrus.Entry
+	// NewHandler is called once per accepted link.
+	NewHandler func(remote string) Handler
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// Serve accepts links until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		l.Close()
+		s.closeAll()
+	})
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return Class.Wrap(err)
+		}
+		if !Permitted(s.Allowed, c.RemoteAddr()) {
+			s.Log.WithField("remote", c.RemoteAddr().String()).Warn("refused a peer outside the allowed networks")
+			c.Close()
+			continue
+		}
+		s.accept(ctx, c)
+	}
+}
+
+func (s *Server) accept(ctx context.Context, c net.Conn) {
+	s.mu.Lock()
+	if s.conns == nil {
+		s.conns = make(map[net.Conn]struct{})
+	}
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+
+	h := s.NewHandler(c.RemoteAddr().String())
+	linkCtx, cancel := context.WithCancel(ctx)
+	rpc := jsonrpc2.NewConn(linkCtx, newStream(c), jsonrpc2.AsyncHandler(s.rpcHandler(h)))
+	go func() {
+		<-rpc.DisconnectNotify()
+		cancel()
+		h.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *Server) rpcHandler(h Handler) jsonrpc2.Handler {
+	return jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		result, err := s.dispatch(ctx, h, r)
+		if err != nil {
+			return nil, toRPC(err)
+		}
+		return result, nil
+	}).SuppressErrClosed()
+}
+
+func (s *Server) dispatch(ctx context.Context, h Handler, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case MethodHello, MethodPing:
+		return s.Self(), nil
+	case MethodExchange:
+		return call(ctx, r, h.Exchange)
+	case MethodEndTransaction:
+		return callEmpty(ctx, r, h.EndTransaction)
+	case MethodCancel:
+		return callEmpty(ctx, r, h.Cancel)
+	case MethodBarrier:
+		return call(ctx, r, h.Barrier)
+	case MethodGossip:
+		return call(ctx, r, h.Gossip)
+	case MethodFetchConfig:
+		return call(ctx, r, h.FetchConfig)
+	default:
+		return nil, verdict.New(verdict.Unsupported, "method %q does not exist", r.Method)
+	}
+}
+
+func call[P, R any](ctx context.Context, r *jsonrpc2.Request, f func(context.Context, *P) (*R, error)) (any, error) {
+	p := new(P)
+	if err := decode(r, p); err != nil {
+		return nil, err
+	}
+	return f(ctx, p)
+}
+
+func callEmpty[P any](ctx context.Context, r *jsonrpc2.Request, f func(context.Context, *P) error) (any, error) {
+	p := new(P)
+	if err := decode(r, p); err != nil {
+		return nil, err
+	}
+	return Empty{}, f(ctx, p)
+}
+
+func decode(r *jsonrpc2.Request, p any) error {
+	if r.Params == nil {
+		return verdict.New(verdict.ProtocolViolation, "%s without parameters", r.Method)
+	}
+	if err := json.Unmarshal(*r.Params, p); err != nil {
+		return verdict.New(verdict.ProtocolViolation, "%s: %v", r.Method, err)
+	}
+	return nil
+}
+
+// Permitted reports whether addr lies in one of the allowed networks. An empty
+// list permits loopback addresses only.
+func Permitted(allowed []netip.Prefix, addr net.Addr) bool {
+	ap, err := netip.ParseAddrPort(addr.String())
+	if err != nil {
+		return false
+	}
+	ip := ap.Addr().Unmap()
+	if len(allowed) == 0 {
+		return ip.IsLoopback()
+	}
+	for _, p := range allowed {
+		if p.Contains(ip) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/instance/settings/settings_test.go
@@ -0,0 +1,33 @@
+package settings
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const valid = `{"name": "catania-1", "failure_domain": "catania",
+ "caller_address": "127.0.0.1:6432", "peer_address": "127.0.0.1:7432", "operator_address": "127.0.0.1:8432",
+ "platform": {"table_url": "http://127.0.0.1:9000", "object_url": "http://127.0.0.1:9000", "table": "papayarail", "bucket": "papayarail"},
+ "seed_peers": ["127.0.0.1:7433"], "allowed_networks": ["127.0.0.0/8"], "log_level": "info"}`
+
+func TestValidSettings(t *testing.T) {
+	s, err := Parse([]byte(valid))
+	assert.NilError(t, err)
+	assert.Equal(t, s.FailureDomain, "catania")
+}
+
+// Guards against settings that are accepted in part or whose fault has no place.
+func TestFindingsNameTheirPlace(t *testing.T) {
+	for _, c := range []struct{ data, want string }{
+		{`{"nam": "x"}`, `unknown field "nam"`},
+		{`{"name": 7}`, "/name: line 1: want string, got number"},
+		{"{\n\"name\": \"x\",,}", "line 2"},
+		{`{"name": "x"}`, "/platform/bucket: is missing"},
+		{`{"caller_address": "localhost:1"}`, `/caller_address: "localhost:1" is not of the form IP:port`},
+		{`{"allowed_networks": ["10.0.0.0/8", "ten"]}`, "/allowed_networks/1"},
+	} {
+		_, err := Parse([]byte(c.data))
+		assert.ErrorContains(t, err, c.want)
+	}
+}
--- /dev/null
+++ b/instance/view/view.go
@@ -0,0 +1,210 @@
+// Package view holds what an instance knows about the fleet: the configuration
+// in force, the live instances, and the primary of each service.
+package view
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/papayarail/papayarail/core/failover"
+	"github.com/papayarail/papayarail/core/placement"
+	"github.com/papayarail/papayarail/fleet"
+)
+
+// Peer is a live instance.
+type Peer struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`  // peer address, IP:port
+	Operator      string `json:"operator"` // operators' address, IP:port
+	Leaving       bool   `json:"leaving,omitempty"`
+}
+
+// View is safe for concurrent use.
+type View struct {
+	self Peer
+
+	mu       sync.RWMutex
+	revision uint64
+	document *fleet.Document
+	routes   map[string]failover.Route
+	peers    map[string]Peer
+	live     []placement.Instance
+	leaving  bool
+	changed  chan struct{}
+}
+
+// New returns the view of an instance that knows only itself.
+func New(self Peer) *View {
+	v := &View{
+		self:    self,
+		routes:  make(map[string]failover.Route),
+		changed: make(chan struct{}),
+	}
+	v.recompute()
+	return v
+}
+
+// Self returns this instance.
+func (v *View) Self() Peer {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	p := v.self
+	p.Leaving = v.leaving
+	return p
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.changed
+}
+
+func (v *View) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Install puts a configuration in force. Revisions only grow; an older one or
+// the same one is ignored and reported as false.
+func (v *View) Install(revision uint64, d *fleet.Document) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if revision <= v.revision {
+		return false
+	}
+	v.revision, v.document = revision, d
+	v.notify()
+	return true
+}
+
+// Document returns the configuration in force; nil before the first one.
+func (v *View) Document() (uint64, *fleet.Document) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.revision, v.document
+}
+
+// Service looks a service up in the configuration in force.
+func (v *View) Service(name string) (*fleet.Service, bool) {
+	_, d := v.Document()
+	if d == nil {
+		return nil, false
+	}
+	return d.Service(name)
+}
+
+// LearnRoute takes in a route; a lower term never replaces a higher one. It
+// reports whether the route is news.
+func (v *View) LearnRoute(r failover.Route) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known, found := v.routes[r.Service]
+	if found && r.Term <= known.Term {
+		return false
+	}
+	v.routes[r.Service] = r
+	v.notify()
+	return true
+}
+
+// Route returns the newest known route of a service.
+func (v *View) Route(service string) (failover.Route, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	r, found := v.routes[service]
+	return r, found
+}
+
+// Routes returns all known routes.
+func (v *View) Routes() []failover.Route {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := make([]failover.Route, 0, len(v.routes))
+	for _, r := range v.routes {
+		out = append(out, r)
+	}
+	return out
+}
+
+// UpdatePeers replaces the other live instances and reports whether they differ
+// from those known before.
+func (v *View) UpdatePeers(peers []Peer) bool {
+	next := make(map[string]Peer, len(peers))
+	for _, p := range peers {
+		if p.Name != v.self.Name {
+			next[p.Name] = p
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if maps.Equal(v.peers, next) {
+		return false
+	}
+	v.peers = next
+	v.recompute()
+	return true
+}
+
+// Leave marks this instance as leaving.
+func (v *View) Leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving = true
+	v.recompute()
+}
+
+func (v *View) recompute() {
+	v.live = v.live[:0:0]
+	if !v.leaving {
+		v.live = append(v.live, placement.Instance{Name: v.self.Name, FailureDomain: v.self.FailureDomain})
+	}
+	for _, p := range v.peers {
+		if !p.Leaving {
+			v.live = append(v.live, placement.Instance{Name: p.Name, FailureDomain: p.FailureDomain})
+		}
+	}
+	v.notify()
+}
+
+// Live returns the instances that may own upstreams, in no particular order.
+func (v *View) Live() []placement.Instance {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.live
+}
+
+// Peers returns the other live instances.
+func (v *View) Peers() []Peer {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := make([]Peer, 0, len(v.peers))
+	for _, p := range v.peers {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Owner returns the instance that owns an upstream.
+func (v *View) Owner(db *fleet.Database) (owner Peer, found bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	name, found := placement.Owner(db.Name, db.FailureDomain, v.live)
+	if !found {
+		return Peer{}, false
+	}
+	if name == v.self.Name {
+		return v.self, true
+	}
+	owner, found = v.peers[name]
+	return owner, found
+}
+
+// Coordinates reports whether this instance runs the failover of a service.
+func (v *View) Coordinates(service string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	name, found := placement.Coordinator(service, v.live)
+	return found && name == v.self.Name
+}
--- a/papayarail/main.go
+++ b/papayarail/main.go
@@ -1,4 +1,39 @@
 // Command papayarail is a database proxy with session consistency.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/papayarail/papayarail/papayarail/apply"
+	"github.com/papayarail/papayarail/papayarail/check"
+	"github.com/papayarail/papayarail/papayarail/cli"
+	"github.com/papayarail/papayarail/papayarail/drain"
+	"github.com/papayarail/papayarail/papayarail/dump"
+	"github.com/papayarail/papayarail/papayarail/serve"
+	"github.com/papayarail/papayarail/papayarail/standin"
+	"github.com/papayarail/papayarail/papayarail/status"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := run(ctx)
+	stop()
+	os.Exit(status)
+}
+
+func run(ctx context.Context) int {
+	env := cli.Env{Stdout: os.Stdout, Stderr: os.Stderr}
+	commands := []cli.Command{
+		serve.Command(),
+		standin.Command(),
+		check.Command(),
+		apply.Command(),
+		status.Command(),
+		dump.Command(),
+		drain.Command(),
+	}
+	return cli.Main(ctx, env, commands, os.Args[1:])
+}
