standin/dbgroup: add a database group member with terms and replication

Cause: the proxy and its process tests need a database group to talk to, and no third-party server may be started.

--- /dev/null
+++ b/standin/dbgroup/replication/log.go
@@ -0,0 +1,159 @@
+package replication
+
+import (
+	"slices"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/standin/dbgroup/engine"
+)
+
+// Span is a run of consecutive log entries of one term.
+type Span struct {
+	Term  uint64
+	First uint64 // offset of the first entry
+	Last  uint64 // offset of the last entry
+}
+
+// spans returns the log as runs of equal term.
+func (n *Node) spans() []Span {
+	var out []Span
+	for _, e := range n.log {
+		if len(out) == 0 || out[len(out)-1].Term != e.Position.Term {
+			out = append(out, Span{Term: e.Position.Term, First: e.Position.Offset})
+		}
+		out[len(out)-1].Last = e.Position.Offset
+	}
+	return out
+}
+
+// common returns the length of the longest common prefix of the own log and
+// the log described by spans. Two logs that have an entry of the same term at
+// the same offset are equal up to there, because only one primary writes in a
+// term and starts with a complete log.
+func (n *Node) common(spans []Span) uint64 {
+	for _, s := range slices.Backward(spans) {
+		last := min(s.Last, uint64(len(n.log)))
+		for o := last; o >= s.First; o-- {
+			if n.log[o-1].Position.Term == s.Term {
+				return o
+			}
+		}
+	}
+	return 0
+}
+
+// truncate discards the log after offset.
+func (n *Node) truncate(offset uint64) {
+	if offset >= uint64(len(n.log)) {
+		return
+	}
+	n.log = slices.Clone(n.log[:offset]) // links may still read the old array
+	n.db = engine.NewDatabase()
+	for _, e := range n.log {
+		n.db.Apply(e.Changes)
+	}
+}
+
+// serving reports whether the node is the primary of term.
+func (n *Node) serving(term uint64) bool { return n.primary && n.term == term }
+
+// hello is the first message of a replica on a link.
+type hello struct {
+	Term  uint64
+	Spans []Span
+}
+
+// batch carries log entries from a primary. The first one of a link has Start
+// set and tells how much of the replica's log is valid.
+type batch struct {
+	Term    uint64
+	Start   bool
+	Keep    uint64 // with Start: length of the log that the replica keeps
+	Last    uint64 // with Start: last offset of the primary
+	Entries []Entry
+}
+
+// confirmation tells the primary what a replica has applied.
+type confirmation struct {
+	Term   uint64
+	Offset uint64
+}
+
+// hello describes the log to the primary in a term.
+func (n *Node) hello(term uint64) (hello, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return hello{term, n.spans()}, n.term == term
+}
+
+// welcome answers a replica's hello. It fails unless the node is primary of
+// the replica's term.
+func (n *Node) welcome(h hello) (batch, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return batch{Term: h.Term, Start: true, Keep: n.common(h.Spans), Last: uint64(len(n.log))}, n.serving(h.Term)
+}
+
+// entries returns the log of a primary after offset, and a channel that is
+// closed by the next change. It fails if the node is not primary of term.
+func (n *Node) entries(term, offset uint64) ([]Entry, <-chan struct{}, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if !n.serving(term) {
+		return nil, nil, false
+	}
+	return n.log[offset:len(n.log):len(n.log)], n.changed, true
+}
+
+// apply stores a batch of a primary. It fails, changing nothing, unless the
+// node follows that primary in the batch's term.
+func (n *Node) apply(primary Peer, b batch) (confirmation, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.following != primary || n.term != b.Term {
+		return confirmation{}, false
+	}
+	if b.Start {
+		n.truncate(b.Keep)
+		n.target = b.Last
+	}
+	if len(b.Entries) > 0 && b.Entries[0].Position.Offset != uint64(len(n.log))+1 {
+		return confirmation{}, false
+	}
+	for _, e := range b.Entries {
+		n.db.Apply(e.Changes)
+	}
+	n.log = append(n.log, b.Entries...)
+	if uint64(len(n.log)) >= n.target {
+		n.rejoining = false
+	}
+	n.signal()
+	return confirmation{b.Term, uint64(len(n.log))}, true
+}
+
+// confirm counts a confirmation of a replica that follows this node. One of
+// another term is ignored.
+func (n *Node) confirm(member string, c confirmation) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.serving(c.Term) {
+		return
+	}
+	n.confirmed[member] = c.Offset
+	n.signal()
+}
+
+// Position returns the position of the last log entry.
+func (n *Node) Position() position.Position {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.last()
+}
+
+// followed returns the primary that the node follows and its term, and a
+// channel that is closed by the next change.
+func (n *Node) followed() (Peer, uint64, <-chan struct{}) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.following, n.term, n.changed
+}
