--- a/standin/dbgroup/replication/link.go
+++ b/standin/dbgroup/replication/link.go
@@ -24,8 +24,10 @@
 	receiveAhead = 4096 // received batches that wait for the replication delay
 )
 
-// errClosed ends a link whose node has changed its term or role.
-var errClosed = errs.New("the link no longer matches the term or role of the member")
+var (
+	errClosed = errs.New("the link no longer matches the term or role of the member")
+	errCut    = errs.New("the link is cut")
+)
 
 // Links runs the replication links of a node.
 type Links struct {
@@ -143,6 +145,19 @@
 	}
 }
 
+// ready waits while the member is frozen and fails if the link with peer is
+// cut. Nothing that is committed after a cut passes the link: closing the
+// connection alone would leave a short time in which it still could.
+func (l *Links) ready(ctx context.Context, peer string) error {
+	if err := l.Faults.AwaitThaw(ctx); err != nil {
+		return err
+	}
+	if !l.Faults.Linked(peer) {
+		return errCut
+	}
+	return nil
+}
+
 type received struct {
 	batch batch
 	at    time.Time
@@ -199,7 +214,7 @@
 	if err := l.Faults.SleepReplication(ctx, r.at); err != nil {
 		return err
 	}
-	if err := l.Faults.AwaitThaw(ctx); err != nil {
+	if err := l.ready(ctx, primary.Name); err != nil {
 		return err
 	}
 	c, ok := l.Node.apply(primary, r.batch)
@@ -235,20 +250,20 @@
 	if err := enc.Encode(start); err != nil {
 		return errs.Wrap(err)
 	}
-	return l.send(ctx, enc, h.Term, start.Keep)
+	return l.send(ctx, enc, member, h.Term, start.Keep)
 }
 
 func (l *Links) readConfirmations(ctx context.Context, dec *gob.Decoder, member string) {
 	for {
 		var c confirmation
-		if dec.Decode(&c) != nil || l.Faults.AwaitThaw(ctx) != nil {
+		if dec.Decode(&c) != nil || l.ready(ctx, member) != nil {
 			return
 		}
 		l.Node.confirm(member, c)
 	}
 }
 
-func (l *Links) send(ctx context.Context, enc *gob.Encoder, term, sent uint64) error {
+func (l *Links) send(ctx context.Context, enc *gob.Encoder, member string, term, sent uint64) error {
 	for {
 		entries, changed, ok := l.Node.entries(term, sent)
 		if !ok {
@@ -262,7 +277,7 @@
 			}
 			continue
 		}
-		if err := l.Faults.AwaitThaw(ctx); err != nil {
+		if err := l.ready(ctx, member); err != nil {
 			return err
 		}
 		entries = entries[:min(len(entries), maxBatch)]
