Add the platform interface, its AWS adapter and the platform stand-in

Cause: serve, apply and failover need the platform's table and object store, with errors that separate what was not performed from what may have been.

--- /dev/null
+++ b/standin/platformd/table.go
@@ -0,0 +1,293 @@
+package platformd
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	partitionKey = "pk"
+	sortKey      = "sk"
+
+	// maxVersions bounds the versions kept per item for stale reads.
+	maxVersions = 64
+
+	targetPrefix = "DynamoDB_20120810."
+	errorPrefix  = "com.amazonaws.dynamodb.v20120810#"
+	contentType  = "application/x-amz-json-1.0"
+)
+
+// attribute is a DynamoDB attribute value of type string or number.
+type attribute struct {
+	S *string `json:"S,omitempty"`
+	N *string `json:"N,omitempty"`
+}
+
+func text(s string) attribute { return attribute{S: &s} }
+
+// equal compares type and value, as DynamoDB does.
+func (a attribute) equal(b attribute) bool {
+	same := func(x, y *string) bool { return x == y || x != nil && y != nil && *x == *y }
+	return same(a.S, b.S) && same(a.N, b.N)
+}
+
+func (a attribute) string() string {
+	if a.S == nil {
+		return ""
+	}
+	return *a.S
+}
+
+type attributes map[string]attribute
+
+type itemKey struct{ table, pk, sk string }
+
+type version struct {
+	at    time.Time
+	attrs attributes
+}
+
+// tables holds all tables with the recent versions of each item.
+type tables struct {
+	mu    sync.Mutex
+	items map[itemKey][]version
+}
+
+func newTables() *tables { return &tables{items: map[itemKey][]version{}} }
+
+// get returns the version in force at a time, or nil.
+func (t *tables) get(key itemKey, at time.Time) attributes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return newest(t.items[key], at)
+}
+
+func newest(versions []version, at time.Time) attributes {
+	for _, v := range slices.Backward(versions) {
+		if !v.at.After(at) {
+			return v.attrs
+		}
+	}
+	return nil
+}
+
+// put replaces an item if the condition holds for its latest version.
+func (t *tables) put(key itemKey, attrs attributes, now time.Time, holds func(attributes) bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	versions := t.items[key]
+	if !holds(newest(versions, now)) {
+		return false
+	}
+	versions = append(versions, version{now, attrs})
+	if len(versions) > maxVersions {
+		versions = versions[len(versions)-maxVersions:]
+		versions[0].at = time.Time{} // older reads see the oldest version that is kept
+	}
+	t.items[key] = versions
+	return true
+}
+
+// query returns the items of a partition whose sort key has the prefix.
+func (t *tables) query(table, pk, prefix string, at time.Time) []attributes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []attributes
+	for key, versions := range t.items {
+		if key.table != table || key.pk != pk || !strings.HasPrefix(key.sk, prefix) {
+			continue
+		}
+		if attrs := newest(versions, at); attrs != nil {
+			out = append(out, attrs)
+		}
+	}
+	return out
+}
+
+// sizes counts the items per partition.
+func (t *tables) sizes(at time.Time) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]int{}
+	for key, versions := range t.items {
+		if newest(versions, at) != nil {
+			out[key.pk]++
+		}
+	}
+	return out
+}
+
+// request holds the fields of all supported operations. Other fields, such as
+// the options for returned values, are ignored.
+type request struct {
+	TableName                 string
+	Key                       attributes
+	Item                      attributes
+	ConsistentRead            bool
+	ConditionExpression       string
+	KeyConditionExpression    string
+	ExpressionAttributeNames  map[string]string
+	ExpressionAttributeValues attributes
+	ExclusiveStartKey         attributes
+}
+
+// apiError is an error answer of the protocol.
+type apiError struct {
+	Type    string `json:"__type"`
+	Message string `json:"message"`
+}
+
+func invalid(message string) *apiError {
+	return &apiError{"com.amazon.coral.validate#ValidationException", message}
+}
+
+func (s *Server) handleTable(w http.ResponseWriter, r *http.Request) {
+	operation, ok := strings.CutPrefix(r.Header.Get("X-Amz-Target"), targetPrefix)
+	var req request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || !ok {
+		writeJSON(w, http.StatusBadRequest, contentType, invalid("malformed request"))
+		return
+	}
+	var answer any
+	var fault *apiError
+	switch operation {
+	case "GetItem":
+		answer, fault = s.getItem(&req)
+	case "PutItem":
+		answer, fault = s.putItem(&req)
+		if req.ConditionExpression != "" && s.faults.loseAnswer() {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+	case "Query":
+		answer, fault = s.query(&req)
+	default:
+		fault = &apiError{errorPrefix + "UnknownOperationException", operation}
+	}
+	if fault != nil {
+		writeJSON(w, http.StatusBadRequest, contentType, fault)
+		return
+	}
+	writeJSON(w, http.StatusOK, contentType, answer)
+}
+
+// readTime returns the time whose state a read sees.
+func (s *Server) readTime(req *request) time.Time {
+	if req.ConsistentRead {
+		return time.Now()
+	}
+	return time.Now().Add(-time.Duration(s.faults.get().StaleReadsMS) * time.Millisecond)
+}
+
+func (s *Server) getItem(req *request) (any, *apiError) {
+	key := itemKey{req.TableName, req.Key[partitionKey].string(), req.Key[sortKey].string()}
+	if key.pk == "" || key.sk == "" {
+		return nil, invalid("the key is incomplete")
+	}
+	s.counts.add(s.counts.state.Reads, key.pk)
+	at := s.readTime(req)
+	found := s.tables.get(key, at)
+	if key.pk == instanceGroup {
+		found = s.list.items(at)[key.sk]
+	}
+	answer := map[string]any{}
+	if found != nil {
+		answer["Item"] = found
+	}
+	return answer, nil
+}
+
+func (s *Server) putItem(req *request) (any, *apiError) {
+	key := itemKey{req.TableName, req.Item[partitionKey].string(), req.Item[sortKey].string()}
+	if key.pk == "" || key.sk == "" {
+		return nil, invalid("the key is incomplete")
+	}
+	if key.pk == instanceGroup {
+		return nil, &apiError{errorPrefix + "AccessDeniedException", "the platform maintains the instance list"}
+	}
+	holds, fault := req.condition()
+	if fault != nil {
+		return nil, fault
+	}
+	s.counts.add(s.counts.state.Writes, key.pk)
+	if !s.tables.put(key, req.Item, time.Now(), holds) {
+		return nil, &apiError{errorPrefix + "ConditionalCheckFailedException", "The conditional request failed"}
+	}
+	return struct{}{}, nil
+}
+
+var (
+	absentExpression = regexp.MustCompile(`^attribute_not_exists\((#?\w+)\)$`)
+	equalsExpression = regexp.MustCompile(`^(#?\w+) = (:\w+)$`)
+	prefixExpression = regexp.MustCompile(`^(#?\w+) = (:\w+) AND begins_with\((#?\w+), (:\w+)\)$`)
+)
+
+// condition compiles the condition expression.
+func (req *request) condition() (func(attributes) bool, *apiError) {
+	expression := req.ConditionExpression
+	if expression == "" {
+		return func(attributes) bool { return true }, nil
+	}
+	if m := absentExpression.FindStringSubmatch(expression); m != nil {
+		name := req.name(m[1])
+		return func(item attributes) bool { _, ok := item[name]; return !ok }, nil
+	}
+	if m := equalsExpression.FindStringSubmatch(expression); m != nil {
+		name, value := req.name(m[1]), req.ExpressionAttributeValues[m[2]]
+		return func(item attributes) bool { got, ok := item[name]; return ok && got.equal(value) }, nil
+	}
+	return nil, invalid("unsupported condition " + expression)
+}
+
+func (req *request) name(placeholder string) string {
+	if name, ok := req.ExpressionAttributeNames[placeholder]; ok {
+		return name
+	}
+	return placeholder
+}
+
+func (s *Server) query(req *request) (any, *apiError) {
+	pk, prefix, fault := req.keyCondition()
+	if fault != nil {
+		return nil, fault
+	}
+	s.counts.add(s.counts.state.Reads, pk)
+	at := s.readTime(req)
+	found := s.tables.query(req.TableName, pk, prefix, at)
+	if pk == instanceGroup {
+		found = slices.Collect(maps.Values(s.list.items(at)))
+		found = slices.DeleteFunc(found, func(a attributes) bool { return !strings.HasPrefix(a[sortKey].string(), prefix) })
+	}
+	slices.SortFunc(found, func(a, b attributes) int { return strings.Compare(a[sortKey].string(), b[sortKey].string()) })
+	start := req.ExclusiveStartKey[sortKey].string()
+	found = slices.DeleteFunc(found, func(a attributes) bool { return a[sortKey].string() <= start })
+	answer := map[string]any{}
+	if len(found) > s.config.PageSize {
+		found = found[:s.config.PageSize]
+		last := found[len(found)-1]
+		answer["LastEvaluatedKey"] = attributes{partitionKey: last[partitionKey], sortKey: last[sortKey]}
+	}
+	answer["Items"], answer["Count"] = found, len(found)
+	return answer, nil
+}
+
+// keyCondition returns the partition key and the prefix of the sort key.
+func (req *request) keyCondition() (pk, prefix string, fault *apiError) {
+	expression := req.KeyConditionExpression
+	m := prefixExpression.FindStringSubmatch(expression)
+	if m == nil {
+		m = equalsExpression.FindStringSubmatch(expression)
+	}
+	if m == nil || req.name(m[1]) != partitionKey || len(m) == 5 && req.name(m[3]) != sortKey {
+		return "", "", invalid("unsupported key condition " + expression)
+	}
+	if len(m) == 5 {
+		prefix = req.ExpressionAttributeValues[m[4]].string()
+	}
+	return req.ExpressionAttributeValues[m[2]].string(), prefix, nil
+}
