schedule: add virtual-time replay and steady estimates

Waits near the deadline could not be judged: the estimate ignored service that a caller had already received, and one slow request delayed its caller by several rounds. The estimate now uses the virtual tags, corrections are spread over the next requests, and 60% of the time to the deadline may be taken by the estimated wait of a new request.

schedule/replay runs scenarios against this policy and a FIFO queue.

--- a/core/schedule/estimate.go
+++ b/core/schedule/estimate.go
@@ -13,6 +13,12 @@
 	usageWindow = time.Second
 	// serviceWeight is the weight of one measurement in the mean service time.
 	serviceWeight = 1.0 / 16
+	// refusedWeight is the weight of one request in the refused part of a rank.
+	refusedWeight = 1.0 / 64
+	// headroom is the part of the time to the deadline that the estimated wait
+	// of a new request may take. Estimates are means: without headroom, half of
+	// the requests at the limit would be refused again after a long wait.
+	headroom = 0.6
 	// minShare keeps estimates finite when higher ranks take all slots.
 	minShare = 0.01
 	// minRetryDelay and maxRetryDelay bound the retry delays before jitter.
@@ -29,9 +35,22 @@
 	running int
 	service time.Duration // moving mean of the measured service time
 	usage   float64       // moving mean of the share of the slots' time in use
+	refused float64       // moving mean of the refused part of the requests that found no free slot
 	credit  time.Duration // floor time owed to the rank
 }
 
+// countRefused records the fate of a request: 1 if it was refused, 0 if it waits.
+func (st *rankState) countRefused(value float64) {
+	st.refused += refusedWeight * (value - st.refused)
+}
+
+// expectedAhead interpolates between the bounds of fairQueue.ahead. While
+// requests are refused, callers replace what they have waiting, and the
+// requests ahead are close to the upper bound.
+func (st *rankState) expectedAhead(least, most int) int {
+	return least + int(st.refused*float64(most-least))
+}
+
 // advance accounts for the time since the last event.
 func (s *Scheduler) advance(now time.Duration) {
 	elapsed := now - s.last
@@ -113,14 +132,15 @@
 	if s.running < s.slots {
 		return 0
 	}
-	return s.estimate(r, len(s.ranks[r].queue.byTag))
+	q := s.ranks[r].queue
+	return s.estimate(r, min(q.waiting, len(q.byTag)/2))
 }
 
 // refusal returns the reason not to queue a request, or nil.
 func (s *Scheduler) refusal(r Request, now time.Duration) *verdict.Error {
 	st := &s.ranks[r.Rank]
-	wait := s.estimate(r.Rank, st.queue.ahead(r.Caller))
-	if r.Deadline > 0 && now+wait+st.service > r.Deadline {
+	wait := s.estimate(r.Rank, st.expectedAhead(st.queue.ahead(r.Caller, st.service)))
+	if left := r.Deadline - now - st.service; r.Deadline > 0 && wait > time.Duration(headroom*float64(left)) {
 		return s.unreachable(r.Rank)
 	}
 	if limit := s.cfg.MaxWait[r.Rank]; limit > 0 && wait > limit {
--- a/core/schedule/fairqueue.go
+++ b/core/schedule/fairqueue.go
@@ -26,11 +26,18 @@
 	waiting    int
 	// tag is the virtual start time of the head, or of the next request if
 	// nothing waits. It grows by the service time that the caller has received.
-	tag      time.Duration
+	tag time.Duration
+	// carry is service time received or saved but not yet in the tag.
+	carry    time.Duration
 	tagIndex int // position in byTag, -1 if nothing waits
 	lenIndex int // position in byLength
 }
 
+// carryParts spreads a correction over about this many requests. Charged at
+// once, one slow request would delay what its caller has waiting by several
+// rounds, past the wait that was estimated when it was accepted.
+const carryParts = 8
+
 // fairQueue is a start-time fair queue among callers. Callers with waiting
 // requests receive equal service time, whatever number each has waiting.
 //
@@ -48,22 +55,27 @@
 
 func newFairQueue() *fairQueue { return &fairQueue{flows: make(map[string]*flow)} }
 
-// waitingOf returns how many requests of the caller wait.
-func (q *fairQueue) waitingOf(caller string) int {
+// ahead returns how many requests are served before a new one of the caller, if
+// each takes the given service time: at least, if no further requests arrive,
+// and at most, if all other callers keep requests waiting.
+func (q *fairQueue) ahead(caller string, service time.Duration) (least, most int) {
+	own, tag, others := 0, q.virtual, len(q.byTag)
 	if f := q.flows[caller]; f != nil {
-		return f.waiting
+		own, tag = f.waiting, max(f.tag, q.virtual)
 	}
-	return 0
-}
-
-// ahead returns how many requests are served before a new one of the caller.
-func (q *fairQueue) ahead(caller string) int {
-	own := q.waitingOf(caller)
-	others := len(q.byTag)
 	if own > 0 {
 		others--
 	}
-	return min(q.waiting, others*(own+1)+own)
+	// The heads of the other callers lie within one round; half of them are
+	// expected to come first.
+	most = own + int(float64(others)*(q.rounds(tag, own, service)+0.5))
+	return min(q.waiting, most), most
+}
+
+// rounds returns how often each other caller is served before the request at
+// this index of a flow with this tag.
+func (q *fairQueue) rounds(tag time.Duration, index int, service time.Duration) float64 {
+	return float64(tag-q.virtual)/float64(service) + float64(index)
 }
 
 func (q *fairQueue) push(it *item) {
@@ -104,7 +116,9 @@
 	f := q.byTag[0]
 	it := f.head
 	q.virtual = f.tag
-	f.tag += cost
+	part := max(f.carry/carryParts, -cost)
+	f.carry -= part
+	f.tag += cost + part
 	q.remove(it)
 	if f.tagIndex >= 0 {
 		heap.Fix(&q.byTag, f.tagIndex)
@@ -137,15 +151,11 @@
 	heap.Remove(&q.byLength, f.lenIndex)
 }
 
-// correct replaces the estimated by the measured cost of a served request.
+// correct charges the caller with the difference between the measured and the
+// estimated cost of a request, spread over its next requests.
 func (q *fairQueue) correct(caller string, difference time.Duration) {
-	f := q.flows[caller]
-	if f == nil {
-		return
-	}
-	f.tag = max(f.tag+difference, q.virtual)
-	if f.tagIndex >= 0 {
-		heap.Fix(&q.byTag, f.tagIndex)
+	if f := q.flows[caller]; f != nil {
+		f.carry += difference
 	}
 }
 
@@ -174,18 +184,20 @@
 // newestOfLongest returns the newest request of the caller with most waiting.
 func (q *fairQueue) newestOfLongest() *item { return q.byLength[0].tail }
 
-// each calls visit for every waiting request with the number of requests
-// that are served before it. visit must not change the queue.
-func (q *fairQueue) each(visit func(it *item, ahead int)) {
+// each calls visit for every waiting request with the number of requests that
+// are served before it, with the bounds of ahead. visit must not change the queue.
+func (q *fairQueue) each(service time.Duration, visit func(it *item, least, most int)) {
 	q.sorted = append(q.sorted[:0], q.byTag...)
 	slices.SortFunc(q.sorted, func(a, b *flow) int {
 		return cmp.Or(cmp.Compare(a.tag, b.tag), cmp.Compare(a.head.order, b.head.order))
 	})
+	others := float64(len(q.sorted) - 1)
 	for i, f := range q.sorted {
-		ahead := i
+		k := 0
 		for it := f.head; it != nil; it = it.next {
-			visit(it, min(ahead, q.waiting-1))
-			ahead += len(q.sorted)
+			most := k + max(i, int(others*q.rounds(f.tag, k, service)))
+			visit(it, min(most, q.waiting-1), most)
+			k++
 		}
 	}
 	clear(q.sorted)
--- /dev/null
+++ b/core/schedule/replay/replay.go
@@ -0,0 +1,386 @@
+// Package replay runs a load scenario against a scheduling policy in virtual
+// time: open-loop Poisson arrivals at one upstream, without network delays. It
+// is used by tests and by `papayarail measure`.
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/papayarail/papayarail/core/schedule"
+)
+
+// Policy selects the scheduling of a run.
+type Policy string
+
+const (
+	// Papayarail uses schedule.Scheduler.
+	Papayarail Policy = "papayarail"
+	// FIFO serves one unbounded queue first in, first out. Requests whose
+	// deadline has passed when their turn comes are dropped, as if their
+	// caller had gone.
+	FIFO Policy = "fifo"
+)
+
+// Class is a group of callers with equal requests.
+type Class struct {
+	Rank    schedule.Rank
+	Callers int
+	Rate    float64       // quiet rate of the class, in requests per second
+	Service time.Duration // mean of the exponentially distributed service time
+	// Deadline is the time that a caller allows from sending to the answer; 0: none.
+	Deadline time.Duration
+	// Flood multiplies the rate; 0 and 1 leave it unchanged.
+	Flood float64
+	// Skew spreads the flood over the callers: the rate of the last is 1+Skew
+	// and of the first 1-Skew times the mean, linearly between. 0: equal.
+	Skew float64
+}
+
+// Scenario is the load on one upstream.
+type Scenario struct {
+	Name       string
+	Policy     Policy
+	Slots      int
+	Floor      [schedule.Ranks]float64
+	QueueLimit int
+	Warmup     time.Duration // not counted in the figures
+	Duration   time.Duration // counted time after the warm-up
+	Classes    []Class
+}
+
+// RankFigures are the results of one rank.
+type RankFigures struct {
+	Offered  int     `json:"offered"`
+	Answered int     `json:"answered"` // within the deadline
+	Late     int     `json:"late"`     // completed after the deadline
+	Refused  int     `json:"refused"`  // rejected, or dropped after the deadline in FIFO
+	Rate     float64 `json:"rate"`     // answered per second
+	Share    float64 `json:"share"`    // of the slots' time
+	Held     int     `json:"held"`     // refused with less than a fifth of the time to the deadline left
+
+	WaitP50     time.Duration `json:"wait_p50"` // from sending to the slot, of started requests
+	WaitP99     time.Duration `json:"wait_p99"`
+	ResponseP50 time.Duration `json:"response_p50"` // from sending to completion
+	ResponseP99 time.Duration `json:"response_p99"`
+}
+
+// Figures are the results of a run.
+type Figures struct {
+	Scenario string                      `json:"scenario"`
+	Policy   Policy                      `json:"policy"`
+	Seed     uint64                      `json:"seed"`
+	Ranks    [schedule.Ranks]RankFigures `json:"ranks"`
+	// Jain is the fairness index of the answered requests of urgent callers,
+	// each divided by the caller's max-min fair part of all answered ones. A
+	// caller that asks for less than an equal part and receives it counts as 1.
+	Jain float64 `json:"jain"`
+	// RawJain is the index of the answered requests themselves.
+	RawJain float64 `json:"raw_jain"`
+}
+
+type eventKind uint8
+
+const (
+	arrival eventKind = iota
+	completion
+	tick
+)
+
+type event struct {
+	at     time.Duration
+	order  uint64
+	kind   eventKind
+	source *source
+	id     uint64
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	n := len(*h) - 1
+	e := (*h)[n]
+	*h = (*h)[:n]
+	return e
+}
+
+// source is one caller with its own random numbers, so that both policies see
+// the same arrivals and service times under one seed.
+type source struct {
+	class    *Class
+	name     string
+	rate     float64
+	rand     *rand.Rand
+	offered  int
+	answered int
+}
+
+type request struct {
+	source  *source
+	sent    time.Duration
+	started time.Duration
+	service time.Duration
+	counted bool
+}
+
+// queue is the policy under test.
+type queue interface {
+	Submit(schedule.Request, time.Duration) schedule.Result
+	Done(uint64, time.Duration) schedule.Result
+	Tick(time.Duration) schedule.Result
+}
+
+// tickPeriod is the interval between Tick events.
+const tickPeriod = 5 * time.Millisecond
+
+type run struct {
+	scenario Scenario
+	queue    queue
+	events   eventHeap
+	order    uint64
+	nextID   uint64
+	sources  []*source
+	requests map[uint64]*request
+	figures  Figures
+	wait     [schedule.Ranks]*hdrhistogram.Histogram
+	response [schedule.Ranks]*hdrhistogram.Histogram
+	busy     [schedule.Ranks]time.Duration
+}
+
+// Run plays the scenario with the given seed. Runs with equal arguments have
+// equal figures.
+func Run(sc Scenario, seed uint64) Figures {
+	r := newRun(sc, seed)
+	end := sc.Warmup + sc.Duration
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		switch e.kind {
+		case arrival:
+			if e.at < end {
+				r.arrive(e.source, e.at)
+			}
+		case completion:
+			r.complete(e.id, e.at)
+		case tick:
+			r.apply(r.queue.Tick(e.at), e.at)
+			if e.at < end || len(r.requests) > 0 {
+				r.at(event{at: e.at + tickPeriod, kind: tick})
+			}
+		}
+	}
+	r.summarize()
+	return r.figures
+}
+
+func newRun(sc Scenario, seed uint64) *run {
+	r := &run{scenario: sc, requests: make(map[uint64]*request)}
+	r.figures = Figures{Scenario: sc.Name, Policy: sc.Policy, Seed: seed}
+	r.queue = newQueue(sc, seed)
+	for i := range schedule.Ranks {
+		r.wait[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+		r.response[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+	}
+	for i := range sc.Classes {
+		r.addClass(&sc.Classes[i], i, seed)
+	}
+	r.at(event{at: tickPeriod, kind: tick})
+	return r
+}
+
+func newQueue(sc Scenario, seed uint64) queue {
+	if sc.Policy == FIFO {
+		return &fifo{slots: sc.Slots}
+	}
+	return schedule.New(schedule.Config{
+		Slots: sc.Slots, Floor: sc.Floor, QueueLimit: sc.QueueLimit,
+		Rand: rand.New(rand.NewPCG(seed, 0)),
+	})
+}
+
+func (r *run) addClass(c *Class, index int, seed uint64) {
+	for i := range c.Callers {
+		s := &source{class: c, name: fmt.Sprintf("%s-%d-%d", c.Rank, index, i), rate: c.Rate / float64(c.Callers)}
+		s.rand = rand.New(rand.NewPCG(seed, uint64(index)<<32|uint64(i)+1))
+		if c.Flood > 0 {
+			s.rate *= c.Flood
+		}
+		if c.Callers > 1 {
+			s.rate *= 1 - c.Skew + 2*c.Skew*float64(i)/float64(c.Callers-1)
+		}
+		r.sources = append(r.sources, s)
+		r.scheduleArrival(s, 0)
+	}
+}
+
+func (r *run) scheduleArrival(s *source, now time.Duration) {
+	if s.rate <= 0 {
+		return
+	}
+	gap := time.Duration(s.rand.ExpFloat64() / s.rate * float64(time.Second))
+	r.at(event{at: now + gap, kind: arrival, source: s})
+}
+
+func (r *run) at(e event) {
+	r.order++
+	e.order = r.order
+	heap.Push(&r.events, e)
+}
+
+func (r *run) arrive(s *source, now time.Duration) {
+	r.nextID++
+	req := &request{source: s, sent: now, counted: now >= r.scenario.Warmup}
+	req.service = max(time.Duration(s.rand.ExpFloat64()*float64(s.class.Service)), time.Microsecond)
+	r.requests[r.nextID] = req
+	if req.counted {
+		s.offered++
+		r.figures.Ranks[s.class.Rank].Offered++
+	}
+	sr := schedule.Request{ID: r.nextID, Caller: s.name, Rank: s.class.Rank}
+	if s.class.Deadline > 0 {
+		sr.Deadline = now + s.class.Deadline
+	}
+	r.apply(r.queue.Submit(sr, now), now)
+	r.scheduleArrival(s, now)
+}
+
+func (r *run) apply(res schedule.Result, now time.Duration) {
+	for _, id := range res.Started {
+		req := r.requests[id]
+		req.started = now
+		r.at(event{at: now + req.service, kind: completion, id: id})
+	}
+	for _, rej := range res.Rejected {
+		r.refuse(rej.ID, now)
+	}
+}
+
+func (r *run) refuse(id uint64, now time.Duration) {
+	req := r.requests[id]
+	delete(r.requests, id)
+	if !req.counted {
+		return
+	}
+	f := &r.figures.Ranks[req.source.class.Rank]
+	f.Refused++
+	if d := req.source.class.Deadline; d > 0 && now-req.sent > d*4/5 {
+		f.Held++
+	}
+}
+
+func (r *run) complete(id uint64, now time.Duration) {
+	req := r.requests[id]
+	delete(r.requests, id)
+	r.apply(r.queue.Done(id, now), now)
+	class := req.source.class
+	if now >= r.scenario.Warmup && now < r.scenario.Warmup+r.scenario.Duration {
+		r.busy[class.Rank] += req.service
+	}
+	if !req.counted {
+		return
+	}
+	record(r.wait[class.Rank], req.started-req.sent)
+	record(r.response[class.Rank], now-req.sent)
+	f := &r.figures.Ranks[class.Rank]
+	if class.Deadline > 0 && now-req.sent > class.Deadline {
+		f.Late++
+		return
+	}
+	f.Answered++
+	req.source.answered++
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// RecordValue fails only above the highest trackable value of one hour.
+	_ = h.RecordValue(min(int64(d/time.Microsecond), h.HighestTrackableValue()))
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func (r *run) summarize() {
+	seconds := r.scenario.Duration.Seconds()
+	for i := range r.figures.Ranks {
+		f := &r.figures.Ranks[i]
+		f.Rate = float64(f.Answered) / seconds
+		f.Share = r.busy[i].Seconds() / seconds / float64(max(r.scenario.Slots, 1))
+		f.WaitP50, f.WaitP99 = quantile(r.wait[i], 50), quantile(r.wait[i], 99)
+		f.ResponseP50, f.ResponseP99 = quantile(r.response[i], 50), quantile(r.response[i], 99)
+	}
+	var offered, answered []float64
+	for _, s := range r.sources {
+		if s.class.Rank == schedule.Urgent {
+			offered = append(offered, float64(s.offered))
+			answered = append(answered, float64(s.answered))
+		}
+	}
+	r.figures.RawJain = Jain(answered)
+	r.figures.Jain = Jain(normalize(answered, offered))
+}
+
+// Jain returns Jain's fairness index: 1 if all values are equal, 1/n if one
+// has everything.
+func Jain(values []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, v := range values {
+		sum += v
+		squares += v * v
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / (float64(len(values)) * squares)
+}
+
+// normalize divides what each caller got by its max-min fair part of the total.
+func normalize(got, demand []float64) []float64 {
+	total := 0.0
+	for _, v := range got {
+		total += v
+	}
+	var ratios []float64
+	for i, part := range maxMin(total, demand) {
+		if part > 0 {
+			ratios = append(ratios, got[i]/part)
+		}
+	}
+	return ratios
+}
+
+// maxMin divides total so that nobody gets more than its demand and nobody's
+// part can grow except at the cost of one who has no more.
+func maxMin(total float64, demand []float64) []float64 {
+	order := make([]int, len(demand))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if demand[a] < demand[b] {
+			return -1
+		}
+		return 1
+	})
+	parts := make([]float64, len(demand))
+	for n, i := range order {
+		parts[i] = min(demand[i], total/float64(len(order)-n))
+		total -= parts[i]
+	}
+	return parts
+}
--- /dev/null
+++ b/core/schedule/replay/replay_test.go
@@ -0,0 +1,87 @@
+package replay
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/schedule"
+)
+
+var seeds = []uint64{1, 2, 3}
+
+func logFigures(t *testing.T, f Figures) {
+	t.Helper()
+	for i, r := range f.Ranks {
+		t.Logf("%s/%s seed %d %-6s offered %d answered %d late %d refused %d share %.3f held %d "+
+			"wait p50 %s p99 %s response p50 %s p99 %s", f.Scenario, f.Policy, f.Seed, schedule.Rank(i), r.Offered, r.Answered,
+			r.Late, r.Refused, r.Share, r.Held, r.WaitP50, r.WaitP99, r.ResponseP50, r.ResponseP99)
+	}
+	t.Logf("%s/%s seed %d jain %.4f raw %.4f", f.Scenario, f.Policy, f.Seed, f.Jain, f.RawJain)
+}
+
+// Guards the targets of section 3 under a tenfold flood of lookups.
+func TestFloodLookups(t *testing.T) {
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			quiet, flood := Run(Quiet(Papayarail), seed), Run(FloodLookups(Papayarail), seed)
+			naive := Run(FloodLookups(FIFO), seed)
+			logFigures(t, quiet)
+			logFigures(t, flood)
+			logFigures(t, naive)
+			kept := func(f Figures, r schedule.Rank) float64 { return f.Ranks[r].Rate / quiet.Ranks[r].Rate }
+			assert.Assert(t, kept(flood, schedule.Urgent) >= 0.99)
+			assert.Assert(t, kept(flood, schedule.Middle) >= 0.95)
+			ratio := float64(flood.Ranks[schedule.Urgent].ResponseP99) / float64(quiet.Ranks[schedule.Urgent].ResponseP99)
+			t.Logf("urgent response p99 is %.3f times quiet", ratio)
+			assert.Assert(t, ratio <= 1.5, "ratio %.3f", ratio)
+			assert.Assert(t, kept(naive, schedule.Urgent) < 0.9, "the load must be a flood for the naive baseline")
+			for r, f := range flood.Ranks {
+				assert.Assert(t, float64(f.Late) <= 0.001*float64(f.Offered), "rank %d: %d late", r, f.Late)
+				assert.Assert(t, float64(f.Held) <= 0.01*float64(f.Offered), "rank %d: %d held", r, f.Held)
+			}
+		})
+	}
+}
+
+// Guards the targets of section 3 under a tenfold flood of urgent orders.
+func TestFloodUrgent(t *testing.T) {
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			flood, naive := Run(FloodUrgent(Papayarail), seed), Run(FloodUrgent(FIFO), seed)
+			logFigures(t, flood)
+			logFigures(t, naive)
+			assert.Assert(t, flood.RawJain >= 0.95 && flood.Jain >= 0.95)
+			assert.Assert(t, naive.RawJain < 0.9, "the load must be unfair for the naive baseline")
+			floor := FloodUrgent(Papayarail).Floor
+			for _, r := range []schedule.Rank{schedule.Middle, schedule.Least} {
+				assert.Assert(t, flood.Ranks[r].Share >= 0.95*floor[r], "%s has %.4f", r, flood.Ranks[r].Share)
+			}
+			for r, f := range flood.Ranks {
+				assert.Assert(t, float64(f.Late) <= 0.01*float64(f.Offered), "rank %d: %d late", r, f.Late)
+				assert.Assert(t, float64(f.Held) <= 0.01*float64(f.Offered), "rank %d: %d held", r, f.Held)
+			}
+		})
+	}
+}
+
+// Guards against a few noisy urgent callers that take the service of modest ones.
+func TestFloodCallers(t *testing.T) {
+	for _, seed := range seeds {
+		flood, naive := Run(FloodCallers(Papayarail), seed), Run(FloodCallers(FIFO), seed)
+		logFigures(t, flood)
+		logFigures(t, naive)
+		assert.Assert(t, flood.Jain >= 0.95, "jain %.4f", flood.Jain)
+		assert.Assert(t, naive.Jain < 0.9, "the load must be unfair for the naive baseline")
+	}
+}
+
+// Guards against figures that cannot be reproduced from their seed.
+func TestRunIsDeterministic(t *testing.T) {
+	sc := FloodUrgent(Papayarail)
+	sc.Duration /= 20
+	assert.DeepEqual(t, Run(sc, 9), Run(sc, 9))
+}
--- /dev/null
+++ b/core/schedule/replay/scenarios.go
@@ -0,0 +1,54 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/papayarail/papayarail/core/schedule"
+)
+
+// Quiet is the ordinary load of one upstream with two slots: each rank offers
+// 20% of the capacity of 400 requests per second. Deadlines are the targets of
+// the example document in section 6.9 of the design page.
+func Quiet(p Policy) Scenario {
+	return Scenario{
+		Name: "quiet", Policy: p, Slots: 2,
+		Floor:  [schedule.Ranks]float64{0, 0.10, 0.02},
+		Warmup: 10 * time.Second, Duration: 120 * time.Second,
+		Classes: []Class{
+			{Rank: schedule.Urgent, Callers: 20, Rate: 80, Service: 5 * time.Millisecond, Deadline: 500 * time.Millisecond},
+			{Rank: schedule.Middle, Callers: 20, Rate: 80, Service: 5 * time.Millisecond, Deadline: time.Second},
+			{Rank: schedule.Least, Callers: 40, Rate: 80, Service: 5 * time.Millisecond, Deadline: 2 * time.Second},
+		},
+	}
+}
+
+// FloodLookups is Quiet with ten times the least urgent requests.
+func FloodLookups(p Policy) Scenario {
+	sc := Quiet(p)
+	sc.Name = "flood-lookups"
+	sc.Classes[schedule.Least].Flood = 10
+	return sc
+}
+
+// FloodUrgent is Quiet with ten times the urgent requests, sent at unequal
+// rates: the busiest caller sends nine times as many as the least busy one.
+func FloodUrgent(p Policy) Scenario {
+	sc := Quiet(p)
+	sc.Name = "flood-urgent"
+	sc.Classes[schedule.Urgent].Flood = 10
+	sc.Classes[schedule.Urgent].Skew = 0.8
+	return sc
+}
+
+// FloodCallers has the urgent load of FloodUrgent, but four of the twenty
+// urgent callers send 92% of it and the others keep their quiet rate.
+func FloodCallers(p Policy) Scenario {
+	sc := Quiet(p)
+	sc.Name = "flood-callers"
+	urgent := &sc.Classes[schedule.Urgent]
+	urgent.Callers, urgent.Rate = 16, 64
+	noisy := *urgent
+	noisy.Callers, noisy.Rate, noisy.Flood = 4, 16, 46
+	sc.Classes = append(sc.Classes, noisy)
+	return sc
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -57,9 +57,11 @@
 		return res
 	}
 	if err := s.refusal(r, now); err != nil {
+		s.ranks[r.Rank].countRefused(1)
 		res.reject(r.ID, err)
 		return res
 	}
+	s.ranks[r.Rank].countRefused(0)
 	s.enqueue(r)
 	if s.waiting > s.cfg.QueueLimit {
 		s.shed(&res)
@@ -105,8 +107,9 @@
 	var late []*item
 	for r := range s.ranks {
 		rank, st := Rank(r), &s.ranks[r]
-		st.queue.each(func(it *item, ahead int) {
-			if d := it.req.Deadline; d > 0 && now+s.estimate(rank, ahead)+st.service > d {
+		st.queue.each(st.service, func(it *item, least, most int) {
+			wait := s.estimate(rank, st.expectedAhead(least, most))
+			if d := it.req.Deadline; d > 0 && now+wait+st.service > d {
 				late = append(late, it)
 			}
 		})
@@ -248,6 +251,7 @@
 			continue
 		}
 		it := q.newestOfLongest()
+		s.ranks[r].countRefused(1)
 		err := verdict.New(verdict.Overloaded, "queue of %d requests is full", s.cfg.QueueLimit)
 		res.reject(it.req.ID, err.After(s.retryDelay(Rank(r))))
 		s.drop(it)
