wire: add classify package

Routing and retries depend on whether a statement may write, and connection sharing on whether it leaves state in the session. Classify parses SQL with pg_query_go, walks the whole tree for calls, locking clauses and data-modifying parts, and counts as Read only what is known to be free of side effects.

--- /dev/null
+++ b/wire/classify/walk.go
@@ -0,0 +1,106 @@
+package classify
+
+import (
+	"strings"
+
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// findings collects what the nodes of a syntax tree imply.
+type findings struct {
+	writes            bool
+	command           string // what leaves state in the session
+	transactionScoped bool
+}
+
+// visit walks the whole tree, because calls and data-modifying parts may be
+// nested in any clause.
+func (f *findings) visit(m protoreflect.Message) {
+	f.inspect(m.Interface())
+	m.Range(func(d protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		switch {
+		case d.Message() == nil:
+		case d.IsList():
+			list := v.List()
+			for i := range list.Len() {
+				f.visit(list.Get(i).Message())
+			}
+		default:
+			f.visit(v.Message())
+		}
+		return true
+	})
+}
+
+func (f *findings) inspect(m any) {
+	switch n := m.(type) {
+	case *pgquery.FuncCall:
+		f.call(n)
+	case *pgquery.LockingClause, *pgquery.InsertStmt, *pgquery.UpdateStmt, *pgquery.DeleteStmt, *pgquery.MergeStmt:
+		f.writes = true
+	case *pgquery.IntoClause:
+		f.writes = true
+		f.relation(n.Rel, n.OnCommit)
+	case *pgquery.CreateStmt:
+		f.relation(n.Relation, n.Oncommit)
+	case *pgquery.CreateSeqStmt:
+		f.relation(n.Sequence, pgquery.OnCommitAction_ONCOMMIT_NOOP)
+	case *pgquery.ViewStmt:
+		f.relation(n.View, pgquery.OnCommitAction_ONCOMMIT_NOOP)
+	}
+}
+
+// relation notes a new relation that lives in the session's temporary schema.
+func (f *findings) relation(r *pgquery.RangeVar, onCommit pgquery.OnCommitAction) {
+	if r.GetRelpersistence() != "t" && r.GetSchemaname() != "pg_temp" {
+		return
+	}
+	f.leaves("temporary table", onCommit == pgquery.OnCommitAction_ONCOMMIT_DROP)
+}
+
+// leaves notes session state; state that outlives the transaction prevails.
+func (f *findings) leaves(command string, transactionScoped bool) {
+	if f.command != "" && !f.transactionScoped {
+		return
+	}
+	f.command = command
+	f.transactionScoped = transactionScoped
+}
+
+func (f *findings) call(c *pgquery.FuncCall) {
+	name, builtin := functionName(c.Funcname)
+	switch {
+	case !builtin:
+		f.writes = true
+	case sideEffectFree[name]:
+	case name == "currval" || name == "lastval":
+		f.leaves(name, true)
+	case name == "set_config":
+		f.leaves(name, len(c.Args) == 3 && c.Args[2].GetAConst().GetBoolval().GetBoolval())
+	case sessionLock(name):
+		f.leaves(name, false)
+	default:
+		f.writes = true
+	}
+}
+
+// functionName returns the name without the schema pg_catalog. A function of
+// another schema may do anything.
+func functionName(parts []*pgquery.Node) (name string, builtin bool) {
+	switch len(parts) {
+	case 1:
+		return parts[0].GetString_().GetSval(), true
+	case 2:
+		return parts[1].GetString_().GetSval(), parts[0].GetString_().GetSval() == "pg_catalog"
+	default:
+		return "", false
+	}
+}
+
+// sessionLock reports the advisory lock functions whose locks belong to the
+// session; the others have "xact" in their name.
+func sessionLock(name string) bool {
+	lock := strings.HasPrefix(name, "pg_advisory_") || strings.HasPrefix(name, "pg_try_advisory_")
+	return lock && !strings.Contains(name, "_xact_")
+}
