--- a/instance/node/node.go
+++ b/instance/node/node.go
@@ -35,7 +35,8 @@
 	// its upstreams up.
 	leaveDelay = 700 * time.Millisecond
 	// drainLimit bounds a planned stop; open transactions after it are cut.
-	drainLimit = 60 * time.Second
+	drainLimit    = 60 * time.Second
+	listenerCount = 3
 
 	maxMessageBytes = 8 << 20
 	startupTimeout  = 10 * time.Second
@@ -67,8 +68,18 @@
 	kicks   chan struct{}
 	drain   chan struct{}
 	once    sync.Once
+	kill    chan struct{}
+	killed  sync.Once
+	opened  *Listeners
 }
 
+// Listeners are the open sockets of an instance.
+type Listeners struct{ Callers, Peers, Operators net.Listener }
+
+// UseListeners makes Run serve on sockets that are open already, in place of
+// the addresses of the settings.
+func (n *Node) UseListeners(l Listeners) { n.opened = &l }
+
 // New prepares an instance; Run starts it.
 func New(s *settings.Settings, log *logrus.Logger) (*Node, error) {
 	store, err := awsstore.New(awsstore.Settings{
@@ -90,6 +101,7 @@
 		register: register.New(store.Table, s.Name),
 		kicks:    make(chan struct{}, 1),
 		drain:    make(chan struct{}),
+		kill:     make(chan struct{}),
 	}
 	n.links = peer.NewLinks(n.hello)
 	n.upstreams = newUpstreams(n)
@@ -137,6 +149,9 @@
 // Drain starts the planned stop; it returns at once.
 func (n *Node) Drain() { n.once.Do(func() { close(n.drain) }) }
 
+// Kill ends the instance without the planned stop; Run returns soon after.
+func (n *Node) Kill() { n.killed.Do(func() { close(n.kill) }) }
+
 // Run serves until ctx ends or Drain is called, stops as planned, and returns.
 func (n *Node) Run(ctx context.Context) error {
 	workCtx, stopWork := context.WithCancel(context.Background())
@@ -146,52 +161,55 @@
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, len(listeners))
+	failed := make(chan error, listenerCount)
 	n.serve(workCtx, listeners, failed)
 	n.log.WithFields(logrus.Fields{
-		"callers":   listeners.callers.Addr().String(),
-		"peers":     listeners.peers.Addr().String(),
-		"operators": listeners.operators.Addr().String(),
+		"callers":   listeners.Callers.Addr().String(),
+		"peers":     listeners.Peers.Addr().String(),
+		"operators": listeners.Operators.Addr().String(),
 	}).Info("instance started")
+	var failure error
 	select {
 	case <-ctx.Done():
+		n.stop(listeners)
 	case <-n.drain:
-	case err := <-failed:
-		return err
+		n.stop(listeners)
+	case <-n.kill:
+	case failure = <-failed:
 	}
-	n.stop(listeners)
 	stopWork()
 	n.links.Close()
 	n.work.Wait()
 	n.log.Info("instance stopped")
-	return nil
+	return failure
 }
 
-type listeners struct{ callers, peers, operators net.Listener }
-
-func (n *Node) listen() (l listeners, err error) {
-	l.callers, err = net.Listen("tcp", n.settings.CallerAddress)
+func (n *Node) listen() (l Listeners, err error) {
+	if n.opened != nil {
+		return *n.opened, nil
+	}
+	l.Callers, err = net.Listen("tcp", n.settings.CallerAddress)
 	if err != nil {
 		return l, Class.Wrap(err)
 	}
-	l.peers, err = net.Listen("tcp", n.settings.PeerAddress)
+	l.Peers, err = net.Listen("tcp", n.settings.PeerAddress)
 	if err != nil {
-		return l, Class.Wrap(errors.Join(err, l.callers.Close()))
+		return l, Class.Wrap(errors.Join(err, l.Callers.Close()))
 	}
-	l.operators, err = net.Listen("tcp", n.settings.OperatorAddress)
+	l.Operators, err = net.Listen("tcp", n.settings.OperatorAddress)
 	if err != nil {
-		return l, Class.Wrap(errors.Join(err, l.callers.Close(), l.peers.Close()))
+		return l, Class.Wrap(errors.Join(err, l.Callers.Close(), l.Peers.Close()))
 	}
 	return l, nil
 }
 
-func (n *Node) serve(ctx context.Context, l listeners, failed chan<- error) {
+func (n *Node) serve(ctx context.Context, l Listeners, failed chan<- error) {
 	allowed := settings.Networks(n.settings.AllowedNetworks)
 	links := &peer.Server{Self: n.hello, Allowed: allowed, Log: n.log, NewHandler: n.newHandler}
 	operators := operator.New(n, allowed, n.log)
-	n.work.Go(func() { report(failed, links.Serve(ctx, l.peers)) })
-	n.work.Go(func() { report(failed, operators.Serve(ctx, l.operators)) })
-	n.work.Go(func() { report(failed, n.callers.Serve(ctx, l.callers)) })
+	n.work.Go(func() { report(failed, links.Serve(ctx, l.Peers)) })
+	n.work.Go(func() { report(failed, operators.Serve(ctx, l.Operators)) })
+	n.work.Go(func() { report(failed, n.callers.Serve(ctx, l.Callers)) })
 	n.work.Go(func() { n.config.run(ctx) })
 	n.work.Go(func() { n.liveness.run(ctx) })
 	n.work.Go(func() { n.liveness.readList(ctx) })
@@ -245,11 +263,11 @@
 
 // stop is the planned stop: announce, refuse new callers and close idle ones,
 // let transactions end, then give up the upstreams.
-func (n *Node) stop(l listeners) {
+func (n *Node) stop(l Listeners) {
 	n.log.Info("planned stop begins")
 	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
 	defer cancel()
-	l.callers.Close()
+	l.Callers.Close()
 	n.view.Leave()
 	n.kick()
 	n.liveness.announce(ctx)
--- a/papayarail/main.go
+++ b/papayarail/main.go
@@ -10,6 +10,8 @@
 	"github.com/papayarail/papayarail/papayarail/apply"
 	"github.com/papayarail/papayarail/papayarail/check"
 	"github.com/papayarail/papayarail/papayarail/cli"
+	"github.com/papayarail/papayarail/papayarail/demo"
+	"github.com/papayarail/papayarail/papayarail/dev"
 	"github.com/papayarail/papayarail/papayarail/drain"
 	"github.com/papayarail/papayarail/papayarail/dump"
 	"github.com/papayarail/papayarail/papayarail/serve"
@@ -28,6 +30,8 @@
 	env := cli.Env{Stdout: os.Stdout, Stderr: os.Stderr}
 	commands := []cli.Command{
 		serve.Command(),
+		dev.Command(),
+		demo.Command(),
 		standin.Command(),
 		check.Command(),
 		apply.Command(),
--- /dev/null
+++ b/papayarail/process_test.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/papayarail/papayarail/fleet"
+	"github.com/papayarail/papayarail/instance/node"
+	"github.com/papayarail/papayarail/instance/settings"
+	"github.com/papayarail/papayarail/standin/dbgroup"
+)
+
+// runMainVariable makes the test binary behave as papayarail itself, so that
+// tests start the program that they were built with.
+const runMainVariable = "PAPAYARAIL_TEST_MAIN"
+
+// hangLimit ends a test whose condition never comes; no verdict depends on it.
+const hangLimit = 90 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMainVariable) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const service = "registro-lotti-1"
+
+var domains = []string{"catania", "messina", "siracusa"}
+
+// cluster is one service with three members, one instance in each failure
+// domain and a platform, each a process of its own.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	document *fleet.Document
+	platform string
+	settings map[string]*settings.Settings
+	faults   map[string]string // fault address of each member
+
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{
+		t:         t,
+		dir:       t.TempDir(),
+		settings:  make(map[string]*settings.Settings),
+		faults:    make(map[string]string),
+		processes: make(map[string]*exec.Cmd),
+	}
+	t.Cleanup(c.stop)
+	c.document = &fleet.Document{
+		Deployment:     "colle-trinacria-adesivi",
+		FailureDomains: domains,
+		Ranks: map[fleet.Rank]fleet.RankGoal{
+			"urgent": {TargetMS: 500}, "middle": {TargetMS: 1000, FloorPercent: 10}, "least": {TargetMS: 2000, FloorPercent: 2},
+		},
+	}
+	c.platform = freeAddress(t)
+	c.start("platform", "standin", "platform", "-address", c.platform)
+	c.startMembers()
+	c.apply("0")
+	c.startInstances()
+	return c
+}
+
+func (c *cluster) startMembers() {
+	s := fleet.Service{Name: service, DependsOn: []string{}, DefaultRank: "middle", MaxStalenessMS: 5000}
+	var addresses []string
+	for _, d := range domains {
+		address := freeAddress(c.t)
+		addresses = append(addresses, address)
+		s.Databases = append(s.Databases, fleet.Database{
+			Name: service + "-" + d, Address: address, FailureDomain: d, Connections: 15, Slots: 2, State: fleet.Active,
+		})
+	}
+	c.document.Services = []fleet.Service{s}
+	for _, mc := range dbgroup.GroupConfigs(service, domains, addresses) {
+		mc.FaultAddress = freeAddress(c.t)
+		c.faults[mc.Name] = mc.FaultAddress
+		c.start(mc.Name, "standin", "member", "-config", c.file(mc.Name, mc))
+	}
+}
+
+func (c *cluster) startInstances() {
+	for _, d := range domains {
+		c.settings[d] = &settings.Settings{
+			Name: d + "-1", FailureDomain: d, LogLevel: "info",
+			CallerAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t), OperatorAddress: freeAddress(c.t),
+			Platform: settings.Platform{TableURL: "http://" + c.platform, ObjectURL: "http://" + c.platform, Table: "papayarail", Bucket: "papayarail"},
+		}
+	}
+	for _, d := range domains {
+		for _, other := range domains {
+			if other != d {
+				c.settings[d].SeedPeers = append(c.settings[d].SeedPeers, c.settings[other].PeerAddress)
+			}
+		}
+		c.serve(d)
+	}
+	for _, d := range domains {
+		c.awaitDump(d, func(n *node.Dump) bool { return len(n.Peers) == 2 && len(n.Routes) == 1 })
+	}
+}
+
+// serve starts the instance of a failure domain.
+func (c *cluster) serve(domain string) {
+	c.start(domain, "serve", "-config", c.file(domain, c.settings[domain]))
+}
+
+func (c *cluster) file(name string, content any) string {
+	data, err := json.Marshal(content)
+	assert.NilError(c.t, err)
+	path := filepath.Join(c.dir, name+".json")
+	assert.NilError(c.t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+// command returns a command that runs papayarail with the arguments.
+func command(ctx context.Context, args ...string) *exec.Cmd {
+	cmd := exec.CommandContext(ctx, os.Args[0], args...)
+	cmd.Env = append(os.Environ(), runMainVariable+"=1")
+	return cmd
+}
+
+func (c *cluster) start(name string, args ...string) {
+	log, err := os.Create(filepath.Join(c.dir, name+".log"))
+	assert.NilError(c.t, err)
+	cmd := command(context.Background(), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	assert.NilError(c.t, cmd.Start())
+	log.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes[name] = cmd
+}
+
+// signal sends a signal to the process of that name.
+func (c *cluster) signal(name string, s syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.NilError(c.t, c.processes[name].Process.Signal(s))
+}
+
+// kill ends the process at once.
+func (c *cluster) kill(name string) {
+	c.signal(name, syscall.SIGKILL)
+	_ = c.processes[name].Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.processes, name)
+}
+
+// wait returns the exit error of a process that ends by itself.
+func (c *cluster) wait(name string) error {
+	c.mu.Lock()
+	cmd := c.processes[name]
+	delete(c.processes, name)
+	c.mu.Unlock()
+	return cmd.Wait()
+}
+
+func (c *cluster) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cmd := range c.processes {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+	if c.t.Failed() {
+		c.printLogs()
+	}
+}
+
+func (c *cluster) printLogs() {
+	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, f := range files {
+		data, _ := os.ReadFile(f)
+		c.t.Logf("%s:\n%s", filepath.Base(f), data[max(0, len(data)-4000):])
+	}
+}
+
+// client runs a command of the operators' client.
+func client(args ...string) (stdout, stderr string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+	defer cancel()
+	cmd := command(ctx, args...)
+	var out, bad bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &bad
+	err = cmd.Run()
+	return out.String(), bad.String(), err
+}
+
+// apply puts the cluster's document in force.
+func (c *cluster) apply(revision string) {
+	file := c.file("document", c.document)
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		_, stderr, err := client("apply", "-platform", "http://"+c.platform, "-revision", revision, file)
+		if err != nil {
+			return poll.Continue("apply: %v: %s", err, stderr)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(hangLimit))
+}
+
+func (c *cluster) dump(domain string) (*node.Dump, error) {
+	r, err := http.Get("http://" + c.settings[domain].OperatorAddress + "/dump")
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	d := &node.Dump{}
+	return d, json.NewDecoder(r.Body).Decode(d)
+}
+
+func (c *cluster) awaitDump(domain string, ok func(*node.Dump) bool) *node.Dump {
+	var last *node.Dump
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		d, err := c.dump(domain)
+		if err != nil {
+			return poll.Continue("dump of %s: %v", domain, err)
+		}
+		last = d
+		if !ok(d) {
+			return poll.Continue("dump of %s: peers %d, routes %v, revision %d", domain, len(d.Peers), d.Routes, d.Revision)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(hangLimit), poll.WithDelay(20*time.Millisecond))
+	return last
+}
+
+// primary returns the member that a failure domain's instance takes for the primary.
+func (c *cluster) primary(domain string) string {
+	d := c.awaitDump(domain, func(d *node.Dump) bool { return len(d.Routes) == 1 })
+	return string(d.Routes[0].Primary)
+}
+
+// connect opens a session at the instance of a failure domain.
+func (c *cluster) connect(domain string) *pgx.Conn {
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+	defer cancel()
+	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://clerk@%s/%s?sslmode=disable", c.settings[domain].CallerAddress, service))
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+// eventually repeats an exchange that was refused as not run until it is answered.
+func (c *cluster) eventually(conn *pgx.Conn, sql string, args ...any) {
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		_, err := conn.Exec(context.Background(), sql, args...)
+		if err != nil {
+			return poll.Continue("%s: %v", sql, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(hangLimit), poll.WithDelay(20*time.Millisecond))
+}
+
+var (
+	portMu   sync.Mutex
+	nextPort = 21000 + os.Getpid()%300*30
+)
+
+// freeAddress returns a loopback address below the ephemeral ports, so that no
+// outgoing connection takes it before the process listens.
+func freeAddress(t *testing.T) string {
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range 1000 {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
+}
