--- a/standin/dbgroup/replication/link.go
+++ b/standin/dbgroup/replication/link.go
@@ -235,6 +235,9 @@
 	if err := dec.Decode(&h); err != nil {
 		return errs.Wrap(err)
 	}
+	if err := l.ready(ctx, member); err != nil {
+		return err
+	}
 	start, ok := l.Node.welcome(h)
 	if !ok {
 		return errClosed
