--- a/standin/dbgroup/member.go
+++ b/standin/dbgroup/member.go
@@ -92,6 +92,9 @@
 // Close makes Serve return.
 func (m *Member) Close() error {
 	m.cancel()
+	if m.faultsAt != nil {
+		m.faultsAt.Close()
+	}
 	return m.listener.Close()
 }
 
--- a/standin/dbgroup/member_test.go
+++ b/standin/dbgroup/member_test.go
@@ -78,9 +78,26 @@
 const createTags = `CREATE TABLE IF NOT EXISTS tags (id bigint PRIMARY KEY, owner text, stock int NOT NULL DEFAULT 0, active boolean)`
 
 // Guards against wrong type OIDs or formats, with which pgx's cached prepared
-// statements and binary results fail.
-func TestDefaultModeOfPGX(t *testing.T) {
-	c := connect(t, startGroup(t, 1, nil)[0])
+// statements (its default mode), binary results or other modes fail.
+func TestModesOfPGX(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	} {
+		t.Run(mode.String(), func(t *testing.T) {
+			config, err := pgx.ParseConfig(fmt.Sprintf("postgres://clerk@%s/%s?sslmode=disable", startGroup(t, 1, nil)[0].Addr(), service))
+			assert.NilError(t, err)
+			config.DefaultQueryExecMode = mode
+			c, err := pgx.ConnectConfig(t.Context(), config)
+			assert.NilError(t, err)
+			defer c.Close(t.Context())
+			useTags(t, c)
+		})
+	}
+}
+
+func useTags(t *testing.T, c *pgx.Conn) {
+	t.Helper()
 	exec(t, c, createTags)
 	for i := range 3 {
 		exec(t, c, `INSERT INTO tags (id, owner, stock, active) VALUES ($1, $2, $3, $4)`, i, fmt.Sprint("crofter ", i), 10*i, i > 0)
@@ -98,6 +115,13 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, tags, []tag{{"crofter 2", true}, {"crofter 1", true}})
 	exec(t, c, `DELETE FROM tags WHERE owner = $1`, "crofter 0")
+	exec(t, c, `SELECT pg_sleep($1)`, 0.0)
+	exec(t, c, `INSERT INTO tags (id, owner) VALUES ($1, $2) ON CONFLICT (id) DO NOTHING`, 1, nil)
+	rows, err = c.Query(t.Context(), `SELECT * FROM group_wait($1, $2, $3)`, 1, 1, 0)
+	assert.NilError(t, err)
+	s, err := pgx.CollectExactlyOneRow(rows, pgx.RowToStructByPos[status])
+	assert.NilError(t, err)
+	assert.Equal(t, s.Role, "primary")
 	assert.Equal(t, query[int64](t, c, `SELECT count(*) FROM tags`), int64(2))
 }
 
--- a/standin/dbgroup/session_test.go
+++ b/standin/dbgroup/session_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -65,26 +67,37 @@
 	assert.Equal(t, query[int64](t, c, `SELECT count(*) FROM tags`), int64(0))
 }
 
-// Guards against a cancel request that does not end a statement, and against
-// one that makes the connection unusable.
+// Guards against a cancel request that does not end a statement, against one
+// that makes the connection unusable, and against more statements than slots.
 func TestCancelRequest(t *testing.T) {
-	m := startGroup(t, 1, nil)[0]
+	m := startGroup(t, 1, func(c *Config) { c.Slots = 1 })[0]
 	c := connect(t, m)
-	failed := make(chan error, 1)
+	assertCanceled(t, c, `SELECT pg_sleep(3600)`)
+	assert.Equal(t, query[int](t, c, `SELECT 1`), 1)
+	assertCanceled(t, c, `SELECT * FROM group_wait(1, 1000, 3600000)`)
+	assert.NilError(t, m.acquireSlot(t.Context()))
+	assertCanceled(t, c, `SELECT 1`)
+	m.releaseSlot()
+	assert.Equal(t, query[int](t, c, `SELECT 1`), 1)
+}
+
+// assertCanceled runs a statement that must wait until it is canceled.
+func assertCanceled(t *testing.T, c *pgx.Conn, sql string) {
+	t.Helper()
+	done := make(chan error, 1)
 	go func() {
-		_, err := c.Exec(context.Background(), `SELECT pg_sleep(3600)`)
-		failed <- err
+		_, err := c.Exec(context.Background(), sql)
+		done <- err
 	}()
-	err := error(nil)
-	for err == nil { // a request that arrives before the statement has no effect
+	for { // a request that arrives before the statement has no effect
 		assert.NilError(t, c.PgConn().CancelRequest(t.Context()))
 		select {
-		case err = <-failed:
+		case err := <-done:
+			assertState(t, err, engine.QueryCanceled)
+			return
 		default:
 		}
 	}
-	assertState(t, err, engine.QueryCanceled)
-	assert.Equal(t, query[int](t, c, `SELECT 1`), 1)
 }
 
 // Guards against a limit that is not enforced, a terminated session that keeps
@@ -177,6 +190,21 @@
 	await(t, replica, sessionPosition(t, primary))
 }
 
+// Guards against a file whose misspelt key is ignored, and against lost defaults.
+func TestLoadConfig(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "member.json")
+	body := `{"name": "a", "service": "s", "address": "127.0.0.1:1", "initial_primary": "a",
+		"members": [{"name": "a", "address": "127.0.0.1:1"}], "slots": 3%s}`
+	assert.NilError(t, os.WriteFile(path, fmt.Appendf(nil, body, ""), 0o600))
+	c, err := LoadConfig(path)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Slots, 3)
+	assert.Equal(t, c.MaxConnections, DefaultMaxConnections)
+	assert.NilError(t, os.WriteFile(path, fmt.Appendf(nil, body, `, "slot": 3`), 0o600))
+	_, err = LoadConfig(path)
+	assert.ErrorContains(t, err, "slot")
+}
+
 // Guards against configurations that are accepted with a missing or unknown
 // member and against unchecked limits.
 func TestValidate(t *testing.T) {
