--- a/instance/entry/session.go
+++ b/instance/entry/session.go
@@ -193,6 +193,7 @@
 		Rank:     o.rank,
 		Caller:   o.caller,
 		Deadline: deadline - s.entry.now(),
+		Executes: len(x.Classes) > 0,
 		Writes:   w.class != route.Read,
 		Commits:  w.commits,
 		Need:     x.Need,
--- a/instance/owner/connections.go
+++ b/instance/owner/connections.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayarail/papayarail/core/pool"
 	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/wire/group"
 	"github.com/papayarail/papayarail/wire/upstream"
 )
 
@@ -39,14 +40,25 @@
 
 func (u *Upstream) assign(a pool.Assign) {
 	given := assignment{id: a.Conn, conn: u.conns[a.Conn]}
+	u.busy[a.Conn] = true
 	if !u.assigned.deliver(a.Request, given) {
-		u.performPool(u.pool.Release(a.Conn, true, u.now()))
+		u.free(a.Conn, true)
 	}
 }
 
+// free returns a connection to the pool; the caller holds mu.
+func (u *Upstream) free(id pool.ConnID, clean bool) {
+	now := u.now()
+	delete(u.busy, id)
+	u.lastUse[id] = now
+	u.performPool(u.pool.Release(id, clean, now))
+}
+
 func (u *Upstream) closeConn(id pool.ConnID) {
 	c := u.conns[id]
 	delete(u.conns, id)
+	delete(u.busy, id)
+	delete(u.lastUse, id)
 	if c != nil {
 		go c.Close()
 	}
@@ -86,6 +98,7 @@
 		return
 	}
 	u.conns[id] = c
+	u.lastUse[id] = u.now()
 	u.performPool(u.pool.Opened(id, u.now()))
 }
 
@@ -107,7 +120,7 @@
 		delete(u.assigned, id)
 		u.performPool(u.pool.Abandon(id, u.now()))
 	} else if a := <-ch; a.err == nil {
-		u.performPool(u.pool.Release(a.id, true, u.now()))
+		u.free(a.id, true)
 	}
 	return assignment{}, verdict.New(verdict.DeadlineUnreachable, "no connection to upstream %q became free in time", u.cfg.Name).After(50 * time.Millisecond)
 }
@@ -115,5 +128,40 @@
 func (u *Upstream) release(id pool.ConnID, clean bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.performPool(u.pool.Release(id, clean, u.now()))
+	u.free(id, clean)
+}
+
+const (
+	// idleCheckAfter is the time without use after which an idle connection is
+	// checked, so that a silent one is found before a request meets it.
+	idleCheckAfter   = 500 * time.Millisecond
+	idleCheckTimeout = 300 * time.Millisecond
+)
+
+// checkIdle checks the connections that have not been used for a while; the
+// caller holds mu. A request that is given such a connection meanwhile waits for
+// the check, and is not run if the check fails.
+func (u *Upstream) checkIdle(now time.Duration) {
+	for id, c := range u.conns {
+		if u.busy[id] || now-u.lastUse[id] < idleCheckAfter {
+			continue
+		}
+		u.lastUse[id] = now
+		go u.checkConn(id, c)
+	}
+}
+
+func (u *Upstream) checkConn(id pool.ConnID, c *upstream.Conn) {
+	ctx, cancel := context.WithTimeout(u.ctx, idleCheckTimeout)
+	defer cancel()
+	if _, err := group.New(c).Status(ctx); err == nil || u.ctx.Err() != nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conns[id] != c || u.busy[id] {
+		return
+	}
+	u.closeConn(id)
+	u.performPool(u.pool.Lost(id, u.now()))
 }
--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -273,6 +273,10 @@
 // prove establishes what the caller was promised before the answer leaves.
 func (u *Upstream) prove(ctx context.Context, id uint64, r *peer.ExchangeRequest, a upstream.Answer, least position.Position, asked time.Duration) (*peer.ExchangeAnswer, error) {
 	out := &peer.ExchangeAnswer{Messages: a.Messages, TxStatus: a.TxStatus, Position: a.Position, Executed: u.now() - asked}
+	if !r.Executes {
+		u.abandoned(id)
+		return out, nil
+	}
 	if r.Proof == peer.ProofConfirm {
 		return u.proveConfirmed(ctx, id, r, a, out)
 	}
--- a/instance/owner/keyed.go
+++ b/instance/owner/keyed.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/instance/peer"
+	"github.com/papayarail/papayarail/wire/completion"
 	"github.com/papayarail/papayarail/wire/upstream"
 )
 
@@ -46,8 +47,11 @@
 
 // commitKeyed records the answer of a COMMIT that the caller sent, ahead of it.
 func commitKeyed(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
-	preview := upstream.Answer{Messages: commitCompletion}
-	if err := store(ctx, c, r.Key, preview.Messages); err != nil {
+	messages, err := completion.Build(r.Messages, "COMMIT")
+	if err != nil {
+		return upstream.Answer{}, notCommitted(err)
+	}
+	if err := store(ctx, c, r.Key, messages); err != nil {
 		return upstream.Answer{}, notCommitted(err)
 	}
 	return c.Exchange(ctx, r.Need, r.Messages)
--- a/instance/owner/transaction.go
+++ b/instance/owner/transaction.go
@@ -59,7 +59,7 @@
 		delete(u.txs, name)
 	}
 	clean := current && !failed
-	u.performPool(u.pool.Release(t.id, clean, u.now()))
+	u.free(t.id, clean)
 }
 
 // EndTransaction rolls the transaction back and releases its connection. An
--- a/instance/owner/upstream.go
+++ b/instance/owner/upstream.go
@@ -75,6 +75,8 @@
 	confirmed   waiters[confirmation]
 	applied     map[uint64]appliedWaiter
 	conns       map[pool.ConnID]*upstream.Conn
+	busy        map[pool.ConnID]bool
+	lastUse     map[pool.ConnID]time.Duration
 	txs         map[string]*transaction
 	running     map[string]context.CancelFunc
 	status      group.Status
@@ -113,6 +115,8 @@
 		confirmed: newWaiters[confirmation](),
 		applied:   make(map[uint64]appliedWaiter),
 		conns:     make(map[pool.ConnID]*upstream.Conn),
+		busy:      make(map[pool.ConnID]bool),
+		lastUse:   make(map[pool.ConnID]time.Duration),
 		txs:       make(map[string]*transaction),
 		running:   make(map[string]context.CancelFunc),
 	}
@@ -194,6 +198,7 @@
 			u.performTracker(u.tracker.Expire(now))
 		}
 		u.expireTransactions(now)
+		u.checkIdle(now)
 		u.mu.Unlock()
 	}
 }
--- a/instance/peer/messages.go
+++ b/instance/peer/messages.go
@@ -52,6 +52,7 @@
 	Caller   string               `json:"caller"`
 	Deadline time.Duration        `json:"deadline_ns"` // time left when the request was sent
 	Proof    Proof                `json:"proof"`
+	Executes bool                 `json:"executes"`         // false: the exchange only parses and describes
 	Writes   bool                 `json:"writes,omitempty"` // may change data: its outcome can be unknown
 	Min      position.Position    `json:"min"`
 	MaxAge   time.Duration        `json:"max_age_ns,omitempty"`
--- a/measure/local/local.go
+++ b/measure/local/local.go
@@ -20,7 +20,6 @@
 	"github.com/papayarail/papayarail/platform/awsstore"
 	"github.com/papayarail/papayarail/platform/configstore"
 	"github.com/papayarail/papayarail/standin/dbgroup"
-	"github.com/papayarail/papayarail/standin/dbgroup/fault"
 	"github.com/papayarail/papayarail/standin/platformd"
 )
 
--- a/papayarail/process_test.go
+++ b/papayarail/process_test.go
@@ -74,6 +74,9 @@
 			"urgent": {TargetMS: 500}, "middle": {TargetMS: 1000, FloorPercent: 10}, "least": {TargetMS: 2000, FloorPercent: 2},
 		},
 	}
+	for _, d := range domains {
+		c.document.Instances = append(c.document.Instances, fleet.Instance{Name: d + "-1", FailureDomain: d, State: fleet.Active})
+	}
 	c.platform = freeAddress(t)
 	c.start("platform", "standin", "platform", "-address", c.platform)
 	c.startMembers()
@@ -218,7 +221,7 @@
 			return poll.Continue("apply: %v: %s", err, stderr)
 		}
 		return poll.Success()
-	}, poll.WithTimeout(hangLimit))
+	}, poll.WithTimeout(hangLimit), poll.WithDelay(50*time.Millisecond))
 }
 
 func (c *cluster) dump(domain string) (*node.Dump, error) {
