--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -144,6 +144,11 @@
 		"second database leaves": {
 			func(d *Document) { d.Services[0].Databases[0].State = Leaving },
 			func(d *Document) { d.Services[0].Databases[1].State = Leaving }, "/services/0/databases"},
+		"edit of a service of which two databases leave already": {
+			func(d *Document) {
+				d.Services[0].Databases[0].State, d.Services[0].Databases[1].State = Leaving, Leaving
+			},
+			func(d *Document) { d.Services[0].MaxStalenessMS = 1 }, ""},
 		"last instance of a domain removed": {nil, func(d *Document) { d.Instances = d.Instances[:4] }, "/instances"},
 		"last instances leave":              {nil, func(d *Document) { d.Instances[0].State, d.Instances[1].State = Leaving, Leaving }, "/instances"},
 	} {
