wire: add caller package

Callers need sessions that do not depend on a database connection. The server answers start-up, cancel requests, SET and SHOW of papayarail parameters and empty queries itself, and assembles the messages up to Sync into exchanges with content-addressed statement names. A refused statement refuses its whole pipeline and makes the database fail the open transaction, so that a later COMMIT cannot keep what came before. While an exchange runs the socket is watched, so that a caller that hangs up cancels it. Drain closes callers between requests with 57P01 and lets requests and transactions end.

--- /dev/null
+++ b/wire/caller/answer.go
@@ -0,0 +1,117 @@
+package caller
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/wire/classify"
+)
+
+const (
+	severityError = "ERROR"
+	severityFatal = "FATAL"
+	textOID       = 25
+	headerBytes   = 5 // type byte and length
+)
+
+// errorResponse turns an error into the message for the caller. The detail
+// states the verdict for programs and the hint repeats it for people.
+func errorResponse(severity string, err error) *pgproto3.ErrorResponse {
+	m := &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity}
+	var r *refusal
+	if errors.As(err, &r) {
+		m.Code, m.Message = r.state, r.message
+		m.Detail = "verdict=not_run code=" + refusalCode(r.state) + " retry_after_ms=0"
+		m.Hint = "The request was not run."
+		return m
+	}
+	v := verdict.As(err)
+	m.Code, m.Message, m.Detail, m.Hint = v.SQLState(), v.Message, v.Detail(), v.Hint()
+	return m
+}
+
+func refusalCode(state string) string {
+	switch state {
+	case stateUnsupported:
+		return verdict.Unsupported.String()
+	case stateProtocolViolation:
+		return verdict.ProtocolViolation.String()
+	default:
+		return "refused"
+	}
+}
+
+// progress is what the messages of an answer say about the exchange.
+type progress struct {
+	completions int  // of Parse and Close, in the order of the requests
+	failed      bool // contains an ErrorResponse
+}
+
+// scan reads the types of encoded backend messages.
+func scan(messages []byte) (progress, error) {
+	var p progress
+	for len(messages) > 0 {
+		if len(messages) < headerBytes {
+			return p, fmt.Errorf("answer ends inside a message header")
+		}
+		size := 1 + int64(binary.BigEndian.Uint32(messages[1:]))
+		if size < headerBytes || size > int64(len(messages)) {
+			return p, fmt.Errorf("answer ends inside message %q", messages[0])
+		}
+		switch messages[0] {
+		case '1', '3':
+			p.completions++
+		case 'E':
+			p.failed = true
+		case 'Z':
+			return p, fmt.Errorf("answer contains ReadyForQuery")
+		}
+		messages = messages[size:]
+	}
+	return p, nil
+}
+
+// showRow describes the single column of SHOW.
+func showRow(name string) *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+		{Name: []byte(name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1},
+	}}
+}
+
+// describeLocal answers a Describe of a statement without a database.
+func describeLocal(i classify.Info) pgproto3.BackendMessage {
+	if i.Class == classify.Show {
+		return showRow(i.Name)
+	}
+	return &pgproto3.NoData{}
+}
+
+// executeLocal runs a statement without a database.
+func (p *parameters) executeLocal(i classify.Info) ([]pgproto3.BackendMessage, error) {
+	switch i.Class {
+	case classify.Empty:
+		return []pgproto3.BackendMessage{&pgproto3.EmptyQueryResponse{}}, nil
+	case classify.Show:
+		value, err := p.show(i.Name)
+		if err != nil {
+			return nil, err
+		}
+		return []pgproto3.BackendMessage{
+			&pgproto3.DataRow{Values: [][]byte{[]byte(value)}},
+			&pgproto3.CommandComplete{CommandTag: []byte("SHOW")},
+		}, nil
+	default:
+		if err := p.apply(i); err != nil {
+			return nil, err
+		}
+		tag := "SET"
+		if i.Reset {
+			tag = "RESET"
+		}
+		return []pgproto3.BackendMessage{&pgproto3.CommandComplete{CommandTag: []byte(tag)}}, nil
+	}
+}
--- /dev/null
+++ b/wire/caller/caller_test.go
@@ -0,0 +1,361 @@
+package caller
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/wire/classify"
+)
+
+func query(sql string) pgproto3.FrontendMessage { return &pgproto3.Query{String: sql} }
+
+func sqlState(err error) string {
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) {
+		return pg.Code
+	}
+	return ""
+}
+
+// Guards against a common driver that cannot connect, prepare or set parameters.
+func TestPgxClient(t *testing.T) {
+	for _, mode := range []string{"cache_statement", "cache_describe", "describe_exec", "exec", "simple_protocol"} {
+		t.Run(mode, func(t *testing.T) {
+			f := newFakeSession()
+			_, address := startServer(t, Settings{}, f)
+			c, err := pgx.Connect(t.Context(), "postgres://clerk@"+address+"/svc?sslmode=prefer&default_query_exec_mode="+mode+
+				"&options=-c%20papayarail.rank%3Durgent")
+			assert.NilError(t, err)
+			defer c.Close(context.Background())
+			assert.NilError(t, c.Ping(t.Context()))
+			_, err = c.Exec(t.Context(), "SET papayarail.request_key = 'k1'")
+			assert.NilError(t, err)
+			var value string
+			for range 2 {
+				assert.NilError(t, c.QueryRow(t.Context(), "SELECT a FROM lots").Scan(&value))
+				assert.Equal(t, value, "ok")
+			}
+			assert.NilError(t, c.QueryRow(t.Context(), "SHOW papayarail.position").Scan(&value))
+			assert.Equal(t, value, "svc@3.9")
+			_, err = c.Exec(t.Context(), "SET papayarail.colour = 'red'")
+			assert.Equal(t, sqlState(err), stateUndefinedParameter)
+			_, err = c.Exec(t.Context(), "LISTEN c")
+			assert.Equal(t, sqlState(err), stateUnsupported)
+			assert.ErrorContains(t, err, "LISTEN")
+			_, err = c.Exec(t.Context(), "SELECT fail")
+			assert.Equal(t, sqlState(err), "42601")
+			assert.NilError(t, c.QueryRow(t.Context(), "SELECT a FROM lots").Scan(&value))
+			assert.Equal(t, c.PgConn().ParameterStatus(ParameterPosition), "svc@3.9")
+			checkKeyUsedOnce(t, f.exchanges())
+		})
+	}
+}
+
+// checkKeyUsedOnce checks that only the first executing exchange had the key.
+func checkKeyUsedOnce(t *testing.T, seen []Exchange) {
+	executed := 0
+	for _, x := range seen {
+		assert.Equal(t, x.Settings[ParameterRank], "urgent")
+		if len(x.Classes) == 0 {
+			continue
+		}
+		executed++
+		assert.Equal(t, x.Settings[ParameterRequestKey] != "", executed == 1)
+	}
+	assert.Assert(t, executed >= 3)
+}
+
+// Guards against protocol errors in pipelines, wrong order of answers, and
+// statement names that change although their Parse did not run.
+func TestPipelines(t *testing.T) {
+	_, address := startServer(t, Settings{MaxMessageBytes: 10000}, newFakeSession())
+	c := dialRaw(t, address).login(map[string]string{})
+	parse := func(name, sql string) pgproto3.FrontendMessage { return &pgproto3.Parse{Name: name, Query: sql} }
+	bind := func(name string) pgproto3.FrontendMessage { return &pgproto3.Bind{PreparedStatement: name} }
+	closing := func(name string) pgproto3.FrontendMessage { return &pgproto3.Close{ObjectType: 'S', Name: name} }
+	run, sync, flush := &pgproto3.Execute{}, &pgproto3.Sync{}, &pgproto3.Flush{}
+	steps := []struct {
+		send  []pgproto3.FrontendMessage
+		kinds string
+		state string
+	}{
+		{[]pgproto3.FrontendMessage{sync}, "Z", ""},
+		{[]pgproto3.FrontendMessage{parse("a", "SELECT 1"), sync}, "1SZ", ""},
+		{[]pgproto3.FrontendMessage{bind("a"), run, sync}, "2DCSZ", ""},
+		{[]pgproto3.FrontendMessage{parse("a", "SELECT 2"), bind("a"), run, sync}, "EZ", stateDuplicateStatement},
+		{[]pgproto3.FrontendMessage{parse("b", "SELECT fail"), parse("c", "SELECT 1"), sync}, "ESZ", "42601"},
+		{[]pgproto3.FrontendMessage{bind("c"), run, sync}, "EZ", stateUndefinedStatement},
+		{[]pgproto3.FrontendMessage{parse("b", "SELECT 3"), sync}, "1SZ", ""},
+		{[]pgproto3.FrontendMessage{closing("a"), bind("b"), run, closing("b"), sync}, "32DC3SZ", ""},
+		{[]pgproto3.FrontendMessage{bind("b"), sync}, "EZ", stateUndefinedStatement},
+		{[]pgproto3.FrontendMessage{parse("", "SELECT 4"), flush}, "1S", ""},
+		{[]pgproto3.FrontendMessage{bind(""), run, sync}, "2DCSZ", ""},
+		{[]pgproto3.FrontendMessage{bind(""), run, flush}, "E", stateUnsupported},
+		{[]pgproto3.FrontendMessage{query("SELECT 1"), sync}, "Z", ""},
+		{[]pgproto3.FrontendMessage{parse("s", "SET papayarail.rank = least"), bind("s"), run, parse("", "SELECT 1"), bind(""), run, sync}, "12C12DCSZ", ""},
+		{[]pgproto3.FrontendMessage{parse("", "SELECT 1"), bind("s"), run, sync}, "EZ", stateUnsupported},
+		{[]pgproto3.FrontendMessage{query("SHOW papayarail.rank")}, "TDCZ", ""},
+		{[]pgproto3.FrontendMessage{query("")}, "IZ", ""},
+		{[]pgproto3.FrontendMessage{query("SELECT 1; SET papayarail.rank = least")}, "EZ", stateUnsupported},
+		{[]pgproto3.FrontendMessage{query("DECLARE c CURSOR FOR SELECT 1")}, "EZ", stateUnsupported},
+		{[]pgproto3.FrontendMessage{&pgproto3.FunctionCall{}}, "EZ", stateUnsupported},
+		{[]pgproto3.FrontendMessage{query("COPY lots FROM STDIN")}, "EZ", stateUnsupported},
+		{[]pgproto3.FrontendMessage{query("BEGIN")}, "TDCSZ", ""},
+		{[]pgproto3.FrontendMessage{bind(""), sync}, "EZ", stateUndefinedStatement},
+		{[]pgproto3.FrontendMessage{query("SHOW papayarail.rank")}, "EZ", stateFailedTransaction},
+		{[]pgproto3.FrontendMessage{query("ROLLBACK")}, "TDCSZ", ""},
+		{[]pgproto3.FrontendMessage{parse("", strings.Repeat(" ", 6000)), parse("", "SELECT 1"+strings.Repeat(" ", 6000)), sync}, "EZ", stateTooLarge},
+	}
+	for i, step := range steps {
+		kinds, failure := c.ask(rune(step.kinds[len(step.kinds)-1]), step.send...)
+		assert.Equal(t, kinds, step.kinds, "step %d: %s", i, failure.Message)
+		assert.Equal(t, failure.Code, step.state, "step %d", i)
+	}
+}
+
+// Guards against a COMMIT that keeps what preceded a refused statement.
+func TestRefusalFailsTransaction(t *testing.T) {
+	f := newFakeSession()
+	_, address := startServer(t, Settings{}, f)
+	c := dialRaw(t, address).login(map[string]string{})
+	c.ask('Z', query("BEGIN"))
+	_, failure := c.ask('Z', query("LISTEN c"))
+	assert.Equal(t, failure.Code, stateUnsupported)
+	assert.Equal(t, f.status, byte('E'))
+}
+
+// Guards against a verdict or retry delay that does not reach the caller.
+func TestVerdictInErrorResponse(t *testing.T) {
+	_, address := startServer(t, Settings{}, newFakeSession())
+	_, failure := dialRaw(t, address).login(map[string]string{}).ask('Z', query("SELECT overload"))
+	assert.Equal(t, failure.Code, "53300")
+	assert.Equal(t, failure.Detail, "verdict=not_run code=overloaded retry_after_ms=250")
+	assert.Equal(t, failure.Hint, "The request was not run. Try again in 250ms.")
+}
+
+// Guards against refused start-ups without a clear error.
+func TestRefusedStartups(t *testing.T) {
+	elsewhere := []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}
+	cases := []struct {
+		settings   Settings
+		parameters map[string]string
+		state      string
+	}{
+		{Settings{Allowed: elsewhere}, map[string]string{"user": "u"}, stateNotAllowed},
+		{Settings{}, map[string]string{"database": "d"}, stateNotAllowed},
+		{Settings{}, map[string]string{"user": "u", "database": "unknown"}, "3D000"},
+		{Settings{}, map[string]string{"user": "u", "search_path": "a"}, stateUnsupported},
+		{Settings{}, map[string]string{"user": "u", "client_encoding": "LATIN1"}, stateUnsupported},
+		{Settings{}, map[string]string{"user": "u", "papayarail.rank": "first"}, stateInvalidValue},
+		{Settings{}, map[string]string{"user": "u", "options": "-c papayarail.colour=red"}, stateUndefinedParameter},
+		{Settings{}, map[string]string{"user": "u", "options": "-c papayarail.rank"}, stateProtocolViolation},
+	}
+	for _, test := range cases {
+		_, address := startServer(t, test.settings, newFakeSession())
+		c := dialRaw(t, address)
+		kinds, failure := c.ask('.', &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: test.parameters})
+		assert.Equal(t, kinds, "E.")
+		assert.Equal(t, failure.Code, test.state)
+		assert.Equal(t, failure.Severity, severityFatal)
+	}
+}
+
+// Guards against one caller's violation that disturbs another caller.
+func TestViolationsLeaveOthersAlone(t *testing.T) {
+	_, address := startServer(t, Settings{MaxMessageBytes: 1000, MaxConnections: 2}, newFakeSession())
+	good := dialRaw(t, address).login(map[string]string{})
+	garbage := dialRaw(t, address)
+	_, err := garbage.conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	assert.NilError(t, err)
+	_, failure := garbage.until('.')
+	assert.Equal(t, failure.Code, stateProtocolViolation)
+	large := dialRaw(t, address).login(map[string]string{})
+	_, failure = dialRaw(t, address).ask('.', &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u"}})
+	assert.Equal(t, failure.Code, "53300")
+	kinds, failure := large.ask('.', query(strings.Repeat("x", 2000)))
+	assert.Equal(t, kinds, "E.")
+	assert.Equal(t, failure.Code, stateProtocolViolation)
+	kinds, _ = good.ask('Z', query("SELECT 1"))
+	assert.Equal(t, kinds, "TDCSZ")
+}
+
+// Guards against a cancel request that is ignored or accepted with a wrong secret.
+func TestCancelRequest(t *testing.T) {
+	f := newFakeSession()
+	s, address := startServer(t, Settings{}, f)
+	c, err := pgconn.Connect(t.Context(), "postgres://u@"+address+"/svc?sslmode=disable")
+	assert.NilError(t, err)
+	defer c.Close(context.Background())
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(t.Context(), "SELECT block").ReadAll()
+		result <- err
+	}()
+	<-f.entered
+	forged := dialRaw(t, address)
+	kinds, _ := forged.ask('.', &pgproto3.CancelRequest{ProcessID: c.PID(), SecretKey: []byte{0, 0, 0, 0}})
+	assert.Equal(t, kinds, ".")
+	assert.Equal(t, s.Stats().Cancels, uint64(0))
+	assert.NilError(t, c.CancelRequest(t.Context()))
+	assert.Equal(t, sqlState(<-result), "08007")
+	assert.Equal(t, f.causes[0], ErrCanceled)
+}
+
+// Guards against work that goes on for a caller that is gone.
+func TestHangUpEndsExchange(t *testing.T) {
+	f := newFakeSession()
+	_, address := startServer(t, Settings{}, f)
+	c := dialRaw(t, address).login(map[string]string{})
+	c.Send(query("SELECT block"))
+	assert.NilError(t, c.Flush())
+	<-f.entered
+	assert.NilError(t, c.conn.Close())
+	<-f.entered
+	assert.Equal(t, f.causes[0], ErrHungUp)
+}
+
+// Guards against a stop that interrupts requests or transactions, keeps idle
+// callers, or leaves a late request without a verdict.
+func TestDrain(t *testing.T) {
+	f := newFakeSession()
+	s, address := startServer(t, Settings{}, f)
+	busy, idle := dialRaw(t, address).login(map[string]string{}), dialRaw(t, address).login(map[string]string{})
+	busy.Send(query("SELECT block"))
+	assert.NilError(t, busy.Flush())
+	<-f.entered
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	kinds, failure := idle.until('.')
+	assert.Equal(t, kinds, "E.")
+	assert.Equal(t, failure.Code, "57P01")
+	assert.Assert(t, strings.Contains(failure.Detail, "verdict=not_run"))
+	_, failure = dialRaw(t, address).ask('.', &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u"}})
+	assert.Equal(t, failure.Code, "57P01")
+	close(f.release)
+	kinds, failure = busy.until('.')
+	assert.Equal(t, kinds, "TDCSZE.")
+	assert.Equal(t, failure.Code, "57P01")
+	assert.NilError(t, <-drained)
+}
+
+// Guards against an open transaction that a stop cuts, and against a drain
+// that hides that callers are left.
+func TestDrainLetsTransactionEnd(t *testing.T) {
+	s, address := startServer(t, Settings{}, newFakeSession())
+	c := dialRaw(t, address).login(map[string]string{})
+	c.ask('Z', query("BEGIN"))
+	expired, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, s.Drain(expired), context.Canceled)
+	kinds, _ := c.ask('Z', query("INSERT INTO lots VALUES (1)"))
+	assert.Equal(t, kinds, "TDCSZ")
+	kinds, failure := c.ask('.', query("COMMIT"))
+	assert.Equal(t, kinds, "TDCSZE.")
+	assert.Equal(t, failure.Code, "57P01")
+	assert.NilError(t, s.Drain(t.Context()))
+}
+
+// pipeListener serves one end of a net.Pipe, whose time-outs a synctest bubble controls.
+type pipeListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *pipeListener) Close() error { return nil }
+
+// Guards against callers that hold a place without sending or reading.
+func TestTimeouts(t *testing.T) {
+	startup := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u"}}
+	cases := map[string]struct {
+		client func(*rawClient)
+		after  time.Duration
+	}{
+		"silent start-up": {func(c *rawClient) { c.until('.') }, 3 * time.Second},
+		"idle":            {func(c *rawClient) { c.ask('.', startup) }, 7 * time.Second},
+		"does not read": {func(c *rawClient) {
+			c.ask('Z', startup)
+			c.Send(query("SELECT 1"))
+			assert.NilError(c.t, c.Flush())
+		}, 5 * time.Second},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				settings := Settings{StartupTimeout: 3 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: 7 * time.Second}
+				l := &pipeListener{conns: make(chan net.Conn, 1)}
+				near, far := net.Pipe()
+				l.conns <- far
+				close(l.conns)
+				started := time.Now()
+				go test.client(&rawClient{Frontend: pgproto3.NewFrontend(near, near), conn: near, t: t})
+				assert.ErrorIs(t, NewServer(settings, newFakeSession()).Serve(t.Context(), l), net.ErrClosed)
+				assert.Equal(t, time.Since(started), test.after)
+			})
+		})
+	}
+}
+
+// Guards against crashes on malformed start-up messages and invalid accepted values.
+func FuzzStartup(f *testing.F) {
+	f.Add([]byte("user\x00u\x00database\x00d\x00options\x00-c papayarail.rank=urgent --papayarail.caller=a\\ b\x00\x00"))
+	f.Add([]byte("user\x00u\x00papayarail.position\x00s@1.2\x00\x00"))
+	f.Fuzz(func(t *testing.T, parameters []byte) {
+		var m pgproto3.StartupMessage
+		if m.Decode(append(binary.BigEndian.AppendUint32(nil, pgproto3.ProtocolVersion30), parameters...)) != nil {
+			return
+		}
+		s, err := parseStartup(m.Parameters)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, s.User != "" && s.Database != "")
+		for name, value := range newParameters(s).current {
+			assert.Assert(t, name == ParameterCaller || check(name, value) == nil)
+		}
+	})
+}
+
+// Guards against assembled messages that an upstream could not read, and
+// against references to statements that nothing prepares.
+func FuzzPipeline(f *testing.F) {
+	var seed []byte
+	for _, m := range []pgproto3.FrontendMessage{&pgproto3.Parse{Name: "a", Query: "SELECT 1"}, &pgproto3.Bind{PreparedStatement: "old"}, &pgproto3.Execute{},
+		&pgproto3.Close{ObjectType: 'S', Name: "a"}, &pgproto3.Parse{Query: "SHOW papayarail.rank"}, &pgproto3.Describe{ObjectType: 'S', Name: "a"}} {
+		seed, _ = m.Encode(seed)
+		f.Add(seed)
+	}
+	old := map[string]entry{"old": {info: classify.Info{Class: classify.Read, Statements: 1}}}
+	old["old"] = entry{prepared: preparedForTest("SELECT 2"), info: old["old"].info}
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		p := newPipeline(old, nil, false, 1<<20)
+		if !addAll(p, messages) {
+			return
+		}
+		known := map[string]bool{}
+		for _, n := range p.exchange.Need {
+			known[n.Name] = true
+		}
+		executed := checkReferences(t, p.exchange.Messages, known)
+		assert.Equal(t, executed, len(p.exchange.Classes))
+	})
+}
--- /dev/null
+++ b/wire/caller/server.go
@@ -0,0 +1,377 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/verdict"
+)
+
+const (
+	// startupSlack is how many sockets may exist beyond MaxConnections: those
+	// in their start-up, and those that carry a CancelRequest.
+	startupSlack = 1024
+	// acceptPause follows a failed accept, as when file descriptors run out.
+	acceptPause = 50 * time.Millisecond
+)
+
+// Server accepts callers.
+type Server struct {
+	settings Settings
+	opener   Opener
+
+	draining     atomic.Bool
+	sockets      atomic.Int64
+	accepted     atomic.Uint64
+	refused      atomic.Uint64
+	exchanges    atomic.Uint64
+	localAnswers atomic.Uint64
+	cancels      atomic.Uint64
+
+	mu        sync.Mutex
+	sessions  map[uint32]*session // by PID; nil while the session is being opened
+	listeners map[net.Listener]struct{}
+	drained   chan struct{} // closed when draining and no session is left
+	closed    bool          // drained is closed
+}
+
+// NewServer returns a Server that opens sessions with o.
+func NewServer(settings Settings, o Opener) *Server {
+	return &Server{settings: withDefaults(settings), opener: o, sessions: make(map[uint32]*session),
+		listeners: make(map[net.Listener]struct{}), drained: make(chan struct{})}
+}
+
+func withDefaults(s Settings) Settings {
+	if s.MaxMessageBytes <= 0 {
+		s.MaxMessageBytes = defaultMaxMessageBytes
+	}
+	if s.MaxConnections <= 0 {
+		s.MaxConnections = defaultMaxConnections
+	}
+	if s.StartupTimeout <= 0 {
+		s.StartupTimeout = defaultStartupTimeout
+	}
+	if s.WriteTimeout <= 0 {
+		s.WriteTimeout = defaultWriteTimeout
+	}
+	if s.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		s.Log = logrus.NewEntry(silent)
+	}
+	return s
+}
+
+// Serve accepts callers until ctx ends, which closes all of them, or until a
+// Drain is complete. It returns when all its callers are gone.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if !s.addListener(l) {
+		_ = l.Close()
+		return Class.New("server is drained")
+	}
+	defer s.removeListener(l)
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case err == nil:
+			callers.Go(func() { s.serveConn(ctx, conn) })
+		case ctx.Err() != nil || s.isDrained():
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return Class.Wrap(err)
+		default:
+			s.settings.Log.WithError(err).Warn("accept failed")
+			pause(ctx, acceptPause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) removeListener(l net.Listener) {
+	_ = l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+}
+
+func (s *Server) isDrained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// Drain refuses new callers with 57P01, closes callers that wait outside a
+// transaction, lets requests and open transactions end, and returns when all
+// callers are gone, or with the error of ctx. Cancel requests are still
+// served. Listeners are closed when all callers are gone.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	s.mu.Lock()
+	for _, c := range s.sessions {
+		if c != nil {
+			c.interrupt()
+		}
+	}
+	s.settleDrain()
+	s.mu.Unlock()
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return Class.Wrap(ctx.Err())
+	}
+}
+
+// settleDrain completes a drain once no session is left. s.mu is held.
+func (s *Server) settleDrain() {
+	if !s.draining.Load() || len(s.sessions) > 0 || s.closed {
+		return
+	}
+	s.closed = true
+	close(s.drained)
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+}
+
+// Stats returns the counters of the server.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	callers := len(s.sessions)
+	s.mu.Unlock()
+	return Stats{Callers: callers, Accepted: s.accepted.Load(), Refused: s.refused.Load(), Exchanges: s.exchanges.Load(),
+		LocalAnswers: s.localAnswers.Load(), Cancels: s.cancels.Load()}
+}
+
+// serveConn serves one socket until it is closed. A panic ends only this caller.
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	conn := &callerConn{Conn: raw}
+	defer conn.Close()
+	defer func() {
+		if p := recover(); p != nil {
+			s.settings.Log.WithField("panic", p).WithField("stack", string(debug.Stack())).Error("caller connection closed after a panic")
+		}
+	}()
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	if s.sockets.Add(1) > int64(s.settings.MaxConnections+startupSlack) {
+		s.sockets.Add(-1)
+		s.refused.Add(1)
+		s.settings.Log.WithField("remote", raw.RemoteAddr().String()).Warn("caller refused: too many sockets")
+		return
+	}
+	defer s.sockets.Add(-1)
+	_ = conn.SetDeadline(time.Now().Add(s.settings.StartupTimeout))
+	backend := pgproto3.NewBackend(conn, conn)
+	backend.SetMaxBodyLen(s.settings.MaxMessageBytes)
+	m, err := receiveStartup(backend, conn)
+	if err != nil {
+		s.refuseStartup(conn, startupError(err))
+		return
+	}
+	if c, ok := m.(*pgproto3.CancelRequest); ok {
+		s.cancel(c)
+		return
+	}
+	s.serveCaller(ctx, conn, backend, m.(*pgproto3.StartupMessage))
+}
+
+// receiveStartup returns the StartupMessage or CancelRequest. Requests for
+// encryption are refused once each.
+func receiveStartup(backend *pgproto3.Backend, w io.Writer) (pgproto3.FrontendMessage, error) {
+	for range 3 {
+		m, err := backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := w.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		default:
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("too many requests for encryption")
+}
+
+// startupError leaves errors of the connection as they are and marks others
+// as violations of the protocol.
+func startupError(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) {
+		return err
+	}
+	return refuse(stateProtocolViolation, err.Error())
+}
+
+// refuseStartup logs one line and answers with an error if the caller can
+// still read it.
+func (s *Server) refuseStartup(conn *callerConn, err error) {
+	log := s.settings.Log.WithError(err).WithField("remote", conn.RemoteAddr().String())
+	if errors.Is(err, io.EOF) {
+		log.Debug("connection closed before start-up") // as health checks do
+		return
+	}
+	s.refused.Add(1)
+	log.Warn("caller refused")
+	var r *refusal
+	var v *verdict.Error
+	if !errors.As(err, &r) && !errors.As(err, &v) {
+		return
+	}
+	out, encodeErr := errorResponse(severityFatal, err).Encode(nil)
+	if encodeErr != nil {
+		return
+	}
+	if _, err := conn.Write(out); err == nil {
+		conn.linger()
+	}
+}
+
+// cancel serves a CancelRequest. As in PostgreSQL there is no answer.
+func (s *Server) cancel(c *pgproto3.CancelRequest) {
+	s.mu.Lock()
+	target := s.sessions[c.ProcessID]
+	s.mu.Unlock()
+	if target != nil && target.cancelExchange(c.SecretKey) {
+		s.cancels.Add(1)
+	}
+}
+
+func (s *Server) serveCaller(ctx context.Context, conn *callerConn, backend *pgproto3.Backend, m *pgproto3.StartupMessage) {
+	st, err := s.admitCaller(conn, m)
+	if err != nil {
+		s.refuseStartup(conn, err)
+		return
+	}
+	if err := s.register(&st); err != nil {
+		s.refuseStartup(conn, err)
+		return
+	}
+	defer s.unregister(st.PID)
+	inner, err := s.open(ctx, st)
+	if err != nil {
+		s.refuseStartup(conn, verdict.As(err))
+		return
+	}
+	defer inner.Close()
+	c := newSession(s, conn, backend, ctx, st, inner)
+	if err := c.greet(); err != nil {
+		s.refuseStartup(conn, err)
+		return
+	}
+	s.accepted.Add(1)
+	s.activate(c)
+	c.run()
+}
+
+// open limits the start of a session to the start-up time.
+func (s *Server) open(ctx context.Context, st Startup) (Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.StartupTimeout)
+	defer cancel()
+	return s.opener.Open(ctx, st)
+}
+
+func (s *Server) admitCaller(conn net.Conn, m *pgproto3.StartupMessage) (Startup, error) {
+	remote := hostOf(conn.RemoteAddr().String())
+	if !s.allows(remote) {
+		return Startup{}, refuse(stateNotAllowed, "connections from "+remote+" are not allowed")
+	}
+	st, err := parseStartup(m.Parameters)
+	st.Remote = remote
+	return st, err
+}
+
+func (s *Server) allows(remote string) bool {
+	if len(s.settings.Allowed) == 0 {
+		return true
+	}
+	addr, err := netip.ParseAddr(remote)
+	if err != nil {
+		return false
+	}
+	for _, p := range s.settings.Allowed {
+		if p.Contains(addr.Unmap()) {
+			return true
+		}
+	}
+	return false
+}
+
+// register reserves a place and a PID for the session.
+func (s *Server) register(st *Startup) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() {
+		return drainingError()
+	}
+	if len(s.sessions) >= s.settings.MaxConnections {
+		return verdict.New(verdict.ConnectionLimit, "instance has its maximum of %d callers", s.settings.MaxConnections)
+	}
+	st.Secret = randomUint32()
+	for {
+		st.PID = randomUint32() >> 1 // drivers read it as a signed number
+		if _, taken := s.sessions[st.PID]; !taken && st.PID != 0 {
+			s.sessions[st.PID] = nil
+			return nil
+		}
+	}
+}
+
+func randomUint32() uint32 {
+	var b [4]byte
+	_, _ = rand.Read(b[:]) // never fails: see crypto/rand
+	return binary.BigEndian.Uint32(b[:])
+}
+
+// activate makes the session visible to cancel requests and drains. A drain
+// that began earlier is seen by the session before it waits.
+func (s *Server) activate(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessions[c.startup.PID] = c
+}
+
+func (s *Server) unregister(pid uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, pid)
+	s.settleDrain()
+}
--- /dev/null
+++ b/wire/caller/startup.go
@@ -0,0 +1,134 @@
+package caller
+
+import (
+	"strings"
+
+	"github.com/papayarail/papayarail/wire/classify"
+)
+
+// ignoredParameters are start-up parameters whose effect does not reach the
+// database: common drivers always send them, and their answers stay readable
+// with the settings of the upstream session.
+var ignoredParameters = map[string]bool{
+	"application_name": true, "extra_float_digits": true, "timezone": true, "datestyle": true, "intervalstyle": true,
+}
+
+// parseStartup checks the parameters of a StartupMessage.
+func parseStartup(raw map[string]string) (Startup, error) {
+	s := Startup{Parameters: make(map[string]string)}
+	// Parameters of their own prevail over those in options.
+	if err := s.takeOptions(raw["options"]); err != nil {
+		return Startup{}, err
+	}
+	for name, value := range raw {
+		if err := s.take(strings.ToLower(name), value); err != nil {
+			return Startup{}, err
+		}
+	}
+	if s.User == "" {
+		return Startup{}, refuse(stateNotAllowed, "no PostgreSQL user name specified in startup packet")
+	}
+	if s.Database == "" {
+		s.Database = s.User
+	}
+	return s, nil
+}
+
+func (s *Startup) take(name, value string) error {
+	switch name {
+	case "user":
+		s.User = value
+		return nil
+	case "database":
+		s.Database = value
+		return nil
+	case "options":
+		return nil
+	default:
+		return s.takeParameter(name, value)
+	}
+}
+
+func (s *Startup) takeParameter(name, value string) error {
+	switch {
+	case strings.HasPrefix(name, classify.ParameterPrefix):
+		if err := check(name, value); err != nil {
+			return err
+		}
+		s.Parameters[name] = value
+	case name == "client_encoding":
+		return checkEncoding(value)
+	case name == "application_name":
+		s.Parameters[name] = value
+	case ignoredParameters[name], strings.HasPrefix(name, "_pq_."):
+	default:
+		return refuse(stateUnsupported, "start-up parameter \""+name+"\" is not supported")
+	}
+	return nil
+}
+
+// checkEncoding accepts UTF-8 and SQL_ASCII, which both leave bytes as they are.
+func checkEncoding(value string) error {
+	switch strings.ToLower(strings.ReplaceAll(strings.Trim(value, "'"), "-", "")) {
+	case "utf8", "unicode", "sql_ascii":
+		return nil
+	}
+	return refuse(stateUnsupported, "client_encoding \""+value+"\" is not supported, use UTF8")
+}
+
+// takeOptions reads command-line options: -c name=value and --name=value.
+func (s *Startup) takeOptions(options string) error {
+	words := splitOptions(options)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			word = words[i]
+		case strings.HasPrefix(word, "-c") && len(word) > len("-c"):
+			word = word[len("-c"):]
+		case strings.HasPrefix(word, "--"):
+			word = word[len("--"):]
+		default:
+			return refuse(stateUnsupported, "start-up option \""+word+"\" is not supported")
+		}
+		name, value, found := strings.Cut(word, "=")
+		if !found {
+			return refuse(stateProtocolViolation, "start-up option \""+word+"\" has no value")
+		}
+		name = strings.ToLower(strings.ReplaceAll(name, "-", "_"))
+		if err := s.takeParameter(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// splitOptions splits at white space; a backslash keeps the next character.
+func splitOptions(options string) []string {
+	var words []string
+	var word strings.Builder
+	inWord, escaped := false, false
+	for _, r := range []byte(options) {
+		switch {
+		case escaped:
+			word.WriteByte(r)
+			escaped = false
+		case r == '\\':
+			inWord, escaped = true, true
+		case r == ' ' || r == '\t' || r == '\n' || r == '\r':
+			if inWord {
+				words = append(words, word.String())
+				word.Reset()
+			}
+			inWord = false
+		default:
+			inWord = true
+			word.WriteByte(r)
+		}
+	}
+	if inWord {
+		words = append(words, word.String())
+	}
+	return words
+}
