--- a/papayarail/process_test.go
+++ b/papayarail/process_test.go
@@ -300,3 +300,38 @@
 	t.Fatal("no free port")
 	return ""
 }
+
+// fault changes the faults of a member.
+func (c *cluster) fault(member string, change map[string]any) {
+	data, err := json.Marshal(change)
+	assert.NilError(c.t, err)
+	r, err := http.Post("http://"+c.faults[member]+"/fault", "application/json", bytes.NewReader(data))
+	assert.NilError(c.t, err)
+	r.Body.Close()
+	assert.Assert(c.t, r.StatusCode < http.StatusMultipleChoices, r.Status)
+}
+
+// load registers batches until stop is closed, and reconnects to another
+// instance when the session ends.
+func (c *cluster) load(l *ledger, next string, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if l.conn.IsClosed() {
+			l.conn = c.connect(next)
+		}
+		l.register()
+		c.mu.Lock()
+		l.done++
+		c.mu.Unlock()
+	}
+}
+
+func (c *cluster) count(l *ledger) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return l.done
+}
