membership: add the SWIM-like membership state machine

The platform's list lags, so instances have to notice deaths themselves. Each probes one peer per period, then through three others, and suspects it only after that; changes travel on the probes, at most four per message. A suspected peer refutes with a higher incarnation, dead ones are probed until they answer, and a pause of the own process extends all deadlines. After a long disagreement the complete list is fetched.

--- /dev/null
+++ b/core/membership/sim_test.go
@@ -0,0 +1,228 @@
+package membership
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// envelopeBytes is the assumed size of a JSON-RPC envelope around a digest.
+const envelopeBytes = 100
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type simHeap []simEvent
+
+func (h simHeap) Len() int { return len(h) }
+func (h simHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
+}
+func (h simHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *simHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simHeap) Pop() any {
+	n := len(*h) - 1
+	e := (*h)[n]
+	(*h)[n].run = nil
+	*h = (*h)[:n]
+	return e
+}
+
+type simNode struct {
+	m    *Machine
+	name string
+	life int // changes with each kill, so that events of an earlier process are dropped
+	up   bool
+	// paused processes keep their connections but neither tick nor answer.
+	paused     bool
+	deaths     int // Changed to Dead seen
+	suspicions int // Changed to Suspect seen
+}
+
+// simNet delivers the messages between machines in virtual time, each after 1 ms.
+type simNet struct {
+	now      time.Duration
+	order    int
+	events   simHeap
+	nodes    map[string]*simNode
+	names    []string
+	cut      func(a, b string) bool
+	refuse   bool // a dead process refuses connections; otherwise probes stay unanswered
+	seeds    []string
+	rand     *rand.Rand
+	messages int
+	bytes    int
+	measure  bool
+	fetches  int
+}
+
+func newNet(n int, seed uint64) *simNet {
+	s := &simNet{nodes: map[string]*simNode{}, cut: func(_, _ string) bool { return false }}
+	s.rand = rand.New(rand.NewPCG(seed, 5))
+	for i := range n {
+		s.names = append(s.names, fmt.Sprintf("messina-%04d", i))
+	}
+	s.seeds = s.names[:min(3, n)]
+	for _, name := range s.names {
+		s.nodes[name] = &simNode{name: name}
+		s.start(name)
+	}
+	return s
+}
+
+// settle gives all nodes the complete list, as after a long quiet time.
+func (s *simNet) settle() {
+	var all []Member
+	for _, name := range s.names {
+		all = append(all, s.nodes[name].m.Self())
+	}
+	for _, name := range s.names {
+		s.nodes[name].m.Fetched(all, s.now)
+	}
+}
+
+func (s *simNet) start(name string) {
+	n := s.nodes[name]
+	n.life++
+	n.up, n.paused = true, false
+	n.m = New(Config{Name: name, FailureDomain: "messina", Address: name, Seeds: s.seeds,
+		Incarnation: uint64(s.now/ms) + 1, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 1))})
+	life := n.life
+	var tick func()
+	tick = func() {
+		if n.life == life && n.up {
+			if !n.paused {
+				s.do(n, n.m.Tick(s.now))
+			}
+			s.after(50*ms, tick)
+		}
+	}
+	s.after(time.Duration(s.rand.Int64N(int64(50*ms))), tick)
+}
+
+func (s *simNet) after(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.events, simEvent{at: s.now + d, order: s.order, run: run})
+}
+
+func (s *simNet) runFor(d time.Duration) {
+	end := s.now + d
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+func (s *simNet) count(d Digest) {
+	s.messages++
+	if s.measure {
+		text, _ := json.Marshal(d)
+		s.bytes += len(text) + envelopeBytes
+	}
+}
+
+// call delivers d from one node to another and the answer back; failed runs if
+// the connection is refused.
+func (s *simNet) call(from *simNode, to string, d Digest, answered func(Digest), failed func()) {
+	life := from.life
+	s.count(d)
+	s.after(ms, func() {
+		dst := s.nodes[to]
+		if dst == nil || s.cut(from.name, to) || dst.paused {
+			return
+		}
+		if !dst.up {
+			if s.refuse {
+				s.after(ms, failed)
+			}
+			return
+		}
+		answer, actions := dst.m.Received(d, s.now)
+		s.do(dst, actions)
+		s.count(answer)
+		s.after(ms, func() {
+			if from.up && from.life == life && !from.paused && !s.cut(from.name, to) {
+				answered(answer)
+			}
+		})
+	})
+}
+
+func (s *simNet) do(n *simNode, actions []Action) {
+	life := n.life
+	current := func() bool { return n.up && n.life == life && !n.paused }
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Probe:
+			s.call(n, a.Address, a.Digest,
+				func(d Digest) { s.do(n, n.m.ProbeAnswered(a.Peer, "", d, s.now)) },
+				func() {
+					if current() {
+						s.do(n, n.m.ProbeFailed(a.Peer, "", s.now))
+					}
+				})
+		case ProbeThrough:
+			s.through(n, a, current)
+		case Fetch:
+			s.fetches++
+			s.after(ms, func() {
+				dst := s.nodes[a.Address]
+				if dst != nil && dst.up && !dst.paused && current() && !s.cut(n.name, a.Address) {
+					s.do(n, n.m.Fetched(dst.m.Members(), s.now))
+				}
+			})
+		case Changed:
+			switch a.Member.State {
+			case Dead:
+				n.deaths++
+			case Suspect:
+				n.suspicions++
+			}
+		}
+	}
+}
+
+func (s *simNet) through(n *simNode, a ProbeThrough, current func() bool) {
+	s.count(a.Digest)
+	s.after(ms, func() {
+		via := s.nodes[a.Via]
+		if !via.up || via.paused || s.cut(n.name, a.Via) {
+			return
+		}
+		s.call(via, a.Address, a.Digest, func(d Digest) {
+			s.count(d)
+			s.after(ms, func() {
+				if current() && !s.cut(n.name, a.Via) {
+					s.do(n, n.m.ProbeAnswered(a.Peer, a.Via, d, s.now))
+				}
+			})
+		}, func() {
+			if current() {
+				s.do(n, n.m.ProbeFailed(a.Peer, a.Via, s.now))
+			}
+		})
+	})
+}
+
+// seen returns how many running nodes hold the named one in the given state.
+func (s *simNet) seen(name string, want State) (holding, running int) {
+	for _, n := range s.nodes {
+		if n.name == name || !n.up {
+			continue
+		}
+		running++
+		if got, ok := n.m.State(name); ok && got == want {
+			holding++
+		}
+	}
+	return holding, running
+}
