--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -523,11 +523,18 @@
 func (m *Machine) fail(i int, now time.Duration) {
 	p := m.probes[i].peer
 	m.endProbe(i)
-	if p.State == Alive || p.State == Leaving {
-		in := p.Member
+	in := p.Member
+	switch p.State {
+	case Alive:
 		in.State = Suspect
-		m.apply(in, now, true)
+	case Leaving:
+		// An instance that had announced its stop has stopped. As a suspect it
+		// would count as live again.
+		in.State = Dead
+	default:
+		return
 	}
+	m.apply(in, now, true)
 }
 
 func (m *Machine) expireSuspects(now time.Duration) {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -235,6 +235,23 @@
 	}
 }
 
+// Guards against a leaving instance that owns upstreams again once it has
+// stopped, because it turned from leaving to suspect before it was dead.
+func TestStoppedInstanceDoesNotOwnAgain(t *testing.T) {
+	s := newNet(9, 6)
+	s.settle()
+	n := s.nodes[s.names[4]]
+	s.do(n, n.m.Leave(s.now))
+	s.runFor(3 * time.Second)
+	delete(s.nodes, n.name)
+	for range 50 {
+		s.runFor(100 * time.Millisecond)
+		for _, other := range s.nodes {
+			assert.Equal(t, len(other.m.Live()), 8)
+		}
+	}
+}
+
 // Guards against a healed partition of two regions that stays divided.
 func TestLongPartitionHeals(t *testing.T) {
 	s := newNet(120, 8)
--- a/instance/node/config.go
+++ b/instance/node/config.go
@@ -2,87 +2,173 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/papayarail/papayarail/core/spread"
 	"github.com/papayarail/papayarail/fleet"
 	"github.com/papayarail/papayarail/instance/peer"
-	"github.com/papayarail/papayarail/platform/configstore"
+	"github.com/papayarail/papayarail/instance/view"
+	"github.com/papayarail/papayarail/platform"
 )
 
 const (
-	configPollInterval = time.Second
-	configTimeout      = 2 * time.Second
+	configTick    = 20 * time.Millisecond
+	configTimeout = 2 * time.Second
 )
 
-// config keeps the newest configuration and passes it on to peers.
+// config performs the actions of the spread machine.
 type config struct {
 	node *Node
 
-	mu      sync.Mutex
-	current *peer.FetchConfigAnswer
+	mu        sync.Mutex
+	machine   *spread.Node
+	addresses map[string]string // peer address by instance name
+	failed    bool              // the last read of the platform
 }
 
-func (c *config) answer() *peer.FetchConfigAnswer {
+func newConfig(n *Node) *config {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &config{
+		node:    n,
+		machine: spread.New(spread.DefaultConfig(n.settings.Name, n.settings.FailureDomain), random, n.now()),
+	}
+}
+
+func (c *config) run(ctx context.Context) {
+	for pause(ctx, configTick) {
+		c.event(func(now time.Duration) []spread.Action { return c.machine.Tick(now) })
+	}
+}
+
+func (c *config) event(f func(now time.Duration) []spread.Action) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.current
+	actions := f(c.node.now())
+	addresses := c.addresses
+	c.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case spread.ReadPlatform:
+			go c.read(a)
+		case spread.SendDigest:
+			go c.sendDigest(addresses[a.Peer], a)
+		case spread.Fetch:
+			go c.fetch(addresses[a.Peer], a)
+		case spread.Install:
+			c.install(a.Document)
+		}
+	}
 }
 
-// poll reads the platform's revision.
-func (c *config) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
+func (c *config) peersChanged(peers []view.Peer) {
+	addresses := make(map[string]string, len(peers))
+	var list []spread.Peer
+	for _, p := range peers {
+		addresses[p.Name] = p.Address
+		list = append(list, spread.Peer{Name: p.Name, FailureDomain: p.FailureDomain})
+	}
+	c.mu.Lock()
+	c.addresses = addresses
+	c.mu.Unlock()
+	c.event(func(now time.Duration) []spread.Action { return c.machine.PeersChanged(now, list) })
+}
+
+// read reads the platform's head, and the document if it is newer.
+func (c *config) read(a spread.ReadPlatform) {
+	ctx, cancel := context.WithTimeout(c.node.workCtx, configTimeout)
 	defer cancel()
-	revision, doc, raw, err := c.node.store.Read(ctx)
+	doc, err := c.readDocument(ctx, a)
+	c.noteRead(err)
 	if err != nil {
-		c.node.log.WithError(err).Debug("could not read the configuration from the platform")
+		c.event(func(now time.Duration) []spread.Action { return c.machine.PlatformFailed(now) })
 		return
 	}
-	c.install(uint64(revision), doc, raw)
+	c.event(func(now time.Duration) []spread.Action { return c.machine.PlatformRead(now, doc) })
 }
 
-// install puts a revision in force unless a newer one is.
-func (c *config) install(revision uint64, doc *fleet.Document, raw []byte) {
-	c.mu.Lock()
-	if c.current == nil || revision > c.current.Revision {
-		c.current = &peer.FetchConfigAnswer{Revision: revision, SHA256: configstore.Hash(raw), Document: raw}
+func (c *config) readDocument(ctx context.Context, a spread.ReadPlatform) (spread.Document, error) {
+	head, err := c.node.store.Head(ctx, platform.Consistency(a.Consistent))
+	if err != nil {
+		return spread.Document{}, err
+	}
+	doc := spread.Document{Digest: spread.Digest{Revision: uint64(head.Revision), SHA256: head.SHA256}}
+	if doc.Revision <= a.Known {
+		return doc, nil
 	}
+	_, doc.Raw, err = c.node.store.Document(ctx, head)
+	return doc, err
+}
+
+// noteRead logs when reading the platform begins to fail or works again.
+func (c *config) noteRead(err error) {
+	c.mu.Lock()
+	changed := c.failed != (err != nil)
+	c.failed = err != nil
 	c.mu.Unlock()
-	if c.node.view.Install(revision, doc) {
-		c.node.log.WithField("revision", revision).Info("configuration in force")
-		c.node.kick()
+	switch {
+	case !changed:
+	case err != nil:
+		c.node.log.WithError(err).Warn("could not read the configuration from the platform")
+	default:
+		c.node.log.Info("the platform answers again")
 	}
 }
 
-// fetch asks a peer that has a newer revision.
-func (c *config) fetch(ctx context.Context, address string, revision uint64) {
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
-	defer cancel()
-	var answer peer.FetchConfigAnswer
-	err := c.node.links.Control(address).Call(ctx, peer.MethodFetchConfig, &peer.FetchConfigRequest{Revision: revision}, &answer)
-	if err != nil {
-		c.node.log.WithError(err).Debug("could not fetch the configuration from a peer")
+func (c *config) platformFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
+func (c *config) sendDigest(address string, a spread.SendDigest) {
+	if address == "" {
 		return
 	}
-	if configstore.Hash(answer.Document) != answer.SHA256 {
-		c.node.log.WithField("peer", address).Warn("a peer sent a configuration whose hash does not match")
+	ctx, cancel := context.WithTimeout(c.node.workCtx, configTimeout)
+	defer cancel()
+	var none peer.Empty
+	_ = c.node.links.Control(address).Call(ctx, peer.MethodRevision, &peer.Revision{From: c.node.settings.Name, Digest: a.Digest}, &none)
+}
+
+func (c *config) fetch(address string, a spread.Fetch) {
+	ctx, cancel := context.WithTimeout(c.node.workCtx, configTimeout)
+	defer cancel()
+	var body spread.Body
+	err := c.node.links.Control(address).Call(ctx, peer.MethodFetchConfig, &peer.FetchConfig{Want: a.Want, Have: a.Have}, &body)
+	if err != nil {
+		c.event(func(now time.Duration) []spread.Action { return c.machine.FetchFailed(now, a.Peer) })
 		return
 	}
-	doc, err := fleet.Parse(answer.Document)
+	c.event(func(now time.Duration) []spread.Action { return c.machine.Received(now, a.Peer, body) })
+}
+
+func (c *config) install(doc spread.Document) {
+	parsed, err := fleet.Parse(doc.Raw)
 	if err != nil {
-		c.node.log.WithError(err).WithField("peer", address).Warn("a peer sent a configuration that does not parse")
+		c.node.log.WithError(err).WithField("revision", doc.Revision).Error("the configuration does not parse and is not put in force")
 		return
 	}
-	c.install(answer.Revision, doc, answer.Document)
+	if c.node.view.Install(doc.Revision, parsed) {
+		c.node.log.WithField("revision", doc.Revision).Info("configuration in force")
+		c.node.kick()
+	}
 }
 
-func (c *config) run(ctx context.Context) {
-	for {
-		c.poll(ctx)
-		if !pause(ctx, configPollInterval) {
-			return
-		}
-	}
+func (c *config) peerDigest(from string, d spread.Digest) {
+	c.event(func(now time.Duration) []spread.Action { return c.machine.PeerDigest(now, from, d) })
+}
+
+func (c *config) answer(r *peer.FetchConfig) (spread.Body, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Answer(r.Want, r.Have)
+}
+
+func (c *config) digest() spread.Digest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Current().Digest
 }
 
 // pause reports false when ctx has ended.
--- a/instance/node/dump.go
+++ b/instance/node/dump.go
@@ -12,6 +12,7 @@
 // Dump is the state of an instance, for operators.
 type Dump struct {
 	Instance    view.Peer        `json:"instance"`
+	Leaving     bool             `json:"leaving"`
 	UptimeMS    int64            `json:"uptime_ms"`
 	Revision    uint64           `json:"revision"`
 	Deployment  string           `json:"deployment"`
@@ -29,6 +30,7 @@
 	revision, doc := n.view.Document()
 	d := Dump{
 		Instance:    n.view.Self(),
+		Leaving:     n.leaving.Load(),
 		UptimeMS:    n.now().Milliseconds(),
 		Revision:    revision,
 		Peers:       n.view.Peers(),
@@ -36,6 +38,9 @@
 		Coordinates: n.coordinators.active(),
 		Entry:       n.entry.State(),
 	}
+	if n.config.platformFailed() {
+		d.Waiting = append(d.Waiting, "new revisions of the configuration")
+	}
 	if doc != nil {
 		d.Deployment = doc.Deployment
 	} else {
@@ -56,7 +61,7 @@
 	if _, doc := n.view.Document(); doc == nil {
 		return false, "no configuration yet"
 	}
-	if n.view.Self().Leaving {
+	if n.leaving.Load() {
 		return false, "leaving"
 	}
 	return true, "ok"
--- a/instance/node/handler.go
+++ b/instance/node/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/papayarail/papayarail/core/spread"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/instance/peer"
 )
@@ -39,17 +40,37 @@
 	return &peer.BarrierAnswer{Position: p}, nil
 }
 
-func (h handler) Gossip(_ context.Context, g *peer.Gossip) (*peer.Gossip, error) {
-	h.node.receive(g)
-	return h.node.gossip(), nil
+func (h handler) Probe(_ context.Context, p *peer.Probe) (*peer.Probe, error) {
+	return h.node.members.received(p), nil
 }
 
-func (h handler) FetchConfig(_ context.Context, r *peer.FetchConfigRequest) (*peer.FetchConfigAnswer, error) {
-	answer := h.node.config.answer()
-	if answer == nil || answer.Revision < r.Revision {
-		return nil, verdict.New(verdict.ReplicaBehind, "this instance has no configuration of revision %d", r.Revision)
+func (h handler) ProbeThrough(ctx context.Context, p *peer.ProbeThrough) (*peer.Probe, error) {
+	return h.node.members.send(ctx, p.Address, &p.Probe)
+}
+
+func (h handler) Members(context.Context, *peer.Empty) (*peer.Members, error) {
+	return &peer.Members{Members: h.node.members.list()}, nil
+}
+
+func (h handler) Routes(_ context.Context, r *peer.Routes) (*peer.Routes, error) {
+	h.node.learnRoutes(r.Routes)
+	if !r.Exchange {
+		return &peer.Routes{}, nil
+	}
+	return &peer.Routes{Routes: h.node.view.Routes()}, nil
+}
+
+func (h handler) Revision(_ context.Context, r *peer.Revision) error {
+	h.node.config.peerDigest(r.From, r.Digest)
+	return nil
+}
+
+func (h handler) FetchConfig(_ context.Context, r *peer.FetchConfig) (*spread.Body, error) {
+	body, found := h.node.config.answer(r)
+	if !found {
+		return nil, verdict.New(verdict.ReplicaBehind, "this instance has no configuration of revision %d", r.Want.Revision)
 	}
-	return answer, nil
+	return &body, nil
 }
 
 // Close rolls back what the link left open.
--- a/instance/node/node.go
+++ b/instance/node/node.go
@@ -7,12 +7,12 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
-	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/instance/entry"
 	"github.com/papayarail/papayarail/instance/operator"
 	"github.com/papayarail/papayarail/instance/peer"
@@ -58,7 +58,8 @@
 	upstreams    *upstreams
 	coordinators *coordinators
 	config       *config
-	liveness     *liveness
+	members      *members
+	routeSync    atomic.Int64 // time of the last exchange of all routes
 	callers      *caller.Server
 	entry        *entry.Entry
 
@@ -66,6 +67,7 @@
 	workCtx context.Context
 	work    sync.WaitGroup
 	kicks   chan struct{}
+	leaving atomic.Bool
 	drain   chan struct{}
 	once    sync.Once
 	kill    chan struct{}
@@ -103,11 +105,11 @@
 		drain:    make(chan struct{}),
 		kill:     make(chan struct{}),
 	}
-	n.links = peer.NewLinks(n.hello)
+	n.links = peer.NewLinks(n.linkFailed)
 	n.upstreams = newUpstreams(n)
 	n.coordinators = newCoordinators(n)
-	n.config = &config{node: n}
-	n.liveness = newLiveness(n)
+	n.config = newConfig(n)
+	n.members = newMembers(n)
 	n.entry = entry.New(s.FailureDomain, n.view, gateway{n}, n.now, n.log)
 	n.callers = caller.NewServer(n.callerSettings(), n.entry)
 	return n, nil
@@ -133,17 +135,7 @@
 func (n *Node) now() time.Duration { return time.Since(n.began) + time.Millisecond }
 
 func (n *Node) hello() peer.Hello {
-	self := n.view.Self()
-	revision, _ := n.view.Document()
-	return peer.Hello{
-		Name:          self.Name,
-		FailureDomain: self.FailureDomain,
-		Address:       self.Address,
-		Operator:      self.Operator,
-		Incarnation:   n.birth,
-		Leaving:       self.Leaving,
-		Revision:      revision,
-	}
+	return peer.Hello{Name: n.settings.Name, Operator: n.settings.OperatorAddress}
 }
 
 // Drain starts the planned stop; it returns at once.
@@ -211,8 +203,8 @@
 	n.work.Go(func() { report(failed, operators.Serve(ctx, l.Operators)) })
 	n.work.Go(func() { report(failed, n.callers.Serve(ctx, l.Callers)) })
 	n.work.Go(func() { n.config.run(ctx) })
-	n.work.Go(func() { n.liveness.run(ctx) })
-	n.work.Go(func() { n.liveness.readList(ctx) })
+	n.work.Go(func() { n.members.run(ctx) })
+	n.work.Go(func() { n.members.readList(ctx) })
 	n.work.Go(func() { n.reconcile(ctx) })
 }
 
@@ -261,53 +253,33 @@
 	}
 }
 
-// stop is the planned stop: announce, refuse new callers and close idle ones,
-// let transactions end, then give up the upstreams.
+// stop is the planned stop. Peers learn first that this instance is leaving, so
+// that they send new work to the next owners; then the upstreams are given up,
+// while callers end their transactions.
 func (n *Node) stop(l Listeners) {
 	n.log.Info("planned stop begins")
 	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
 	defer cancel()
+	n.leaving.Store(true)
 	l.Callers.Close()
+	n.members.leave()
+	callers := make(chan error, 1)
+	go func() { callers <- n.callers.Drain(ctx) }()
+	pause(ctx, leaveDelay)
 	n.view.Leave()
-	n.kick()
-	n.liveness.announce(ctx)
-	if err := n.callers.Drain(ctx); err != nil {
+	n.upstreams.stop()
+	if err := <-callers; err != nil {
 		n.log.WithError(err).Warn("callers were left when the time limit of the planned stop ran out")
 	}
-	pause(ctx, leaveDelay)
-	n.upstreams.stop()
 	for len(n.upstreams.all("")) > 0 && pause(ctx, reconcileInterval/10) {
 	}
 }
 
-// gossip is what this instance tells its peers.
-func (n *Node) gossip() *peer.Gossip {
-	return &peer.Gossip{From: n.hello(), Routes: n.view.Routes()}
-}
-
-func (n *Node) receive(g *peer.Gossip) {
-	n.liveness.heard(g.From)
-	for _, r := range g.Routes {
-		n.learnRoute(r)
-	}
-	revision, _ := n.view.Document()
-	if g.From.Revision > revision {
-		go n.config.fetch(n.workCtx, g.From.Address, g.From.Revision)
-	}
-}
-
-func (n *Node) learnRoute(r failover.Route) bool {
-	if !n.view.LearnRoute(r) {
-		return false
-	}
-	n.coordinators.learn(r)
-	n.kick()
-	return true
-}
-
-// announceRoute spreads a route that this instance's coordinator established.
-func (n *Node) announceRoute(r failover.Route) {
-	if n.learnRoute(r) {
-		n.liveness.announce(n.workCtx)
+// linkFailed has the membership probe the peer whose data link has failed.
+func (n *Node) linkFailed(address string) {
+	for _, p := range n.view.Peers() {
+		if p.Address == address {
+			n.members.linkFailed(p.Name)
+		}
 	}
 }
--- a/instance/peer/link.go
+++ b/instance/peer/link.go
@@ -22,15 +22,16 @@
 // calls on a silent connection fail instead of waiting.
 type Link struct {
 	address string
-	self    func() Hello
+	// failed is called when an open link has failed; it may be nil.
+	failed func(address string)
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
 }
 
 // NewLink returns a link to the peer at address; nothing is dialled yet.
-func NewLink(address string, self func() Hello) *Link {
-	return &Link{address: address, self: self}
+func NewLink(address string, failed func(address string)) *Link {
+	return &Link{address: address, failed: failed}
 }
 
 // Call sends a request and waits for its answer. The error is a
@@ -89,20 +90,28 @@
 	for {
 		select {
 		case <-conn.DisconnectNotify():
+			l.report()
 			return
 		case <-ticker.C:
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 		var answer Hello
-		err := conn.Call(ctx, MethodPing, l.self(), &answer)
+		err := conn.Call(ctx, MethodPing, &Empty{}, &answer)
 		cancel()
 		if err != nil {
 			conn.Close()
+			l.report()
 			return
 		}
 	}
 }
 
+func (l *Link) report() {
+	if l.failed != nil {
+		l.failed(l.address)
+	}
+}
+
 func (l *Link) forget(conn *jsonrpc2.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -120,7 +129,7 @@
 // Links holds the links to all peers: one for data and one for control each,
 // so that a large answer never delays a control message.
 type Links struct {
-	self func() Hello
+	failed func(address string)
 
 	mu    sync.Mutex
 	links map[string]*pair
@@ -128,9 +137,9 @@
 
 type pair struct{ data, control *Link }
 
-// NewLinks returns an empty set.
-func NewLinks(self func() Hello) *Links {
-	return &Links{self: self, links: make(map[string]*pair)}
+// NewLinks returns an empty set. failed is called when a data link has failed.
+func NewLinks(failed func(address string)) *Links {
+	return &Links{failed: failed, links: make(map[string]*pair)}
 }
 
 // Data returns the data link to the peer at address.
@@ -144,7 +153,7 @@
 	defer s.mu.Unlock()
 	p := s.links[address]
 	if p == nil {
-		p = &pair{data: NewLink(address, s.self), control: NewLink(address, s.self)}
+		p = &pair{data: NewLink(address, s.failed), control: NewLink(address, nil)}
 		s.links[address] = p
 	}
 	return p
--- a/instance/peer/messages.go
+++ b/instance/peer/messages.go
@@ -3,12 +3,13 @@
 package peer
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/papayarail/papayarail/core/failover"
+	"github.com/papayarail/papayarail/core/membership"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/spread"
 	"github.com/papayarail/papayarail/wire/statement"
 )
 
@@ -20,7 +21,11 @@
 	MethodEndTransaction = "end_transaction"
 	MethodCancel         = "cancel"
 	MethodBarrier        = "barrier"
-	MethodGossip         = "gossip"
+	MethodProbe          = "probe"
+	MethodProbeThrough   = "probe_through"
+	MethodMembers        = "members"
+	MethodRoutes         = "routes"
+	MethodRevision       = "revision"
 	MethodFetchConfig    = "fetch_config"
 )
 
@@ -103,37 +108,49 @@
 	Position position.Position `json:"position"`
 }
 
-// Hello describes an instance to its peers; it answers each heartbeat.
+// Hello describes an instance; it answers each heartbeat.
 type Hello struct {
-	Name          string `json:"name"`
-	FailureDomain string `json:"failure_domain"`
-	Address       string `json:"address"`  // peer address, IP:port
-	Operator      string `json:"operator"` // operators' address, IP:port
-	// Incarnation grows with each start of the instance.
-	Incarnation uint64 `json:"incarnation"`
-	Leaving     bool   `json:"leaving,omitempty"`
-	Revision    uint64 `json:"revision"` // configuration in force
+	Name     string `json:"name"`
+	Operator string `json:"operator"` // operators' address, IP:port
 }
 
-// Gossip is what instances tell each other about the fleet.
-type Gossip struct {
-	From   Hello            `json:"from"`
-	Routes []failover.Route `json:"routes,omitempty"`
-	// Membership and Config are encoded by the adapters of those machines.
-	Membership json.RawMessage `json:"membership,omitempty"`
-	Config     json.RawMessage `json:"config,omitempty"`
+// Probe is the message of the membership, in both directions. Changes of routes
+// ride on it.
+type Probe struct {
+	Membership membership.Digest `json:"membership"`
+	RouteSum   uint64            `json:"route_sum"`
+	Routes     []failover.Route  `json:"routes,omitempty"`
+	// Revision is the configuration in force at the sender.
+	Revision spread.Digest `json:"revision"`
 }
 
-// FetchConfigRequest asks for the document of a revision or a later one.
-type FetchConfigRequest struct {
-	Revision uint64 `json:"revision"`
+// ProbeThrough asks an instance to deliver a probe to another one.
+type ProbeThrough struct {
+	Address string `json:"address"`
+	Probe   Probe  `json:"probe"`
 }
 
-// FetchConfigAnswer carries the newest document that the peer has.
-type FetchConfigAnswer struct {
-	Revision uint64 `json:"revision"`
-	SHA256   string `json:"sha256"`
-	Document []byte `json:"document"`
+// Members is the complete list of members that are not dead.
+type Members struct {
+	Members []membership.Member `json:"members"`
+}
+
+// Routes tells a peer of routes. With Exchange set it answers with all of its own.
+type Routes struct {
+	Routes   []failover.Route `json:"routes"`
+	Exchange bool             `json:"exchange,omitempty"`
+}
+
+// Revision tells a peer which revision is in force at the sender.
+type Revision struct {
+	From   string        `json:"from"`
+	Digest spread.Digest `json:"digest"`
+}
+
+// FetchConfig asks for the document of a revision or a later one.
+type FetchConfig struct {
+	Want spread.Digest `json:"want"`
+	Have spread.Digest `json:"have"`
 }
 
 // Empty is the result of methods that return nothing.
--- a/instance/peer/server.go
+++ b/instance/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/papayarail/papayarail/core/spread"
 	"github.com/papayarail/papayarail/core/verdict"
 )
 
@@ -19,8 +20,12 @@
 	EndTransaction(ctx context.Context, r *EndTransactionRequest) error
 	Cancel(ctx context.Context, r *CancelRequest) error
 	Barrier(ctx context.Context, r *BarrierRequest) (*BarrierAnswer, error)
-	Gossip(ctx context.Context, g *Gossip) (*Gossip, error)
-	FetchConfig(ctx context.Context, r *FetchConfigRequest) (*FetchConfigAnswer, error)
+	Probe(ctx context.Context, p *Probe) (*Probe, error)
+	ProbeThrough(ctx context.Context, p *ProbeThrough) (*Probe, error)
+	Members(ctx context.Context, e *Empty) (*Members, error)
+	Routes(ctx context.Context, r *Routes) (*Routes, error)
+	Revision(ctx context.Context, r *Revision) error
+	FetchConfig(ctx context.Context, r *FetchConfig) (*spread.Body, error)
 	// Close is called when the link has ended; open transactions of the link are rolled back.
 	Close()
 }
@@ -112,8 +117,16 @@
 		return callEmpty(ctx, r, h.Cancel)
 	case MethodBarrier:
 		return call(ctx, r, h.Barrier)
-	case MethodGossip:
-		return call(ctx, r, h.Gossip)
+	case MethodProbe:
+		return call(ctx, r, h.Probe)
+	case MethodProbeThrough:
+		return call(ctx, r, h.ProbeThrough)
+	case MethodMembers:
+		return call(ctx, r, h.Members)
+	case MethodRoutes:
+		return call(ctx, r, h.Routes)
+	case MethodRevision:
+		return callEmpty(ctx, r, h.Revision)
 	case MethodFetchConfig:
 		return call(ctx, r, h.FetchConfig)
 	default:
--- a/instance/view/view.go
+++ b/instance/view/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/core/placement"
+	"github.com/papayarail/papayarail/core/routes"
 	"github.com/papayarail/papayarail/fleet"
 )
 
@@ -27,9 +28,9 @@
 	mu       sync.RWMutex
 	revision uint64
 	document *fleet.Document
-	routes   map[string]failover.Route
+	routes   *routes.Table
 	peers    map[string]Peer
-	live     []placement.Instance
+	owners   *placement.Table
 	leaving  bool
 	changed  chan struct{}
 }
@@ -38,10 +39,11 @@
 func New(self Peer) *View {
 	v := &View{
 		self:    self,
-		routes:  make(map[string]failover.Route),
+		routes:  routes.New(),
+		owners:  placement.NewTable(),
 		changed: make(chan struct{}),
 	}
-	v.recompute()
+	v.owners.Join(placement.Instance{Name: self.Name, FailureDomain: self.FailureDomain})
 	return v
 }
 
@@ -74,11 +76,30 @@
 	if revision <= v.revision {
 		return false
 	}
+	v.placeDocument(d)
 	v.revision, v.document = revision, d
 	v.notify()
 	return true
 }
 
+// placeDocument updates the placement for a new document.
+func (v *View) placeDocument(next *fleet.Document) {
+	if v.document != nil {
+		for _, s := range v.document.Services {
+			v.owners.RemoveService(s.Name)
+			for _, db := range s.Databases {
+				v.owners.RemoveUpstream(db.Name)
+			}
+		}
+	}
+	for _, s := range next.Services {
+		v.owners.AddService(s.Name)
+		for _, db := range s.Databases {
+			v.owners.AddUpstream(db.Name, db.FailureDomain)
+		}
+	}
+}
+
 // Document returns the configuration in force; nil before the first one.
 func (v *View) Document() (uint64, *fleet.Document) {
 	v.mu.RLock()
@@ -100,11 +121,9 @@
 func (v *View) LearnRoute(r failover.Route) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	known, found := v.routes[r.Service]
-	if found && r.Term <= known.Term {
+	if !v.routes.Learn(r) {
 		return false
 	}
-	v.routes[r.Service] = r
 	v.notify()
 	return true
 }
@@ -113,19 +132,28 @@
 func (v *View) Route(service string) (failover.Route, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	r, found := v.routes[service]
-	return r, found
+	return v.routes.Get(service)
 }
 
 // Routes returns all known routes.
 func (v *View) Routes() []failover.Route {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	out := make([]failover.Route, 0, len(v.routes))
-	for _, r := range v.routes {
-		out = append(out, r)
-	}
-	return out
+	return v.routes.All()
+}
+
+// RouteNews returns the sum of all routes and recent changes for one message.
+func (v *View) RouteNews() (sum uint64, changes []failover.Route) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.routes.Sum(), v.routes.Changes(len(v.peers))
+}
+
+// RouteSum identifies the set of known routes.
+func (v *View) RouteSum() uint64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.routes.Sum()
 }
 
 // UpdatePeers replaces the other live instances and reports whether they differ
@@ -142,37 +170,34 @@
 	if maps.Equal(v.peers, next) {
 		return false
 	}
+	v.placePeers(next)
 	v.peers = next
-	v.recompute()
+	v.notify()
 	return true
 }
 
-// Leave marks this instance as leaving.
-func (v *View) Leave() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.leaving = true
-	v.recompute()
-}
-
-func (v *View) recompute() {
-	v.live = v.live[:0:0]
-	if !v.leaving {
-		v.live = append(v.live, placement.Instance{Name: v.self.Name, FailureDomain: v.self.FailureDomain})
+// placePeers updates the placement for a new set of peers. Leaving peers keep
+// their sessions but own nothing.
+func (v *View) placePeers(next map[string]Peer) {
+	for name := range v.peers {
+		if p, found := next[name]; !found || p.Leaving {
+			v.owners.Leave(name)
+		}
 	}
-	for _, p := range v.peers {
+	for _, p := range next {
 		if !p.Leaving {
-			v.live = append(v.live, placement.Instance{Name: p.Name, FailureDomain: p.FailureDomain})
+			v.owners.Join(placement.Instance{Name: p.Name, FailureDomain: p.FailureDomain})
 		}
 	}
-	v.notify()
 }
 
-// Live returns the instances that may own upstreams, in no particular order.
-func (v *View) Live() []placement.Instance {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.live
+// Leave marks this instance as leaving.
+func (v *View) Leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving = true
+	v.owners.Leave(v.self.Name)
+	v.notify()
 }
 
 // Peers returns the other live instances.
@@ -190,7 +215,7 @@
 func (v *View) Owner(db *fleet.Database) (owner Peer, found bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	name, found := placement.Owner(db.Name, db.FailureDomain, v.live)
+	name, found := v.owners.Owner(db.Name)
 	if !found {
 		return Peer{}, false
 	}
@@ -205,6 +230,6 @@
 func (v *View) Coordinates(service string) bool {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	name, found := placement.Coordinator(service, v.live)
+	name, found := v.owners.Coordinator(service)
 	return found && name == v.self.Name
 }
--- a/papayarail/status/status.go
+++ b/papayarail/status/status.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		state := "active"
-		if r.Dump.Instance.Leaving {
+		if r.Dump.Leaving {
 			state = "leaving"
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\n", r.Name, r.Dump.Instance.FailureDomain, state,
