wire: avoid copying known statements, bound prepared statements by size

Laying out an exchange copied the names of all statements on the upstream connection and made four maps per pipeline. Both are now made only when needed. A session's prepared statements were limited in number only, so that one caller could hold 4096 times the message limit; their SQL text is now limited in total as well.

--- a/wire/caller/caller_test.go
+++ b/wire/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -102,6 +103,8 @@
 		{[]pgproto3.FrontendMessage{bind("b"), sync}, "EZ", stateUndefinedStatement},
 		{[]pgproto3.FrontendMessage{parse("", "SELECT 4"), flush}, "1S", ""},
 		{[]pgproto3.FrontendMessage{bind(""), run, sync}, "2DCSZ", ""},
+		{[]pgproto3.FrontendMessage{parse("", "SELECT fail"), flush}, "E", "42601"},
+		{[]pgproto3.FrontendMessage{bind(""), run, sync}, "SZ", ""},
 		{[]pgproto3.FrontendMessage{bind(""), run, flush}, "E", stateUnsupported},
 		{[]pgproto3.FrontendMessage{query("SELECT 1"), sync}, "Z", ""},
 		{[]pgproto3.FrontendMessage{parse("s", "SET papayarail.rank = least"), bind("s"), run, parse("", "SELECT 1"), bind(""), run, sync}, "12C12DCSZ", ""},
@@ -118,6 +121,13 @@
 		{[]pgproto3.FrontendMessage{query("ROLLBACK")}, "TDCSZ", ""},
 		{[]pgproto3.FrontendMessage{parse("", strings.Repeat(" ", 6000)), parse("", "SELECT 1"+strings.Repeat(" ", 6000)), sync}, "EZ", stateTooLarge},
 	}
+	for _, name := range []string{"x1", "x2"} {
+		steps = append(steps, steps[1])
+		steps[len(steps)-1].send = []pgproto3.FrontendMessage{parse(name, "SELECT 5"+strings.Repeat(" ", 6000)), sync}
+	}
+	steps = append(steps, steps[3])
+	steps[len(steps)-1].state = stateTooLarge
+	steps[len(steps)-1].send = []pgproto3.FrontendMessage{parse("x3", "SELECT 1"), sync}
 	for i, step := range steps {
 		kinds, failure := c.ask(rune(step.kinds[len(step.kinds)-1]), step.send...)
 		assert.Equal(t, kinds, step.kinds, "step %d: %s", i, failure.Message)
@@ -267,6 +277,28 @@
 	assert.NilError(t, s.Drain(t.Context()))
 }
 
+// Guards against running a request whose end arrives after the stop began.
+func TestDrainDuringPipeline(t *testing.T) {
+	f := newFakeSession()
+	s, address := startServer(t, Settings{}, f)
+	c := dialRaw(t, address).login(map[string]string{})
+	c.Send(&pgproto3.Parse{Query: "DELETE FROM lots"})
+	assert.NilError(t, c.Flush())
+	for s.anyWaiting() {
+		runtime.Gosched() // until the server has read the Parse
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	for !s.draining.Load() {
+		runtime.Gosched()
+	}
+	kinds, failure := c.ask('.', &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	assert.Equal(t, kinds, "E.")
+	assert.Equal(t, failure.Code, "57P01")
+	assert.Equal(t, len(f.exchanges()), 0)
+	assert.NilError(t, <-drained)
+}
+
 // pipeListener serves one end of a net.Pipe, whose time-outs a synctest bubble controls.
 type pipeListener struct {
 	net.Listener
--- a/wire/caller/fake_test.go
+++ b/wire/caller/fake_test.go
@@ -254,3 +254,21 @@
 		}
 	}
 }
+
+// anyWaiting reports whether a session waits for a request or is not served yet.
+func (s *Server) anyWaiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.sessions {
+		if c == nil {
+			return true
+		}
+		c.mu.Lock()
+		waiting := c.waiting
+		c.mu.Unlock()
+		if waiting {
+			return true
+		}
+	}
+	return false
+}
--- a/wire/caller/pipeline.go
+++ b/wire/caller/pipeline.go
@@ -138,9 +138,16 @@
 }
 
 func newPipeline(statements map[string]entry, portals map[string]portal, inTx bool, limit int) *pipeline {
-	return &pipeline{statements: statements, portals: portals, inTx: inTx, limit: limit,
-		overlay: make(map[string]*entry), newPortals: make(map[string]*portal),
-		parsed: make(map[string]bool), needed: make(map[string]bool)}
+	return &pipeline{statements: statements, portals: portals, inTx: inTx, limit: limit}
+}
+
+// put writes to a map that is made when it is first needed: most exchanges
+// use few of the maps of a pipeline.
+func put[V any](m *map[string]V, name string, value V) {
+	if *m == nil {
+		*m = make(map[string]V)
+	}
+	(*m)[name] = value
 }
 
 func (p *pipeline) empty() bool { return len(p.steps) == 0 && !p.sent() }
@@ -233,8 +240,8 @@
 	if _, exists := p.lookup(m.Name); exists && m.Name != "" {
 		return refuse(stateDuplicateStatement, "prepared statement \""+m.Name+"\" already exists")
 	}
-	if len(p.statements)+len(p.overlay) >= maxStatements {
-		return refuse(stateTooLarge, fmt.Sprintf("session has more than %d prepared statements", maxStatements))
+	if err := p.checkStatements(); err != nil {
+		return err
 	}
 	info, _ := classify.Classify(m.Query) // the database reports a syntax error
 	if info.Class == classify.SessionState && !info.TransactionScoped {
@@ -245,7 +252,7 @@
 	if err != nil {
 		return err
 	}
-	p.overlay[m.Name] = &e
+	put(&p.overlay, m.Name, &e)
 	if here {
 		p.localBytes += len(m.Query)
 		p.step(stepParse, info, &op{name: m.Name, entry: e})
@@ -254,7 +261,7 @@
 	name := ""
 	if m.Name != "" {
 		name = e.prepared.Name
-		p.parsed[name] = true
+		put(&p.parsed, name, true)
 	} else {
 		p.unnamed = true
 	}
@@ -262,6 +269,22 @@
 	return p.send(&pgproto3.Parse{Name: name, Query: m.Query, ParameterOIDs: m.ParameterOIDs})
 }
 
+// checkStatements limits what the prepared statements of a session may hold.
+// Statements of the pipeline itself are covered by the limit of the exchange.
+func (p *pipeline) checkStatements() error {
+	if len(p.statements)+len(p.overlay) >= maxStatements {
+		return refuse(stateTooLarge, fmt.Sprintf("session has more than %d prepared statements", maxStatements))
+	}
+	held := 0
+	for _, e := range p.statements {
+		held += len(e.prepared.SQL)
+	}
+	if held > p.limit {
+		return refuse(stateTooLarge, fmt.Sprintf("prepared statements of the session exceed %d bytes", p.limit))
+	}
+	return nil
+}
+
 // reference returns the upstream name of a statement and makes sure that the
 // statement will be there.
 func (p *pipeline) reference(name string, e entry) string {
@@ -270,7 +293,7 @@
 	}
 	upstream := e.prepared.Name
 	if !p.parsed[upstream] && !p.needed[upstream] {
-		p.needed[upstream] = true
+		put(&p.needed, upstream, true)
 		p.exchange.Need = append(p.exchange.Need, e.prepared)
 	}
 	return upstream
@@ -285,7 +308,7 @@
 	if err != nil {
 		return err
 	}
-	p.newPortals[m.DestinationPortal] = &portal{entry: e, local: here}
+	put(&p.newPortals, m.DestinationPortal, &portal{entry: e, local: here})
 	if here {
 		p.step(stepBind, e.info, nil)
 		return nil
@@ -358,7 +381,7 @@
 	if m.ObjectType != objectStatement {
 		return p.closePortal(m)
 	}
-	p.overlay[m.Name] = nil
+	put(&p.overlay, m.Name, nil)
 	if !p.sent() {
 		p.step(stepClose, classify.Info{}, &op{name: m.Name, close: true})
 		return nil
@@ -374,7 +397,7 @@
 
 func (p *pipeline) closePortal(m *pgproto3.Close) error {
 	o, _ := p.portal(m.Name)
-	p.newPortals[m.Name] = nil
+	put(&p.newPortals, m.Name, nil)
 	if o.local && !p.sent() {
 		p.step(stepClose, o.entry.info, nil)
 		return nil
--- a/wire/upstream/plan.go
+++ b/wire/upstream/plan.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"slices"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -40,7 +41,7 @@
 	out    []byte
 	queue  []expected
 	simple bool
-	used   map[string]bool // statements that the request refers to
+	used   []string // statements that the request refers to, and "" for messages without one
 }
 
 // rawMessage is one encoded frontend message including its header.
@@ -85,37 +86,54 @@
 	if all[len(all)-1].kind() != typeSync {
 		return nil, fmt.Errorf("exchange does not end with Sync")
 	}
-	return newBuilder(known, limit).build(need, all)
+	b := &builder{known: known, limit: limit, count: known.Len()}
+	return b.build(need, all)
 }
 
+// builder follows what the plan does to the statements on the connection. It
+// copies nothing of them, because most exchanges change none.
 type builder struct {
 	plan    plan
+	known   *simplelru.LRU[string, struct{}]
 	limit   int
-	present map[string]bool // statements on the connection at this point of the plan
-	order   []string        // of the statements present at the start, least recently used first
-	inUse   map[string]bool
+	count   int             // statements on the connection at this point of the plan
+	changed map[string]bool // statements added (true) or closed (false) by the plan
 }
 
-func newBuilder(known *simplelru.LRU[string, struct{}], limit int) *builder {
-	b := &builder{limit: limit, order: known.Keys(), present: make(map[string]bool), inUse: make(map[string]bool)}
-	for _, name := range b.order {
-		b.present[name] = true
+func (b *builder) present(name string) bool {
+	if added, ok := b.changed[name]; ok {
+		return added
+	}
+	return b.known.Contains(name)
+}
+
+func (b *builder) mark(name string, present bool) {
+	if name == "" || b.present(name) == present {
+		return
+	}
+	if b.changed == nil {
+		b.changed = make(map[string]bool)
+	}
+	b.changed[name] = present
+	if present {
+		b.count++
+	} else {
+		b.count--
 	}
-	return b
 }
 
 func (b *builder) build(need []statement.Prepared, all []rawMessage) (*plan, error) {
-	names := make([]string, len(all))
+	names := make([]string, len(all), len(all)+len(need))
 	for i, m := range all {
 		name, err := statementName(m)
 		if err != nil {
 			return nil, err
 		}
 		names[i] = name
-		b.inUse[name] = true
 	}
+	b.plan.used = names
 	for _, p := range need {
-		b.inUse[p.Name] = true
+		b.plan.used = append(b.plan.used, p.Name)
 	}
 	for _, p := range need {
 		if err := b.prepare(p); err != nil {
@@ -130,13 +148,12 @@
 			return nil, err
 		}
 	}
-	b.plan.used = b.inUse
 	return &b.plan, nil
 }
 
 // prepare adds a Parse for a statement that is not on the connection yet.
 func (b *builder) prepare(p statement.Prepared) error {
-	if b.present[p.Name] {
+	if b.present(p.Name) {
 		return nil
 	}
 	if err := b.makeRoom(); err != nil {
@@ -147,7 +164,7 @@
 		return err
 	}
 	b.expect(expected{request: typeParse, swallow: true, name: p.Name})
-	b.present[p.Name] = true
+	b.mark(p.Name, true)
 	return nil
 }
 
@@ -160,7 +177,7 @@
 		}
 		b.expect(expected{request: typeParse, name: name})
 	case typeClose:
-		delete(b.present, name)
+		b.mark(name, false)
 		b.expect(expected{request: typeClose, name: name})
 	case typeBind, typeDescribe, typeExecute, typeSync:
 		b.expect(expected{request: m.kind()})
@@ -179,28 +196,33 @@
 	if name == "" {
 		return nil
 	}
-	if b.present[name] {
+	if b.present(name) {
 		return b.close(name)
 	}
 	if err := b.makeRoom(); err != nil {
 		return err
 	}
-	b.present[name] = true
+	b.mark(name, true)
 	return nil
 }
 
 // makeRoom closes the least recently used statements that this exchange does
 // not refer to. An exchange that refers to more than the limit exceeds it.
 func (b *builder) makeRoom() error {
-	for i := 0; i < len(b.order) && len(b.present) >= b.limit; i++ {
-		name := b.order[i]
-		if b.inUse[name] || !b.present[name] {
+	if b.count < b.limit {
+		return nil
+	}
+	for _, name := range b.known.Keys() { // least recently used first
+		if !b.present(name) || slices.Contains(b.plan.used, name) {
 			continue
 		}
+		b.mark(name, false)
 		if err := b.close(name); err != nil {
 			return err
 		}
-		delete(b.present, name)
+		if b.count < b.limit {
+			return nil
+		}
 	}
 	return nil
 }
--- a/wire/upstream/upstream.go
+++ b/wire/upstream/upstream.go
@@ -215,7 +215,7 @@
 	if err := c.roundTrip(ctx, p, r); err != nil {
 		return Answer{}, err
 	}
-	for name := range p.used {
+	for _, name := range p.used {
 		c.known.Get(name) // marks the statement as recently used
 	}
 	return r.answer, nil
--- a/wire/upstream/upstream_test.go
+++ b/wire/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
@@ -78,19 +79,32 @@
 }
 
 // Guards against statements that pile up on a connection, and against closing
-// one that the same exchange uses.
+// one that is used often or by the same exchange.
 func TestPreparedStatementLimit(t *testing.T) {
 	f := startFake(t, &fakeServer{})
 	c := f.dial(t, Config{})
-	first := statement.New("SELECT 0", nil)
-	for i := range MaxPreparedStatements + 20 {
-		s := statement.New(fmt.Sprintf("SELECT %d", i), nil)
-		a, err := c.Exchange(t.Context(), []statement.Prepared{first, s}, encode(t, append(execute(s.Name), execute(first.Name)...)...))
+	often := statement.New("SELECT 'often'", nil)
+	exchange := func(need ...statement.Prepared) {
+		var messages []pgproto3.FrontendMessage
+		for _, s := range need {
+			messages = append(messages, execute(s.Name)...)
+		}
+		a, err := c.Exchange(t.Context(), need, encode(t, messages...))
 		assert.NilError(t, err)
-		assert.Equal(t, decode(a.Messages), "2DC2DC")
+		assert.Equal(t, decode(a.Messages), strings.Repeat("2DC", len(need)))
 	}
+	for i := range MaxPreparedStatements + 20 {
+		exchange(statement.New(fmt.Sprintf("SELECT %d", i), nil))
+		if i%50 == 0 {
+			exchange(often)
+		}
+	}
+	oldest := c.known.Keys()[0]
+	exchange(statement.New("SELECT 'new'", nil), statement.Prepared{Name: oldest})
 	assert.Equal(t, c.known.Len(), MaxPreparedStatements)
-	assert.Assert(t, !strings.Contains(strings.Join(f.got, ";"), "C "+first.Name))
+	closed := strings.Join(f.got, ";")
+	assert.Assert(t, !strings.Contains(closed, "C "+often.Name))
+	assert.Assert(t, !strings.Contains(closed, "C "+oldest))
 }
 
 // Guards against a late answer that reaches the next request.
@@ -216,3 +230,40 @@
 	assert.NilError(t, c.Cancel(t.Context()))
 	assert.Equal(t, <-f.cancels, c.PID())
 }
+
+// Guards against crashes on malformed requests, and against plans whose
+// expected completions differ from the messages that they send.
+func FuzzPlan(f *testing.F) {
+	var seed []byte
+	for _, m := range []pgproto3.FrontendMessage{&pgproto3.Parse{Name: "a"}, &pgproto3.Close{ObjectType: 'S', Name: "b"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}} {
+		seed, _ = m.Encode(seed)
+	}
+	f.Add(seed, 1)
+	f.Add([]byte("Q\x00\x00\x00\x05\x00"), 3)
+	f.Fuzz(func(t *testing.T, messages []byte, limit int) {
+		known, err := simplelru.NewLRU[string, struct{}](10, nil)
+		assert.NilError(t, err)
+		for _, name := range []string{"a", "b", "c"} {
+			known.Add(name, struct{}{})
+		}
+		p, err := newPlan(known, limit, []statement.Prepared{{Name: "n"}}, messages)
+		if err != nil || p.simple {
+			return
+		}
+		sent, err := split(p.out)
+		assert.NilError(t, err)
+		next := 0
+		for _, m := range sent {
+			if m.kind() == typeFlush {
+				continue
+			}
+			name, err := statementName(m)
+			assert.NilError(t, err)
+			owed := p.queue[next]
+			assert.Equal(t, owed.request, m.kind())
+			assert.Assert(t, owed.name == "" || owed.name == name)
+			next++
+		}
+		assert.Equal(t, next, len(p.queue))
+	})
+}
