schedule: hold refused callers back at the door

Admit refuses a rank only when even a caller with nothing waiting would be refused, so under a flood of few callers every refused request still went to the owner. AdmitCaller also refuses a caller until the time at which the owner asked it to come back, except for the probe share.

--- a/core/schedule/door.go
+++ b/core/schedule/door.go
@@ -12,17 +12,29 @@
 
 // Door is the admission control of an entry instance. It keeps the last load
 // that the owner of each upstream advertised, and refuses at the entry what the
-// owner would refuse. It is not safe for concurrent use.
+// owner would refuse. Admit applies the refusals of a whole rank; AdmitCaller
+// also those of single callers, which the owner refuses while it accepts others
+// of the rank. It is not safe for concurrent use.
 type Door struct {
 	rand      *rand.Rand
 	upstreams map[string]*doorState
 }
 
 type doorState struct {
-	wait  [Ranks]time.Duration
-	until [Ranks]time.Duration // end of the refusal, with the origin of now
+	wait    [Ranks]time.Duration
+	until   [Ranks]time.Duration // end of the refusal, with the origin of now
+	callers map[callerKey]time.Duration
+	sweepAt int // number of callers at which expired entries are removed
 }
 
+type callerKey struct {
+	caller string
+	rank   Rank
+}
+
+// minSweep is the number of refused callers below which expired entries are kept.
+const minSweep = 256
+
 // NewDoor returns a Door that admits everything until the first Update.
 func NewDoor(r *rand.Rand) *Door {
 	return &Door{rand: r, upstreams: make(map[string]*doorState)}
@@ -30,31 +42,69 @@
 
 // Update records the load that the owner of an upstream has advertised.
 func (d *Door) Update(upstream string, l Load, now time.Duration) {
-	st := d.upstreams[upstream]
-	if st == nil {
-		st = &doorState{}
-		d.upstreams[upstream] = st
-	}
+	st := d.state(upstream)
 	st.wait = l.Wait
 	for r, refuse := range l.RefuseFor {
 		st.until[r] = now + refuse
 	}
 }
 
+// Refused records that the owner has refused a request of a caller as
+// overloaded and asked it to come back after the given time.
+func (d *Door) Refused(upstream, caller string, r Rank, retryAfter, now time.Duration) {
+	st := d.state(upstream)
+	if len(st.callers) >= st.sweepAt {
+		st.sweep(now)
+	}
+	st.callers[callerKey{caller, r}] = now + retryAfter
+}
+
 // Admit reports whether a request may be sent to the owner and, if not, after
 // which time the caller should come back. Unknown upstreams admit everything.
 func (d *Door) Admit(upstream string, r Rank, now time.Duration) (ok bool, retryAfter time.Duration) {
 	st := d.upstreams[upstream]
-	if st == nil || int(r) >= Ranks || now >= st.until[r] {
+	if st == nil || int(r) >= Ranks {
+		return true, 0
+	}
+	return d.admitFrom(st.until[r], now)
+}
+
+// AdmitCaller is Admit for a request of a known caller: it is also refused
+// before the time at which the owner has asked this caller to come back.
+func (d *Door) AdmitCaller(upstream, caller string, r Rank, now time.Duration) (ok bool, retryAfter time.Duration) {
+	st := d.upstreams[upstream]
+	if st == nil || int(r) >= Ranks {
 		return true, 0
 	}
-	if d.rand.Float64() < ProbeShare {
+	return d.admitFrom(max(st.until[r], st.callers[callerKey{caller, r}]), now)
+}
+
+func (d *Door) admitFrom(until, now time.Duration) (ok bool, retryAfter time.Duration) {
+	if now >= until || d.rand.Float64() < ProbeShare {
 		return true, 0
 	}
-	left := max(st.until[r]-now, minRetryDelay)
+	left := max(until-now, minRetryDelay)
 	return false, left + time.Duration(d.rand.Int64N(int64(left)/2+1))
 }
 
+func (d *Door) state(upstream string) *doorState {
+	st := d.upstreams[upstream]
+	if st == nil {
+		st = &doorState{callers: make(map[callerKey]time.Duration), sweepAt: minSweep}
+		d.upstreams[upstream] = st
+	}
+	return st
+}
+
+func (st *doorState) sweep(now time.Duration) {
+	for key, until := range st.callers {
+		if now >= until {
+			delete(st.callers, key)
+		}
+	}
+	st.sweepAt = max(2*len(st.callers), minSweep)
+}
+
 // Wait returns the last advertised wait of a rank, or 0 for an unknown upstream.
 func (d *Door) Wait(upstream string, r Rank) time.Duration {
 	if st := d.upstreams[upstream]; st != nil && int(r) < Ranks {
--- a/core/schedule/replay/replay.go
+++ b/core/schedule/replay/replay.go
@@ -49,9 +49,12 @@
 	Slots      int
 	Floor      [schedule.Ranks]float64
 	QueueLimit int
-	Warmup     time.Duration // not counted in the figures
-	Duration   time.Duration // counted time after the warm-up
-	Classes    []Class
+	// Door puts a schedule.Door before the scheduler. It hears of the load and
+	// of refusals with each answer. Ignored by FIFO.
+	Door     bool
+	Warmup   time.Duration // not counted in the figures
+	Duration time.Duration // counted time after the warm-up
+	Classes  []Class
 }
 
 // RankFigures are the results of one rank.
@@ -63,6 +66,7 @@
 	Rate     float64 `json:"rate"`     // answered per second
 	Share    float64 `json:"share"`    // of the slots' time
 	Held     int     `json:"held"`     // refused with less than a fifth of the time to the deadline left
+	AtDoor   int     `json:"at_door"`  // part of Refused that the Door refused
 
 	WaitP50     time.Duration `json:"wait_p50"` // from sending to the slot, of started requests
 	WaitP99     time.Duration `json:"wait_p99"`
@@ -153,6 +157,8 @@
 type run struct {
 	scenario Scenario
 	queue    queue
+	door     *schedule.Door      // nil without Door
+	owner    *schedule.Scheduler // the queue, if there is a Door
 	events   eventHeap
 	order    uint64
 	nextID   uint64
@@ -193,6 +199,9 @@
 	r := &run{scenario: sc, requests: make(map[uint64]*request)}
 	r.figures = Figures{Scenario: sc.Name, Policy: sc.Policy, Seed: seed}
 	r.queue = newQueue(sc, seed)
+	if s, ok := r.queue.(*schedule.Scheduler); ok && sc.Door {
+		r.owner, r.door = s, schedule.NewDoor(rand.New(rand.NewPCG(seed, 1)))
+	}
 	for i := range schedule.Ranks {
 		r.wait[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
 		r.response[i] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
@@ -252,12 +261,42 @@
 		s.offered++
 		r.figures.Ranks[s.class.Rank].Offered++
 	}
+	r.scheduleArrival(s, now)
+	if !r.admit(s, now) {
+		if req.counted {
+			r.figures.Ranks[s.class.Rank].AtDoor++
+		}
+		r.refuse(r.nextID, now)
+		return
+	}
 	sr := schedule.Request{ID: r.nextID, Caller: s.name, Rank: s.class.Rank}
 	if s.class.Deadline > 0 {
 		sr.Deadline = now + s.class.Deadline
 	}
 	r.apply(r.queue.Submit(sr, now), now)
-	r.scheduleArrival(s, now)
+}
+
+// upstream is the name under which the Door knows the only upstream.
+const upstream = "upstream"
+
+func (r *run) admit(s *source, now time.Duration) bool {
+	if r.door == nil {
+		return true
+	}
+	ok, _ := r.door.AdmitCaller(upstream, s.name, s.class.Rank, now)
+	return ok
+}
+
+// advertise passes what an answer carries to the Door.
+func (r *run) advertise(rejected []schedule.Reject, now time.Duration) {
+	if r.door == nil {
+		return
+	}
+	r.door.Update(upstream, r.owner.Load(now), now)
+	for _, rej := range rejected {
+		s := r.requests[rej.ID].source
+		r.door.Refused(upstream, s.name, s.class.Rank, rej.Err.RetryAfter, now)
+	}
 }
 
 func (r *run) apply(res schedule.Result, now time.Duration) {
@@ -266,6 +305,7 @@
 		req.started = now
 		r.at(event{at: now + req.service, kind: completion, id: id})
 	}
+	r.advertise(res.Rejected, now)
 	for _, rej := range res.Rejected {
 		r.refuse(rej.ID, now)
 	}
--- a/core/schedule/replay/replay_test.go
+++ b/core/schedule/replay/replay_test.go
@@ -14,9 +14,9 @@
 func logFigures(t *testing.T, f Figures) {
 	t.Helper()
 	for i, r := range f.Ranks {
-		t.Logf("%s/%s seed %d %-6s offered %d answered %d late %d refused %d share %.3f held %d "+
+		t.Logf("%s/%s seed %d %-6s offered %d answered %d late %d refused %d at door %d share %.3f held %d "+
 			"wait p50 %s p99 %s response p50 %s p99 %s", f.Scenario, f.Policy, f.Seed, schedule.Rank(i), r.Offered, r.Answered,
-			r.Late, r.Refused, r.Share, r.Held, r.WaitP50, r.WaitP99, r.ResponseP50, r.ResponseP99)
+			r.Late, r.Refused, r.AtDoor, r.Share, r.Held, r.WaitP50, r.WaitP99, r.ResponseP50, r.ResponseP99)
 	}
 	t.Logf("%s/%s seed %d jain %.4f raw %.4f", f.Scenario, f.Policy, f.Seed, f.Jain, f.RawJain)
 }
@@ -79,6 +79,25 @@
 	}
 }
 
+// Guards against a door that costs throughput or fairness, or that lets most of
+// a flood through to the owner.
+func TestDoorKeepsTargets(t *testing.T) {
+	for _, sc := range []Scenario{FloodLookups(Papayarail), FloodUrgent(Papayarail), FloodCallers(Papayarail)} {
+		for _, seed := range seeds {
+			open := Run(sc, seed)
+			sc.Door = true
+			shut := Run(sc, seed)
+			logFigures(t, shut)
+			assert.Assert(t, shut.Jain >= 0.95 && (sc.Name == "flood-callers" || shut.RawJain >= 0.95))
+			for r, f := range shut.Ranks {
+				assert.Assert(t, f.Rate >= 0.98*open.Ranks[r].Rate, "%s rank %d: %.1f of %.1f/s", sc.Name, r, f.Rate, open.Ranks[r].Rate)
+				assert.Assert(t, f.Refused < f.Offered/2 || f.AtDoor > f.Refused/2, "%s rank %d: %d of %d refused at the door",
+					sc.Name, r, f.AtDoor, f.Refused)
+			}
+		}
+	}
+}
+
 // Guards against figures that cannot be reproduced from their seed.
 func TestRunIsDeterministic(t *testing.T) {
 	sc := FloodUrgent(Papayarail)
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -200,6 +200,30 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against a refused caller that is not held back, or holds others back,
+// and against entries of callers that never return.
+func TestDoorHoldsRefusedCaller(t *testing.T) {
+	d := NewDoor(rand.New(rand.NewPCG(7, 7)))
+	d.Refused("u", "noisy", Urgent, 100*ms, 0)
+	admitted := 0
+	for range 320 {
+		if ok, _ := d.AdmitCaller("u", "noisy", Urgent, 99*ms); ok {
+			admitted++
+		}
+		ok, _ := d.AdmitCaller("u", "modest", Urgent, 99*ms)
+		assert.Assert(t, ok)
+		ok, _ = d.AdmitCaller("u", "noisy", Middle, 99*ms)
+		assert.Assert(t, ok)
+	}
+	assert.Assert(t, admitted < 32, "admitted %d", admitted)
+	ok, _ := d.AdmitCaller("u", "noisy", Urgent, 100*ms)
+	assert.Assert(t, ok)
+	for i := range 10 * minSweep {
+		d.Refused("u", fmt.Sprint(i), Least, 10*ms, time.Duration(i)*ms)
+	}
+	assert.Assert(t, len(d.upstreams["u"].callers) <= minSweep)
+}
+
 func TestParseRank(t *testing.T) {
 	for r := Rank(0); r < Ranks; r++ {
 		got, err := ParseRank(r.String())
