Delay the next barrier after an entry of an earlier term

A replaced primary that is cut off keeps writing no-op entries of its old term. The Tracker asked for the next one at once, in a loop without any delay; the stateful test did not end. A unit test covers it and passes.

--- a/core/confirm/confirm.go
+++ b/core/confirm/confirm.go
@@ -190,13 +190,15 @@
 	return t.settle(nil, now)
 }
 
-// BarrierWritten answers the outstanding WriteBarrier with its position.
+// BarrierWritten answers the outstanding WriteBarrier with its position. An entry
+// of an earlier term is a failure: a replaced primary that is cut off writes any
+// number of them.
 func (t *Tracker) BarrierWritten(p position.Position, now time.Duration) []Action {
-	asked := t.barrierSeq
-	t.barrierSeq = 0
 	if p.Term < t.term {
-		return t.settle(nil, now)
+		return t.BarrierFailed(now)
 	}
+	asked := t.barrierSeq
+	t.barrierSeq = 0
 	actions := t.NewTerm(p.Term, now)
 	t.entry(p, asked)
 	return t.settle(actions, now)
--- a/core/confirm/confirm_test.go
+++ b/core/confirm/confirm_test.go
@@ -97,6 +97,15 @@
 	assert.Equal(t, tr.Pending(), 0)
 }
 
+// Guards against a tight loop of barriers on a replaced primary that still writes.
+func TestBarrierOfEarlierTermIsDelayed(t *testing.T) {
+	tr := New(Config{Members: 3, Timeout: time.Second}, 2)
+	assert.DeepEqual(t, tr.Barrier(1, 0), []Action{WriteBarrier{}})
+	assert.Equal(t, len(tr.BarrierWritten(at(1, 9), 0)), 0)
+	next, _ := tr.NextExpiry()
+	assert.Equal(t, next, barrierRetryDelay)
+}
+
 func BenchmarkCommittedReport(b *testing.B) {
 	tr := three()
 	b.ReportAllocs()
