--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,18 +8,11 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/papayarail/papayarail/core/fixedseed"
 )
 
-// TestMain gives rapid a fixed seed unless the command line names one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set("1"); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { fixedseed.Main(m) }
 
 // Guards against deltas that do not restore the document they stand for.
 func TestDeltaRestoresDocument(t *testing.T) {
