Know the outcome of cancelled statements and reclaim dead owners' sessions

Cause: a cancelled or late statement closed its connection and left the outcome unknown; a paused owner kept its connections, so that the next owner could be refused by the upstream's limit (53300); idle transactions could take every connection; two keyed requests at once could end in 40001. Change: the upstream is told to cancel and has 500 ms to answer; sessions of dead instances are ended with pg_terminate_backend; open transactions leave a connection for each slot; a keyed request that lost a conflict runs again. No figure yet for the reclaim under load.

--- a/instance/control/coordinator.go
+++ b/instance/control/coordinator.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,10 +31,11 @@
 
 // Config describes the coordinator of one service.
 type Config struct {
-	Instance string
-	Service  *fleet.Service
-	Now      func() time.Duration
-	Reserver Reserver
+	Instance    string
+	Incarnation uint64
+	Service     *fleet.Service
+	Now         func() time.Duration
+	Reserver    Reserver
 	// Announce is called with each route that this coordinator establishes.
 	Announce func(failover.Route)
 	Log      *logrus.Entry
@@ -60,7 +63,7 @@
 			id:      id,
 			address: db.Address,
 			service: cfg.Service.Name,
-			app:     "papayarail/" + cfg.Instance + "/control",
+			app:     fmt.Sprintf("papayarail/%s/%s/control", cfg.Instance, strconv.FormatUint(cfg.Incarnation, 36)),
 		}
 	}
 	c.machine = failover.New(failover.Config{
--- a/instance/node/coordinators.go
+++ b/instance/node/coordinators.go
@@ -71,12 +71,13 @@
 	ctx, cancel := context.WithCancel(c.node.workCtx)
 	out := &coordinator{cancel: cancel, databases: s.Databases}
 	out.Coordinator = control.Start(ctx, control.Config{
-		Instance: c.node.settings.Name,
-		Service:  s,
-		Now:      c.node.now,
-		Reserver: reserver{c.node.register},
-		Announce: c.node.announceRoute,
-		Log:      c.node.log,
+		Instance:    c.node.settings.Name,
+		Incarnation: c.node.birth,
+		Service:     s,
+		Now:         c.node.now,
+		Reserver:    reserver{c.node.register},
+		Announce:    c.node.announceRoute,
+		Log:         c.node.log,
 	})
 	if route, found := c.node.view.Route(s.Name); found {
 		out.LearnRoute(route)
--- a/instance/node/gateway.go
+++ b/instance/node/gateway.go
@@ -17,6 +17,8 @@
 	notOwnerDelay = 50 * time.Millisecond
 	// cancelTimeout bounds the message that stops an abandoned exchange.
 	cancelTimeout = time.Second
+	// answerGrace covers the owner's own wait for a cancelled statement.
+	answerGrace = time.Second
 	// localLink names the link of sessions that are on the owner itself.
 	localLink = "local"
 )
@@ -29,14 +31,22 @@
 	if owner.Name == g.node.settings.Name {
 		return g.node.upstreams.exchange(ctx, localLink, r)
 	}
+	// The call outlives ctx for a moment: the owner cancels the statement and
+	// answers with its outcome.
+	call, cancelCall := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelCall()
+	stop := context.AfterFunc(ctx, func() {
+		g.cancel(owner, r)
+		if pause(call, answerGrace) {
+			cancelCall()
+		}
+	})
+	defer stop()
 	answer := &peer.ExchangeAnswer{}
-	err := g.node.links.Data(owner.Address).Call(ctx, peer.MethodExchange, r, answer)
+	err := g.node.links.Data(owner.Address).Call(call, peer.MethodExchange, r, answer)
 	if err == nil {
 		return answer, nil
 	}
-	if ctx.Err() != nil {
-		go g.cancel(owner, r)
-	}
 	return nil, g.judge(r, err)
 }
 
--- a/instance/node/members.go
+++ b/instance/node/members.go
@@ -208,6 +208,18 @@
 	return m.machine.Members()
 }
 
+// alive reports whether the process of an instance may still be running. A
+// process of an instance that this one has never heard of counts as alive.
+func (m *members) alive(instance string, incarnation uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if instance == m.node.settings.Name {
+		return incarnation == m.node.birth
+	}
+	state, known := m.machine.State(instance)
+	return !known || state != membership.Dead
+}
+
 // readList takes addresses from the platform's lagging list.
 func (m *members) readList(ctx context.Context) {
 	for {
--- a/instance/node/upstreams.go
+++ b/instance/node/upstreams.go
@@ -106,6 +106,8 @@
 	s.node.log.WithField("upstream", db.Name).Info("took ownership of an upstream")
 	u := owner.Start(s.node.workCtx, owner.Config{
 		Instance:    s.node.settings.Name,
+		Incarnation: s.node.birth,
+		Alive:       s.node.members.alive,
 		Service:     service.Name,
 		Name:        db.Name,
 		Address:     db.Address,
--- a/instance/owner/connections.go
+++ b/instance/owner/connections.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -69,15 +71,43 @@
 		Address:         u.cfg.Address,
 		User:            "papayarail",
 		Database:        u.cfg.Service,
-		ApplicationName: applicationName(u.cfg.Instance, role),
+		ApplicationName: applicationName(u.cfg.Instance, u.cfg.Incarnation, role),
 		ConnectTimeout:  connectTimeout,
 	}
 }
 
-// applicationName identifies the connections of an instance at an upstream, so
-// that a new owner can end those of a dead one.
-func applicationName(instance, role string) string {
-	return "papayarail/" + instance + "/" + role
+const applicationPrefix = "papayarail"
+
+// applicationName identifies the connections of a process at an upstream, so
+// that the next owner can end those of a dead one. PostgreSQL keeps 63 bytes.
+func applicationName(instance string, incarnation uint64, role string) string {
+	return applicationPrefix + "/" + instance + "/" + strconv.FormatUint(incarnation, 36) + "/" + role
+}
+
+// reclaim ends the sessions that dead instances have left at the upstream. A
+// paused owner keeps its sessions open for as long as it is paused.
+func (u *Upstream) reclaim(ctx context.Context, c *upstream.Conn) error {
+	client := group.New(c)
+	sessions, err := client.Connections(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range sessions {
+		parts := strings.Split(s.ApplicationName, "/")
+		if len(parts) != 4 || parts[0] != applicationPrefix || u.alive(parts[1], parts[2]) {
+			continue
+		}
+		if _, err := client.Terminate(ctx, s.PID); err != nil {
+			return err
+		}
+		u.cfg.Log.WithField("upstream", u.cfg.Name).WithField("session", s.ApplicationName).Info("ended a session of a dead instance")
+	}
+	return nil
+}
+
+func (u *Upstream) alive(instance, incarnation string) bool {
+	n, err := strconv.ParseUint(incarnation, 36, 64)
+	return err != nil || u.cfg.Alive(instance, n)
 }
 
 func (u *Upstream) open(id pool.ConnID) {
@@ -90,6 +120,8 @@
 		var pg *pgconn.PgError
 		limit := errors.As(err, &pg) && pg.Code == sqlStateConnectionLimit
 		u.cfg.Log.WithError(err).WithField("upstream", u.cfg.Name).Debug("could not open an upstream connection")
+		u.wantReclaim = u.wantReclaim || limit
+		u.signal()
 		u.performPool(u.pool.OpenFailed(id, limit, u.now()))
 		return
 	}
--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -19,6 +20,11 @@
 	maxExchange = 60 * time.Second
 	// catchUpLimit bounds the time that a read waits for a replica.
 	catchUpLimit = 50 * time.Millisecond
+	// cancelGrace is the time that an upstream has to answer a cancelled
+	// statement before its connection is given up.
+	cancelGrace = 500 * time.Millisecond
+	// pinnedRetry is the time after which some transaction has usually ended.
+	pinnedRetry = 100 * time.Millisecond
 	// sqlStateReadOnly is read_only_sql_transaction: a replica or a deposed
 	// primary refused a write and did nothing.
 	sqlStateReadOnly = "25006"
@@ -53,10 +59,19 @@
 	if u.retiring && !continues {
 		return errNotOwned(u.cfg.Name)
 	}
+	if r.Begins && len(u.txs) >= u.maxTransactions() {
+		return verdict.New(verdict.Overloaded, "upstream %q has %d open transactions", u.cfg.Name, len(u.txs)).After(pinnedRetry)
+	}
 	u.running[r.ID] = cancel
 	return nil
 }
 
+// maxTransactions keeps a connection for each slot free of open transactions,
+// so that idle ones cannot stop all other work; the caller holds mu.
+func (u *Upstream) maxTransactions() int {
+	return max(u.cfg.Connections-reservedConnections-u.cfg.Slots, 1)
+}
+
 func (u *Upstream) leave(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -255,19 +270,40 @@
 	u.performScheduler(u.scheduler.Done(id, u.now()))
 }
 
-// execute runs the messages on the connection. When the caller gives up, the
-// upstream is told to cancel, so that its slot is free again.
+// execute runs the messages on the connection. When the caller gives up or the
+// deadline passes, the upstream is told to cancel. It then answers soon, so that
+// the outcome is known and the connection stays usable.
 func (u *Upstream) execute(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
+	if err := ctx.Err(); err != nil {
+		return upstream.Answer{}, verdict.New(verdict.DeadlineUnreachable, "the request ended before it was sent: %v", err)
+	}
+	work, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelWork()
 	stop := context.AfterFunc(ctx, func() {
-		cancelCtx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+		cancelCtx, cancel := context.WithTimeout(work, cancelGrace)
 		defer cancel()
 		_ = c.Cancel(cancelCtx)
+		if pauseFor(cancelCtx, cancelGrace) {
+			cancelWork()
+		}
 	})
 	defer stop()
 	if r.Key != "" {
-		return executeKeyed(ctx, c, r)
+		return executeKeyed(work, c, r)
+	}
+	return c.Exchange(work, r.Need, r.Messages)
+}
+
+// pauseFor reports whether the time has passed; false if ctx was cancelled first.
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return errors.Is(ctx.Err(), context.DeadlineExceeded)
 	}
-	return c.Exchange(ctx, r.Need, r.Messages)
 }
 
 // prove establishes what the caller was promised before the answer leaves.
--- a/instance/owner/keyed.go
+++ b/instance/owner/keyed.go
@@ -14,12 +14,32 @@
 	"github.com/papayarail/papayarail/wire/upstream"
 )
 
-const sqlStateUniqueViolation = "23505"
+const (
+	sqlStateUniqueViolation = "23505"
+	sqlStateSerialization   = "40001"
+)
+
+// conflictTries bounds the attempts of a keyed request whose transaction another
+// one with the same key has forced to roll back.
+const conflictTries = 3
+
+// executeKeyed runs a request that may not be repeated. Of two that run at once
+// with one key, the upstream rolls one back; that one then finds the record.
+func executeKeyed(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (answer upstream.Answer, err error) {
+	for range conflictTries {
+		answer, err = tryKeyed(ctx, c, r)
+		alone := r.Tx == "" || r.Begins
+		if err != nil || answer.SQLState != sqlStateSerialization || answer.TxStatus != txIdle || !alone {
+			break
+		}
+	}
+	return answer, err
+}
 
-// executeKeyed runs a request that may not be repeated in one transaction with
-// the record of its key. Because key and effect commit together, a second
-// request with the key finds the record, also after a failover.
-func executeKeyed(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
+// tryKeyed runs the request in one transaction with the record of its key.
+// Because key and effect commit together, a second request with the key finds
+// the record, also after a failover.
+func tryKeyed(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
 	if r.Tx != "" && !r.Commits {
 		return c.Exchange(ctx, r.Need, r.Messages)
 	}
--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -80,6 +80,11 @@
 			return err
 		}
 	}
+	if u.takeReclaim() {
+		if err := u.reclaim(ctx, c); err != nil {
+			return err
+		}
+	}
 	target, waiting := u.target()
 	client := group.New(c)
 	var status group.Status
@@ -104,6 +109,14 @@
 	return wanted && u.status.Role == group.Primary
 }
 
+func (u *Upstream) takeReclaim() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	wanted := u.wantReclaim
+	u.wantReclaim = false
+	return wanted
+}
+
 func (u *Upstream) writeBarrier(ctx context.Context, c *upstream.Conn) error {
 	p, err := group.New(c).Barrier(ctx)
 	u.mu.Lock()
--- a/instance/owner/upstream.go
+++ b/instance/owner/upstream.go
@@ -38,6 +38,7 @@
 // Config describes one owned upstream.
 type Config struct {
 	Instance    string
+	Incarnation uint64
 	Service     string
 	Name        string
 	Address     string
@@ -49,7 +50,9 @@
 	Now func() time.Duration
 	// Barrier asks the owner of the service's primary for a confirmed position.
 	Barrier func(ctx context.Context, service string) (position.Position, error)
-	Log     *logrus.Entry
+	// Alive reports whether the process of an instance may still be running.
+	Alive func(instance string, incarnation uint64) bool
+	Log   *logrus.Entry
 }
 
 // Upstream is one owned upstream.
@@ -84,6 +87,7 @@
 	healthy     bool
 	pending     position.Position // highest position that waits for confirmation
 	barrier     bool              // the tracker wants a barrier to be written
+	wantReclaim bool              // sessions of dead instances may fill the upstream
 	retiring    bool
 	lag         time.Duration // usual wait of a replica for a barrier
 	confirmTime time.Duration // usual wait for a confirmation
@@ -94,10 +98,11 @@
 func Start(ctx context.Context, cfg Config) *Upstream {
 	ctx, cancel := context.WithCancel(ctx)
 	u := &Upstream{
-		cfg:    cfg,
-		ctx:    ctx,
-		cancel: cancel,
-		wake:   make(chan struct{}, 1),
+		cfg:         cfg,
+		ctx:         ctx,
+		cancel:      cancel,
+		wantReclaim: true,
+		wake:        make(chan struct{}, 1),
 		scheduler: schedule.New(schedule.Config{
 			Slots:              cfg.Slots,
 			Floor:              cfg.Floor,
