wire/caller: let Serve return as soon as a drain is complete

Sockets that had not finished their start-up, such as open health checks, kept Serve waiting for the start-up time-out after the last caller had left. They are now closed at once. TestServeEndsAfterDrain hangs without the change and passes with it.

go test -race -count=5 ./wire/...: passed.

--- a/wire/caller/caller_test.go
+++ b/wire/caller/caller_test.go
@@ -277,6 +277,19 @@
 	assert.NilError(t, s.Drain(t.Context()))
 }
 
+// Guards against a stop that waits for sockets without a caller.
+func TestServeEndsAfterDrain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := NewServer(Settings{StartupTimeout: time.Hour}, newFakeSession())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(context.Background(), l) }()
+	dialRaw(t, l.Addr().String())
+	dialRaw(t, l.Addr().String()).login(map[string]string{})
+	assert.NilError(t, s.Drain(t.Context()))
+	assert.NilError(t, <-served)
+}
+
 // Guards against running a request whose end arrives after the stop began.
 func TestDrainDuringPipeline(t *testing.T) {
 	f := newFakeSession()
--- a/wire/caller/server.go
+++ b/wire/caller/server.go
@@ -83,6 +83,8 @@
 		return Class.New("server is drained")
 	}
 	defer s.removeListener(l)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var callers sync.WaitGroup
@@ -92,7 +94,10 @@
 		switch {
 		case err == nil:
 			callers.Go(func() { s.serveConn(ctx, conn) })
-		case ctx.Err() != nil || s.isDrained():
+		case ctx.Err() != nil:
+			return nil
+		case s.isDrained():
+			cancel() // closes sockets that have not finished their start-up
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return Class.Wrap(err)
