Keep a caller's own deadline from taking an upstream out of routing

Recorded answers of keyed requests were replayed in the shape of the first request. Callers could call the group control functions. Change: a lost answer counts only while the caller waits for it; keyed answers are recorded as rows and tag and replayed in the shape of the repeated request; group_* and pg_terminate_backend are refused; JSON-RPC reports go to the debug log.

--- a/instance/entry/lost.go
+++ b/instance/entry/lost.go
@@ -12,10 +12,14 @@
 	if !w.ends {
 		return nil, verdict.New(verdict.TransactionRolledBack, "the transaction has been rolled back; end it with ROLLBACK")
 	}
-	out, err := completion.Build(x.Messages, "ROLLBACK")
+	rolledBack, err := completion.Completed("ROLLBACK")
 	if err != nil {
 		return nil, verdict.New(verdict.Internal, "%v", err)
 	}
+	out, err := rolledBack.Replay(x.Messages)
+	if err != nil {
+		return nil, verdict.New(verdict.ProtocolViolation, "%v", err)
+	}
 	s.lost = false
 	return &caller.Reply{Messages: out, TxStatus: statusIdle}, nil
 }
--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -61,15 +61,20 @@
 	e.door.Update(upstream, a.Load, now)
 }
 
-// observeFailure takes in a failure that says something about the upstream.
-func (e *Entry) observeFailure(upstream string, err *verdict.Error) {
+// observeFailure takes in a failure that says something about the upstream. A
+// lost answer says so only if the caller was still waiting for it.
+func (e *Entry) observeFailure(upstream string, err *verdict.Error, waiting bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
 	m := e.member(upstream)
 	switch err.Code {
-	case verdict.CutOff, verdict.OutcomeUnknown, verdict.Internal, verdict.Draining:
+	case verdict.CutOff, verdict.Draining:
 		m.unreachableUntil = now + unreachableFor
+	case verdict.OutcomeUnknown, verdict.Internal:
+		if waiting {
+			m.unreachableUntil = now + unreachableFor
+		}
 	case verdict.ReplicaBehind:
 		m.lag = max(m.lag, err.RetryAfter)
 		m.seen = now
--- a/instance/entry/session.go
+++ b/instance/entry/session.go
@@ -116,7 +116,7 @@
 		if err == nil {
 			return reply, nil
 		}
-		s.entry.observeFailure(string(d.Upstream), err)
+		s.entry.observeFailure(string(d.Upstream), err, ctx.Err() == nil)
 		d = route.Next(d, err)
 	}
 	return nil, d.Reject
--- a/instance/node/node.go
+++ b/instance/node/node.go
@@ -105,7 +105,7 @@
 		drain:    make(chan struct{}),
 		kill:     make(chan struct{}),
 	}
-	n.links = peer.NewLinks(n.linkFailed)
+	n.links = peer.NewLinks(n.linkFailed, n.log)
 	n.upstreams = newUpstreams(n)
 	n.coordinators = newCoordinators(n)
 	n.config = newConfig(n)
--- a/instance/owner/keyed.go
+++ b/instance/owner/keyed.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/base64"
+	"encoding/json"
 	"errors"
 	"strings"
 
@@ -67,11 +67,11 @@
 
 // commitKeyed records the answer of a COMMIT that the caller sent, ahead of it.
 func commitKeyed(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
-	messages, err := completion.Build(r.Messages, "COMMIT")
+	committed, err := completion.Completed("COMMIT")
 	if err != nil {
 		return upstream.Answer{}, notCommitted(err)
 	}
-	if err := store(ctx, c, r.Key, messages); err != nil {
+	if err := store(ctx, c, r.Key, committed); err != nil {
 		return upstream.Answer{}, notCommitted(err)
 	}
 	return c.Exchange(ctx, r.Need, r.Messages)
@@ -79,7 +79,11 @@
 
 // record stores the answer beside the key and commits.
 func record(ctx context.Context, c *upstream.Conn, key string, answer upstream.Answer) (upstream.Answer, error) {
-	if err := store(ctx, c, key, answer.Messages); err != nil {
+	recorded, err := completion.Record(answer.Messages)
+	if err != nil {
+		return upstream.Answer{}, notCommitted(err)
+	}
+	if err := store(ctx, c, key, recorded); err != nil {
 		return upstream.Answer{}, notCommitted(err)
 	}
 	committed, err := c.Exchange(ctx, nil, queryMessage("COMMIT"))
@@ -95,9 +99,12 @@
 	return answer, nil
 }
 
-func store(ctx context.Context, c *upstream.Conn, key string, messages []byte) error {
-	text := base64.StdEncoding.EncodeToString(messages)
-	_, err := c.Query(ctx, "UPDATE papayarail_requests SET answer = "+quote(text)+" WHERE key = "+quote(key))
+func store(ctx context.Context, c *upstream.Conn, key string, recorded completion.Recorded) error {
+	text, err := json.Marshal(recorded)
+	if err != nil {
+		return err
+	}
+	_, err = c.Query(ctx, "UPDATE papayarail_requests SET answer = "+quote(string(text))+" WHERE key = "+quote(key))
 	return err
 }
 
@@ -117,7 +124,7 @@
 	if err != nil || len(rows) != 1 {
 		return upstream.Answer{}, verdict.New(verdict.OutcomeUnknown, "the record of the request key could not be read: %v", err)
 	}
-	messages, err := base64.StdEncoding.DecodeString(rows[0][0])
+	messages, err := replayed(rows[0][0], r)
 	if err != nil {
 		return upstream.Answer{}, verdict.New(verdict.OutcomeUnknown, "the record of the request key is damaged: %v", err)
 	}
@@ -128,6 +135,15 @@
 	return upstream.Answer{Messages: messages, TxStatus: txIdle, Position: probe.Position}, nil
 }
 
+// replayed builds the recorded answer in the shape of the repeated request.
+func replayed(text string, r *peer.ExchangeRequest) ([]byte, error) {
+	var recorded completion.Recorded
+	if err := json.Unmarshal([]byte(text), &recorded); err != nil {
+		return nil, err
+	}
+	return recorded.Replay(r.Messages)
+}
+
 func rollBackKeyed(ctx context.Context, c *upstream.Conn, answer upstream.Answer) (upstream.Answer, error) {
 	rolled, err := c.Exchange(ctx, nil, queryMessage("ROLLBACK"))
 	if err != nil {
--- a/instance/peer/codec.go
+++ b/instance/peer/codec.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/zeebo/errs"
 )
@@ -54,6 +55,12 @@
 	return c.Conn.Write(b)
 }
 
+// debugLogger receives what the JSON-RPC library reports, such as a read on a
+// link that this side has closed.
+type debugLogger struct{ log *logrus.Entry }
+
+func (d debugLogger) Printf(format string, v ...any) { d.log.Debugf(format, v...) }
+
 func newStream(c net.Conn) jsonrpc2.ObjectStream {
 	var rwc io.ReadWriteCloser = deadlineConn{c}
 	return jsonrpc2.NewBufferedStream(rwc, limitedCodec{})
--- a/instance/peer/link.go
+++ b/instance/peer/link.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/papayarail/papayarail/core/verdict"
@@ -24,14 +25,15 @@
 	address string
 	// failed is called when an open link has failed; it may be nil.
 	failed func(address string)
+	log    *logrus.Entry
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
 }
 
 // NewLink returns a link to the peer at address; nothing is dialled yet.
-func NewLink(address string, failed func(address string)) *Link {
-	return &Link{address: address, failed: failed}
+func NewLink(address string, failed func(address string), log *logrus.Entry) *Link {
+	return &Link{address: address, failed: failed, log: log}
 }
 
 // Call sends a request and waits for its answer. The error is a
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
-	conn := jsonrpc2.NewConn(context.Background(), newStream(c), refuseRequests())
+	conn := jsonrpc2.NewConn(context.Background(), newStream(c), refuseRequests(), jsonrpc2.SetLogger(debugLogger{l.log}))
 	l.conn = conn
 	go l.watch(conn)
 	return conn, nil
@@ -130,6 +132,7 @@
 // so that a large answer never delays a control message.
 type Links struct {
 	failed func(address string)
+	log    *logrus.Entry
 
 	mu    sync.Mutex
 	links map[string]*pair
@@ -138,8 +141,8 @@
 type pair struct{ data, control *Link }
 
 // NewLinks returns an empty set. failed is called when a data link has failed.
-func NewLinks(failed func(address string)) *Links {
-	return &Links{failed: failed, links: make(map[string]*pair)}
+func NewLinks(failed func(address string), log *logrus.Entry) *Links {
+	return &Links{failed: failed, log: log, links: make(map[string]*pair)}
 }
 
 // Data returns the data link to the peer at address.
@@ -153,7 +156,7 @@
 	defer s.mu.Unlock()
 	p := s.links[address]
 	if p == nil {
-		p = &pair{data: NewLink(address, s.failed), control: NewLink(address, nil)}
+		p = &pair{data: NewLink(address, s.failed, s.log), control: NewLink(address, nil, s.log)}
 		s.links[address] = p
 	}
 	return p
--- a/instance/peer/server.go
+++ b/instance/peer/server.go
@@ -76,7 +76,7 @@
 
 	h := s.NewHandler(c.RemoteAddr().String())
 	linkCtx, cancel := context.WithCancel(ctx)
-	rpc := jsonrpc2.NewConn(linkCtx, newStream(c), jsonrpc2.AsyncHandler(s.rpcHandler(h)))
+	rpc := jsonrpc2.NewConn(linkCtx, newStream(c), jsonrpc2.AsyncHandler(s.rpcHandler(h)), jsonrpc2.SetLogger(debugLogger{s.Log}))
 	go func() {
 		<-rpc.DisconnectNotify()
 		cancel()
--- a/wire/caller/pipeline.go
+++ b/wire/caller/pipeline.go
@@ -85,7 +85,7 @@
 	if i.TransactionScoped {
 		return refuse(stateUnsupported, i.Command+" outside a transaction is not supported: connections are shared between sessions")
 	}
-	return refuse(stateUnsupported, i.Command+" is not supported: connections are shared between sessions")
+	return refuse(stateUnsupported, i.Command+" is not supported: connections are shared between sessions and controlled by papayarail")
 }
 
 type stepKind uint8
--- a/wire/classify/walk.go
+++ b/wire/classify/walk.go
@@ -71,6 +71,8 @@
 func (f *findings) call(c *pgquery.FuncCall) {
 	name, builtin := functionName(c.Funcname)
 	switch {
+	case reserved(c.Funcname):
+		f.leaves(reservedCommand, false)
 	case !builtin:
 		f.writes = true
 	case sideEffectFree[name]:
@@ -98,6 +100,16 @@
 	}
 }
 
+// reservedCommand stands for the functions with which papayarail itself controls
+// the members of a group. A caller that could run them could promote a member.
+const reservedCommand = "a group control function"
+
+// reserved reports control functions, whatever schema they are called in.
+func reserved(parts []*pgquery.Node) bool {
+	name := parts[len(parts)-1].GetString_().GetSval()
+	return strings.HasPrefix(name, "group_") || name == "pg_terminate_backend" || name == "pg_cancel_backend"
+}
+
 // sessionLock reports the advisory lock functions whose locks belong to the
 // session; the others have "xact" in their name.
 func sessionLock(name string) bool {
