Refuse work that would wait longer than its rank's target

Cause: a read whose own deadline ended during the proof was answered as cut_off, which took the upstream out of routing for others; no rank had a longest wait. Change: the error is deadline_unreachable; the scheduler refuses a rank whose estimated wait exceeds the target in the document.

--- a/instance/node/upstreams.go
+++ b/instance/node/upstreams.go
@@ -115,6 +115,7 @@
 		Connections: db.Connections,
 		Slots:       db.Slots,
 		Floor:       floors(doc),
+		MaxWait:     targets(doc),
 		Now:         s.node.now,
 		Barrier:     s.node.barrier,
 		Log:         s.node.log,
@@ -130,6 +131,16 @@
 	return out
 }
 
+// targets returns the longest wait at which a rank is accepted: a request that
+// would wait longer than its rank's target is refused at once instead.
+func targets(doc *fleet.Document) [schedule.Ranks]time.Duration {
+	var out [schedule.Ranks]time.Duration
+	for r := schedule.Rank(0); r < schedule.Ranks; r++ {
+		out[r] = time.Duration(doc.Ranks[fleet.Rank(r.String())].TargetMS) * time.Millisecond
+	}
+	return out
+}
+
 // retire lets an upstream finish its work; the caller holds mu.
 func (s *upstreams) retire(name string, u *ownedUpstream) {
 	s.node.log.WithField("upstream", name).Info("gave up ownership of an upstream")
--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -287,7 +287,7 @@
 	if write {
 		return position.Position{}, verdict.New(verdict.OutcomeUnknown, "no quorum confirmed the write on %q in time", u.cfg.Name)
 	}
-	return position.Position{}, executed(verdict.New(verdict.CutOff, "no quorum confirmed that %q is still the primary", u.cfg.Name).After(monitorInterval))
+	return position.Position{}, executed(verdict.New(verdict.DeadlineUnreachable, "the request ended before a quorum confirmed that %q is still the primary", u.cfg.Name))
 }
 
 // Barrier returns a position that was confirmed after the call.
--- a/instance/owner/upstream.go
+++ b/instance/owner/upstream.go
@@ -46,6 +46,7 @@
 	Connections int
 	Slots       int
 	Floor       [schedule.Ranks]float64
+	MaxWait     [schedule.Ranks]time.Duration // longest wait at which a rank is accepted
 	// Now is the instance's monotonic clock.
 	Now func() time.Duration
 	// Barrier asks the owner of the service's primary for a confirmed position.
@@ -106,6 +107,7 @@
 		scheduler: schedule.New(schedule.Config{
 			Slots:              cfg.Slots,
 			Floor:              cfg.Floor,
+			MaxWait:            cfg.MaxWait,
 			InitialServiceTime: initialServiceTime,
 		}),
 		pool: pool.New(pool.Config{
