Quiesce a leaving primary, and prove partitions with forwarders

Change: the owner of a leaving primary refuses new writes as not run and reports when the others have ended; then the coordinator promotes. Outgoing connections can be bound to a source address and the peer address can be advertised, so that tests cut failure domains off with forwarders. New process tests: failure domain cut off with and without the primary, entry killed in a transaction, request keys across a failover.

--- a/instance/control/coordinator.go
+++ b/instance/control/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 	Incarnation uint64
 	Service     *fleet.Service
 	Now         func() time.Duration
+	Source      netip.Addr // local address of connections; may be unset
 	Reserver    Reserver
 	// Announce is called with each route that this coordinator establishes.
 	Announce func(failover.Route)
@@ -63,6 +65,7 @@
 			id:      id,
 			address: db.Address,
 			service: cfg.Service.Name,
+			source:  cfg.Source,
 			app:     fmt.Sprintf("papayarail/%s/%s/control", cfg.Instance, strconv.FormatUint(cfg.Incarnation, 36)),
 		}
 	}
--- a/instance/control/member.go
+++ b/instance/control/member.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	address string
 	service string
 	app     string
+	source  netip.Addr
 
 	mu   sync.Mutex
 	conn *upstream.Conn
@@ -52,6 +54,7 @@
 		User:            "papayarail",
 		Database:        m.service,
 		ApplicationName: m.app,
+		Source:          m.source,
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		c.ConnectTimeout = time.Until(deadline)
--- a/instance/node/coordinators.go
+++ b/instance/node/coordinators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/fleet"
@@ -23,8 +24,13 @@
 	*control.Coordinator
 	cancel    context.CancelFunc
 	databases []fleet.Database
+	replacing uint64 // term whose primary is being replaced
 }
 
+// quiesceTimeout bounds the wait for open transactions on a leaving primary,
+// which must get no new work after 3 s.
+const quiesceTimeout = 2 * time.Second
+
 func newCoordinators(n *Node) *coordinators {
 	return &coordinators{node: n, services: make(map[string]*coordinator)}
 }
@@ -62,11 +68,28 @@
 	route, known := c.node.view.Route(s.Name)
 	for _, db := range s.Databases {
 		if known && db.State == fleet.Leaving && db.Name == string(route.Primary) {
-			running.Replace(db.Name)
+			c.replace(running, route)
 		}
 	}
 }
 
+// replace moves the primary away from a leaving database, after the writes on it
+// have ended. It acts once per term; the caller holds mu.
+func (c *coordinators) replace(running *coordinator, route failover.Route) {
+	if !running.Active() || running.replacing == route.Term {
+		return
+	}
+	running.replacing = route.Term
+	go func() {
+		ctx, cancel := context.WithTimeout(c.node.workCtx, quiesceTimeout)
+		defer cancel()
+		if err := c.node.quiesce(ctx, route); err != nil {
+			c.node.log.WithError(err).WithField("upstream", route.Primary).Warn("the leaving primary was not quiesced")
+		}
+		running.Replace(string(route.Primary))
+	}()
+}
+
 func (c *coordinators) start(s *fleet.Service) *coordinator {
 	ctx, cancel := context.WithCancel(c.node.workCtx)
 	out := &coordinator{cancel: cancel, databases: s.Databases}
@@ -75,6 +98,7 @@
 		Incarnation: c.node.birth,
 		Service:     s,
 		Now:         c.node.now,
+		Source:      c.node.settings.Source(),
 		Reserver:    reserver{c.node.register},
 		Announce:    c.node.announceRoute,
 		Log:         c.node.log,
--- a/instance/node/gateway.go
+++ b/instance/node/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/fleet"
@@ -103,6 +104,19 @@
 	return answer.Position, err
 }
 
+// quiesce asks the owner of a primary to end its writes.
+func (n *Node) quiesce(ctx context.Context, route failover.Route) error {
+	owner, err := n.primaryOwner(route.Service)
+	if err != nil {
+		return err
+	}
+	if owner.Name == n.settings.Name {
+		return n.upstreams.quiesce(ctx, string(route.Primary))
+	}
+	var none peer.Empty
+	return n.links.Control(owner.Address).Call(ctx, peer.MethodQuiesce, &peer.QuiesceRequest{Upstream: string(route.Primary)}, &none)
+}
+
 func (n *Node) primaryOwner(service string) (view.Peer, error) {
 	route, found := n.view.Route(service)
 	if !found {
--- a/instance/node/handler.go
+++ b/instance/node/handler.go
@@ -40,6 +40,10 @@
 	return &peer.BarrierAnswer{Position: p}, nil
 }
 
+func (h handler) Quiesce(ctx context.Context, r *peer.QuiesceRequest) error {
+	return h.node.upstreams.quiesce(ctx, r.Upstream)
+}
+
 func (h handler) Probe(_ context.Context, p *peer.Probe) (*peer.Probe, error) {
 	return h.node.members.received(p), nil
 }
--- a/instance/node/members.go
+++ b/instance/node/members.go
@@ -36,7 +36,7 @@
 		machine: membership.New(membership.Config{
 			Name:          n.settings.Name,
 			FailureDomain: n.settings.FailureDomain,
-			Address:       n.settings.PeerAddress,
+			Address:       n.settings.Advertised(),
 			Incarnation:   n.birth,
 			Seeds:         n.settings.SeedPeers,
 		}),
--- a/instance/node/node.go
+++ b/instance/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/papayarail/papayarail/platform/configstore"
 	"github.com/papayarail/papayarail/platform/register"
 	"github.com/papayarail/papayarail/wire/caller"
+	"github.com/papayarail/papayarail/wire/upstream"
 )
 
 // Class groups the errors of this package.
@@ -89,6 +90,7 @@
 		ObjectURL: s.Platform.ObjectURL,
 		Table:     s.Platform.Table,
 		Bucket:    s.Platform.Bucket,
+		Source:    upstream.LocalAddr(s.Source()),
 	})
 	if err != nil {
 		return nil, Class.Wrap(err)
@@ -98,14 +100,14 @@
 		log:      log.WithField("instance", s.Name),
 		began:    time.Now(),
 		birth:    uint64(time.Now().UnixMicro()),
-		view:     view.New(view.Peer{Name: s.Name, FailureDomain: s.FailureDomain, Address: s.PeerAddress, Operator: s.OperatorAddress}),
+		view:     view.New(view.Peer{Name: s.Name, FailureDomain: s.FailureDomain, Address: s.Advertised(), Operator: s.OperatorAddress}),
 		store:    configstore.New(store.Table, store.Objects),
 		register: register.New(store.Table, s.Name),
 		kicks:    make(chan struct{}, 1),
 		drain:    make(chan struct{}),
 		kill:     make(chan struct{}),
 	}
-	n.links = peer.NewLinks(n.linkFailed, n.log)
+	n.links = peer.NewLinks(upstream.LocalAddr(s.Source()), n.linkFailed, n.log)
 	n.upstreams = newUpstreams(n)
 	n.coordinators = newCoordinators(n)
 	n.config = newConfig(n)
--- a/instance/node/upstreams.go
+++ b/instance/node/upstreams.go
@@ -111,6 +111,7 @@
 		Service:     service.Name,
 		Name:        db.Name,
 		Address:     db.Address,
+		Source:      s.node.settings.Source(),
 		Members:     len(service.Databases),
 		Connections: db.Connections,
 		Slots:       db.Slots,
@@ -209,6 +210,15 @@
 	return nil, verdict.New(verdict.Draining, "instance %q does not own upstream %q", s.node.settings.Name, r.Upstream).After(notOwnerDelay)
 }
 
+// quiesce stops the writes of an upstream that this instance owns.
+func (s *upstreams) quiesce(ctx context.Context, name string) error {
+	u := s.get(name)
+	if u == nil {
+		return verdict.New(verdict.Draining, "instance %q does not own upstream %q", s.node.settings.Name, name)
+	}
+	return u.Quiesce(ctx)
+}
+
 // barrier asks this instance's upstreams for a confirmed position of the service.
 func (s *upstreams) barrier(ctx context.Context, service string) (position.Position, error) {
 	route, found := s.node.view.Route(service)
--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -42,7 +42,7 @@
 	if err := u.enter(r, cancel); err != nil {
 		return nil, err
 	}
-	defer u.leave(r.ID)
+	defer u.leave(r)
 	answer, err := u.run(ctx, link, r, limit)
 	if err != nil {
 		return nil, err
@@ -59,10 +59,16 @@
 	if u.retiring && !continues {
 		return errNotOwned(u.cfg.Name)
 	}
+	if r.Writes && !continues && u.refusesWrites() {
+		return errNotOwned(u.cfg.Name)
+	}
 	if r.Begins && len(u.txs) >= u.maxTransactions() {
 		return verdict.New(verdict.Overloaded, "upstream %q has %d open transactions", u.cfg.Name, len(u.txs)).After(pinnedRetry)
 	}
 	u.running[r.ID] = cancel
+	if r.Writes {
+		u.writes++
+	}
 	return nil
 }
 
@@ -72,10 +78,13 @@
 	return max(u.cfg.Connections-reservedConnections-u.cfg.Slots, 1)
 }
 
-func (u *Upstream) leave(id string) {
+func (u *Upstream) leave(r *peer.ExchangeRequest) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.running, id)
+	delete(u.running, r.ID)
+	if r.Writes {
+		u.writes--
+	}
 }
 
 // Cancel cancels a running exchange.
--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -187,6 +187,7 @@
 	}
 	if term > u.tracker.Term() {
 		u.pending = position.Position{}
+		u.quietUntil = 0
 		u.performTracker(u.tracker.NewTerm(term, now))
 	}
 }
--- a/instance/owner/upstream.go
+++ b/instance/owner/upstream.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -42,6 +43,7 @@
 	Service     string
 	Name        string
 	Address     string
+	Source      netip.Addr // local address of connections; may be unset
 	Members     int
 	Connections int
 	Slots       int
@@ -88,6 +90,8 @@
 	healthy     bool
 	pending     position.Position // highest position that waits for confirmation
 	barrier     bool              // the tracker wants a barrier to be written
+	writes      int               // running exchanges that may change data
+	quietUntil  time.Duration     // until then new writes are refused
 	wantReclaim bool              // sessions of dead instances may fill the upstream
 	retiring    bool
 	lag         time.Duration // usual wait of a replica for a barrier
--- a/instance/peer/link.go
+++ b/instance/peer/link.go
@@ -25,6 +25,7 @@
 	address string
 	// failed is called when an open link has failed; it may be nil.
 	failed func(address string)
+	source net.Addr
 	log    *logrus.Entry
 
 	mu   sync.Mutex
@@ -32,8 +33,8 @@
 }
 
 // NewLink returns a link to the peer at address; nothing is dialled yet.
-func NewLink(address string, failed func(address string), log *logrus.Entry) *Link {
-	return &Link{address: address, failed: failed, log: log}
+func NewLink(address string, source net.Addr, failed func(address string), log *logrus.Entry) *Link {
+	return &Link{address: address, source: source, failed: failed, log: log}
 }
 
 // Call sends a request and waits for its answer. The error is a
@@ -73,7 +74,7 @@
 	if l.conn != nil {
 		return l.conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: l.source}
 	c, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return nil, Class.Wrap(err)
@@ -132,6 +133,7 @@
 // so that a large answer never delays a control message.
 type Links struct {
 	failed func(address string)
+	source net.Addr
 	log    *logrus.Entry
 
 	mu    sync.Mutex
@@ -140,9 +142,10 @@
 
 type pair struct{ data, control *Link }
 
-// NewLinks returns an empty set. failed is called when a data link has failed.
-func NewLinks(failed func(address string), log *logrus.Entry) *Links {
-	return &Links{failed: failed, log: log, links: make(map[string]*pair)}
+// NewLinks returns an empty set. Links are bound to source unless it is nil;
+// failed is called when a data link has failed.
+func NewLinks(source net.Addr, failed func(address string), log *logrus.Entry) *Links {
+	return &Links{source: source, failed: failed, log: log, links: make(map[string]*pair)}
 }
 
 // Data returns the data link to the peer at address.
@@ -156,7 +159,7 @@
 	defer s.mu.Unlock()
 	p := s.links[address]
 	if p == nil {
-		p = &pair{data: NewLink(address, s.failed, s.log), control: NewLink(address, nil, s.log)}
+		p = &pair{data: NewLink(address, s.source, s.failed, s.log), control: NewLink(address, s.source, nil, s.log)}
 		s.links[address] = p
 	}
 	return p
--- a/instance/peer/messages.go
+++ b/instance/peer/messages.go
@@ -21,6 +21,7 @@
 	MethodEndTransaction = "end_transaction"
 	MethodCancel         = "cancel"
 	MethodBarrier        = "barrier"
+	MethodQuiesce        = "quiesce"
 	MethodProbe          = "probe"
 	MethodProbeThrough   = "probe_through"
 	MethodMembers        = "members"
@@ -108,6 +109,12 @@
 	Position position.Position `json:"position"`
 }
 
+// QuiesceRequest asks the owner of a primary that is to be replaced to take no
+// new writes; the answer comes when all writes and transactions have ended.
+type QuiesceRequest struct {
+	Upstream string `json:"upstream"`
+}
+
 // Hello describes an instance; it answers each heartbeat.
 type Hello struct {
 	Name     string `json:"name"`
--- a/instance/peer/server.go
+++ b/instance/peer/server.go
@@ -20,6 +20,7 @@
 	EndTransaction(ctx context.Context, r *EndTransactionRequest) error
 	Cancel(ctx context.Context, r *CancelRequest) error
 	Barrier(ctx context.Context, r *BarrierRequest) (*BarrierAnswer, error)
+	Quiesce(ctx context.Context, r *QuiesceRequest) error
 	Probe(ctx context.Context, p *Probe) (*Probe, error)
 	ProbeThrough(ctx context.Context, p *ProbeThrough) (*Probe, error)
 	Members(ctx context.Context, e *Empty) (*Members, error)
@@ -117,6 +118,8 @@
 		return callEmpty(ctx, r, h.Cancel)
 	case MethodBarrier:
 		return call(ctx, r, h.Barrier)
+	case MethodQuiesce:
+		return callEmpty(ctx, r, h.Quiesce)
 	case MethodProbe:
 		return call(ctx, r, h.Probe)
 	case MethodProbeThrough:
--- a/instance/settings/settings.go
+++ b/instance/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,13 +27,19 @@
 
 // Settings are the settings of one instance. Addresses are IP:port.
 type Settings struct {
-	Name            string   `json:"name"`
-	FailureDomain   string   `json:"failure_domain"`
-	CallerAddress   string   `json:"caller_address"`
-	PeerAddress     string   `json:"peer_address"`
-	OperatorAddress string   `json:"operator_address"`
-	Platform        Platform `json:"platform"`
-	SeedPeers       []string `json:"seed_peers"`
+	Name            string `json:"name"`
+	FailureDomain   string `json:"failure_domain"`
+	CallerAddress   string `json:"caller_address"`
+	PeerAddress     string `json:"peer_address"`
+	OperatorAddress string `json:"operator_address"`
+	// AdvertisedPeerAddress is the address that peers connect to, if it differs
+	// from PeerAddress, as behind a port forwarding.
+	AdvertisedPeerAddress string `json:"advertised_peer_address"`
+	// SourceAddress is the IP that outgoing connections are bound to; empty
+	// leaves the choice to the system.
+	SourceAddress string   `json:"source_address"`
+	Platform      Platform `json:"platform"`
+	SeedPeers     []string `json:"seed_peers"`
 	// AllowedNetworks limits who may connect to the peer and operator addresses
 	// (CIDR); empty permits loopback only.
 	AllowedNetworks []string `json:"allowed_networks"`
@@ -115,6 +122,14 @@
 	for i, a := range s.SeedPeers {
 		c.address(fmt.Sprintf("/seed_peers/%d", i), a)
 	}
+	if s.AdvertisedPeerAddress != "" {
+		c.address("/advertised_peer_address", s.AdvertisedPeerAddress)
+	}
+	if s.SourceAddress != "" {
+		if _, err := netip.ParseAddr(s.SourceAddress); err != nil {
+			c.add("/source_address", "%q is not an IP address", s.SourceAddress)
+		}
+	}
 	c.networks("/allowed_networks", s.AllowedNetworks)
 	c.networks("/caller_networks", s.CallerNetworks)
 	if s.MaxCallers < 0 {
@@ -158,6 +173,18 @@
 	}
 }
 
+// Advertised returns the address that peers connect to.
+func (s *Settings) Advertised() string { return cmp.Or(s.AdvertisedPeerAddress, s.PeerAddress) }
+
+// Source returns the IP of outgoing connections; not valid if none is set.
+func (s *Settings) Source() netip.Addr {
+	ip, err := netip.ParseAddr(s.SourceAddress)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ip
+}
+
 // Networks parses a checked list of networks.
 func Networks(list []string) []netip.Prefix {
 	var out []netip.Prefix
--- a/papayarail/failure_test.go
+++ b/papayarail/failure_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -272,3 +273,129 @@
 	assert.Equal(t, len(l.open), 0, "guarantee 8: cut requests: %v", l.open)
 	l.check(t, reader)
 }
+
+// Guards against a failure domain that is cut off with the primary: no write may
+// be acknowledged there, reads that can be proved go on, the other domains get a
+// new primary, and after the cut everything agrees.
+func TestFailureDomainCutOff(t *testing.T) {
+	c := newCluster(t)
+	inside, outside := c.connect("catania"), c.connect("messina")
+	c.eventually(inside, createBatches)
+	l := &ledger{conn: inside, name: "before"}
+	for range 20 {
+		l.register()
+	}
+	old := c.primary("messina")
+	assert.Equal(t, old, service+"-catania")
+	_, err := outside.Exec(context.Background(), "SET papayarail.consistency = session")
+	assert.NilError(t, err)
+
+	var members []string
+	for name := range c.faults {
+		if name != old {
+			members = append(members, name)
+		}
+	}
+	c.network.isolate("catania", true)
+	c.fault(old, map[string]any{"cut": members})
+
+	w := &ledger{conn: outside, name: "outside"}
+	w.registerUntil(t, func() bool { return c.primary("messina") != old })
+	cut := &ledger{conn: inside, name: "inside"}
+	for range 3 {
+		cut.register()
+	}
+	assert.Equal(t, len(cut.acked), 0, "guarantee 2: acknowledged without a quorum")
+	var count int
+	err = inside.QueryRow(context.Background(), "SELECT count(*) FROM batches").Scan(&count)
+	assert.ErrorContains(t, err, "SQLSTATE", "guarantee 1: a strict read was answered without proof")
+
+	c.fault(old, map[string]any{"cut": []string{}})
+	c.network.isolate("catania", false)
+	c.awaitDump("catania", func(d *node.Dump) bool {
+		return len(d.Peers) == 2 && string(d.Routes[0].Primary) != old
+	})
+	back := c.connect("catania")
+	c.eventually(back, "UPDATE batches SET state = 'seen' WHERE id = 'before-0'")
+	for _, x := range []*ledger{l, w, cut} {
+		x.check(t, back)
+	}
+}
+
+// Guards against reads that stop in a failure domain whose replica provably has
+// what the caller may expect, although the primary cannot be reached.
+func TestCutOffDomainServesProvenReads(t *testing.T) {
+	c := newCluster(t)
+	writer, reader := c.connect("catania"), c.connect("siracusa")
+	c.eventually(writer, createBatches)
+	l := &ledger{conn: writer, name: "cut"}
+	l.register()
+	ctx := context.Background()
+	_, err := reader.Exec(ctx, "SET papayarail.consistency = session")
+	assert.NilError(t, err)
+	assert.Equal(t, state(t, reader, "cut-0"), "registered")
+	c.network.isolate("siracusa", true)
+	c.awaitDump("siracusa", func(d *node.Dump) bool { return len(d.Peers) == 0 })
+	c.eventually(reader, "SELECT state FROM batches WHERE id = 'cut-0'")
+	assert.Equal(t, state(t, reader, "cut-0"), "registered")
+	_, err = reader.Exec(ctx, "UPDATE batches SET state = 'lost' WHERE id = 'cut-0'")
+	assert.ErrorContains(t, err, "SQLSTATE")
+	var pg *pgconn.PgError
+	assert.Assert(t, errors.As(err, &pg) && strings.Contains(pg.Detail, "verdict=not_run"), "guarantee 5: %v", err)
+}
+
+// Guards against the open transaction of a dead entry instance that stays open,
+// holds its connection, or commits.
+func TestEntryKilledInTransaction(t *testing.T) {
+	c := newCluster(t)
+	writer, reader := c.connect("messina"), c.connect("siracusa")
+	c.eventually(writer, createBatches)
+	ctx := context.Background()
+	tx, err := writer.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO batches (id, state) VALUES ('half', 'registered')")
+	assert.NilError(t, err)
+	open := func(n int) func(*node.Dump) bool {
+		return func(d *node.Dump) bool {
+			sum := 0
+			for _, u := range d.Upstreams {
+				sum += u.OpenTransactions
+			}
+			return sum == n
+		}
+	}
+	c.awaitDump("catania", open(1))
+	c.kill("messina")
+	c.awaitDump("catania", open(0))
+	c.eventually(reader, "INSERT INTO batches (id, state) VALUES ('half', 'again')")
+	assert.Equal(t, state(t, reader, "half"), "again")
+}
+
+// Guards against a request key that is forgotten in a failover: the caller asks
+// until it has an answer, and the work must have been done once.
+func TestRequestKeyAcrossFailover(t *testing.T) {
+	c := newCluster(t)
+	writer, reader := c.connect("messina"), c.connect("siracusa")
+	ctx := context.Background()
+	c.eventually(writer, "CREATE TABLE IF NOT EXISTS stock (id text PRIMARY KEY, pieces bigint)")
+	c.eventually(writer, "INSERT INTO stock (id, pieces) VALUES ('glue', 1000) ON CONFLICT DO NOTHING")
+	old := c.primary("messina")
+	const writeOffs = 40
+	for i := range writeOffs {
+		if i == writeOffs/2 {
+			c.kill(old)
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			_, err := writer.Exec(ctx, fmt.Sprintf("SET papayarail.request_key = 'write-off-%d'", i))
+			assert.NilError(t, err)
+			_, err = writer.Exec(ctx, "UPDATE stock SET pieces = pieces - 1 WHERE id = 'glue'")
+			if err != nil {
+				return poll.Continue("%v", err)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(hangLimit), poll.WithDelay(20*time.Millisecond))
+	}
+	var pieces int64
+	assert.NilError(t, reader.QueryRow(ctx, "SELECT pieces FROM stock WHERE id = 'glue'").Scan(&pieces))
+	assert.Equal(t, pieces, int64(1000-writeOffs), "guarantee 6: write-offs ran another number of times than asked")
+}
--- a/papayarail/process_test.go
+++ b/papayarail/process_test.go
@@ -51,6 +51,7 @@
 	dir      string
 	document *fleet.Document
 	platform string
+	network  *network
 	settings map[string]*settings.Settings
 	faults   map[string]string // fault address of each member
 
@@ -65,6 +66,7 @@
 		settings:  make(map[string]*settings.Settings),
 		faults:    make(map[string]string),
 		processes: make(map[string]*exec.Cmd),
+		network:   newNetwork(t),
 	}
 	t.Cleanup(c.stop)
 	c.document = &fleet.Document{
@@ -79,9 +81,10 @@
 	}
 	c.platform = freeAddress(t)
 	c.start("platform", "standin", "platform", "-address", c.platform)
+	platformAddress := c.network.forward("platform", c.platform)
 	c.startMembers()
 	c.apply("0")
-	c.startInstances()
+	c.startInstances("http://" + platformAddress)
 	return c
 }
 
@@ -92,7 +95,7 @@
 		address := freeAddress(c.t)
 		addresses = append(addresses, address)
 		s.Databases = append(s.Databases, fleet.Database{
-			Name: service + "-" + d, Address: address, FailureDomain: d, Connections: 15, Slots: 2, State: fleet.Active,
+			Name: service + "-" + d, Address: c.network.forward(d, address), FailureDomain: d, Connections: 15, Slots: 2, State: fleet.Active,
 		})
 	}
 	c.document.Services = []fleet.Service{s}
@@ -103,18 +106,20 @@
 	}
 }
 
-func (c *cluster) startInstances() {
+func (c *cluster) startInstances(platform string) {
 	for _, d := range domains {
 		c.settings[d] = &settings.Settings{
 			Name: d + "-1", FailureDomain: d, LogLevel: "info",
 			CallerAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t), OperatorAddress: freeAddress(c.t),
-			Platform: settings.Platform{TableURL: "http://" + c.platform, ObjectURL: "http://" + c.platform, Table: "papayarail", Bucket: "papayarail"},
+			Platform:      settings.Platform{TableURL: platform, ObjectURL: platform, Table: "papayarail", Bucket: "papayarail"},
+			SourceAddress: sources[d],
 		}
+		c.settings[d].AdvertisedPeerAddress = c.network.forward(d, c.settings[d].PeerAddress)
 	}
 	for _, d := range domains {
 		for _, other := range domains {
 			if other != d {
-				c.settings[d].SeedPeers = append(c.settings[d].SeedPeers, c.settings[other].PeerAddress)
+				c.settings[d].SeedPeers = append(c.settings[d].SeedPeers, c.settings[other].Advertised())
 			}
 		}
 		c.serve(d)
--- a/wire/upstream/upstream.go
+++ b/wire/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -50,6 +51,9 @@
 	ApplicationName string
 	ConnectTimeout  time.Duration // 0: 5 s
 	MaxAnswerBytes  int           // 0: DefaultMaxAnswerBytes
+	// Source is the local address of the connection; the zero value leaves the
+	// choice to the system.
+	Source netip.Addr
 }
 
 // Answer is the response to one exchange.
@@ -142,9 +146,20 @@
 	if c.ConnectTimeout > 0 {
 		pc.ConnectTimeout = c.ConnectTimeout
 	}
+	dialer := net.Dialer{Timeout: pc.ConnectTimeout, LocalAddr: LocalAddr(c.Source)}
+	pc.DialFunc = dialer.DialContext
 	return pc, nil
 }
 
+// LocalAddr returns the address to bind an outgoing connection to; nil if the
+// source is not set.
+func LocalAddr(source netip.Addr) net.Addr {
+	if !source.IsValid() {
+		return nil
+	}
+	return &net.TCPAddr{IP: source.AsSlice()}
+}
+
 // PID returns the server process of this session.
 func (c *Conn) PID() uint32 { return c.pid }
 
