--- a/core/confirm/confirm.go
+++ b/core/confirm/confirm.go
@@ -214,7 +214,9 @@
 
 // Report notes that member has confirmed p under p.Term. Reports of earlier
 // terms are ignored; one of a later term moves the Tracker to that term. Only
-// members of the group may be passed; names beyond the group's size are ignored.
+// reports about this primary may be passed: those in its replication status, or
+// the last position of a member that follows it, if of the member's term. Names
+// beyond the group's size are ignored.
 func (t *Tracker) Report(member string, p position.Position, now time.Duration) []Action {
 	if p.Term < t.term {
 		return nil
