membership: refute in time and spread mass failures faster

The instance that suspects a member now repeats its probe once per period.

Changes are now sent log2(n)+2 times in place of 2*log2(n), a suspicion that runs out is spread last, and messages carry four times as many changes while more than 32 wait.

Live keeps its answer until a member changes.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -96,6 +96,13 @@
 	defaultIndirectVia  = 3
 	defaultMaxDeltas    = 4
 
+	// burstAbove is the number of changes to spread from which messages carry
+	// burstFactor times as many, as after the loss of a failure domain. 800
+	// restarts a day leave a few at a time.
+	burstAbove       = 32
+	burstFactor      = 4
+	minTransmissions = 8
+
 	// minSuspicion leaves a paused process time to refute.
 	minSuspicion = time.Second
 	// deadEvery and healingEvery are the periods between probes of dead
@@ -160,6 +167,7 @@
 	listed   bool          // in the platform's list
 	inDead   bool          // is in dead
 	probing  bool
+	accused  bool // the present suspicion is from a probe of this instance
 }
 
 // probe is an unanswered probe.
@@ -185,10 +193,12 @@
 	suspects  []*peer
 	hot       []*peer // members whose state is being spread, least sent first
 	probes    []*probe
-	count     int // members that are not dead, this one included
+	live      []placement.Instance // answer of Live, nil after a change
+	count     int                  // members that are not dead, this one included
 	sum       uint64
 	periods   int
 	seed      int
+	accusedAt int // place in suspects of the last repeated probe
 	nextProbe time.Duration
 	lastTick  time.Duration
 	ticked    bool
@@ -229,14 +239,19 @@
 }
 
 // Live returns the instances to which work may be placed: those alive or
-// suspect, but not leaving, this one included, by name.
+// suspect, but not leaving, this one included, by name. The slice is built anew
+// after each change of a member; the caller must not change it.
 func (m *Machine) Live() []placement.Instance {
+	if m.live != nil {
+		return m.live
+	}
 	var live []placement.Instance
 	for _, in := range m.Members() {
 		if in.State != Leaving {
 			live = append(live, placement.Instance{Name: in.Name, FailureDomain: in.FailureDomain})
 		}
 	}
+	m.live = live
 	return live
 }
 
@@ -266,8 +281,9 @@
 	return max(m.Period()*time.Duration(4+bits.Len(uint(m.count)))/2, minSuspicion)
 }
 
-// transmissions returns how many messages carry each change.
-func (m *Machine) transmissions() int { return 2 * bits.Len(uint(m.count)) }
+// transmissions returns how many messages carry each change. A change sent k
+// times by each that knows it misses a part of e^-k of the members.
+func (m *Machine) transmissions() int { return max(bits.Len(uint(m.count))+2, minTransmissions) }
 
 // Tick starts the probe of the period and ends probes and suspicions that have
 // run out. Adapters call it at least ten times a second.
@@ -306,6 +322,7 @@
 		m.emit(Fetch{Address: m.cfg.Seeds[m.seed%len(m.cfg.Seeds)]})
 		m.seed++
 	}
+	m.probeAccused(now)
 	every := deadEvery
 	if now < m.healing {
 		every = healingEvery
@@ -321,6 +338,19 @@
 	}
 }
 
+// probeAccused repeats the probe of one member that this instance suspects, so
+// that a live one learns of the suspicion and refutes it in time. Left to
+// gossip, most refutations came too late at 1,800 members and 5% message loss.
+func (m *Machine) probeAccused(now time.Duration) {
+	for range m.suspects {
+		m.accusedAt = (m.accusedAt + 1) % len(m.suspects)
+		if p := m.suspects[m.accusedAt]; p.accused && p.State == Suspect && !p.probing {
+			m.probe(p, now)
+			return
+		}
+	}
+}
+
 // nextPeer returns the next member that is not dead, in an order that is
 // shuffled after each round, so that each is probed once per round.
 func (m *Machine) nextPeer() *peer {
@@ -377,7 +407,11 @@
 	}
 	p.probing = true
 	m.probes = append(m.probes, &probe{peer: p, deadline: now + m.cfg.ProbeTimeout})
-	m.emit(Probe{Peer: p.Name, Address: p.Address, Digest: m.digest(p)})
+	d := m.claim(p)
+	if p.State < Suspect {
+		d = m.digest(p)
+	}
+	m.emit(Probe{Peer: p.Name, Address: p.Address, Digest: d})
 }
 
 // LinkFailed reports that a data link to a peer has failed. It is probed at once.
@@ -515,7 +549,7 @@
 		via := others[k]
 		pr.via = append(pr.via, via.Name)
 		m.emit(ProbeThrough{Peer: pr.peer.Name, Address: pr.peer.Address, Via: via.Name,
-			ViaAddress: via.Address, Digest: m.digest(pr.peer)})
+			ViaAddress: via.Address, Digest: m.claim(pr.peer)})
 	}
 }
 
@@ -527,6 +561,7 @@
 		in := p.Member
 		in.State = Suspect
 		m.apply(in, now, true)
+		p.accused = true
 	}
 }
 
@@ -536,7 +571,8 @@
 		if p.State == Suspect && now >= p.deadline {
 			in := p.Member
 			in.State = Dead
-			m.apply(in, now, true)
+			m.apply(in, now, false)
+			m.spreadLast(p)
 		}
 		if p.State != Suspect {
 			m.suspects = slices.Delete(m.suspects, i, i+1)
--- a/core/membership/spread.go
+++ b/core/membership/spread.go
@@ -2,15 +2,24 @@
 
 import "time"
 
-// digest returns the message for a peer: its own state as seen here, if it
-// should refute it, and the changes that have been sent least often.
-func (m *Machine) digest(to *peer) Digest {
+// claim returns a message with only the peer's state as seen here, if the peer
+// should refute it. It is used for probes that are likely to fail.
+func (m *Machine) claim(to *peer) Digest {
 	d := Digest{From: m.self.Member, Sum: m.sum}
 	if to != nil && to.Incarnation > 0 && to.State >= Suspect {
 		d.Deltas = append(d.Deltas, to.Member)
 	}
-	limit := m.transmissions()
-	for n := len(m.hot); n > 0 && len(d.Deltas) < m.cfg.MaxDeltas; n-- {
+	return d
+}
+
+// digest returns claim with the changes that have been sent least often.
+func (m *Machine) digest(to *peer) Digest {
+	d := m.claim(to)
+	limit, room := m.transmissions(), m.cfg.MaxDeltas
+	if len(m.hot) > burstAbove {
+		room *= burstFactor
+	}
+	for n := len(m.hot); n > 0 && len(d.Deltas) < room; n-- {
 		p := m.hot[0]
 		m.hot = m.hot[1:]
 		p.sent++
@@ -38,6 +47,16 @@
 	m.hot[0] = p
 }
 
+// spreadLast puts a member whose suspicion has run out here behind all others,
+// with half of the messages: those that know the suspicion let it run out too.
+func (m *Machine) spreadLast(p *peer) {
+	p.sent = m.transmissions() / 2
+	if !p.hot {
+		p.hot = true
+		m.hot = append(m.hot, p)
+	}
+}
+
 func (m *Machine) merge(d Digest, now time.Duration) {
 	m.apply(d.From, now, true)
 	for _, in := range d.Deltas {
@@ -95,6 +114,7 @@
 // raise changes the announced state. Each digest carries it, and its receivers
 // spread it.
 func (m *Machine) raise(incarnation uint64, s State) {
+	m.live = nil
 	m.sum ^= checksum(m.self.Member)
 	m.self.Incarnation = incarnation
 	m.self.State = s
@@ -104,6 +124,7 @@
 func (m *Machine) replace(p *peer, in Member, now time.Duration) {
 	before := p.Member
 	p.Member = in
+	m.live = nil
 	if before.State != Dead {
 		m.sum ^= checksum(before)
 		m.count--
@@ -114,6 +135,7 @@
 	}
 	switch in.State {
 	case Suspect:
+		p.accused = false
 		p.deadline = now + m.suspicion()
 		if before.State != Suspect {
 			m.suspects = append(m.suspects, p)
