Answer replica reads only from members that follow a primary

Cause: measurements and the stateful fuzzing found: strict reads of a member that is primary for the second time hang (a wanted barrier was dropped without an answer to the tracker); an error answered by the database outside a transaction reached callers as 57P03 not_run, because it carries no position; a replica read could be served by a deposed primary with entries that the failover discards. Change: each wanted barrier gets its answer; errors of the database pass unchanged; replica proofs need a status that says 'replica, following' and no answer of a later term; the owner's retry delay is kept per caller at the door; the coordinator's Quiesce reaches the owner; retry after 200 ms without a primary.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -22,7 +22,7 @@
 	leavingPenalty = 1e6
 	// noPrimaryRetry is the retry delay while no primary is reachable. It is a
 	// fraction of the targeted write gap of 3 s.
-	noPrimaryRetry = 500 * time.Millisecond
+	noPrimaryRetry = 200 * time.Millisecond
 	// minBehindRetry is the least retry delay for a replica that is behind.
 	minBehindRetry = 50 * time.Millisecond
 	// maxOptions bounds the members tried for one request. A group has at most
--- a/instance/control/coordinator.go
+++ b/instance/control/coordinator.go
@@ -38,6 +38,8 @@
 	Now         func() time.Duration
 	Source      netip.Addr // local address of connections; may be unset
 	Reserver    Reserver
+	// Quiesce asks the owner of the primary to take no new writes for a time.
+	Quiesce func(ctx context.Context, service, primary string, limit time.Duration) error
 	// Announce is called with each route that this coordinator establishes.
 	Announce func(failover.Route)
 	Log      *logrus.Entry
@@ -125,6 +127,14 @@
 	})
 }
 
+// SetLiveInstances sets the number of live instances in each failure domain,
+// which decides between candidates that are otherwise equal.
+func (c *Coordinator) SetLiveInstances(live map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machine.SetLiveInstances(live)
+}
+
 // Active reports whether this instance coordinates the service.
 func (c *Coordinator) Active() bool {
 	c.mu.Lock()
@@ -169,6 +179,10 @@
 		err := c.members[a.Member].follow(ctx, a.Term, c.members[a.Primary])
 		c.logStep("follow", a.Member, a.Term, err)
 		c.event(func(now time.Duration) []failover.Action { return c.machine.Followed(a.Member, err == nil, now) })
+	case failover.Quiesce:
+		if err := c.cfg.Quiesce(ctx, c.cfg.Service.Name, string(a.Member), a.For); err != nil {
+			c.logStep("quiesce", a.Member, 0, err)
+		}
 	case failover.Announce:
 		c.cfg.Log.WithFields(logrus.Fields{"service": a.Route.Service, "term": a.Route.Term, "primary": a.Route.Primary}).Info("primary established")
 		c.cfg.Announce(a.Route)
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -110,11 +110,12 @@
 	return s
 }
 
-// admit asks the door whether the owner of the upstream takes work of the rank.
-func (e *Entry) admit(upstream string, r schedule.Rank) error {
+// admit asks the door whether the owner of the upstream takes work of the rank
+// from this caller.
+func (e *Entry) admit(upstream, caller string, r schedule.Rank) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	ok, after := e.door.Admit(upstream, r, e.now())
+	ok, after := e.door.AdmitCaller(upstream, caller, r, e.now())
 	if ok {
 		return nil
 	}
--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -63,7 +63,7 @@
 
 // observeFailure takes in a failure that says something about the upstream. A
 // lost answer says so only if the caller was still waiting for it.
-func (e *Entry) observeFailure(upstream string, err *verdict.Error, waiting bool) {
+func (e *Entry) observeFailure(upstream string, o options, err *verdict.Error, waiting bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
@@ -79,18 +79,10 @@
 		m.lag = max(m.lag, err.RetryAfter)
 		m.seen = now
 	case verdict.Overloaded:
-		m.load.RefuseFor = refuse(m.load.RefuseFor, err.RetryAfter)
-		e.door.Update(upstream, m.load, now)
+		e.door.Refused(upstream, o.caller, o.rank, err.RetryAfter, now)
 	}
 }
 
-// refuse marks the least urgent rank as refused, which an overloaded owner
-// sheds first.
-func refuse(by [schedule.Ranks]time.Duration, d time.Duration) [schedule.Ranks]time.Duration {
-	by[schedule.Least] = max(by[schedule.Least], d)
-	return by
-}
-
 // routeView gathers what core/route needs to know of a service.
 func (e *Entry) routeView(s *fleet.Service, rank schedule.Rank) route.View {
 	r, known := e.view.Route(s.Name)
--- a/instance/entry/session.go
+++ b/instance/entry/session.go
@@ -116,7 +116,7 @@
 		if err == nil {
 			return reply, nil
 		}
-		s.entry.observeFailure(string(d.Upstream), err, ctx.Err() == nil)
+		s.entry.observeFailure(string(d.Upstream), o, err, ctx.Err() == nil)
 		d = route.Next(d, err)
 	}
 	return nil, d.Reject
@@ -147,7 +147,7 @@
 	if !found {
 		return nil, verdict.New(verdict.CutOff, "no live instance owns upstream %q", upstream).After(unreachableFor)
 	}
-	if err := s.entry.admit(upstream, o.rank); err != nil {
+	if err := s.entry.admit(upstream, o.caller, o.rank); err != nil {
 		return nil, asVerdict(err)
 	}
 	r := s.request(x, o, w, upstream, deadline)
--- a/instance/node/coordinators.go
+++ b/instance/node/coordinators.go
@@ -27,9 +27,13 @@
 	replacing uint64 // term whose primary is being replaced
 }
 
-// quiesceTimeout bounds the wait for open transactions on a leaving primary,
-// which must get no new work after 3 s.
-const quiesceTimeout = 2 * time.Second
+const (
+	// quiesceTimeout bounds the wait for open transactions on a leaving primary,
+	// which must get no new work after 3 s.
+	quiesceTimeout = 2 * time.Second
+	// quiesceLimit covers quiesceTimeout and the change of primary after it.
+	quiesceLimit = 3 * time.Second
+)
 
 func newCoordinators(n *Node) *coordinators {
 	return &coordinators{node: n, services: make(map[string]*coordinator)}
@@ -43,8 +47,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	live := c.node.view.LiveByDomain()
 	for i := range doc.Services {
-		c.reconcileService(&doc.Services[i])
+		c.reconcileService(&doc.Services[i], live)
 	}
 	for name, running := range c.services {
 		if _, found := doc.Service(name); !found {
@@ -54,7 +59,7 @@
 	}
 }
 
-func (c *coordinators) reconcileService(s *fleet.Service) {
+func (c *coordinators) reconcileService(s *fleet.Service, live map[string]int) {
 	running := c.services[s.Name]
 	if running != nil && !sameMembers(running.databases, s.Databases) {
 		running.cancel()
@@ -65,6 +70,7 @@
 		c.services[s.Name] = running
 	}
 	running.SetActive(c.node.view.Coordinates(s.Name))
+	running.SetLiveInstances(live)
 	route, known := c.node.view.Route(s.Name)
 	for _, db := range s.Databases {
 		if known && db.State == fleet.Leaving && db.Name == string(route.Primary) {
@@ -83,7 +89,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.node.workCtx, quiesceTimeout)
 		defer cancel()
-		if err := c.node.quiesce(ctx, route); err != nil {
+		if err := c.node.quiesce(ctx, route.Service, string(route.Primary), quiesceLimit); err != nil {
 			c.node.log.WithError(err).WithField("upstream", route.Primary).Warn("the leaving primary was not quiesced")
 		}
 		running.Replace(string(route.Primary))
@@ -100,6 +106,7 @@
 		Now:         c.node.now,
 		Source:      c.node.settings.Source(),
 		Reserver:    reserver{c.node.register},
+		Quiesce:     c.node.quiesce,
 		Announce:    c.node.announceRoute,
 		Log:         c.node.log,
 	})
--- a/instance/node/gateway.go
+++ b/instance/node/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/fleet"
@@ -105,16 +104,21 @@
 }
 
 // quiesce asks the owner of a primary to end its writes.
-func (n *Node) quiesce(ctx context.Context, route failover.Route) error {
-	owner, err := n.primaryOwner(route.Service)
-	if err != nil {
-		return err
+func (n *Node) quiesce(ctx context.Context, service, primary string, limit time.Duration) error {
+	db, found := n.database(service, primary)
+	if !found {
+		return verdict.New(verdict.NoPrimary, "upstream %q is not in the configuration", primary)
+	}
+	owner, found := n.view.Owner(db)
+	if !found {
+		return verdict.New(verdict.CutOff, "no live instance owns upstream %q", primary)
 	}
+	r := &peer.QuiesceRequest{Upstream: primary, For: limit}
 	if owner.Name == n.settings.Name {
-		return n.upstreams.quiesce(ctx, string(route.Primary))
+		return n.upstreams.quiesce(ctx, r)
 	}
 	var none peer.Empty
-	return n.links.Control(owner.Address).Call(ctx, peer.MethodQuiesce, &peer.QuiesceRequest{Upstream: string(route.Primary)}, &none)
+	return n.links.Control(owner.Address).Call(ctx, peer.MethodQuiesce, r, &none)
 }
 
 func (n *Node) primaryOwner(service string) (view.Peer, error) {
--- a/instance/node/handler.go
+++ b/instance/node/handler.go
@@ -41,7 +41,7 @@
 }
 
 func (h handler) Quiesce(ctx context.Context, r *peer.QuiesceRequest) error {
-	return h.node.upstreams.quiesce(ctx, r.Upstream)
+	return h.node.upstreams.quiesce(ctx, r)
 }
 
 func (h handler) Probe(_ context.Context, p *peer.Probe) (*peer.Probe, error) {
--- a/instance/node/upstreams.go
+++ b/instance/node/upstreams.go
@@ -211,12 +211,12 @@
 }
 
 // quiesce stops the writes of an upstream that this instance owns.
-func (s *upstreams) quiesce(ctx context.Context, name string) error {
-	u := s.get(name)
+func (s *upstreams) quiesce(ctx context.Context, r *peer.QuiesceRequest) error {
+	u := s.get(r.Upstream)
 	if u == nil {
-		return verdict.New(verdict.Draining, "instance %q does not own upstream %q", s.node.settings.Name, name)
+		return verdict.New(verdict.Draining, "instance %q does not own upstream %q", s.node.settings.Name, r.Upstream)
 	}
-	return u.Quiesce(ctx)
+	return u.Quiesce(ctx, r.For)
 }
 
 // barrier asks this instance's upstreams for a confirmed position of the service.
--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/instance/peer"
+	"github.com/papayarail/papayarail/wire/group"
 	"github.com/papayarail/papayarail/wire/upstream"
 )
 
@@ -318,7 +319,10 @@
 // prove establishes what the caller was promised before the answer leaves.
 func (u *Upstream) prove(ctx context.Context, id uint64, r *peer.ExchangeRequest, a upstream.Answer, least position.Position, asked time.Duration) (*peer.ExchangeAnswer, error) {
 	out := &peer.ExchangeAnswer{Messages: a.Messages, TxStatus: a.TxStatus, Position: a.Position, Executed: u.now() - asked}
-	if !r.Executes {
+	// The database reports no position with an error. An error that it answered
+	// to a statement outside a commit reaches the caller as it is.
+	failed := a.SQLState != "" && a.SQLState != sqlStateReadOnly
+	if !r.Executes || failed && a.Position.IsZero() {
 		u.abandoned(id)
 		return out, nil
 	}
@@ -331,6 +335,9 @@
 	}
 	switch r.Proof {
 	case peer.ProofPosition, peer.ProofBarrier, peer.ProofAge:
+		if !u.follows(a.Position) {
+			return nil, executed(verdict.New(verdict.ReplicaBehind, "upstream %q is not known to follow a primary", u.cfg.Name).After(monitorBackoff))
+		}
 		if !a.Position.AtLeast(least) {
 			return nil, executed(verdict.New(verdict.ReplicaBehind, "upstream %q went back behind %s", u.cfg.Name, least).After(monitorBackoff))
 		}
@@ -338,6 +345,18 @@
 	return out, nil
 }
 
+// follows reports whether the upstream answered as a replica that follows a
+// primary. A primary, a deposed one above all, can show entries that a failover
+// discards. An answer of a later term than the last status may come from a
+// member that has been promoted since.
+func (u *Upstream) follows(p position.Position) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.status
+	following := s.Role == group.Replica && s.PrimaryMember != "" && s.PrimaryMember != s.Member
+	return following && p.Term <= s.Term
+}
+
 func (u *Upstream) proveConfirmed(ctx context.Context, id uint64, r *peer.ExchangeRequest, a upstream.Answer, out *peer.ExchangeAnswer) (*peer.ExchangeAnswer, error) {
 	if a.SQLState == sqlStateReadOnly && a.TxStatus == txIdle {
 		u.abandoned(id)
--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -106,7 +106,13 @@
 	defer u.mu.Unlock()
 	wanted := u.barrier
 	u.barrier = false
-	return wanted && u.status.Role == group.Primary
+	if !wanted || u.status.Role == group.Primary {
+		return wanted
+	}
+	// The tracker waits for an answer to each WriteBarrier. Without one it would
+	// never ask again once this member is the primary again.
+	u.performTracker(u.tracker.BarrierFailed(u.now()))
+	return false
 }
 
 func (u *Upstream) takeReclaim() bool {
--- a/instance/owner/quiesce.go
+++ b/instance/owner/quiesce.go
@@ -7,18 +7,14 @@
 	"github.com/papayarail/papayarail/core/verdict"
 )
 
-const (
-	// quiesceLimit ends a quiescence after which no new term has come, so that a
-	// coordinator that dies in between does not stop writes for good.
-	quiesceLimit = 3 * time.Second
-	quiescePoll  = 5 * time.Millisecond
-)
+const quiescePoll = 5 * time.Millisecond
 
 // Quiesce refuses new writes and transactions as not run, and returns when those
-// in progress have ended. The refusal ends with a new term or after quiesceLimit.
-func (u *Upstream) Quiesce(ctx context.Context) error {
+// in progress have ended. The refusal ends with a new term or after limit, so
+// that a coordinator that dies in between does not stop writes for good.
+func (u *Upstream) Quiesce(ctx context.Context, limit time.Duration) error {
 	u.mu.Lock()
-	u.quietUntil = u.now() + quiesceLimit
+	u.quietUntil = max(u.quietUntil, u.now()+limit)
 	u.mu.Unlock()
 	ticker := time.NewTicker(quiescePoll)
 	defer ticker.Stop()
--- a/instance/peer/messages.go
+++ b/instance/peer/messages.go
@@ -110,9 +110,11 @@
 }
 
 // QuiesceRequest asks the owner of a primary that is to be replaced to take no
-// new writes; the answer comes when all writes and transactions have ended.
+// new writes for a time; the answer comes when all writes and transactions have
+// ended.
 type QuiesceRequest struct {
-	Upstream string `json:"upstream"`
+	Upstream string        `json:"upstream"`
+	For      time.Duration `json:"for_ns"`
 }
 
 // Hello describes an instance; it answers each heartbeat.
--- a/instance/view/view.go
+++ b/instance/view/view.go
@@ -211,6 +211,19 @@
 	return out
 }
 
+// LiveByDomain counts the live instances of each failure domain.
+func (v *View) LiveByDomain() map[string]int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := map[string]int{v.self.FailureDomain: 1}
+	for _, p := range v.peers {
+		if !p.Leaving {
+			out[p.FailureDomain]++
+		}
+	}
+	return out
+}
+
 // Owner returns the instance that owns an upstream.
 func (v *View) Owner(db *fleet.Database) (owner Peer, found bool) {
 	v.mu.RLock()
