Measure load scenarios beside a naive baseline

Cause: the targets of section 3 and the guarantees of section 2 of the design were not compared with any run. Change: papayarail measure offers seeded open-loop load to a local fleet and to a naive proxy (one primary, one queue, no retries), checks all answers against a ledger of acknowledged writes, and prints both beside the targets. Ten scenarios: steady, two floods, failover, partition, platform outage, shrink, roaming, silent links and two editors. A differential test replays seeded statements through both proxies. local can run databases alone and restart a killed member. After the third failover of a service strict reads hang; the row 'services not read back' shows it.

--- /dev/null
+++ b/measure/load/ledger.go
@@ -0,0 +1,177 @@
+package load
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/papayarail/papayarail/measure/figures"
+)
+
+// maxExamples bounds the violations that are described one by one.
+const maxExamples = 3
+
+// Numbers of the guarantees in section 2 of the design.
+const (
+	ReadYourWrites   = 1
+	ReplacedPrimary  = 2
+	Isolation        = 3
+	MatchingAnswers  = 4
+	NotRun           = 5
+	AtMostOnce       = 6
+	LeavingUpstreams = 7
+	GracefulStop     = 8
+	Configuration    = 9
+)
+
+var guaranteeNames = []string{"read-your-writes", "no acknowledgement by a replaced primary", "isolation of sessions",
+	"complete and matching responses", "not run means not run", "at most once", "leaving upstreams", "graceful stop", "configuration"}
+
+// Ledger remembers what was acknowledged and what may have run, and counts
+// observed violations of the guarantees.
+type Ledger struct {
+	mu         sync.Mutex
+	guarantees []figures.Guarantee
+	lots       map[place]*lot
+	recalls    map[place]*recall
+}
+
+// place names a row of a service.
+type place struct{ service, id string }
+
+// lot counts the moves of a lot; each adds one to its quantity.
+type lot struct{ started, acknowledged, notRun int }
+
+// recall is a keyed insert. Each attempt would insert a row of its own.
+type recall struct{ acknowledged, mayHaveRun bool }
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	l := &Ledger{lots: make(map[place]*lot), recalls: make(map[place]*recall)}
+	for i, name := range guaranteeNames {
+		l.guarantees = append(l.guarantees, figures.Guarantee{Number: i + 1, Name: name})
+	}
+	return l
+}
+
+// Guarantees returns the observations so far.
+func (l *Ledger) Guarantees() []figures.Guarantee {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]figures.Guarantee(nil), l.guarantees...)
+}
+
+// Check counts an observation of a guarantee.
+func (l *Ledger) Check(guarantee int, holds bool, format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.check(guarantee, holds, format, args...)
+}
+
+func (l *Ledger) check(guarantee int, holds bool, format string, args ...any) {
+	g := &l.guarantees[guarantee-1]
+	g.Checks++
+	if holds {
+		return
+	}
+	g.Violations++
+	if len(g.Examples) < maxExamples {
+		g.Examples = append(g.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+func (l *Ledger) lot(p place) *lot {
+	x := l.lots[p]
+	if x == nil {
+		x = &lot{}
+		l.lots[p] = x
+	}
+	return x
+}
+
+func (l *Ledger) moveStarts(p place) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lot(p).started++
+}
+
+func (l *Ledger) moveEnds(p place, o outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch o.kind {
+	case answered:
+		l.lot(p).acknowledged++
+	case notRun, refusedByDatabase:
+		l.lot(p).notRun++
+	}
+}
+
+// bounds are what a read that starts now may see of a lot.
+type bounds struct {
+	least  int // moves acknowledged before the read
+	notRun int // moves reported as not run before the read
+}
+
+func (l *Ledger) readStarts(p place) bounds {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.lot(p)
+	return bounds{x.acknowledged, x.notRun}
+}
+
+// strictRead checks what a strict read saw against the bounds at its start and
+// the moves that had started when it ended.
+func (l *Ledger) strictRead(p place, b bounds, quantity int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.check(ReadYourWrites, quantity >= b.least, "strict read of %s/%s saw %d moves, %d were acknowledged before", p.service, p.id, quantity, b.least)
+	most := l.lot(p).started - b.notRun
+	l.check(NotRun, quantity <= most, "strict read of %s/%s saw %d moves, at most %d may have run", p.service, p.id, quantity, most)
+}
+
+func (l *Ledger) recallEnds(p place, o outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.recalls[p]
+	if r == nil {
+		r = &recall{}
+		l.recalls[p] = r
+	}
+	switch o.kind {
+	case answered:
+		r.acknowledged = true
+	case unknown:
+		r.mayHaveRun = true
+	}
+}
+
+// settle compares the contents of a service with the ledger.
+func (l *Ledger) settle(service string, quantities map[string]int, rows map[string]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, x := range l.lots {
+		if p.service == service {
+			l.settleLot(p, x, quantities[p.id])
+		}
+	}
+	for p, r := range l.recalls {
+		if p.service == service {
+			l.settleRecall(p, r, rows[p.id])
+		}
+	}
+}
+
+func (l *Ledger) settleLot(p place, x *lot, quantity int) {
+	l.check(ReplacedPrimary, quantity >= x.acknowledged, "lot %s/%s has %d moves, %d were acknowledged", p.service, p.id, quantity, x.acknowledged)
+	most := x.started - x.notRun
+	l.check(NotRun, quantity <= most, "lot %s/%s has %d moves, at most %d may have run", p.service, p.id, quantity, most)
+}
+
+func (l *Ledger) settleRecall(p place, r *recall, rows int) {
+	l.check(AtMostOnce, rows <= 1, "request key %s/%s took effect %d times", p.service, p.id, rows)
+	if r.acknowledged {
+		l.check(ReplacedPrimary, rows >= 1, "acknowledged recall %s/%s is lost", p.service, p.id)
+	}
+	if !r.acknowledged && !r.mayHaveRun {
+		l.check(NotRun, rows == 0, "recall %s/%s is present although it was reported as not run", p.service, p.id)
+	}
+}
--- /dev/null
+++ b/measure/load/load.go
@@ -0,0 +1,434 @@
+// Package load offers open-loop load to a proxy as named callers do, and checks
+// the answers against a ledger of what was acknowledged.
+package load
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/papayarail/papayarail/measure/figures"
+)
+
+// Ranks of the load.
+const (
+	Urgent = "urgent"
+	Middle = "middle"
+	Least  = "least"
+)
+
+const (
+	// Deadline is what callers state for each request.
+	Deadline = 2 * time.Second
+	// MaxStaleness is the age that lookups accept.
+	MaxStaleness = 5 * time.Second
+	// patience is the time after which a caller gives an attempt up. The
+	// difference to Deadline covers the transport of a late refusal.
+	patience = Deadline + time.Second
+	// totalPatience is the time after which no attempt of a request starts.
+	totalPatience = 4 * time.Second
+	// comeBacks bounds how often a refused caller comes back.
+	comeBacks = 3
+	// defaultComeBack is the pause before a keyed request of unknown outcome is
+	// asked again, and after a refusal without advice.
+	defaultComeBack = 50 * time.Millisecond
+	// lotCount is the number of lots of each service.
+	lotCount = 20
+)
+
+// Kind is what a stream requests.
+type Kind uint8
+
+// Kinds of requests.
+const (
+	// Recalls are inserts with a request key.
+	Recalls Kind = iota
+	// Moves are updates that add one to the quantity of a lot.
+	Moves
+	// Checks are strict reads of a lot.
+	Checks
+	// Lookups are reads of a lot that accept data of a stated age.
+	Lookups
+)
+
+// Stream is one source of requests.
+type Stream struct {
+	Name    string // callers are named Name-1, Name-2, ...
+	Service string
+	Rank    string
+	Kind    Kind
+	Rate    float64 // requests per second
+	Callers int
+	// Greedy makes each fourth caller offer four times as much as the others.
+	Greedy bool
+	// Connections of each caller.
+	Connections int
+}
+
+// Load is the callers of one system under test.
+type Load struct {
+	Ledger *Ledger
+
+	seed      uint64
+	addresses Addresses
+	faulty    atomic.Bool
+	sequence  atomic.Int64
+
+	mu      sync.Mutex
+	callers map[string]*caller
+	cut     int
+	cutInfo []string
+	acks    map[string][]ack
+}
+
+// ack is an acknowledged write.
+type ack struct{ sent, received time.Time }
+
+// New returns a load without callers.
+func New(seed uint64, a Addresses) *Load {
+	return &Load{Ledger: NewLedger(), seed: seed, addresses: a, callers: make(map[string]*caller), acks: make(map[string][]ack)}
+}
+
+// SetFaulty says whether something has failed on purpose. While nothing has,
+// each error without "not run" counts as a cut request.
+func (l *Load) SetFaulty(faulty bool) { l.faulty.Store(faulty) }
+
+// Cut returns the number of cut requests and some of their errors.
+func (l *Load) Cut() (int, []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut, l.cutInfo
+}
+
+// Run offers the streams for a duration, or until stop is closed, and returns
+// when all their requests have ended.
+func (l *Load) Run(ctx context.Context, name string, d time.Duration, streams []Stream, stop <-chan struct{}) figures.Phase {
+	p := newPhase(name, d)
+	var work sync.WaitGroup
+	for _, s := range streams {
+		work.Go(func() { l.offer(ctx, p, s, stop) })
+	}
+	work.Wait()
+	return p.figures(l.longestPauses(p.began, p.began.Add(p.duration)))
+}
+
+// offer starts requests at random times with exponential intervals. It waits
+// for them all.
+func (l *Load) offer(ctx context.Context, p *phase, s Stream, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(l.seed, hash(p.name+"/"+s.Name+"/"+s.Service)))
+	callers := l.callersOf(s)
+	pick := weights(s)
+	for _, c := range callers {
+		c.offered.Store(0)
+		c.answered.Store(0)
+	}
+	var work sync.WaitGroup
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
+		if at >= p.limit || !sleepUntil(ctx, p.began.Add(at), stop) {
+			break
+		}
+		c := callers[pick[random.IntN(len(pick))]]
+		lot := fmt.Sprintf("lot-%d", random.IntN(lotCount))
+		arrived := p.began.Add(at)
+		work.Go(func() { l.request(ctx, p, s, c, lot, arrived) })
+	}
+	p.lasted(min(time.Since(p.began), p.limit))
+	work.Wait()
+	if s.Rank == Urgent {
+		p.addCallers(s.Service, callers)
+	}
+}
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s)) // never fails
+	return h.Sum64()
+}
+
+// weights lists each caller as often as its share of the load demands.
+func weights(s Stream) (pick []int) {
+	for i := range s.Callers {
+		n := 1
+		if s.Greedy && i%4 == 0 {
+			n = 4
+		}
+		for range n {
+			pick = append(pick, i)
+		}
+	}
+	return pick
+}
+
+func (l *Load) callersOf(s Stream) []*caller {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*caller, s.Callers)
+	for i := range out {
+		name := fmt.Sprintf("%s-%d", s.Name, i+1)
+		key := s.Service + "/" + name
+		if l.callers[key] == nil {
+			l.callers[key] = newCaller(name, s.Service, s.Rank, s.Connections, i, l.addresses)
+		}
+		out[i] = l.callers[key]
+	}
+	return out
+}
+
+// sleepUntil returns false if stop is closed or ctx ends before t.
+func sleepUntil(ctx context.Context, t time.Time, stop <-chan struct{}) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// request runs one request with its come-backs.
+func (l *Load) request(ctx context.Context, p *phase, s Stream, c *caller, lot string, arrived time.Time) {
+	c.offered.Add(1)
+	p.offered(s.Rank)
+	r := request{load: l, stream: s, caller: c, lot: lot, key: fmt.Sprintf("%s-%d", c.name, l.sequence.Add(1))}
+	giveUp := arrived.Add(totalPatience)
+	var o outcome
+	for attempt := 0; attempt <= comeBacks; attempt++ {
+		faulty := l.faulty.Load()
+		o = r.attempt(ctx, giveUp, attempt)
+		p.code(s.Rank, o)
+		if o.kind == unknown && !faulty && !l.faulty.Load() {
+			l.countCut(s, c, o)
+		}
+		pause := max(o.after, defaultComeBack)
+		if !r.comesBack(o) || time.Now().Add(pause).After(giveUp) || !sleep(ctx, pause) {
+			break
+		}
+	}
+	// Answers after the offered interval show how long a caller waited, not how
+	// the capacity was divided while all callers wanted it.
+	if o.kind == answered && time.Since(p.began) < p.limit {
+		c.answered.Add(1)
+	}
+	p.ended(s.Rank, o, time.Since(arrived))
+}
+
+func (l *Load) countCut(s Stream, c *caller, o outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut++
+	if len(l.cutInfo) < maxExamples {
+		l.cutInfo = append(l.cutInfo, fmt.Sprintf("%s of %s at %s: %s: %v", s.Rank, c.name, s.Service, o.code, o.err))
+	}
+}
+
+// request is one request of a caller.
+type request struct {
+	load   *Load
+	stream Stream
+	caller *caller
+	lot    string
+	key    string
+}
+
+// comesBack reports whether another attempt follows. Only a keyed request may
+// be repeated when its outcome is unknown.
+func (r *request) comesBack(o outcome) bool {
+	return o.kind == notRun || o.kind == unknown && r.stream.Kind == Recalls
+}
+
+func (r *request) place() place { return place{r.stream.Service, r.lot} }
+
+// attempt waits until giveUp for a connection; the wait is not part of the
+// patience with the proxy.
+func (r *request) attempt(ctx context.Context, giveUp time.Time, n int) outcome {
+	waiting, done := context.WithDeadline(ctx, giveUp)
+	k, err := r.caller.take(waiting)
+	done()
+	if err != nil {
+		return outcome{kind: notRun, code: codeNoConnection, err: err}
+	}
+	defer r.caller.give(k)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	switch r.stream.Kind {
+	case Recalls:
+		return r.recall(ctx, k, n)
+	case Moves:
+		return r.move(ctx, k)
+	case Checks:
+		return r.check(ctx, k)
+	default:
+		return r.lookup(ctx, k)
+	}
+}
+
+// recall inserts a row whose id differs between attempts, so that a second
+// execution under the same key shows.
+func (r *request) recall(ctx context.Context, k *conn, n int) outcome {
+	if _, err := k.Exec(ctx, "SET papayarail.request_key = '"+r.key+"'"); err != nil {
+		return outcomeOf(err)
+	}
+	sent := time.Now()
+	_, err := k.Exec(ctx, "INSERT INTO recalls (id, request) VALUES ($1, $2)", fmt.Sprintf("%s/%d", r.key, n), r.key)
+	o := outcomeOf(err)
+	r.load.Ledger.recallEnds(place{r.stream.Service, r.key}, o)
+	r.acknowledged(o, sent)
+	return o
+}
+
+func (r *request) acknowledged(o outcome, sent time.Time) {
+	if o.kind != answered {
+		return
+	}
+	l := r.load
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acks[r.stream.Service] = append(l.acks[r.stream.Service], ack{sent, time.Now()})
+}
+
+func (r *request) move(ctx context.Context, k *conn) outcome {
+	p := r.place()
+	sent := time.Now()
+	r.load.Ledger.moveStarts(p)
+	tag, err := k.Exec(ctx, "UPDATE lots SET quantity = quantity + 1 WHERE id = $1", r.lot)
+	if err == nil && tag.RowsAffected() != 1 {
+		r.load.Ledger.Check(MatchingAnswers, false, "update of %s/%s answered %q", p.service, p.id, tag)
+	}
+	o := outcomeOf(err)
+	r.load.Ledger.moveEnds(p, o)
+	r.acknowledged(o, sent)
+	return o
+}
+
+func (r *request) read(ctx context.Context, k *conn) (quantity int, o outcome) {
+	var id string
+	err := k.QueryRow(ctx, "SELECT id, quantity FROM lots WHERE id = $1", r.lot).Scan(&id, &quantity)
+	if err == nil {
+		r.load.Ledger.Check(MatchingAnswers, id == r.lot, "read of %s/%s answered with %s", r.stream.Service, r.lot, id)
+	}
+	return quantity, outcomeOf(err)
+}
+
+func (r *request) check(ctx context.Context, k *conn) outcome {
+	b := r.load.Ledger.readStarts(r.place())
+	quantity, o := r.read(ctx, k)
+	if o.kind == answered {
+		r.load.Ledger.strictRead(r.place(), b, quantity)
+	}
+	return o
+}
+
+func (r *request) lookup(ctx context.Context, k *conn) outcome {
+	quantity, o := r.read(ctx, k)
+	if o.kind == answered {
+		r.load.Ledger.Check(ReadYourWrites, quantity >= k.seen[r.lot], "session of %s went backwards on %s/%s from %d to %d",
+			r.caller.name, r.stream.Service, r.lot, k.seen[r.lot], quantity)
+		k.seen[r.lot] = quantity
+	}
+	return o
+}
+
+// Close ends all connections.
+func (l *Load) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.callers {
+		c.close()
+	}
+}
+
+// Prepare creates the tables of a service through the proxy.
+func Prepare(ctx context.Context, address, service string) error {
+	k, err := connect(ctx, address, service, nil)
+	if err != nil {
+		return err
+	}
+	defer k.Close(context.WithoutCancel(ctx))
+	for _, table := range []string{
+		"CREATE TABLE IF NOT EXISTS lots (id text PRIMARY KEY, quantity bigint NOT NULL)",
+		"CREATE TABLE IF NOT EXISTS recalls (id text PRIMARY KEY, request text NOT NULL)",
+	} {
+		if _, err := k.Exec(ctx, table); err != nil {
+			return err
+		}
+	}
+	for i := range lotCount {
+		if _, err := k.Exec(ctx, "INSERT INTO lots (id, quantity) VALUES ($1, 0)", fmt.Sprintf("lot-%d", i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ReadBack compares the contents of a service, read at an address, with the
+// ledger.
+func (l *Load) ReadBack(ctx context.Context, address, service string) error {
+	for {
+		quantities, rows, err := contents(ctx, address, service)
+		if err == nil {
+			l.Ledger.settle(service, quantities, rows)
+			return nil
+		}
+		if outcomeOf(err).kind == refusedByDatabase || !sleep(ctx, defaultComeBack) {
+			return err
+		}
+	}
+}
+
+func contents(ctx context.Context, address, service string) (quantities, rows map[string]int, err error) {
+	k, err := connect(ctx, address, service, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer k.Close(context.WithoutCancel(ctx))
+	quantities, rows = make(map[string]int), make(map[string]int)
+	lots, err := k.Query(ctx, "SELECT id, quantity FROM lots")
+	if err != nil {
+		return nil, nil, err
+	}
+	var id string
+	var quantity int
+	for lots.Next() {
+		if err := lots.Scan(&id, &quantity); err != nil {
+			return nil, nil, err
+		}
+		quantities[id] = quantity
+	}
+	if lots.Err() != nil {
+		return nil, nil, lots.Err()
+	}
+	recalls, err := k.Query(ctx, "SELECT request FROM recalls")
+	if err != nil {
+		return nil, nil, err
+	}
+	for recalls.Next() {
+		if err := recalls.Scan(&id); err != nil {
+			return nil, nil, err
+		}
+		rows[id]++
+	}
+	return quantities, rows, recalls.Err()
+}
--- /dev/null
+++ b/measure/load/outcome.go
@@ -0,0 +1,75 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+type outcomeKind uint8
+
+const (
+	// unknown means that the request may have run.
+	unknown outcomeKind = iota
+	answered
+	notRun
+	// refusedByDatabase means that the database executed the request and
+	// answered with an error, so that it has no effect.
+	refusedByDatabase
+)
+
+// outcome is the end of one attempt.
+type outcome struct {
+	kind  outcomeKind
+	code  string
+	after time.Duration // when to come back; 0 if not stated
+	err   error
+}
+
+// Codes of outcomes that the caller observes itself.
+const (
+	codeTimeout        = "timeout"
+	codeLostConnection = "lost_connection"
+	codeNoConnection   = "no_connection"
+)
+
+func outcomeOf(err error) outcome {
+	var pg *pgconn.PgError
+	switch {
+	case err == nil:
+		return outcome{kind: answered}
+	case errors.As(err, &pg):
+		return stated(pg)
+	case pgconn.SafeToRetry(err):
+		return outcome{kind: notRun, code: codeNoConnection, err: err}
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome{kind: unknown, code: codeTimeout, err: err}
+	default:
+		return outcome{kind: unknown, code: codeLostConnection, err: err}
+	}
+}
+
+// stated reads the verdict in the detail of an error.
+func stated(pg *pgconn.PgError) outcome {
+	o := outcome{kind: refusedByDatabase, code: pg.Code, err: fmt.Errorf("%w %s", pg, pg.Detail)}
+	for _, field := range strings.Fields(pg.Detail) {
+		name, value, _ := strings.Cut(field, "=")
+		switch name {
+		case "verdict":
+			o.kind = verdicts[value]
+		case "code":
+			o.code = value
+		case "retry_after_ms":
+			ms, _ := strconv.Atoi(value) // 0 if malformed: no advice
+			o.after = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return o
+}
+
+var verdicts = map[string]outcomeKind{"not_run": notRun, "may_have_run": unknown, "ran": refusedByDatabase}
--- a/measure/local/local.go
+++ b/measure/local/local.go
@@ -46,6 +46,8 @@
 	StatementDelay time.Duration
 	// ReplicationDelay is the lag of replicas; 0 takes the stand-in's.
 	ReplicationDelay time.Duration
+	// DatabasesOnly starts neither the platform nor instances.
+	DatabasesOnly bool
 }
 
 // Instance is one running instance.
@@ -72,12 +74,14 @@
 	config Config
 	store  *configstore.Store
 	work   sync.WaitGroup
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 // Member is one running member of a database group.
 type Member struct {
 	*dbgroup.Member
+	config dbgroup.Config
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -95,7 +99,7 @@
 		c.Log.SetOutput(io.Discard)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	f := &Fleet{Document: clone(c.Document), Members: make(map[string]*Member), config: c, cancel: cancel}
+	f := &Fleet{Document: clone(c.Document), Members: make(map[string]*Member), config: c, ctx: ctx, cancel: cancel}
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -119,6 +123,9 @@
 	if err := f.startMembers(ctx); err != nil {
 		return err
 	}
+	if f.config.DatabasesOnly {
+		return nil
+	}
 	if err := f.startPlatform(ctx); err != nil {
 		return err
 	}
@@ -176,12 +183,16 @@
 	if f.config.ReplicationDelay > 0 {
 		mc.ReplicationDelayMS = f.config.ReplicationDelay.Milliseconds()
 	}
+	return f.runMember(ctx, mc)
+}
+
+func (f *Fleet) runMember(ctx context.Context, mc dbgroup.Config) error {
 	m, err := dbgroup.New(mc)
 	if err != nil {
 		return Class.Wrap(err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	out := &Member{Member: m, cancel: cancel, done: make(chan struct{})}
+	out := &Member{Member: m, config: mc, cancel: cancel, done: make(chan struct{})}
 	f.Members[mc.Name] = out
 	f.work.Go(func() {
 		defer close(out.done)
@@ -192,6 +203,15 @@
 	return nil
 }
 
+// Restart starts a killed member again on its address. It has lost its log and
+// has no vote until it has caught up with a primary.
+func (f *Fleet) Restart(name string) error {
+	mc := f.Members[name].config
+	mc.Rejoin = true
+	mc.Listener = nil
+	return f.runMember(f.ctx, mc)
+}
+
 func (f *Fleet) startPlatform(ctx context.Context) error {
 	p, err := platformd.New(platformd.Config{})
 	if err != nil {
--- /dev/null
+++ b/measure/scenario/differential_test.go
@@ -0,0 +1,102 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/fleet"
+)
+
+const (
+	differentialSeed  = 7
+	differentialSteps = 150
+)
+
+// Guards against answers that depend on routing, replicas or transactions: the
+// same statements give the same answers through papayarail, moving between its
+// instances, and through the naive proxy.
+func TestSameAnswersAsNaive(t *testing.T) {
+	raw, err := os.ReadFile("../../papayarail/dev/default.json")
+	assert.NilError(t, err)
+	doc, err := fleet.Parse(raw)
+	assert.NilError(t, err)
+	doc.Services = doc.Services[:1]
+	var answers [2][]string
+	for i, start := range []func(context.Context, Options) (*system, error){startPapayarail, startNaive} {
+		s, err := start(t.Context(), Options{Document: doc, Seed: differentialSeed})
+		assert.NilError(t, err)
+		answers[i] = replay(t, s)
+		s.close()
+	}
+	assert.DeepEqual(t, answers[0], answers[1])
+}
+
+// replay runs the seeded statements and returns what each answered.
+func replay(t *testing.T, s *system) (out []string) {
+	random := rand.New(rand.NewPCG(differentialSeed, 0))
+	var conns []*pgx.Conn
+	for _, address := range s.callerAddresses() {
+		k, err := pgx.Connect(t.Context(), "postgres://clerk@"+address+"/"+s.doc.Services[0].Name+"?sslmode=disable")
+		assert.NilError(t, err)
+		defer k.Close(context.Background())
+		conns = append(conns, k)
+	}
+	for range differentialSteps {
+		k := conns[random.IntN(1<<16)%len(conns)]
+		for _, sql := range statements(random) {
+			out = append(out, sql+" -> "+answer(t.Context(), k, sql))
+		}
+	}
+	return out
+}
+
+// statements returns a single statement or a whole transaction.
+func statements(random *rand.Rand) []string {
+	lot := fmt.Sprintf("lot-%d", random.IntN(lotsUsed))
+	n := random.IntN(30)
+	switch random.IntN(7) {
+	case 0:
+		return []string{fmt.Sprintf("UPDATE lots SET quantity = quantity + %d WHERE id = '%s'", random.IntN(9), lot)}
+	case 1:
+		return []string{fmt.Sprintf("INSERT INTO recalls (id, request) VALUES ('r%d', 'x') ON CONFLICT DO NOTHING", n)}
+	case 2:
+		return []string{fmt.Sprintf("DELETE FROM recalls WHERE id = 'r%d'", n)}
+	case 3:
+		return []string{"SELECT id, quantity FROM lots ORDER BY id"}
+	case 4:
+		return []string{"SELECT id, quantity FROM lots WHERE id = '" + lot + "'"}
+	case 5:
+		end := []string{"COMMIT", "ROLLBACK"}[random.IntN(2)]
+		return []string{"BEGIN", "UPDATE lots SET quantity = quantity - 1 WHERE id = '" + lot + "'",
+			"SELECT quantity FROM lots WHERE id = '" + lot + "'", end}
+	default:
+		return []string{"SELECT count(*) FROM recalls"}
+	}
+}
+
+const lotsUsed = 6
+
+// answer renders the rows or the SQLSTATE of a statement.
+func answer(ctx context.Context, k *pgx.Conn, sql string) string {
+	results, err := k.PgConn().Exec(ctx, sql).ReadAll()
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) {
+		return pg.Code
+	}
+	if err != nil {
+		return err.Error()
+	}
+	out := ""
+	for _, r := range results {
+		out += fmt.Sprintf("%s %q ", r.CommandTag, r.Rows)
+	}
+	return out
+}
--- /dev/null
+++ b/measure/scenario/rows.go
@@ -0,0 +1,236 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/papayarail/papayarail/fleet"
+	"github.com/papayarail/papayarail/measure/figures"
+	"github.com/papayarail/papayarail/measure/load"
+)
+
+var ranks = []string{load.Urgent, load.Middle, load.Least}
+
+// addRows adds the rows that every scenario has.
+func addRows(r *figures.Report) {
+	for _, p := range r.Papayarail.Phases {
+		addPhase(r, p)
+	}
+	if len(r.Papayarail.WriteGaps) > 0 || r.Papayarail.NoWrite > 0 {
+		addGaps(r)
+	}
+	add(r, "cut requests", func(s *figures.Side) string { return fmt.Sprint(s.Cut) })
+	if r.Papayarail.Unreadable > 0 || r.Baseline != nil && r.Baseline.Unreadable > 0 {
+		target(r, "services not read back", "0", "%.0f", func(s *figures.Side) (float64, bool) { return float64(s.Unreadable), true }, atMost(0))
+	}
+	r.Rows = append(r.Rows, r.Papayarail.Extra...)
+}
+
+// add appends a row without a target.
+func add(r *figures.Report, metric string, value func(*figures.Side) string) {
+	row := figures.Row{Metric: metric, Papayarail: value(&r.Papayarail), Result: figures.NoTarget}
+	if r.Baseline != nil {
+		row.Baseline = value(r.Baseline)
+	}
+	r.Rows = append(r.Rows, row)
+}
+
+func addPhase(r *figures.Report, p figures.Phase) {
+	for _, rank := range ranks {
+		if _, ok := p.Ranks[rank]; !ok {
+			continue
+		}
+		addRank(r, p.Name, rank)
+	}
+	add(r, p.Name+": replica share of reads (/metrics)", phaseValue(p.Name, func(p *figures.Phase) string { return percent(p.ReplicaShare) }))
+	add(r, p.Name+": Jain's index, urgent", phaseValue(p.Name, func(p *figures.Phase) string { return index(p.Jain) }))
+	add(r, p.Name+": longest write pause", phaseValue(p.Name, longestPause))
+}
+
+func phaseValue(name string, value func(*figures.Phase) string) func(*figures.Side) string {
+	return func(s *figures.Side) string {
+		p := s.Phase(name)
+		if p == nil {
+			return ""
+		}
+		return value(p)
+	}
+}
+
+func addRank(r *figures.Report, phase, rank string) {
+	of := func(value func(figures.Rank) string) func(*figures.Side) string {
+		return phaseValue(phase, func(p *figures.Phase) string { return value(p.Ranks[rank]) })
+	}
+	add(r, phase+" "+rank+": offered/answered/refused/failed", of(func(k figures.Rank) string {
+		return fmt.Sprintf("%d/%d/%d/%d", k.Offered, k.Answered, k.Refused, k.Failed)
+	}))
+	add(r, phase+" "+rank+": p50/p90/p99/max ms", of(func(k figures.Rank) string {
+		return fmt.Sprintf("%.0f/%.0f/%.0f/%.0f", k.P50, k.P90, k.P99, k.Max)
+	}))
+	if codes(r, phase, rank) {
+		add(r, phase+" "+rank+": errors by code", of(func(k figures.Rank) string { return figures.FormatCodes(k.Codes) }))
+	}
+}
+
+func codes(r *figures.Report, phase, rank string) bool {
+	for _, s := range []*figures.Side{&r.Papayarail, r.Baseline} {
+		if p := s.Phase(phase); p != nil && len(p.Ranks[rank].Codes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func percent(x *float64) string {
+	if x == nil {
+		return ""
+	}
+	return fmt.Sprintf("%.1f%%", *x*100)
+}
+
+func index(x *float64) string {
+	if x == nil {
+		return ""
+	}
+	return fmt.Sprintf("%.3f", *x)
+}
+
+func longestPause(p *figures.Phase) string {
+	longest := figures.Millis(0)
+	for _, d := range p.LongestPause {
+		longest = max(longest, d)
+	}
+	return fmt.Sprintf("%.0f ms", longest)
+}
+
+// addGaps adds the write gaps per service and over all.
+func addGaps(r *figures.Report) {
+	for _, service := range slices.Sorted(maps.Keys(r.Papayarail.WriteGaps)) {
+		add(r, "write gap "+service, func(s *figures.Side) string { return formatGaps(s.WriteGaps[service]) })
+	}
+	add(r, "faults without a later write", func(s *figures.Side) string { return fmt.Sprint(s.NoWrite) })
+}
+
+func formatGaps(gaps []figures.Millis) string {
+	if len(gaps) == 0 {
+		return "none"
+	}
+	sorted := slices.Sorted(slices.Values(gaps))
+	return fmt.Sprintf("n=%d min %.0f median %.0f max %.0f ms", len(sorted), sorted[0], sorted[len(sorted)/2], sorted[len(sorted)-1])
+}
+
+// allGaps returns the sorted gaps of all services.
+func allGaps(s *figures.Side) (all []figures.Millis) {
+	if s == nil {
+		return nil
+	}
+	for _, gaps := range s.WriteGaps {
+		all = append(all, gaps...)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// kept returns the share of the offered requests that are answered in a phase,
+// relative to the quiet phase. Shares are free of the noise of random arrivals,
+// which answered requests per second are not.
+func kept(s *figures.Side, phase, rank string) (float64, bool) {
+	before, now := s.Phase("quiet"), s.Phase(phase)
+	if before == nil || now == nil {
+		return 0, false
+	}
+	q, f := answeredShare(before.Ranks[rank]), answeredShare(now.Ranks[rank])
+	if q == 0 {
+		return 0, false
+	}
+	return f / q, true
+}
+
+func answeredShare(r figures.Rank) float64 {
+	if r.Offered == 0 {
+		return 0
+	}
+	return float64(r.Answered) / float64(r.Offered)
+}
+
+// target adds a row that is compared with a target.
+func target(r *figures.Report, metric, stated, format string, value func(*figures.Side) (float64, bool), met func(float64) bool) {
+	row := figures.Row{Metric: metric, Target: stated, Result: figures.Unmeasured}
+	if x, ok := value(&r.Papayarail); ok {
+		row.Papayarail = fmt.Sprintf(format, x)
+		row.Result = figures.Compare(met(x))
+	}
+	if r.Baseline != nil {
+		if x, ok := value(r.Baseline); ok {
+			row.Baseline = fmt.Sprintf(format, x)
+		}
+	}
+	r.Rows = append(r.Rows, row)
+}
+
+func atLeast(least float64) func(float64) bool { return func(x float64) bool { return x >= least } }
+func atMost(most float64) func(float64) bool   { return func(x float64) bool { return x <= most } }
+
+func floodLookupsTargets(r *figures.Report, _ *fleet.Document) {
+	keeps := func(rank string) func(*figures.Side) (float64, bool) {
+		return func(s *figures.Side) (float64, bool) {
+			x, ok := kept(s, "flood", rank)
+			return x * 100, ok
+		}
+	}
+	target(r, "urgent keeps of its quiet rate", ">= 99%", "%.1f%%", keeps(load.Urgent), atLeast(99))
+	target(r, "middle keeps of its quiet rate", ">= 95%", "%.1f%%", keeps(load.Middle), atLeast(95))
+	target(r, "urgent p99 against quiet", "<= 1.5", "%.2f", func(s *figures.Side) (float64, bool) {
+		q, f := s.Phase("quiet"), s.Phase("flood")
+		if q == nil || f == nil || q.Ranks[load.Urgent].P99 == 0 {
+			return 0, false
+		}
+		return float64(f.Ranks[load.Urgent].P99 / q.Ranks[load.Urgent].P99), true
+	}, atMost(1.5))
+}
+
+// floorRate is the rate that the document guarantees a rank at the primaries.
+func floorRate(doc *fleet.Document, rank string) (rate float64) {
+	share := float64(doc.Ranks[fleet.Rank(rank)].FloorPercent) / 100
+	for _, s := range doc.Services {
+		rate += share * databaseRate(s.Databases[0])
+	}
+	return rate
+}
+
+func floodUrgentTargets(r *figures.Report, doc *fleet.Document) {
+	target(r, "Jain's index among urgent callers", ">= 0.95", "%.3f", func(s *figures.Side) (float64, bool) {
+		p := s.Phase("flood")
+		if p == nil || p.Jain == nil {
+			return 0, false
+		}
+		return *p.Jain, true
+	}, atLeast(0.95))
+	for _, rank := range []string{load.Middle, load.Least} {
+		p := r.Papayarail.Phase("flood")
+		floor := floorRate(doc, rank)
+		if p != nil {
+			floor = min(floor, float64(p.Ranks[rank].Offered)/p.Seconds)
+		}
+		target(r, rank+" keeps its floor, answered/s", fmt.Sprintf(">= %.1f/s", floor), "%.1f/s", func(s *figures.Side) (float64, bool) {
+			p := s.Phase("flood")
+			if p == nil {
+				return 0, false
+			}
+			return float64(p.Ranks[rank].Answered) / p.Seconds, true
+		}, atLeast(floor))
+	}
+}
+
+// gapTargets compares the 99th percentile of the write gaps, which for less
+// than 100 faults is the maximum.
+func gapTargets(r *figures.Report, _ *fleet.Document) {
+	target(r, "write gap p99", "<= 3000 ms", "%.0f ms", func(s *figures.Side) (float64, bool) {
+		all := allGaps(s)
+		if len(all) == 0 || s.NoWrite > 0 {
+			return 0, false
+		}
+		return float64(all[(len(all)*99-1)/100]), true
+	}, atMost(3000))
+}
--- a/papayarail/main.go
+++ b/papayarail/main.go
@@ -14,6 +14,7 @@
 	"github.com/papayarail/papayarail/papayarail/dev"
 	"github.com/papayarail/papayarail/papayarail/drain"
 	"github.com/papayarail/papayarail/papayarail/dump"
+	"github.com/papayarail/papayarail/papayarail/measure"
 	"github.com/papayarail/papayarail/papayarail/serve"
 	"github.com/papayarail/papayarail/papayarail/standin"
 	"github.com/papayarail/papayarail/papayarail/status"
@@ -38,6 +39,7 @@
 		status.Command(),
 		dump.Command(),
 		drain.Command(),
+		measure.Command(),
 	}
 	return cli.Main(ctx, env, commands, os.Args[1:])
 }
--- /dev/null
+++ b/papayarail/measure/measure_test.go
@@ -0,0 +1,16 @@
+package measure
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against figures of another deployment than the one that dev runs.
+func TestDefaultDocumentIsThatOfDev(t *testing.T) {
+	want, err := os.ReadFile("../dev/default.json")
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(defaultDocument, want))
+}
