--- a/measure/figures/figures.go
+++ b/measure/figures/figures.go
@@ -62,7 +62,8 @@
 	CutCodes   []string    `json:"cut_examples,omitempty"`
 	Guarantees []Guarantee `json:"guarantees"`
 	// Unreadable counts services that could not be read back at the end.
-	Unreadable int `json:"services_not_read_back"`
+	Unreadable       int      `json:"services_not_read_back"`
+	UnreadableErrors []string `json:"read_back_errors,omitempty"`
 	// Extra holds figures of a single scenario.
 	Extra []Row `json:"extra,omitempty"`
 }
--- a/measure/figures/table.go
+++ b/measure/figures/table.go
@@ -36,6 +36,9 @@
 			fmt.Fprintf(w, "violation of guarantee %d: %s\n", g.Number, e)
 		}
 	}
+	for _, e := range r.Papayarail.UnreadableErrors {
+		fmt.Fprintf(w, "not read back: %s\n", e)
+	}
 	for _, c := range r.Papayarail.CutCodes {
 		fmt.Fprintf(w, "cut request: %s\n", c)
 	}
--- a/measure/scenario/rows.go
+++ b/measure/scenario/rows.go
@@ -22,7 +22,7 @@
 	}
 	add(r, "cut requests", func(s *figures.Side) string { return fmt.Sprint(s.Cut) })
 	if r.Papayarail.Unreadable > 0 || r.Baseline != nil && r.Baseline.Unreadable > 0 {
-		add(r, "services not read back", func(s *figures.Side) string { return fmt.Sprint(s.Unreadable) })
+		target(r, "services not read back", "0", "%.0f", func(s *figures.Side) (float64, bool) { return float64(s.Unreadable), true }, atMost(0))
 	}
 	r.Rows = append(r.Rows, r.Papayarail.Extra...)
 }
@@ -189,3 +189,48 @@
 		return float64(f.Ranks[load.Urgent].P99 / q.Ranks[load.Urgent].P99), true
 	}, atMost(1.5))
 }
+
+// floorRate is the rate that the document guarantees a rank at the primaries.
+func floorRate(doc *fleet.Document, rank string) (rate float64) {
+	share := float64(doc.Ranks[fleet.Rank(rank)].FloorPercent) / 100
+	for _, s := range doc.Services {
+		rate += share * databaseRate(s.Databases[0])
+	}
+	return rate
+}
+
+func floodUrgentTargets(r *figures.Report, doc *fleet.Document) {
+	target(r, "Jain's index among urgent callers", ">= 0.95", "%.3f", func(s *figures.Side) (float64, bool) {
+		p := s.Phase("flood")
+		if p == nil || p.Jain == nil {
+			return 0, false
+		}
+		return *p.Jain, true
+	}, atLeast(0.95))
+	for _, rank := range []string{load.Middle, load.Least} {
+		p := r.Papayarail.Phase("flood")
+		floor := floorRate(doc, rank)
+		if p != nil {
+			floor = min(floor, float64(p.Ranks[rank].Offered)/p.Seconds)
+		}
+		target(r, rank+" keeps its floor, answered/s", fmt.Sprintf(">= %.1f/s", floor), "%.1f/s", func(s *figures.Side) (float64, bool) {
+			p := s.Phase("flood")
+			if p == nil {
+				return 0, false
+			}
+			return float64(p.Ranks[rank].Answered) / p.Seconds, true
+		}, atLeast(floor))
+	}
+}
+
+// gapTargets compares the 99th percentile of the write gaps, which for less
+// than 100 faults is the maximum.
+func gapTargets(r *figures.Report, _ *fleet.Document) {
+	target(r, "write gap p99", "<= 3000 ms", "%.0f ms", func(s *figures.Side) (float64, bool) {
+		all := allGaps(s)
+		if len(all) == 0 || s.NoWrite > 0 {
+			return 0, false
+		}
+		return float64(all[(len(all)*99-1)/100]), true
+	}, atMost(3000))
+}
