--- /dev/null
+++ b/core/placement/bench_test.go
@@ -0,0 +1,63 @@
+package placement
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// projected is a table with the databases and services of the projection.
+func projected(live []Instance) *Table {
+	t := NewTable()
+	for _, in := range live {
+		t.Join(in)
+	}
+	for i := range 2300 {
+		t.AddUpstream(fmt.Sprintf("registro-lotti-%d-%s", i/3, domains[i%3]), domains[i%5])
+	}
+	for i := range 767 {
+		t.AddService(fmt.Sprintf("registro-lotti-%d", i))
+	}
+	return t
+}
+
+// BenchmarkTable gives the slopes over the live instances at 2,300 upstreams
+// and 767 services: placing everything, one Leave, one Join, and the heap.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{9, 360, 1800} {
+		live := instances(n)
+		b.Run(fmt.Sprintf("place-all/instances=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			t := projected(live)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+			runtime.KeepAlive(t)
+			for b.Loop() {
+				projected(live)
+			}
+		})
+		t := projected(live)
+		b.Run(fmt.Sprintf("leave/instances=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				t.Leave(live[i%n].Name)
+				b.StopTimer()
+				t.Join(live[i%n])
+				b.StartTimer()
+			}
+		})
+		b.Run(fmt.Sprintf("join/instances=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				t.Leave(live[i%n].Name)
+				b.StartTimer()
+				t.Join(live[i%n])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/spread/bench_test.go
@@ -0,0 +1,110 @@
+package spread
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// text returns a document of n bytes for a revision; only one line of it
+// differs between revisions.
+func text(n, revision int) string {
+	line := []byte("0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde\n")
+	raw := bytes.Repeat(line, n/len(line)+1)[:n]
+	copy(raw[n/2:], fmt.Sprintf("revision %09d", revision))
+	return string(raw)
+}
+
+// BenchmarkRevision gives the slopes over the size of the document for one
+// revision that a node fetches from a peer: the peer's answer and the node's
+// installation. The heap is that of one node with its full history.
+func BenchmarkRevision(b *testing.B) {
+	for _, n := range []int{5_000, 50_000, 500_000} {
+		b.Run(fmt.Sprint("document-bytes=", n), func(b *testing.B) {
+			from := New(DefaultConfig("a", "z"), rand.New(rand.NewPCG(1, 1)), 0)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			to := New(DefaultConfig("b", "z"), rand.New(rand.NewPCG(1, 1)), 0)
+			history := to.cfg.History
+			for i := range history + 2 {
+				doc := document(uint64(i+1), text(n, i))
+				to.PlatformRead(0, Document{doc.Digest, bytes.Clone(doc.Raw)})
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+			have := to.Current()
+			from.PlatformRead(0, have)
+			next := document(have.Revision+1, text(n, int(have.Revision)+1))
+			from.PlatformRead(0, next)
+			b.ReportAllocs()
+			b.ResetTimer()
+			var body Body
+			for b.Loop() {
+				body, _ = from.Answer(next.Digest, have.Digest)
+				if raw, ok := body.expand([]Document{have}); !ok || Hash(raw) != next.SHA256 {
+					b.Fatal("the delta does not restore the document")
+				}
+			}
+			b.ReportMetric(float64(size(body)), "delta-bytes")
+		})
+	}
+}
+
+// BenchmarkQuietGossip gives the processor time and the bytes sent of one quiet
+// node alone, per second of virtual time, with ticks at 20 ms.
+func BenchmarkQuietGossip(b *testing.B) {
+	for _, n := range []int{9, 360, 1800} {
+		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
+			node := New(DefaultConfig("a", "zone0"), rand.New(rand.NewPCG(1, 1)), 0)
+			var peers []Peer
+			for i := 1; i < n; i++ {
+				peers = append(peers, Peer{fmt.Sprint("node-", i), fmt.Sprint("zone", i%5)})
+			}
+			node.PeersChanged(0, peers)
+			node.PlatformRead(0, document(1, "x"))
+			now := time.Duration(0)
+			for range 1000 {
+				now += 20 * time.Millisecond
+				node.Tick(now)
+			}
+			sent, seconds := 0, 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				seconds++
+				for range 50 {
+					now += 20 * time.Millisecond
+					for _, a := range node.Tick(now) {
+						if d, ok := a.(SendDigest); ok {
+							sent += size(d.Digest)
+						}
+					}
+				}
+			}
+			b.ReportMetric(float64(sent)/float64(seconds), "sent-bytes/s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(seconds)/1e7, "%core")
+		})
+	}
+}
+
+// BenchmarkPeersChanged gives the cost of one change of the live instances.
+func BenchmarkPeersChanged(b *testing.B) {
+	for _, n := range []int{9, 360, 1800} {
+		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
+			node := New(DefaultConfig("a", "zone0"), rand.New(rand.NewPCG(1, 1)), 0)
+			var peers []Peer
+			for i := 1; i < n; i++ {
+				peers = append(peers, Peer{fmt.Sprint("node-", i), fmt.Sprint("zone", i%5)})
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				node.PeersChanged(time.Duration(i), peers[:len(peers)-i%2])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// generated returns a document with the given numbers of databases, three to a
+// service, and of instances.
+func generated(databases, instances int) []byte {
+	domains := []string{"catania", "messina", "siracusa", "lairg", "portree"}
+	d := Document{Deployment: "colle-trinacria-adesivi", FailureDomains: domains, Ranks: map[Rank]RankGoal{
+		Urgent: {TargetMS: 500}, Middle: {TargetMS: 1000, FloorPercent: 10}, Least: {TargetMS: 2000, FloorPercent: 2}}}
+	for i := range max(instances, len(domains)) {
+		domain := domains[i%len(domains)]
+		d.Instances = append(d.Instances, Instance{Name: fmt.Sprintf("%s-%d", domain, i), FailureDomain: domain, State: Active})
+	}
+	for i := range databases {
+		if i%MaxDatabases == 0 && databases-i >= MinDatabases {
+			d.Services = append(d.Services, Service{Name: fmt.Sprintf("registro-lotti-%d", i/3), DependsOn: []string{}, DefaultRank: Middle, MaxStalenessMS: 5000})
+		}
+		s := &d.Services[len(d.Services)-1]
+		if len(s.Databases) == MaxDatabases {
+			break // a single database left over cannot be a service
+		}
+		domain := domains[(i/3+i%3)%len(domains)]
+		s.Databases = append(s.Databases, Database{Name: s.Name + "-" + domain, Address: fmt.Sprintf("10.1.%d.%d:5432", i/250, i%250),
+			FailureDomain: domain, Connections: 15, Slots: 2, State: Active})
+	}
+	raw, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// BenchmarkDocument gives the slopes over the size of the fleet for Parse,
+// Check and Service, with the document's size and the heap that it keeps.
+func BenchmarkDocument(b *testing.B) {
+	for _, c := range []struct{ databases, instances int }{{9, 6}, {230, 180}, {2300, 1800}} {
+		raw := generated(c.databases, c.instances)
+		if findings := Check(raw); len(findings) > 0 {
+			b.Fatal(findings)
+		}
+		at := fmt.Sprintf("databases=%d,instances=%d", c.databases, c.instances)
+		b.Run("parse/"+at, func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			d, err := Parse(raw)
+			if err != nil {
+				b.Fatal(err)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(d)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				if _, err := Parse(raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+			b.ReportMetric(float64(len(raw)), "document-bytes")
+		})
+		b.Run("check/"+at, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Check(raw)
+			}
+		})
+		d, err := Parse(raw)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run("service/"+at, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				d.Service(d.Services[i%len(d.Services)].Name)
+			}
+		})
+	}
+}
