--- a/instance/peer/bench_test.go
+++ b/instance/peer/bench_test.go
@@ -59,12 +59,10 @@
 func serve(b *testing.B, answer *ExchangeAnswer) (address string, bytes *atomic.Int64) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		Self:       func() Hello { return Hello{Name: "messina-0001", Operator: "10.0.0.1:8432"} },
-		Log:        logrus.NewEntry(log),
+		Log:        quietLog(),
 		NewHandler: func(string) Handler { return echo{answer: answer} },
 	}
 	bytes = new(atomic.Int64)
@@ -93,7 +91,7 @@
 		for _, callers := range []int{1, 8, 64} {
 			b.Run(fmt.Sprintf("answer-bytes=%d/callers=%d", size, callers), func(b *testing.B) {
 				address, bytes := serve(b, &ExchangeAnswer{Messages: make([]byte, size), TxStatus: 'I'})
-				link := NewLink(address, nil)
+				link := NewLink(address, nil, nil, quietLog())
 				defer link.Close()
 				request := &ExchangeRequest{ID: "1", Service: "registro-lotti-1", Upstream: "registro-lotti-1-messina",
 					Term: 1, Caller: "clerk", Proof: ProofConfirm, Executes: true, Messages: make([]byte, 100)}
@@ -109,7 +107,7 @@
 // every 500 ms, both ends in this process.
 func BenchmarkHeartbeat(b *testing.B) {
 	address, bytes := serve(b, nil)
-	link := NewLink(address, nil)
+	link := NewLink(address, nil, nil, quietLog())
 	defer link.Close()
 	share(b, 1, bytes, func() error {
 		return link.Call(context.Background(), MethodPing, &Empty{}, &Hello{})
@@ -151,7 +149,7 @@
 			before := memory()
 			links := make([]*Link, n)
 			for i := range links {
-				links[i] = NewLink(address, nil)
+				links[i] = NewLink(address, nil, nil, quietLog())
 				assert.NilError(b, links[i].Call(context.Background(), MethodPing, &Empty{}, &Hello{}))
 			}
 			grown := float64(memory()-before) / float64(n)
@@ -176,3 +174,9 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
+
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
