Observe isolation and leaving upstreams

Cause: guarantees 3 and 7 were not measured, and cut requests could not be attributed to a phase. Change: the quiet load contains transactions, a third of them rolled back, whose rows are read in between and at the end. shrink sets the primary of each service to leaving after the halving and reads the member's list of connections. Cut requests are reported per phase.

--- a/measure/figures/figures.go
+++ b/measure/figures/figures.go
@@ -42,6 +42,8 @@
 	Name    string          `json:"name"`
 	Seconds float64         `json:"seconds"`
 	Ranks   map[string]Rank `json:"ranks"`
+	// Cut counts the cut requests of the phase.
+	Cut int `json:"cut_requests"`
 	// ReplicaShare is the share of reads that replicas served, or absent.
 	ReplicaShare *float64 `json:"replica_share,omitempty"`
 	// Jain is Jain's fairness index among urgent callers, or absent.
--- a/measure/load/ledger.go
+++ b/measure/load/ledger.go
@@ -33,6 +33,7 @@
 	guarantees []figures.Guarantee
 	lots       map[place]*lot
 	recalls    map[place]*recall
+	transfers  map[place]outcomeKind
 }
 
 // place names a row of a service.
@@ -46,7 +47,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	l := &Ledger{lots: make(map[place]*lot), recalls: make(map[place]*recall)}
+	l := &Ledger{lots: make(map[place]*lot), recalls: make(map[place]*recall), transfers: make(map[place]outcomeKind)}
 	for i, name := range guaranteeNames {
 		l.guarantees = append(l.guarantees, figures.Guarantee{Number: i + 1, Name: name})
 	}
@@ -144,22 +145,44 @@
 	}
 }
 
+func (l *Ledger) transferEnds(p place, o outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.transfers[p] = o.kind
+}
+
 // settle compares the contents of a service with the ledger.
-func (l *Ledger) settle(service string, quantities map[string]int, rows map[string]int) {
+func (l *Ledger) settle(service string, found contents) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p, x := range l.lots {
 		if p.service == service {
-			l.settleLot(p, x, quantities[p.id])
+			l.settleLot(p, x, found.quantities[p.id])
 		}
 	}
 	for p, r := range l.recalls {
 		if p.service == service {
-			l.settleRecall(p, r, rows[p.id])
+			l.settleRecall(p, r, found.recalls[p.id])
+		}
+	}
+	for p, kind := range l.transfers {
+		if p.service == service {
+			l.settleTransfer(p, kind, found.transfers[p.id])
 		}
 	}
 }
 
+// settleTransfer expects both rows of a transaction or none.
+func (l *Ledger) settleTransfer(p place, kind outcomeKind, rows int) {
+	l.check(Isolation, rows == 0 || rows == 2, "transaction %s/%s left %d of 2 rows", p.service, p.id, rows)
+	switch kind {
+	case answered:
+		l.check(ReplacedPrimary, rows > 0, "committed transaction %s/%s is lost", p.service, p.id)
+	case notRun, refusedByDatabase:
+		l.check(NotRun, rows == 0, "transaction %s/%s has effect although it was rolled back or not run", p.service, p.id)
+	}
+}
+
 func (l *Ledger) settleLot(p place, x *lot, quantity int) {
 	l.check(ReplacedPrimary, quantity >= x.acknowledged, "lot %s/%s has %d moves, %d were acknowledged", p.service, p.id, quantity, x.acknowledged)
 	most := x.started - x.notRun
--- a/measure/load/ledger_test.go
+++ b/measure/load/ledger_test.go
@@ -17,22 +17,27 @@
 		record    func(*Ledger)
 		quantity  int
 		rows      int
+		transfer  int // rows of a transaction
 		guarantee int // 0: none is violated
 	}{
-		{"kept", func(l *Ledger) { move(l, done); l.recallEnds(place{"s", "k"}, done) }, 1, 1, 0},
-		{"unknown and absent", func(l *Ledger) { move(l, open); l.recallEnds(place{"s", "k"}, open) }, 0, 0, 0},
-		{"unknown and present", func(l *Ledger) { move(l, open); l.recallEnds(place{"s", "k"}, open) }, 1, 1, 0},
-		{"lost move", func(l *Ledger) { move(l, done) }, 0, 0, ReplacedPrimary},
-		{"lost recall", func(l *Ledger) { l.recallEnds(place{"s", "k"}, done) }, 0, 0, ReplacedPrimary},
-		{"refused move ran", func(l *Ledger) { move(l, refused) }, 1, 0, NotRun},
-		{"refused recall ran", func(l *Ledger) { l.recallEnds(place{"s", "k"}, refused) }, 0, 1, NotRun},
-		{"recall ran twice", func(l *Ledger) { l.recallEnds(place{"s", "k"}, done) }, 0, 2, AtMostOnce},
+		{"kept", func(l *Ledger) { move(l, done); l.recallEnds(place{"s", "k"}, done) }, 1, 1, 0, 0},
+		{"unknown and absent", func(l *Ledger) { move(l, open); l.recallEnds(place{"s", "k"}, open) }, 0, 0, 0, 0},
+		{"unknown and present", func(l *Ledger) { move(l, open); l.recallEnds(place{"s", "k"}, open) }, 1, 1, 0, 0},
+		{"lost move", func(l *Ledger) { move(l, done) }, 0, 0, 0, ReplacedPrimary},
+		{"lost recall", func(l *Ledger) { l.recallEnds(place{"s", "k"}, done) }, 0, 0, 0, ReplacedPrimary},
+		{"refused move ran", func(l *Ledger) { move(l, refused) }, 1, 0, 0, NotRun},
+		{"refused recall ran", func(l *Ledger) { l.recallEnds(place{"s", "k"}, refused) }, 0, 1, 0, NotRun},
+		{"recall ran twice", func(l *Ledger) { l.recallEnds(place{"s", "k"}, done) }, 0, 2, 0, AtMostOnce},
+		{"committed", func(l *Ledger) { l.transferEnds(place{"s", "t"}, done) }, 0, 0, 2, 0},
+		{"half a transaction", func(l *Ledger) { l.transferEnds(place{"s", "t"}, open) }, 0, 0, 1, Isolation},
+		{"lost transaction", func(l *Ledger) { l.transferEnds(place{"s", "t"}, done) }, 0, 0, 0, ReplacedPrimary},
+		{"rolled back and present", func(l *Ledger) { l.transferEnds(place{"s", "t"}, refused) }, 0, 0, 2, NotRun},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			l := NewLedger()
 			c.record(l)
-			l.settle("s", map[string]int{"lot": c.quantity}, map[string]int{"k": c.rows})
+			l.settle("s", contents{map[string]int{"lot": c.quantity}, map[string]int{"k": c.rows}, map[string]int{"t": c.transfer}})
 			for _, g := range l.Guarantees() {
 				assert.Equal(t, g.Violations > 0, g.Number == c.guarantee, g.Name)
 			}
--- a/measure/load/load.go
+++ b/measure/load/load.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackc/pgx/v5"
+
 	"github.com/papayarail/papayarail/measure/figures"
 )
 
@@ -53,6 +55,8 @@
 	Checks
 	// Lookups are reads of a lot that accept data of a stated age.
 	Lookups
+	// Transfers are transactions of two inserts; each third is rolled back.
+	Transfers
 )
 
 // Stream is one source of requests.
@@ -220,7 +224,8 @@
 		o = r.attempt(ctx, giveUp, attempt)
 		p.code(s.Rank, o)
 		if o.kind == unknown && !faulty && !l.faulty.Load() {
-			l.countCut(s, c, o)
+			p.cutOne()
+			l.countCut(p.name, s, c, o)
 		}
 		pause := max(o.after, defaultComeBack)
 		if !r.comesBack(o) || time.Now().Add(pause).After(giveUp) || !sleep(ctx, pause) {
@@ -235,12 +240,12 @@
 	p.ended(s.Rank, o, time.Since(arrived))
 }
 
-func (l *Load) countCut(s Stream, c *caller, o outcome) {
+func (l *Load) countCut(phase string, s Stream, c *caller, o outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cut++
 	if len(l.cutInfo) < maxExamples {
-		l.cutInfo = append(l.cutInfo, fmt.Sprintf("%s of %s at %s: %s: %v", s.Rank, c.name, s.Service, o.code, o.err))
+		l.cutInfo = append(l.cutInfo, fmt.Sprintf("phase %s, %s of %s at %s: %s: %v", phase, s.Rank, c.name, s.Service, o.code, o.err))
 	}
 }
 
@@ -280,6 +285,8 @@
 		return r.move(ctx, k)
 	case Checks:
 		return r.check(ctx, k)
+	case Transfers:
+		return r.transfer(ctx, k, n)
 	default:
 		return r.lookup(ctx, k)
 	}
@@ -370,6 +377,7 @@
 	for _, table := range []string{
 		"CREATE TABLE IF NOT EXISTS lots (id text PRIMARY KEY, quantity bigint NOT NULL)",
 		"CREATE TABLE IF NOT EXISTS recalls (id text PRIMARY KEY, request text NOT NULL)",
+		"CREATE TABLE IF NOT EXISTS transfers (id text PRIMARY KEY, transfer text NOT NULL)",
 	} {
 		if _, err := k.Exec(ctx, table); err != nil {
 			return err
@@ -387,9 +395,9 @@
 // ledger.
 func (l *Load) ReadBack(ctx context.Context, address, service string) error {
 	for {
-		quantities, rows, err := contents(ctx, address, service)
+		found, err := readContents(ctx, address, service)
 		if err == nil {
-			l.Ledger.settle(service, quantities, rows)
+			l.Ledger.settle(service, found)
 			return nil
 		}
 		if outcomeOf(err).kind == refusedByDatabase || !sleep(ctx, defaultComeBack) {
@@ -398,37 +406,41 @@
 	}
 }
 
-func contents(ctx context.Context, address, service string) (quantities, rows map[string]int, err error) {
+// contents is what a service holds at the end.
+type contents struct {
+	quantities map[string]int // by lot
+	recalls    map[string]int // rows by request key
+	transfers  map[string]int // rows by transfer
+}
+
+func readContents(ctx context.Context, address, service string) (c contents, err error) {
 	k, err := connect(ctx, address, service, nil)
 	if err != nil {
-		return nil, nil, err
+		return c, err
 	}
 	defer k.Close(context.WithoutCancel(ctx))
-	quantities, rows = make(map[string]int), make(map[string]int)
-	lots, err := k.Query(ctx, "SELECT id, quantity FROM lots")
-	if err != nil {
-		return nil, nil, err
+	if c.quantities, err = sum(ctx, k, "SELECT id, quantity FROM lots"); err != nil {
+		return c, err
 	}
-	var id string
-	var quantity int
-	for lots.Next() {
-		if err := lots.Scan(&id, &quantity); err != nil {
-			return nil, nil, err
-		}
-		quantities[id] = quantity
+	if c.recalls, err = sum(ctx, k, "SELECT request, 1 FROM recalls"); err != nil {
+		return c, err
 	}
-	if lots.Err() != nil {
-		return nil, nil, lots.Err()
-	}
-	recalls, err := k.Query(ctx, "SELECT request FROM recalls")
+	c.transfers, err = sum(ctx, k, "SELECT transfer, 1 FROM transfers")
+	return c, err
+}
+
+// sum adds up the second column by the first one.
+func sum(ctx context.Context, k *pgx.Conn, sql string) (map[string]int, error) {
+	rows, err := k.Query(ctx, sql)
 	if err != nil {
-		return nil, nil, err
-	}
-	for recalls.Next() {
-		if err := recalls.Scan(&id); err != nil {
-			return nil, nil, err
-		}
-		rows[id]++
+		return nil, err
 	}
-	return quantities, rows, recalls.Err()
+	out := make(map[string]int)
+	var name string
+	var n int
+	_, err = pgx.ForEachRow(rows, []any{&name, &n}, func() error {
+		out[name] += n
+		return nil
+	})
+	return out, err
 }
--- a/measure/load/phase.go
+++ b/measure/load/phase.go
@@ -16,6 +16,7 @@
 
 	mu       sync.Mutex
 	duration time.Duration // for which requests were offered
+	cut      int
 	ranks    map[string]*rank
 	urgent   map[string]*division // by service
 }
@@ -54,6 +55,12 @@
 	p.rank(name).Offered++
 }
 
+func (p *phase) cutOne() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut++
+}
+
 func (p *phase) code(name string, o outcome) {
 	if o.kind == answered {
 		return
@@ -125,7 +132,7 @@
 func (p *phase) figures(pauses map[string]figures.Millis) figures.Phase {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := figures.Phase{Name: p.name, Seconds: p.duration.Seconds(), Ranks: make(map[string]figures.Rank), Jain: p.jain(), LongestPause: pauses}
+	out := figures.Phase{Name: p.name, Seconds: p.duration.Seconds(), Ranks: make(map[string]figures.Rank), Jain: p.jain(), LongestPause: pauses, Cut: p.cut}
 	for name, r := range p.ranks {
 		r.P50, r.P90, r.P99, r.Max = r.latencies.At(50), r.latencies.At(90), r.latencies.At(99), r.latencies.At(100)
 		out.Ranks[name] = r.Rank
--- a/measure/load/roam.go
+++ b/measure/load/roam.go
@@ -131,7 +131,7 @@
 	}
 	o := outcomeOf(err)
 	if o.kind == unknown {
-		r.load.countCut(Stream{Rank: Middle, Service: r.service}, &caller{name: r.lot}, o)
+		r.load.countCut("roaming", Stream{Rank: Middle, Service: r.service}, &caller{name: r.lot}, o)
 	}
 	if result != nil {
 		r.mu.Lock()
--- a/measure/scenario/change.go
+++ b/measure/scenario/change.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/papayarail/papayarail/fleet"
@@ -14,11 +15,22 @@
 	"github.com/papayarail/papayarail/measure/load"
 	"github.com/papayarail/papayarail/measure/local"
 	"github.com/papayarail/papayarail/platform/configstore"
+	"github.com/papayarail/papayarail/wire/group"
+	"github.com/papayarail/papayarail/wire/upstream"
 )
 
 const (
 	// inForceLimit is the time that guarantee 9 allows.
 	inForceLimit = 4 * time.Second
+	// leavingLimit is the time that guarantee 7 allows.
+	leavingLimit = 3 * time.Second
+	// idleMargin lets statements sent before the limit end and their
+	// connections close: an idle connection is not work. A statement takes
+	// 10 ms.
+	idleMargin = 250 * time.Millisecond
+	// poolSuffix ends the application names of connections that carry the
+	// statements of callers.
+	poolSuffix = "/pool"
 	// balancerLag is the time for which the load balancer still offers a
 	// leaving instance to callers.
 	balancerLag = time.Second
@@ -81,17 +93,71 @@
 	if err := s.run(ctx, "halved", 0, quiet(s.doc), change); err != nil {
 		return err
 	}
+	if err := s.run(ctx, "leaving", 0, quiet(s.doc), func(ctx context.Context) error { return s.retirePrimaries(ctx, next) }); err != nil {
+		return err
+	}
 	cut, _ := s.load.Cut()
 	s.checkGracefulStop(cut)
 	return nil
 }
 
-// checkGracefulStop counts each request of the last phase as an observation of
-// guarantee 8, and the cut ones as violations.
+// retirePrimaries sets the primary of each service to leaving and checks that
+// no connection for work is left at it after the time that guarantee 7 allows.
+func (s *system) retirePrimaries(ctx context.Context, doc *fleet.Document) error {
+	next, err := clone(doc)
+	if err != nil {
+		return err
+	}
+	var leaving []fleet.Database
+	for i := range next.Services {
+		db, _ := next.Services[i].Database(s.primary(next.Services[i].Name))
+		db.State = fleet.Leaving
+		leaving = append(leaving, *db)
+	}
+	began := time.Now()
+	if err := s.apply(ctx, next); err != nil {
+		return err
+	}
+	if !sleep(ctx, time.Until(began.Add(leavingLimit+idleMargin))) {
+		return ctx.Err()
+	}
+	for i, db := range leaving {
+		if err := s.checkNoWork(ctx, next.Services[i].Name, db); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, warmUp)
+	return ctx.Err()
+}
+
+// checkNoWork reads the list of connections from the member itself. Those of
+// pools carry the statements of callers; others belong to the failover.
+func (s *system) checkNoWork(ctx context.Context, service string, db fleet.Database) error {
+	k, err := upstream.Dial(ctx, upstream.Config{Address: db.Address, User: "measure", Database: service, ApplicationName: "measure"})
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+	connections, err := group.New(k).Connections(ctx)
+	if err != nil {
+		return err
+	}
+	for _, c := range connections {
+		s.load.Ledger.Check(load.LeavingUpstreams, !strings.HasSuffix(c.ApplicationName, poolSuffix),
+			"%s still has the connection %s %s after it was set to leaving", db.Name, c.ApplicationName, leavingLimit+idleMargin)
+	}
+	s.load.Ledger.Check(load.LeavingUpstreams, s.primary(service) != db.Name, "%s is still the primary %s after it was set to leaving", db.Name, leavingLimit+idleMargin)
+	return nil
+}
+
+// checkGracefulStop counts each request as an observation of guarantee 8, and
+// the cut ones as violations.
 func (s *system) checkGracefulStop(cut int) {
 	offered := 0
-	for _, r := range s.side.Phases[len(s.side.Phases)-1].Ranks {
-		offered += r.Offered
+	for _, p := range s.side.Phases {
+		for _, r := range p.Ranks {
+			offered += r.Offered
+		}
 	}
 	for i := range offered {
 		s.load.Ledger.Check(load.GracefulStop, i >= cut, "a request was cut during the planned stop; see the cut requests")
@@ -111,7 +177,7 @@
 	return ctx.Err()
 }
 
-// awaitRevision records when all active instances have a revision.
+// awaitRevision records when all instances that have not stopped have a revision.
 func (s *system) awaitRevision(ctx context.Context, revision configstore.Revision, began time.Time) {
 	const pollInterval = 10 * time.Millisecond
 	for !s.inForce(revision) && time.Since(began) < 2*inForceLimit && sleep(ctx, pollInterval) {
@@ -123,6 +189,9 @@
 
 func (s *system) inForce(revision configstore.Revision) bool {
 	return !slices.ContainsFunc(s.fleet.Instances, func(i *local.Instance) bool {
+		if s.stopped[i.Name] {
+			return false
+		}
 		d, ok := i.Node.Dump().(node.Dump)
 		return !ok || configstore.Revision(d.Revision) < revision
 	})
@@ -154,6 +223,7 @@
 	var failure error
 	for _, i := range leaving {
 		failure = errors.Join(failure, i.Stop())
+		s.stopped[i.Name] = true
 	}
 	s.extra(fmt.Sprintf("planned stop of %d instances", len(leaving)), fmt.Sprintf("%.0f ms", figures.InMillis(balancerLag+time.Since(began))), "", figures.NoTarget)
 	return failure
--- a/measure/scenario/rows.go
+++ b/measure/scenario/rows.go
@@ -20,7 +20,7 @@
 	if len(r.Papayarail.WriteGaps) > 0 || r.Papayarail.NoWrite > 0 {
 		addGaps(r)
 	}
-	add(r, "cut requests", func(s *figures.Side) string { return fmt.Sprint(s.Cut) })
+	add(r, "cut requests, all phases", func(s *figures.Side) string { return fmt.Sprint(s.Cut) })
 	if r.Papayarail.Unreadable > 0 || r.Baseline != nil && r.Baseline.Unreadable > 0 {
 		target(r, "services not read back", "0", "%.0f", func(s *figures.Side) (float64, bool) { return float64(s.Unreadable), true }, atMost(0))
 	}
@@ -45,6 +45,7 @@
 	}
 	add(r, p.Name+": replica share of reads (/metrics)", phaseValue(p.Name, func(p *figures.Phase) string { return percent(p.ReplicaShare) }))
 	add(r, p.Name+": Jain's index, urgent", phaseValue(p.Name, func(p *figures.Phase) string { return index(p.Jain) }))
+	add(r, p.Name+": cut requests", phaseValue(p.Name, func(p *figures.Phase) string { return fmt.Sprint(p.Cut) }))
 	add(r, p.Name+": longest write pause", phaseValue(p.Name, longestPause))
 }
 
--- a/measure/scenario/scenario.go
+++ b/measure/scenario/scenario.go
@@ -109,9 +109,11 @@
 // answer are recorded with it. Together they use 37% of a group of three.
 const (
 	recallShare = 1.0 / 30
-	moveShare   = 1.0 / 20
-	checkShare  = 1.0 / 20
-	lookupShare = 1.0 / 6
+	moveShare   = 1.0 / 25
+	checkShare  = 1.0 / 25
+	// transferShare counts transactions.
+	transferShare = 1.0 / 150
+	lookupShare   = 1.0 / 6
 	// floodFactor is the load of a flooded rank in multiples of the quiet one.
 	floodFactor = 10
 )
@@ -134,6 +136,7 @@
 			load.Stream{Name: "recalls", Service: s.Name, Rank: load.Urgent, Kind: load.Recalls, Rate: c * recallShare, Callers: 4, Connections: 8},
 			load.Stream{Name: "moves", Service: s.Name, Rank: load.Middle, Kind: load.Moves, Rate: c * moveShare, Callers: 4, Connections: 8},
 			load.Stream{Name: "checks", Service: s.Name, Rank: load.Middle, Kind: load.Checks, Rate: c * checkShare, Callers: 4, Connections: 8},
+			load.Stream{Name: "transfers", Service: s.Name, Rank: load.Middle, Kind: load.Transfers, Rate: c * transferShare, Callers: 4, Connections: 4},
 			load.Stream{Name: "lookups", Service: s.Name, Rank: load.Least, Kind: load.Lookups, Rate: c * lookupShare, Callers: 4, Connections: 16})
 	}
 	return out
--- a/measure/scenario/system.go
+++ b/measure/scenario/system.go
@@ -43,6 +43,8 @@
 	revision configstore.Revision // in force
 	spread   []time.Duration      // times until revisions were in force everywhere
 
+	stopped map[string]bool // instances
+
 	mu        sync.Mutex
 	addresses []string
 }
@@ -65,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{fleet: f, doc: f.Document, stop: f.Close, revision: 1}
+	s := &system{fleet: f, doc: f.Document, stop: f.Close, revision: 1, stopped: make(map[string]bool)}
 	for _, i := range f.Instances {
 		s.addresses = append(s.addresses, i.Settings.CallerAddress)
 	}
