--- a/measure/scenario/differential_test.go
+++ b/measure/scenario/differential_test.go
@@ -100,3 +100,23 @@
 	}
 	return out
 }
+
+// Guards against an error of the database that papayarail replaces by one of
+// its own, so that the caller repeats a statement that cannot succeed.
+func TestSameErrorsAsNaive(t *testing.T) {
+	raw, err := os.ReadFile("../../papayarail/dev/default.json")
+	assert.NilError(t, err)
+	doc, err := fleet.Parse(raw)
+	assert.NilError(t, err)
+	doc.Services = doc.Services[:1]
+	for _, start := range []func(context.Context, Options) (*system, error){startNaive, startPapayarail} {
+		s, err := start(t.Context(), Options{Document: doc, Seed: differentialSeed})
+		assert.NilError(t, err)
+		defer s.close()
+		k, err := pgx.Connect(t.Context(), "postgres://clerk@"+s.callerAddresses()[0]+"/"+doc.Services[0].Name+"?sslmode=disable")
+		assert.NilError(t, err)
+		defer k.Close(context.Background())
+		assert.Equal(t, answer(t.Context(), k, "INSERT INTO lots (id, quantity) VALUES ('lot-1', 0)"), "23505")
+		assert.Equal(t, answer(t.Context(), k, "SELECT nothing FROM nowhere"), "42P01")
+	}
+}
