Give up at once what a replaced primary can no longer confirm

Change: owners learn routes; a replica refuses work for a primary before it runs; barriers are written when due; an age that is not known is tried, and proved once a second without demand; stated ages are capped by the document; a starting instance takes upstreams of other domains only after it has met a peer.

--- a/core/failover/types.go
+++ b/core/failover/types.go
@@ -71,9 +71,9 @@
 
 // Route names the primary of a service in a term.
 type Route struct {
-	Service string
-	Term    uint64
-	Primary MemberID
+	Service string   `json:"service"`
+	Term    uint64   `json:"term"`
+	Primary MemberID `json:"primary"`
 }
 
 // ReserveOutcome is the answer of the platform to a Reserve.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,7 +80,7 @@
 	Name           string     `json:"name"`
 	DependsOn      []string   `json:"depends_on"`
 	DefaultRank    Rank       `json:"default_rank"`
-	MaxStalenessMS int        `json:"max_staleness_ms"` // milliseconds; 0 accepts no stale reads by default
+	MaxStalenessMS int        `json:"max_staleness_ms"` // milliseconds; the greatest age that callers may ask for
 	Databases      []Database `json:"databases"`
 }
 
--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -104,7 +104,13 @@
 		}
 		if now-m.seen < observationLifetime {
 			x.Lag = m.lag
-			x.Age, x.AgeKnown = m.age+now-m.seen, m.ageKnown
+			x.Age = m.age + now - m.seen
+		}
+		// An owner proves ages from the first read that asks for one, so that a
+		// member whose age is not known is worth a try.
+		x.AgeKnown = true
+		if !m.ageKnown {
+			x.Age = 0
 		}
 		if known && x.ID == r.Primary && m.confirm > 0 {
 			v.ConfirmTime = max(m.confirm, defaultConfirm)
--- a/instance/entry/options.go
+++ b/instance/entry/options.go
@@ -49,7 +49,8 @@
 	o.rank = p.rank(string(service.DefaultRank))
 	o.session = p.consistency()
 	o.token = p.token(service.Name)
-	o.maxStaleness = p.duration(ParamMaxStaleness)
+	limit := time.Duration(service.MaxStalenessMS) * time.Millisecond
+	o.maxStaleness = min(p.duration(ParamMaxStaleness), limit)
 	o.deadline = p.milliseconds(ParamDeadline)
 	if o.deadline == 0 {
 		o.deadline = defaultDeadline(doc, o.rank)
--- a/instance/entry/session.go
+++ b/instance/entry/session.go
@@ -41,6 +41,7 @@
 	owner    view.Peer
 	upstream string
 	replica  bool
+	readOnly bool // declared so by the caller
 	status   byte
 }
 
@@ -158,6 +159,7 @@
 	if w.begins {
 		r.Tx = s.id + "/" + strconv.FormatUint(s.count, 10)
 		r.Begins = true
+		r.ReadOnly = w.class == route.Read
 	}
 	answer, err := s.entry.gateway.Exchange(ctx, owner, r)
 	if err != nil {
@@ -171,6 +173,7 @@
 			owner:    owner,
 			upstream: upstream,
 			replica:  d.Proof != route.PrimaryConfirmed,
+			readOnly: r.ReadOnly,
 			status:   answer.TxStatus,
 		}
 	}
@@ -219,6 +222,7 @@
 func (s *session) continueTransaction(ctx context.Context, x *caller.Exchange, o options, w work, deadline time.Duration) (*caller.Reply, error) {
 	r := s.request(x, o, w, s.tx.upstream, deadline)
 	r.Tx = s.tx.name
+	r.ReadOnly = s.tx.readOnly
 	r.Proof = peer.ProofNone
 	if !s.tx.replica && (w.commits || w.reads && !o.session) {
 		r.Proof = peer.ProofConfirm
--- a/instance/node/gateway.go
+++ b/instance/node/gateway.go
@@ -56,6 +56,11 @@
 	if !errors.As(err, &v) || v.Code != verdict.OutcomeUnknown {
 		return err
 	}
+	if r.Tx == "" && !r.Writes {
+		lost := verdict.New(verdict.CutOff, "the answer to a read was lost: %s", v.Message).After(notOwnerDelay)
+		lost.Verdict = verdict.MayHaveRun
+		return lost
+	}
 	if r.Tx != "" && !r.Begins && !r.Commits {
 		return verdict.New(verdict.TransactionRolledBack, "the owner of the transaction was lost: %s", v.Message)
 	}
--- a/instance/node/routes.go
+++ b/instance/node/routes.go
@@ -69,6 +69,7 @@
 		return false
 	}
 	n.coordinators.learn(r)
+	n.upstreams.learnRoute(r)
 	n.kick()
 	return true
 }
--- a/instance/node/upstreams.go
+++ b/instance/node/upstreams.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/verdict"
@@ -18,6 +19,10 @@
 // guarantee is 3 s.
 const leavingGrace = 2 * time.Second
 
+// foreignOwnerDelay keeps an instance that has just started from taking the
+// upstreams of other failure domains before it has heard of their instances.
+const foreignOwnerDelay = 2 * time.Second
+
 // upstreams runs the upstreams that this instance owns.
 type upstreams struct {
 	node *Node
@@ -70,6 +75,10 @@
 	if !found || name.Name != s.node.settings.Name || s.stopping {
 		return false
 	}
+	foreign := db.FailureDomain != s.node.settings.FailureDomain
+	if foreign && len(s.node.view.Peers()) == 0 && s.node.now() < foreignOwnerDelay {
+		return false
+	}
 	u := s.owned[db.Name]
 	if u != nil && u.database.Address != db.Address {
 		s.retire(db.Name, u)
@@ -219,6 +228,19 @@
 	return u.Quiesce(ctx, r.For)
 }
 
+// learnRoute tells the upstreams of a service of its new term.
+func (s *upstreams) learnRoute(r failover.Route) {
+	service, found := s.node.view.Service(r.Service)
+	if !found {
+		return
+	}
+	for i := range service.Databases {
+		for _, u := range s.all(service.Databases[i].Name) {
+			u.LearnTerm(r.Term, string(r.Primary))
+		}
+	}
+}
+
 // barrier asks this instance's upstreams for a confirmed position of the service.
 func (s *upstreams) barrier(ctx context.Context, service string) (position.Position, error) {
 	route, found := s.node.view.Route(service)
--- a/instance/owner/connections.go
+++ b/instance/owner/connections.go
@@ -167,7 +167,7 @@
 const (
 	// idleCheckAfter is the time without use after which an idle connection is
 	// checked, so that a silent one is found before a request meets it.
-	idleCheckAfter   = 500 * time.Millisecond
+	idleCheckAfter   = 300 * time.Millisecond
 	idleCheckTimeout = 300 * time.Millisecond
 )
 
--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -113,6 +113,9 @@
 	if r.Tx != "" && !r.Begins {
 		return u.runPinned(ctx, r)
 	}
+	if err := u.checkRole(r); err != nil {
+		return nil, err
+	}
 	asked := u.now()
 	least, err := u.leastPosition(ctx, r)
 	if err != nil {
@@ -139,6 +142,17 @@
 	return u.prove(ctx, id, r, answer, least, asked)
 }
 
+// checkRole refuses work for a primary on a member that is known to be a replica.
+// A request of a later term than the last status may know better.
+func (u *Upstream) checkRole(r *peer.ExchangeRequest) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if r.Proof != peer.ProofConfirm || u.status.Role != group.Replica || r.Term > u.status.Term {
+		return nil
+	}
+	return verdict.New(verdict.NoPrimary, "upstream %q is a replica in term %d", u.cfg.Name, u.status.Term).After(monitorBackoff)
+}
+
 // settle pins the connection of an open transaction and releases any other.
 func (u *Upstream) settle(r *peer.ExchangeRequest, link string, a assignment, answer upstream.Answer) {
 	if answer.TxStatus == txIdle {
@@ -330,7 +344,7 @@
 		return u.proveConfirmed(ctx, id, r, a, out)
 	}
 	u.abandoned(id)
-	if a.SQLState == sqlStateReadOnly && a.TxStatus == txIdle {
+	if refusedWrite(a, r) {
 		return nil, readOnly(u.cfg.Name, r)
 	}
 	switch r.Proof {
@@ -358,7 +372,7 @@
 }
 
 func (u *Upstream) proveConfirmed(ctx context.Context, id uint64, r *peer.ExchangeRequest, a upstream.Answer, out *peer.ExchangeAnswer) (*peer.ExchangeAnswer, error) {
-	if a.SQLState == sqlStateReadOnly && a.TxStatus == txIdle {
+	if refusedWrite(a, r) {
 		u.abandoned(id)
 		return nil, readOnly(u.cfg.Name, r)
 	}
@@ -374,6 +388,12 @@
 	return out, nil
 }
 
+// refusedWrite reports that a replica or a deposed primary refused a write. In a
+// transaction that the caller declared read-only the refusal is the caller's.
+func refusedWrite(a upstream.Answer, r *peer.ExchangeRequest) bool {
+	return a.SQLState == sqlStateReadOnly && !r.ReadOnly
+}
+
 // readOnly is the verdict on a write that a replica or a deposed primary refused.
 func readOnly(name string, r *peer.ExchangeRequest) error {
 	if r.Tx != "" && !r.Begins {
--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -13,7 +13,7 @@
 
 const (
 	monitorInterval = 250 * time.Millisecond
-	monitorTimeout  = time.Second
+	monitorTimeout  = 500 * time.Millisecond
 	monitorBackoff  = 100 * time.Millisecond
 	waitLimit       = 200 * time.Millisecond
 	// barrierDelay collects the reads that arrive close together behind one barrier.
@@ -21,7 +21,10 @@
 	// ageSampleInterval bounds how stale the proof of age is; it runs only while
 	// reads with a stated age arrive.
 	ageSampleInterval = 200 * time.Millisecond
-	ageDemandWindow   = 5 * time.Second
+	// idleSampleInterval keeps an age proved without demand, so that a failure
+	// domain that is cut off can serve reads with a stated age from then on.
+	idleSampleInterval = time.Second
+	ageDemandWindow    = 5 * time.Second
 )
 
 // monitor keeps one control connection to the upstream and feeds the tracker.
@@ -172,15 +175,32 @@
 	defer u.mu.Unlock()
 	now := u.now()
 	u.status, u.statusAt, u.healthy = s, now, true
-	u.raiseTerm(s.Term, now)
 	if s.Role == group.Primary {
+		u.raiseTerm(s.Term, now)
 		u.report(s, now)
 		return
 	}
-	u.pending = position.Position{}
+	u.notPrimaryIn(s.Term, now)
 	u.reached(s.Last)
 }
 
+// notPrimaryIn notes that another member is the primary of the term, if there is
+// one. What waits for confirmation here can be confirmed in a later term only,
+// so it is given up; the caller holds mu.
+func (u *Upstream) notPrimaryIn(term uint64, now time.Duration) { u.raiseTerm(term+1, now) }
+
+// LearnTerm takes in a term whose primary has been announced. The owner of a
+// dead primary hears of its replacement in no other way.
+func (u *Upstream) LearnTerm(term uint64, primary string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if primary == u.cfg.Name {
+		u.raiseTerm(term, u.now())
+		return
+	}
+	u.notPrimaryIn(term, u.now())
+}
+
 // raiseTerm ends what was pending under an older term; the caller holds mu.
 func (u *Upstream) raiseTerm(term uint64, now time.Duration) {
 	if u.tracker == nil {
@@ -314,6 +334,7 @@
 
 // sampleAge refreshes the proof of age while somebody asks for it.
 func (u *Upstream) sampleAge() {
+	var lastSample time.Duration
 	ticker := time.NewTicker(ageSampleInterval)
 	defer ticker.Stop()
 	for {
@@ -323,10 +344,13 @@
 		case <-ticker.C:
 		}
 		u.mu.Lock()
-		demanded := u.ageDemand > 0 && u.now()-u.ageDemand < ageDemandWindow
+		now := u.now()
+		demanded := u.ageDemand > 0 && now-u.ageDemand < ageDemandWindow
+		due := demanded || now-lastSample >= idleSampleInterval
 		replica := u.healthy && u.status.Role == group.Replica
 		u.mu.Unlock()
-		if demanded && replica {
+		if due && replica {
+			lastSample = now
 			u.sample()
 		}
 	}
--- a/instance/owner/upstream.go
+++ b/instance/owner/upstream.go
@@ -90,6 +90,7 @@
 	healthy     bool
 	pending     position.Position // highest position that waits for confirmation
 	barrier     bool              // the tracker wants a barrier to be written
+	armed       time.Duration     // time of the next call of the tracker; 0 if none
 	writes      int               // running exchanges that may change data
 	quietUntil  time.Duration     // until then new writes are refused
 	wantReclaim bool              // sessions of dead instances may fill the upstream
@@ -205,9 +206,6 @@
 		now := u.now()
 		u.performScheduler(u.scheduler.Tick(now))
 		u.performPool(u.pool.Tick(now))
-		if u.tracker != nil {
-			u.performTracker(u.tracker.Expire(now))
-		}
 		u.expireTransactions(now)
 		u.checkIdle(now)
 		u.mu.Unlock()
@@ -235,6 +233,27 @@
 			u.signal()
 		}
 	}
+	u.armTracker()
+}
+
+// armTracker calls the tracker at its next expiry; the caller holds mu. Barriers
+// are due half a millisecond after the read that needs them, long before a tick.
+func (u *Upstream) armTracker() {
+	next, pending := u.tracker.NextExpiry()
+	if !pending || (u.armed > 0 && u.armed <= next) {
+		return
+	}
+	u.armed = next
+	time.AfterFunc(max(next-u.now(), 0), u.trackerDue)
+}
+
+func (u *Upstream) trackerDue() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.armed = 0
+	if u.ctx.Err() == nil {
+		u.performTracker(u.tracker.Expire(u.now()))
+	}
 }
 
 func (u *Upstream) signal() {
--- a/instance/peer/messages.go
+++ b/instance/peer/messages.go
@@ -65,7 +65,8 @@
 	Tx       string               `json:"tx,omitempty"`     // transaction this exchange belongs to
 	Begins   bool                 `json:"begins,omitempty"` // the exchange may open transaction Tx
 	Commits  bool                 `json:"commits,omitempty"`
-	Key      string               `json:"key,omitempty"` // request key for work that may not be repeated
+	ReadOnly bool                 `json:"read_only,omitempty"` // the caller declared transaction Tx read-only
+	Key      string               `json:"key,omitempty"`       // request key for work that may not be repeated
 	Need     []statement.Prepared `json:"need,omitempty"`
 	Messages []byte               `json:"messages"`
 }
