Test that open transactions survive the stop of their owner

Change: TestDrainLetsTransactionsEnd keeps a transaction open across the stop; TestFailureDomainCutOff reads strictly before anything else happens inside.

--- a/papayarail/failure_test.go
+++ b/papayarail/failure_test.go
@@ -214,6 +214,30 @@
 	checkUncut(t, ledgers, c.connect("siracusa"))
 }
 
+// Guards against a planned stop that cuts the open transaction of a caller at
+// another instance, whose connection the stopping instance holds as the owner.
+func TestDrainLetsTransactionsEnd(t *testing.T) {
+	c := newCluster(t)
+	writer, reader := c.connect("messina"), c.connect("siracusa")
+	c.eventually(writer, createBatches)
+	ctx := context.Background()
+	tx, err := writer.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO batches (id, state) VALUES ('open', 'registered')")
+	assert.NilError(t, err)
+	_, stderr, err := client("drain", c.settings["catania"].OperatorAddress)
+	assert.NilError(t, err, stderr)
+	c.awaitDump("catania", func(d *node.Dump) bool {
+		return d.Leaving && len(d.Upstreams) == 1 && d.Upstreams[0].Retiring
+	})
+	_, err = tx.Exec(ctx, "INSERT INTO batches (id, state) VALUES ('later', 'registered')")
+	assert.NilError(t, err, "guarantee 8")
+	assert.NilError(t, tx.Commit(ctx), "guarantee 8")
+	assert.NilError(t, c.wait("catania"))
+	c.eventually(reader, "SELECT state FROM batches WHERE id = 'open'")
+	assert.Equal(t, state(t, reader, "open"), "registered")
+}
+
 // checkUncut reads the ledgers back and demands that no outcome is unknown.
 func checkUncut(t *testing.T, ledgers []*ledger, reader *pgx.Conn) {
 	for _, l := range ledgers {
@@ -391,6 +415,12 @@
 
 	w := &ledger{conn: outside, name: "outside"}
 	w.registerUntil(t, func() bool { return c.primary("messina") != old })
+	// Before any write inside, nothing tells this side that its primary has been
+	// replaced, except that the read gets no evidence.
+	var count int
+	err = inside.QueryRow(context.Background(), "SELECT count(*) FROM batches").Scan(&count)
+	assert.ErrorContains(t, err, "SQLSTATE", "guarantee 1: a strict read missed %d acknowledged writes", len(w.acked))
+
 	cut := &ledger{conn: inside, name: "inside"}
 	for range 3 {
 		cut.register()
