Drive core/route with roaming sessions in core/check

Cause: the fuzzing covered confirm and failover only, so routing, tokens, stated ages, request keys and planned switches had no stateful oracle.

Change: sessions send writes, keyed writes, transactions and strict, session and stated-age reads through either instance and route.Choose, Next and AgeTracker. The model has lag, leaving members, silent connections, moving owners and planned switches with Quiesce. Failures name guarantees 1, 5, 6, 7 or 8. A run fails if the sessions reach too little.

The model differs from instance/owner in three points, where the latter breaks or cannot give a guarantee: a replica's answer has the term of its last status (instance/owner accepts an earlier one), each read with a stated age starts the proof of age, and a quiesced primary holds barriers.

Faults seeded on a scratch copy. Found: follows rule left out or with <=, age from the time of the answer or too young, barrier counted as applied early, token ignored in the route or at the owner, no quiesce, closed members chosen, lost link reported as not run, unknown write retried, key not recorded, strict read without a barrier.

--- a/core/check/check_test.go
+++ b/core/check/check_test.go
@@ -48,15 +48,24 @@
 // run also checks that the runs reach what the oracle is about, because a model
 // in which nothing is acknowledged passes every check.
 func run(t *testing.T, size int) {
-	var total coverage
+	total := coverage{served: map[string]int{}}
 	rapid.Check(t, func(t *rapid.T) { exercise(t, size, &total) })
 	t.Logf("%d members: %+v", size, total)
 	if total.runs > 1 && (total.primaries < 2*total.runs || total.acks < 10*total.runs || total.primaryReads < total.runs || total.replicaReads < total.runs) {
 		t.Errorf("the runs cover too little: %+v", total)
 	}
+	for _, name := range []string{"write", "not run", "repeated key", "primary_confirmed", "replica_at_position", "replica_after_barrier", "replica_by_age"} {
+		if total.runs > 1 && total.served[name] < total.runs/10 {
+			t.Errorf("the sessions cover too little %q: %+v", name, total)
+		}
+	}
 }
 
-type coverage struct{ runs, primaries, acks, primaryReads, replicaReads, recoveryTicks int }
+type coverage struct {
+	runs, primaries, acks, primaryReads, replicaReads, recoveryTicks, switches int
+
+	served map[string]int // requests of sessions by proof or outcome
+}
 
 func exercise(t *rapid.T, size int, total *coverage) {
 	w := newWorld(t, size, rapid.Uint64().Draw(t, "seed"))
@@ -76,6 +85,7 @@
 		"": func(t *rapid.T) {
 			w.t = t
 			w.positions(w.members)
+			w.checkLogs()
 		},
 		"pass": func(t *rapid.T) {
 			w.lossPerMil = rapid.SampledFrom([]int{0, 0, 50, 300}).Draw(t, "loss")
@@ -144,12 +154,31 @@
 			w.write(in, i)
 			w.drain()
 		},
-		"silence": func(t *rapid.T) { w.silent[[2]int{pickInstance(t).index, pick(t, "member")}] = true },
-		"heal":    func(t *rapid.T) { w.heal() },
+		"silence": func(t *rapid.T) {
+			link := [2]int{pickInstance(t).index, pick(t, "member")}
+			w.silent[link], w.mute[link] = true, true
+		},
+		"sessions": func(t *rapid.T) {
+			for range rapid.IntRange(1, 12).Draw(t, "requests") {
+				w.startCall(t)
+				if rapid.Bool().Draw(t, "at once") {
+					w.drain()
+				}
+			}
+		},
+		"staleReplica": func(t *rapid.T) {
+			if r, ok := pickInstance(t).c.Route(); ok {
+				w.staleReplica(pickInstance(t), w.index(r.Primary), pick(t, "replica"))
+			}
+		},
+		"moveOwner": func(t *rapid.T) { w.home[pick(t, "member")] = pickInstance(t).index },
+		"leave":     func(t *rapid.T) { w.leave(pick(t, "member"), rapid.Bool().Draw(t, "leaves")) },
+		"heal":      func(t *rapid.T) { w.heal() },
 		"healAll": func(t *rapid.T) {
 			w.heal()
-			for _, m := range w.members {
+			for i, m := range w.members {
 				w.start(m, true)
+				w.leave(i, false)
 			}
 			for _, in := range w.instances {
 				in.paused = false
@@ -190,7 +219,7 @@
 		},
 	}
 	// Faults must not outnumber the work and the time to recover from them.
-	for name, weight := range map[string]int{"pass": 6, "work": 10, "late": 3, "healAll": 7, "isolate": 2} {
+	for name, weight := range map[string]int{"pass": 6, "work": 10, "sessions": 10, "late": 3, "healAll": 7, "isolate": 2, "staleReplica": 2} {
 		for i := range weight {
 			actions[fmt.Sprint(name, i)] = actions[name]
 		}
@@ -203,6 +232,10 @@
 	total.primaryReads += w.primaryReads
 	total.replicaReads += w.replicaReads
 	total.recoveryTicks = max(total.recoveryTicks, w.checkRecovery(t))
+	total.switches += w.switches
+	for name, n := range w.served {
+		total.served[name] += n
+	}
 }
 
 // isolate cuts off the failure domain of an instance and a member.
@@ -260,6 +293,9 @@
 	}
 	w.activate(w.instances[0], true)
 	w.activate(w.instances[1], rapid.Bool().Draw(t, "two coordinators"))
+	for _, c := range w.pending {
+		c.done, c.s.busy = true, false
+	}
 	before := len(w.acks)
 	for n := range limit {
 		w.advance()
@@ -268,7 +304,11 @@
 		}
 		if len(w.acks) > before && w.settled() {
 			w.positions(w.members)
-			w.checkReplace(t)
+			if rapid.Bool().Draw(t, "sessions write during the switch") {
+				w.checkSwitch(t)
+			} else {
+				w.checkReplace(t)
+			}
 			return n + 1
 		}
 	}
--- a/core/check/member_test.go
+++ b/core/check/member_test.go
@@ -7,10 +7,12 @@
 	"github.com/papayarail/papayarail/core/position"
 )
 
-// entry is a log entry; id is 0 for a no-op.
+// entry is a log entry; id is 0 for a no-op. key is the request key recorded
+// with the write, 0 for none.
 type entry struct {
 	term uint64
 	id   uint64
+	key  uint64
 }
 
 // member is one database as section 7 of the design page defines it. Its term,
@@ -46,7 +48,7 @@
 }
 
 func (m *member) append(id uint64) position.Position {
-	m.log = append(m.log, entry{m.term, id})
+	m.log = append(m.log, entry{term: m.term, id: id})
 	return m.last()
 }
 
--- a/core/check/oracle_test.go
+++ b/core/check/oracle_test.go
@@ -1,6 +1,8 @@
 package check
 
 import (
+	"time"
+
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/verdict"
 )
@@ -8,6 +10,7 @@
 type acked struct {
 	id  uint64
 	pos position.Position
+	at  time.Duration
 }
 
 // primacy is the history of one term.
@@ -25,6 +28,7 @@
 // oracle holds what has been promised to callers.
 type oracle struct {
 	t        failer
+	now      time.Duration
 	step     int
 	terms    map[uint64]*primacy
 	acks     []acked
@@ -58,7 +62,7 @@
 
 func (o *oracle) acknowledged(id uint64, p position.Position) {
 	o.answer(id)
-	o.acks = append(o.acks, acked{id, p})
+	o.acks = append(o.acks, acked{id, p, o.now})
 	o.terms[p.Term].acked = true
 	formed, ok := o.terms[p.Term].quorumAt[p.Offset]
 	if !ok {
--- a/core/check/world_test.go
+++ b/core/check/world_test.go
@@ -9,6 +9,7 @@
 	"github.com/papayarail/papayarail/core/confirm"
 	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/verdict"
 )
 
 const (
@@ -39,6 +40,9 @@
 	c        *failover.Coordinator
 	trackers []*confirm.Tracker
 	reads    map[uint64]running
+	work     map[uint64]func(position.Position, *verdict.Error)
+	owned    []owned
+	seen     []observed
 }
 
 // running is a read or barrier under way.
@@ -52,7 +56,6 @@
 type world struct {
 	*oracle
 	rng        *rand.Rand
-	now        time.Duration
 	members    []*member
 	instances  []*instance
 	queue      []message
@@ -67,6 +70,17 @@
 	holdPerMil int
 
 	primaryReads, replicaReads int // answered
+
+	sessions []*session
+	pending  []*call
+	home     []int             // index of the instance that owns a member
+	mute     map[[2]int]bool   // open connections for statements from instance to member
+	leaving  []time.Duration   // when a member began to leave; 0 if it does not
+	keys     map[uint64]uint64 // acknowledged request key to write
+	notRun   map[uint64]bool
+	served   map[string]int
+	unknown  int // writes with an unknown outcome
+	switches int // planned, while sessions write
 }
 
 func newWorld(t failer, size int, seed uint64) *world {
@@ -81,6 +95,7 @@
 		w.restart(w.instances[i])
 	}
 	w.activate(w.instances[0], true)
+	w.addSessions()
 	return w
 }
 
@@ -91,6 +106,9 @@
 		StepTimeout: 400 * ms, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2))}
 	in.trackers = nil
 	in.reads = map[uint64]running{}
+	in.work = map[uint64]func(position.Position, *verdict.Error){}
+	in.owned = make([]owned, len(w.members))
+	in.seen = make([]observed, len(w.members))
 	for _, m := range w.members {
 		cfg.Members = append(cfg.Members, failover.Member{ID: m.id})
 		in.trackers = append(in.trackers, confirm.New(confirm.Config{Members: len(w.members), Timeout: 2 * time.Second, BarrierDelay: 5 * ms}, 0))
@@ -171,8 +189,10 @@
 			if tr.Pending() > 0 {
 				w.poll(in, i)
 			}
+			w.monitor(in, i)
 		}
 	}
+	w.expireCalls()
 	w.drain()
 	for p := range w.members {
 		for f := range w.members {
@@ -261,6 +281,7 @@
 			}, nil)
 		case failover.Quiesce:
 			w.quietUntil[a.Member] = w.now + a.For
+			w.quiesce(in, w.index(a.Member), a.For)
 		case failover.Announce:
 			for _, other := range w.instances {
 				from := peer
@@ -369,11 +390,21 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case confirm.Unknown:
-			w.gaveUp(a.ID, a.Error)
+			if !in.finishWork(a.ID, position.Position{}, a.Error) {
+				w.gaveUp(a.ID, a.Error)
+			}
 		case confirm.Acknowledge:
-			w.acknowledge(in, a)
+			if !in.finishWork(a.ID, a.Position, nil) {
+				w.acknowledge(in, a)
+			}
 		case confirm.WriteBarrier:
 			failed := w.inside(in, epoch, func() { w.track(in, i, tr.BarrierFailed(w.now)) })
+			// A planned switch of a group of two did not end while strict reads
+			// went on and the owner let their barriers pass.
+			if w.now < in.owned[i].quietUntil {
+				failed()
+				continue
+			}
 			w.call(in, i, func() {
 				m := w.members[i]
 				if m.role != failover.Primary {
