Serve replica reads only at the term of the last status

Cause: core/check found that a deposed primary which has been told to follow still shows entries of its earlier term until the link connects, and that barriers written during a quiescence keep the candidate behind (planned switch in a group of two did not end within 120 ticks). Change: the answer's term equals that of the status; no barrier during a quiescence. Result: core/check, which models these rules, passes; process tests of failover, leaving and partition pass.

--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -399,13 +399,14 @@
 // follows reports whether the upstream answered as a replica that follows a
 // primary. A primary, a deposed one above all, can show entries that a failover
 // discards. An answer of a later term than the last status may come from a
-// member that has been promoted since.
+// member that has been promoted since; one of an earlier term from a member that
+// has not yet discarded its divergent log.
 func (u *Upstream) follows(p position.Position) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.status
 	following := s.Role == group.Replica && s.PrimaryMember != "" && s.PrimaryMember != s.Member
-	return following && p.Term <= s.Term
+	return following && p.Term == s.Term
 }
 
 func (u *Upstream) proveConfirmed(ctx context.Context, id uint64, r *peer.ExchangeRequest, a upstream.Answer, out *peer.ExchangeAnswer) (*peer.ExchangeAnswer, error) {
--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -110,6 +110,9 @@
 func (u *Upstream) takeBarrier() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.refusesWrites() {
+		return false // a barrier is an entry that the candidate would have to catch up with
+	}
 	wanted := u.barrier
 	u.barrier = false
 	if !wanted || u.status.Role == group.Primary {
@@ -166,7 +169,7 @@
 		return false
 	}
 	u.mu.Lock()
-	barrier := u.barrier && u.status.Role == group.Primary
+	barrier := u.barrier && u.status.Role == group.Primary && !u.refusesWrites()
 	u.mu.Unlock()
 	_, waiting := u.target()
 	return barrier || waiting
