control: let an inactive coordinator cost nothing

Each instance ran a goroutine with a 50 ms ticker for the coordinator of each service, although it coordinates less than one of them at full size.

An inactive coordinator now has no machine, no timer and no goroutine; it keeps the route with the highest term and the live instances for its activation. An active one sets a timer from NextTick. While it suspects the primary or is in an attempt, it ticks at least every 50 ms as before, because NextTick leaves out the end of suspectAfter.

--- a/instance/control/bench_test.go
+++ b/instance/control/bench_test.go
@@ -33,7 +33,7 @@
 				for j := range 3 {
 					s.Databases = append(s.Databases, fleet.Database{Name: fmt.Sprint(s.Name, "-", j), Address: "127.0.0.1:1", FailureDomain: fmt.Sprint("z", j)})
 				}
-				all[i] = Start(ctx, Config{Instance: "messina-1", Service: s, Now: func() time.Duration { return time.Since(began) },
+				all[i] = New(ctx, Config{Instance: "messina-1", Service: s, Now: func() time.Duration { return time.Since(began) },
 					Announce: func(failover.Route) {}, Log: logrus.NewEntry(log)})
 			}
 			grown := float64(memory()-before) / float64(n)
--- a/instance/control/coordinator.go
+++ b/instance/control/coordinator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,7 +23,11 @@
 	suspectAfter  = 600 * time.Millisecond
 	stalledAfter  = 1500 * time.Millisecond
 	stepTimeout   = 500 * time.Millisecond
-	tickInterval  = 50 * time.Millisecond
+	// suspectTick bounds the time between two ticks while the service has no
+	// healthy primary, because NextTick leaves out the end of suspectAfter.
+	suspectTick = 50 * time.Millisecond
+	// minTick keeps a machine whose next tick is already due from spinning.
+	minTick = time.Millisecond
 )
 
 // Reserver arbitrates between coordinators at the platform.
@@ -45,20 +50,34 @@
 	Log      *logrus.Entry
 }
 
-// Coordinator runs the failover machine of one service.
+// Coordinator runs the failover machine of one service. While it is inactive it
+// has no machine, no timer and no goroutine, because each instance keeps one of
+// every service of the fleet; it only remembers what the machine must know.
 type Coordinator struct {
-	cfg     Config
-	ctx     context.Context
-	members map[failover.MemberID]*member
+	cfg Config
+	ctx context.Context
 
-	mu      sync.Mutex
-	machine *failover.Coordinator
-	active  bool
+	// switching serializes SetActive, so that the last call takes effect last.
+	switching sync.Mutex
+
+	mu       sync.Mutex
+	machine  *failover.Coordinator // nil before the first activation
+	members  map[failover.MemberID]*member
+	active   bool
+	timer    *time.Timer // of the machine's next tick while active
+	stop     func() bool // ends the wait for the end of ctx
+	route    failover.Route
+	hasRoute bool
+	live     map[string]int
 }
 
-// Start runs a coordinator, inactive at first, until ctx ends.
-func Start(ctx context.Context, cfg Config) *Coordinator {
-	c := &Coordinator{cfg: cfg, ctx: ctx, members: make(map[failover.MemberID]*member)}
+// New returns an inactive coordinator. It works until ctx ends.
+func New(ctx context.Context, cfg Config) *Coordinator { return &Coordinator{cfg: cfg, ctx: ctx} }
+
+// build makes the machine and the members; the caller holds mu.
+func (c *Coordinator) build() {
+	cfg := c.cfg
+	c.members = make(map[failover.MemberID]*member)
 	var members []failover.Member
 	for _, db := range cfg.Service.Databases {
 		id := failover.MemberID(db.Name)
@@ -82,44 +101,71 @@
 		StepTimeout:   stepTimeout,
 		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, cfg.Now())
-	go c.loop()
-	return c
-}
-
-func (c *Coordinator) loop() {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
-			c.closeMembers()
-			return
-		case <-ticker.C:
-		}
-		c.event(func(now time.Duration) []failover.Action { return c.machine.Tick(now) })
-	}
+	c.machine.SetLiveInstances(c.live)
 }
 
 // SetActive says whether this instance is the chosen coordinator of the service.
 func (c *Coordinator) SetActive(active bool) {
-	c.mu.Lock()
-	changed := c.active != active
-	c.active = active
-	c.mu.Unlock()
-	if !changed {
+	c.switching.Lock()
+	defer c.switching.Unlock()
+	if c.Active() == active {
+		return
+	}
+	if active {
+		c.activate()
 		return
 	}
-	c.event(func(now time.Duration) []failover.Action { return c.machine.SetActive(active, now) })
-	if !active {
-		c.closeMembers()
+	c.deactivate()
+}
+
+func (c *Coordinator) activate() {
+	c.mu.Lock()
+	if c.machine == nil {
+		c.build()
+	}
+	c.active = true
+	c.stop = context.AfterFunc(c.ctx, func() { c.SetActive(false) })
+	c.mu.Unlock()
+	c.event(func(now time.Duration) []failover.Action {
+		if c.hasRoute {
+			c.machine.LearnRoute(c.route, now)
+		}
+		return c.machine.SetActive(true, now)
+	})
+}
+
+func (c *Coordinator) deactivate() {
+	c.mu.Lock()
+	c.active = false
+	c.stop()
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
 	}
+	c.mu.Unlock()
+	c.event(func(now time.Duration) []failover.Action { return c.machine.SetActive(false, now) })
+	c.closeMembers()
 }
 
-// LearnRoute takes in a route that a peer announced.
+// LearnRoute takes in a route that a peer announced. An inactive coordinator
+// keeps the one with the highest term for its activation.
 func (c *Coordinator) LearnRoute(r failover.Route) {
+	c.remember(r)
 	c.event(func(now time.Duration) []failover.Action { return c.machine.LearnRoute(r, now) })
 }
 
+func (c *Coordinator) remember(r failover.Route) {
+	isMember := func(db fleet.Database) bool { return db.Name == string(r.Primary) }
+	if r.Service != c.cfg.Service.Name || !slices.ContainsFunc(c.cfg.Service.Databases, isMember) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.hasRoute || r.Term > c.route.Term {
+		c.route, c.hasRoute = r, true
+	}
+}
+
 // Replace moves the primary away from a member that is leaving.
 func (c *Coordinator) Replace(name string) {
 	c.event(func(now time.Duration) []failover.Action {
@@ -132,7 +178,10 @@
 func (c *Coordinator) SetLiveInstances(live map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.machine.SetLiveInstances(live)
+	c.live = live
+	if c.machine != nil {
+		c.machine.SetLiveInstances(live)
+	}
 }
 
 // Active reports whether this instance coordinates the service.
@@ -148,16 +197,42 @@
 	}
 }
 
-// event feeds the machine and performs its actions.
+// event feeds the machine, if there is one, performs its actions, and sets the
+// timer for its next tick.
 func (c *Coordinator) event(f func(now time.Duration) []failover.Action) {
 	c.mu.Lock()
-	actions := f(c.cfg.Now())
+	if c.machine == nil {
+		c.mu.Unlock()
+		return
+	}
+	now := c.cfg.Now()
+	actions := f(now)
+	if c.active {
+		c.schedule(now)
+	}
 	c.mu.Unlock()
 	for _, a := range actions {
 		go c.perform(a)
 	}
 }
 
+// schedule sets the timer for the machine's next tick; the caller holds mu.
+func (c *Coordinator) schedule(now time.Duration) {
+	wait := max(c.machine.NextTick()-now, minTick)
+	if c.machine.State() != failover.Watching {
+		wait = min(wait, suspectTick)
+	}
+	if c.timer == nil {
+		c.timer = time.AfterFunc(wait, c.tick)
+		return
+	}
+	c.timer.Reset(wait)
+}
+
+func (c *Coordinator) tick() {
+	c.event(func(now time.Duration) []failover.Action { return c.machine.Tick(now) })
+}
+
 func (c *Coordinator) perform(a failover.Action) {
 	ctx, cancel := context.WithTimeout(c.ctx, stepTimeout)
 	defer cancel()
--- a/instance/node/coordinators.go
+++ b/instance/node/coordinators.go
@@ -99,7 +99,7 @@
 func (c *coordinators) start(s *fleet.Service) *coordinator {
 	ctx, cancel := context.WithCancel(c.node.workCtx)
 	out := &coordinator{cancel: cancel, databases: s.Databases}
-	out.Coordinator = control.Start(ctx, control.Config{
+	out.Coordinator = control.New(ctx, control.Config{
 		Instance:    c.node.settings.Name,
 		Incarnation: c.node.birth,
 		Service:     s,
