node: let a few instances read the platform's instance list

Every instance read the whole list every 5 s, which grows with the square of their number: 360 queries/s of 1,800 items each at full size.

Only the pollers of the configuration (three per failure domain) and instances without a live peer read it now, at intervals of 4 to 6 s. The others learn addresses through the membership. A reader tells a live peer that it lists as leaving ("advise_leaving"), because that peer may not read the list itself. An instance that stops reading forgets which members the list held.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -122,7 +122,7 @@
 	pauseLimit = time.Second
 )
 
-// Action is Probe, ProbeThrough, Fetch, Changed or LeavingAdvised.
+// Action is Probe, ProbeThrough, Fetch, Changed, LeavingAdvised or AdviseLeaving.
 type Action interface{}
 
 // Probe asks to send Digest to a peer over a fresh or proven connection and to
@@ -159,6 +159,10 @@
 // instance decides whether to call Leave.
 type LeavingAdvised struct{}
 
+// AdviseLeaving asks to tell the instance at Address that the platform lists it
+// as leaving, because only a few instances read the list.
+type AdviseLeaving struct{ Address string }
+
 type peer struct {
 	Member
 	deadline time.Duration // end of the suspicion, or of the memory of a dead member
@@ -497,6 +501,9 @@
 		if p.State == Dead {
 			p.Address = l.Address
 		}
+		if l.Leaving && p.State == Alive {
+			m.emit(AdviseLeaving{Address: p.Address})
+		}
 	}
 	return m.take()
 }
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -242,8 +242,13 @@
 	n := s.nodes[s.names[4]]
 	actions := n.m.PlatformList([]Listed{{Name: n.name, Leaving: true}}, s.now)
 	assert.DeepEqual(t, actions, []Action{LeavingAdvised{}})
+	reader := s.nodes[s.names[0]]
+	list := []Listed{{Name: n.name, Address: "a lagging address", Leaving: true}, {Name: "unknown", Leaving: true}}
+	advice := []Action{AdviseLeaving{Address: n.m.Self().Address}}
+	assert.DeepEqual(t, reader.m.PlatformList(list, s.now), advice)
 	s.do(n, n.m.Leave(s.now))
 	s.runFor(3 * time.Second)
+	assert.Equal(t, len(reader.m.PlatformList(list, s.now)), 0)
 	for _, other := range s.nodes {
 		assert.Equal(t, len(other.m.Live()), 8)
 	}
--- a/instance/node/config.go
+++ b/instance/node/config.go
@@ -121,6 +121,14 @@
 	return c.failed
 }
 
+// poller reports whether this instance is one of the few of its failure domain
+// that read the platform.
+func (c *config) poller() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Poller()
+}
+
 func (c *config) sendDigest(address string, a spread.SendDigest) {
 	if address == "" {
 		return
--- a/instance/node/handler.go
+++ b/instance/node/handler.go
@@ -79,6 +79,11 @@
 	return &body, nil
 }
 
+func (h handler) AdviseLeaving(context.Context, *peer.Empty) error {
+	h.node.members.leavingAdvised()
+	return nil
+}
+
 // Holds reports whether the link has open transactions.
 func (h handler) Holds() bool {
 	return slices.ContainsFunc(h.node.upstreams.all(""), func(u *owner.Upstream) bool { return u.Holds(h.link) })
--- a/instance/node/members.go
+++ b/instance/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,8 +18,11 @@
 	// another one on a fresh connection.
 	probeTimeout      = 300 * time.Millisecond
 	firstProbeTimeout = 150 * time.Millisecond
-	// listInterval is the time between two reads of the platform's instance list.
+	// listInterval is the mean time between two reads of the platform's instance
+	// list. It varies by listJitter in each direction, so that instances that
+	// started together don't read together.
 	listInterval = 5 * time.Second
+	listJitter   = time.Second
 )
 
 // members performs the actions of the membership machine.
@@ -75,14 +79,15 @@
 	case membership.Fetch:
 		go m.fetch(a.Address)
 	case membership.LeavingAdvised:
-		m.node.log.Info("the platform lists this instance as leaving")
-		m.node.Drain()
+		m.leavingAdvised()
+	case membership.AdviseLeaving:
+		go m.adviseLeaving(a.Address)
 	case membership.Changed:
 		m.node.log.WithField("peer", a.Member.Name).WithField("state", a.Member.State.String()).Info("peer changed")
 		if a.New {
 			go m.askOperator(a.Member)
 		}
-		return true
+		return m.node.config.poller() || len(m.node.view.Peers()) == 0
 	}
 	return false
 }
@@ -220,21 +225,53 @@
 	return !known || state != membership.Dead
 }
 
-// readList takes addresses from the platform's lagging list.
+func (m *members) leavingAdvised() {
+	m.node.log.Info("the platform lists this instance as leaving")
+	m.node.Drain()
+}
+
+func (m *members) adviseLeaving(address string) {
+	ctx, cancel := context.WithTimeout(m.node.workCtx, probeTimeout)
+	defer cancel()
+	var none peer.Empty
+	// The next read of the list repeats an advice that has failed.
+	_ = m.node.links.Control(address).Call(ctx, peer.MethodAdviseLeaving, &peer.Empty{}, &none)
+}
+
+// readList takes addresses from the platform's lagging list, while this
+// instance is among those that read it.
 func (m *members) readList(ctx context.Context) {
+	reading := false
 	for {
-		list, err := m.node.register.Instances(ctx)
-		if err != nil {
-			m.node.log.WithError(err).Debug("could not read the instance list from the platform")
-		} else {
-			m.event(func(now time.Duration) []membership.Action { return m.machine.PlatformList(listed(list), now) })
+		wanted := m.readsList()
+		if wanted {
+			m.readListOnce(ctx)
+		} else if reading {
+			// A list that is no longer read must not keep dead members known.
+			m.event(func(now time.Duration) []membership.Action { return m.machine.PlatformList(nil, now) })
 		}
-		if !pause(ctx, listInterval) {
+		reading = wanted
+		if !pause(ctx, listInterval-listJitter+rand.N(2*listJitter)) {
 			return
 		}
 	}
 }
 
+// readsList reports whether this instance reads the list: the pollers of its
+// failure domain do, and each one that knows no live peer.
+func (m *members) readsList() bool {
+	return m.node.config.poller() || len(m.node.view.Peers()) == 0
+}
+
+func (m *members) readListOnce(ctx context.Context) {
+	list, err := m.node.register.Instances(ctx)
+	if err != nil {
+		m.node.log.WithError(err).Debug("could not read the instance list from the platform")
+		return
+	}
+	m.event(func(now time.Duration) []membership.Action { return m.machine.PlatformList(listed(list), now) })
+}
+
 func listed(list []register.Instance) []membership.Listed {
 	var out []membership.Listed
 	for _, i := range list {
--- a/instance/peer/messages.go
+++ b/instance/peer/messages.go
@@ -28,6 +28,7 @@
 	MethodRoutes         = "routes"
 	MethodRevision       = "revision"
 	MethodFetchConfig    = "fetch_config"
+	MethodAdviseLeaving  = "advise_leaving"
 )
 
 // Proof says what the owner must establish before it answers.
--- a/instance/peer/server.go
+++ b/instance/peer/server.go
@@ -27,6 +27,8 @@
 	Routes(ctx context.Context, r *Routes) (*Routes, error)
 	Revision(ctx context.Context, r *Revision) error
 	FetchConfig(ctx context.Context, r *FetchConfig) (*spread.Body, error)
+	// AdviseLeaving says that the platform lists this instance as leaving.
+	AdviseLeaving(ctx context.Context, e *Empty) error
 	// Holds reports whether the link has open transactions.
 	Holds() bool
 	// Close is called when the link has ended; open transactions of the link are rolled back.
@@ -136,6 +138,8 @@
 		return callEmpty(ctx, r, h.Revision)
 	case MethodFetchConfig:
 		return call(ctx, r, h.FetchConfig)
+	case MethodAdviseLeaving:
+		return callEmpty(ctx, r, h.AdviseLeaving)
 	default:
 		return nil, verdict.New(verdict.Unsupported, "method %q does not exist", r.Method)
 	}
