--- a/instance/entry/session.go
+++ b/instance/entry/session.go
@@ -68,7 +68,7 @@
 // Exchange implements caller.Session.
 func (s *session) Exchange(ctx context.Context, x *caller.Exchange) (*caller.Reply, error) {
 	_, doc := s.entry.view.Document()
-	service, found := doc.Service(s.service)
+	service, found := s.entry.view.Service(s.service)
 	if !found {
 		return nil, verdict.New(verdict.UnknownService, "service %q is no longer configured", s.service)
 	}
