Keep short deadlines from holding back other callers

Cause: TestShortDeadlinesLeaveOthersAlone (new): beside a caller with a deadline of 1 ms, a writer of the same name at the same instance had 5 to 70 of 100 writes refused. A barrier that the caller's own deadline ended counted as an unreachable primary, and a refusal for a 1 ms deadline held the caller's name back at the door. Change: failures count only while the caller waits; only refusals of deadlines at or above the rank's target reach the door. Each barrier read also proves an age, so that a cut-off domain serves stated ages from the first read on. Process tests demand that instances log nothing but JSON lines.

--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -61,24 +61,30 @@
 	e.door.Update(upstream, a.Load, now)
 }
 
-// observeFailure takes in a failure that says something about the upstream. A
-// lost answer says so only if the caller was still waiting for it.
+// observeFailure takes in a failure that says something about the upstream. It
+// says so only if the caller was still waiting, because the end of a caller's own
+// deadline shows nothing about the upstream.
 func (e *Entry) observeFailure(upstream string, o options, err *verdict.Error, waiting bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
 	m := e.member(upstream)
 	switch err.Code {
-	case verdict.CutOff, verdict.Draining:
-		m.unreachableUntil = now + unreachableFor
-	case verdict.OutcomeUnknown, verdict.Internal:
+	case verdict.CutOff, verdict.Draining, verdict.OutcomeUnknown, verdict.Internal:
 		if waiting {
 			m.unreachableUntil = now + unreachableFor
 		}
 	case verdict.ReplicaBehind:
 		m.lag = max(m.lag, err.RetryAfter)
 		m.seen = now
-	case verdict.Overloaded, verdict.DeadlineUnreachable:
+	case verdict.DeadlineUnreachable:
+		// A deadline shorter than the target of the rank is no sign of load, and
+		// must not hold back other sessions of the same caller.
+		if o.deadline < o.target {
+			return
+		}
+		e.door.Refused(upstream, o.caller, o.rank, err.RetryAfter, now)
+	case verdict.Overloaded:
 		e.door.Refused(upstream, o.caller, o.rank, err.RetryAfter, now)
 	}
 }
--- a/instance/entry/options.go
+++ b/instance/entry/options.go
@@ -33,6 +33,7 @@
 // options are the parsed parameters of one exchange.
 type options struct {
 	rank         schedule.Rank
+	target       time.Duration // of the rank
 	deadline     time.Duration // from now
 	session      bool          // session consistency instead of strict
 	token        position.Position
@@ -52,18 +53,19 @@
 	limit := time.Duration(service.MaxStalenessMS) * time.Millisecond
 	o.maxStaleness = min(p.duration(ParamMaxStaleness), limit)
 	o.deadline = p.milliseconds(ParamDeadline)
+	o.target = target(doc, o.rank)
 	if o.deadline == 0 {
-		o.deadline = defaultDeadline(doc, o.rank)
+		o.deadline = defaultDeadlineTargets * o.target
 	}
 	return o, p.err
 }
 
-func defaultDeadline(doc *fleet.Document, r schedule.Rank) time.Duration {
-	target := time.Duration(doc.Ranks[fleet.Rank(r.String())].TargetMS) * time.Millisecond
-	if target == 0 {
-		target = fallbackTarget
+func target(doc *fleet.Document, r schedule.Rank) time.Duration {
+	t := time.Duration(doc.Ranks[fleet.Rank(r.String())].TargetMS) * time.Millisecond
+	if t == 0 {
+		return fallbackTarget
 	}
-	return defaultDeadlineTargets * target
+	return t
 }
 
 type paramParser struct {
--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -280,10 +280,17 @@
 func smooth(mean, value time.Duration) time.Duration { return mean + (value-mean)/8 }
 
 func (u *Upstream) freshBarrier(ctx context.Context) (position.Position, error) {
+	asked := u.now()
 	p, err := u.barriers.get(ctx, u.cfg.Service)
+	if ctx.Err() != nil {
+		return p, verdict.New(verdict.DeadlineUnreachable, "the request ended before the primary of %q gave a confirmed position", u.cfg.Service)
+	}
 	if err != nil {
 		return p, verdict.New(verdict.CutOff, "the primary of %q gave no confirmed position: %v", u.cfg.Service, err).After(monitorInterval)
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.age.Sample(asked, p)
 	return p, nil
 }
 
--- a/papayarail/failure_test.go
+++ b/papayarail/failure_test.go
@@ -29,6 +29,7 @@
 	acked  []string
 	notRun []string
 	open   []string // outcome unknown
+	last   error    // of the last request that was not acknowledged
 }
 
 // register writes one batch and notes the outcome. It reports whether the
@@ -38,6 +39,9 @@
 	l.next++
 	_, err := l.conn.Exec(context.Background(), "INSERT INTO batches (id, state) VALUES ($1, 'registered')", id)
 	var pg *pgconn.PgError
+	if err != nil {
+		l.last = err
+	}
 	switch {
 	case err == nil:
 		l.acked = append(l.acked, id)
@@ -463,16 +467,47 @@
 	_, err := reader.Exec(ctx, "SET papayarail.consistency = session")
 	assert.NilError(t, err)
 	assert.Equal(t, state(t, reader, "cut-0"), "registered")
+	stale := c.connect("siracusa")
+	_, err = stale.Exec(ctx, "SET papayarail.max_staleness = '4s'")
+	assert.NilError(t, err)
+	// An age is proved after the first barrier that the replica has reached.
+	c.eventually(stale, "SELECT state FROM batches WHERE id = 'cut-0'")
 	c.network.isolate("siracusa", true)
+	assert.Equal(t, state(t, stale, "cut-0"), "registered")
 	c.awaitDump("siracusa", func(d *node.Dump) bool { return len(d.Peers) == 0 })
 	c.eventually(reader, "SELECT state FROM batches WHERE id = 'cut-0'")
 	assert.Equal(t, state(t, reader, "cut-0"), "registered")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := stale.Exec(ctx, "SELECT state FROM batches WHERE id = 'cut-0'")
+		if err == nil {
+			return poll.Continue("still served by age")
+		}
+		assert.ErrorContains(t, err, "57P03")
+		return poll.Success()
+	}, poll.WithTimeout(hangLimit))
 	_, err = reader.Exec(ctx, "UPDATE batches SET state = 'lost' WHERE id = 'cut-0'")
 	assert.ErrorContains(t, err, "SQLSTATE")
 	var pg *pgconn.PgError
 	assert.Assert(t, errors.As(err, &pg) && strings.Contains(pg.Detail, "verdict=not_run"), "guarantee 5: %v", err)
 }
 
+// Guards against a caller whose deadlines cannot be met and that takes an
+// upstream out of use for the other callers of its instance.
+func TestShortDeadlinesLeaveOthersAlone(t *testing.T) {
+	c := newCluster(t)
+	writer, hasty := c.connect("messina"), c.connect("messina")
+	c.eventually(writer, createBatches)
+	ctx := context.Background()
+	_, err := hasty.Exec(ctx, "SET papayarail.deadline_ms = 1")
+	assert.NilError(t, err)
+	l := &ledger{conn: writer, name: "patient"}
+	for range 100 {
+		_, _ = hasty.Exec(ctx, "SELECT count(*) FROM batches")
+		assert.Assert(t, l.register())
+	}
+	assert.Equal(t, len(l.acked), 100, "not run: %v, unknown: %v, last: %v", l.notRun, l.open, l.last)
+}
+
 // Guards against the open transaction of a dead entry instance that stays open,
 // holds its connection, or commits.
 func TestEntryKilledInTransaction(t *testing.T) {
--- a/papayarail/path_test.go
+++ b/papayarail/path_test.go
@@ -16,6 +16,7 @@
 const createBatches = "CREATE TABLE IF NOT EXISTS batches (id text PRIMARY KEY, state text)"
 
 func state(t *testing.T, conn *pgx.Conn, id string) string {
+	t.Helper()
 	var s string
 	err := conn.QueryRow(context.Background(), "SELECT state FROM batches WHERE id = $1", id).Scan(&s)
 	assert.NilError(t, err)
--- a/papayarail/process_test.go
+++ b/papayarail/process_test.go
@@ -212,11 +212,27 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	}
+	c.checkLogs()
 	if c.t.Failed() {
 		c.printLogs()
 	}
 }
 
+// checkLogs demands that instances write nothing but JSON lines.
+func (c *cluster) checkLogs() {
+	for _, name := range c.instances {
+		data, err := os.ReadFile(filepath.Join(c.dir, name+".log"))
+		if err != nil {
+			continue
+		}
+		for _, line := range bytes.Split(bytes.TrimSpace(data), []byte("\n")) {
+			if len(line) > 0 && !json.Valid(line) {
+				c.t.Errorf("log of %s: not JSON: %s", name, line)
+			}
+		}
+	}
+}
+
 func (c *cluster) printLogs() {
 	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
 	for _, f := range files {
