Keep a member that was adopted but not yet promoted able to confirm

Cause: under load TestPrimaryKilled hung once: the owner read the status between adoption and promotion, took the member for a replica of the new term, and moved its tracker past that term, so that nothing was confirmed there any more. A replica whose barrier failed counted as unreachable itself (TestCutOffDomainServesProvenReads failed once). Change: only a member that follows another one rules the term out; a failed barrier is NoPrimary.

--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -286,7 +286,8 @@
 		return p, verdict.New(verdict.DeadlineUnreachable, "the request ended before the primary of %q gave a confirmed position", u.cfg.Service)
 	}
 	if err != nil {
-		return p, verdict.New(verdict.CutOff, "the primary of %q gave no confirmed position: %v", u.cfg.Service, err).After(monitorInterval)
+		// Not CutOff: that would take this replica out of routing.
+		return p, verdict.New(verdict.NoPrimary, "the primary of %q gave no confirmed position: %v", u.cfg.Service, err).After(monitorInterval)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -186,7 +186,12 @@
 		u.report(s, now)
 		return
 	}
-	u.notPrimaryIn(s.Term, now)
+	// A member that has moved to a term without a primary may be promoted in it.
+	if s.PrimaryMember == "" || s.PrimaryMember == s.Member {
+		u.raiseTerm(s.Term, now)
+	} else {
+		u.notPrimaryIn(s.Term, now)
+	}
 	u.reached(s.Last)
 }
 
--- /dev/null
+++ b/papayarail/partition_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/papayarail/papayarail/instance/node"
+)
+
+// Guards against a failure domain that is cut off with the primary: no write may
+// be acknowledged there, reads that can be proved go on, the other domains get a
+// new primary, and after the cut everything agrees.
+func TestFailureDomainCutOff(t *testing.T) {
+	c := newCluster(t)
+	inside, outside := c.connect("catania"), c.connect("messina")
+	c.eventually(inside, createBatches)
+	l := &ledger{conn: inside, name: "before"}
+	for range 20 {
+		l.register()
+	}
+	old := c.primary("messina")
+	assert.Equal(t, old, service+"-catania")
+	_, err := outside.Exec(context.Background(), "SET papayarail.consistency = session")
+	assert.NilError(t, err)
+
+	var members []string
+	for name := range c.faults {
+		if name != old && name != "platform" {
+			members = append(members, name)
+		}
+	}
+	c.network.isolate("catania", true)
+	c.fault(old, map[string]any{"cut": members})
+
+	w := &ledger{conn: outside, name: "outside"}
+	w.registerUntil(t, func() bool { return c.primary("messina") != old })
+	// Before any write inside, nothing tells this side that its primary has been
+	// replaced, except that the read gets no evidence.
+	var count int
+	err = inside.QueryRow(context.Background(), "SELECT count(*) FROM batches").Scan(&count)
+	assert.ErrorContains(t, err, "SQLSTATE", "guarantee 1: a strict read missed %d acknowledged writes", len(w.acked))
+
+	cut := &ledger{conn: inside, name: "inside"}
+	for range 3 {
+		cut.register()
+	}
+	assert.Equal(t, len(cut.acked), 0, "guarantee 2: acknowledged without a quorum")
+	// Several reads, because the first ones are refused while the primary counts
+	// as unreachable; the later ones reach it and lack the evidence.
+	reads := 0
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var count int
+		err := inside.QueryRow(context.Background(), "SELECT count(*) FROM batches").Scan(&count)
+		assert.ErrorContains(t, err, "SQLSTATE", "guarantee 1: a strict read was answered without proof")
+		if reads++; reads < 5 {
+			return poll.Continue("%d reads", reads)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(hangLimit), poll.WithDelay(300*time.Millisecond))
+
+	c.fault(old, map[string]any{"cut": []string{}})
+	c.network.isolate("catania", false)
+	c.awaitDump("catania", func(d *node.Dump) bool {
+		return len(d.Peers) == 2 && string(d.Routes[0].Primary) != old
+	})
+	back := c.connect("catania")
+	c.eventually(back, "UPDATE batches SET state = 'seen' WHERE id = 'before-0'")
+	for _, x := range []*ledger{l, w, cut} {
+		x.check(t, back)
+	}
+}
+
+// Guards against reads that stop in a failure domain whose replica provably has
+// what the caller may expect, although the primary cannot be reached.
+func TestCutOffDomainServesProvenReads(t *testing.T) {
+	c := newCluster(t)
+	writer, reader := c.connect("catania"), c.connect("siracusa")
+	c.eventually(writer, createBatches)
+	l := &ledger{conn: writer, name: "cut"}
+	l.register()
+	ctx := context.Background()
+	_, err := reader.Exec(ctx, "SET papayarail.consistency = session")
+	assert.NilError(t, err)
+	assert.Equal(t, state(t, reader, "cut-0"), "registered")
+	stale := c.connect("siracusa")
+	_, err = stale.Exec(ctx, "SET papayarail.max_staleness = '4s'")
+	assert.NilError(t, err)
+	// An age is proved after the first barrier that the replica has reached.
+	c.eventually(stale, "SELECT state FROM batches WHERE id = 'cut-0'")
+	c.network.isolate("siracusa", true)
+	assert.Equal(t, state(t, stale, "cut-0"), "registered")
+	c.awaitDump("siracusa", func(d *node.Dump) bool { return len(d.Peers) == 0 })
+	c.eventually(reader, "SELECT state FROM batches WHERE id = 'cut-0'")
+	assert.Equal(t, state(t, reader, "cut-0"), "registered")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := stale.Exec(ctx, "SELECT state FROM batches WHERE id = 'cut-0'")
+		if err == nil {
+			return poll.Continue("still served by age")
+		}
+		assert.ErrorContains(t, err, "57P03")
+		return poll.Success()
+	}, poll.WithTimeout(hangLimit))
+	_, err = reader.Exec(ctx, "UPDATE batches SET state = 'lost' WHERE id = 'cut-0'")
+	assert.ErrorContains(t, err, "SQLSTATE")
+	var pg *pgconn.PgError
+	assert.Assert(t, errors.As(err, &pg) && strings.Contains(pg.Detail, "verdict=not_run"), "guarantee 5: %v", err)
+}
