--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -347,28 +347,25 @@
 	return u.awaitConfirmation(ctx, id, ch, false)
 }
 
-// sampleAge refreshes the proof of age while somebody asks for it.
+// sampleAge refreshes the proof of age, often while somebody asks for it.
 func (u *Upstream) sampleAge() {
-	var lastSample time.Duration
-	ticker := time.NewTicker(ageSampleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-u.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		u.mu.Lock()
-		now := u.now()
-		demanded := u.ageDemand > 0 && now-u.ageDemand < ageDemandWindow
-		due := demanded || now-lastSample >= idleSampleInterval
-		replica := u.healthy && u.status.Role == group.Replica
-		u.mu.Unlock()
-		if due && replica {
-			lastSample = now
-			u.sample()
-		}
+	if u.sampleDue() {
+		u.sample()
+	}
+}
+
+func (u *Upstream) sampleDue() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.now()
+	demanded := u.ageDemand > 0 && now-u.ageDemand < ageDemandWindow
+	due := demanded || now-u.lastSample >= idleSampleInterval
+	replica := u.healthy && u.status.Role == group.Replica
+	if !due || !replica {
+		return false
 	}
+	u.lastSample = now
+	return true
 }
 
 func (u *Upstream) sample() {
--- a/instance/owner/upstream.go
+++ b/instance/owner/upstream.go
@@ -103,6 +103,7 @@
 	retiring    bool
 	lag         time.Duration // usual wait of a replica for a barrier
 	confirmTime time.Duration // usual wait for a confirmation
+	lastSample  time.Duration // of the age
 	ageDemand   time.Duration // when a read with a stated age last arrived
 }
 
@@ -141,9 +142,9 @@
 	}
 	u.statusAt = cfg.Now()
 	u.barriers = newBarrierGroup(u.cfg.Barrier)
-	u.done.Go(u.tick)
+	u.done.Go(func() { u.every(tickInterval, u.tick) })
 	u.done.Go(u.monitor)
-	u.done.Go(u.sampleAge)
+	u.done.Go(func() { u.every(ageSampleInterval, u.sampleAge) })
 	return u
 }
 
@@ -200,27 +201,32 @@
 
 func (u *Upstream) now() time.Duration { return u.cfg.Now() }
 
-// tick drives the time-dependent decisions.
-func (u *Upstream) tick() {
-	ticker := time.NewTicker(tickInterval)
+// every calls f at the interval until the upstream is stopped.
+func (u *Upstream) every(interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-u.ctx.Done():
 			return
 		case <-ticker.C:
+			f()
 		}
-		u.mu.Lock()
-		now := u.now()
-		u.performScheduler(u.scheduler.Tick(now))
-		u.performPool(u.pool.Tick(now))
-		u.checkStall(now)
-		u.expireTransactions(now)
-		u.checkIdle(now)
-		u.mu.Unlock()
 	}
 }
 
+// tick drives the time-dependent decisions.
+func (u *Upstream) tick() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.now()
+	u.performScheduler(u.scheduler.Tick(now))
+	u.performPool(u.pool.Tick(now))
+	u.checkStall(now)
+	u.expireTransactions(now)
+	u.checkIdle(now)
+}
+
 func (u *Upstream) performScheduler(r schedule.Result) {
 	for _, id := range r.Started {
 		u.slots.deliver(id, nil)
--- a/wire/caller/session.go
+++ b/wire/caller/session.go
@@ -6,16 +6,12 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
-	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/wire/classify"
 )
 
@@ -78,126 +74,9 @@
 	"integer_datetimes": "on", "standard_conforming_strings": "on",
 }
 
-// run serves requests until the caller leaves or breaks the protocol.
-func (s *session) run() {
-	for s.wait() {
-		m, err := s.backend.Receive()
-		s.setWaiting(false)
-		if err != nil {
-			s.receiveFailed(err)
-			return
-		}
-		if _, ok := m.(*pgproto3.Terminate); ok {
-			return
-		}
-		if err := s.handle(m); err != nil {
-			s.end(err)
-			return
-		}
-	}
-}
-
 // errClosed ends a session without a message to the caller.
 var errClosed = errors.New("connection is closed")
 
-// wait prepares for the next message. It returns false if the session ends.
-func (s *session) wait() bool {
-	if s.prepareToWait() {
-		return true
-	}
-	s.fatal(drainingError())
-	return false
-}
-
-// prepareToWait returns false if the server drains and the session is between requests.
-func (s *session) prepareToWait() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	idle := s.status == statusIdle && s.pipeline == nil && !s.skipping
-	if idle && s.server.draining.Load() {
-		return false
-	}
-	deadline := time.Time{}
-	if s.server.settings.IdleTimeout > 0 {
-		deadline = time.Now().Add(s.server.settings.IdleTimeout)
-	}
-	_ = s.conn.SetReadDeadline(deadline)
-	s.waiting = idle
-	return true
-}
-
-func (s *session) setWaiting(w bool) {
-	s.mu.Lock()
-	s.waiting = w
-	s.mu.Unlock()
-}
-
-// interrupt wakes a session that waits for a request, after draining was set.
-func (s *session) interrupt() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.waiting {
-		_ = s.conn.SetReadDeadline(past)
-	}
-}
-
-func drainingError() error {
-	return verdict.New(verdict.Draining, "this instance is leaving, connect again")
-}
-
-// receiveFailed ends the session after a read error.
-func (s *session) receiveFailed(err error) {
-	var tooLong *pgproto3.ExceededMaxBodyLenErr
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		s.timedOut()
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrClosedPipe):
-		s.log.WithError(err).Debug("caller hung up")
-	case errors.As(err, &tooLong):
-		s.end(refuse(stateProtocolViolation, fmt.Sprintf("message of %d bytes exceeds the limit of %d", tooLong.ActualBodyLen, tooLong.MaxExpectedBodyLen)))
-	default:
-		var netErr net.Error
-		if errors.As(err, &netErr) {
-			s.log.WithError(err).Debug("caller connection failed")
-			return
-		}
-		s.end(refuse(stateProtocolViolation, err.Error()))
-	}
-}
-
-func (s *session) timedOut() {
-	switch {
-	case s.server.draining.Load() && s.status == statusIdle:
-		s.fatal(drainingError())
-	case s.status != statusIdle:
-		s.end(refuse(stateIdleInTransaction, "terminating connection due to idle-in-transaction timeout"))
-	default:
-		s.end(refuse(stateIdleSession, "terminating connection due to idle-session timeout"))
-	}
-}
-
-// end logs why the session ends and tells the caller.
-func (s *session) end(err error) {
-	if errors.Is(err, errClosed) {
-		s.log.WithError(err).Debug("caller connection failed")
-		return
-	}
-	level := logrus.WarnLevel
-	if s.server.draining.Load() {
-		level = logrus.DebugLevel // expected for every caller
-	}
-	s.log.WithError(err).Log(level, "caller connection closed")
-	s.fatal(err)
-}
-
-// fatal sends a final error and closes the connection.
-func (s *session) fatal(err error) {
-	s.send(errorResponse(severityFatal, err))
-	if s.flush() == nil {
-		s.conn.linger()
-	}
-}
-
 // handle processes one message. An error ends the session.
 func (s *session) handle(m pgproto3.FrontendMessage) error {
 	switch m.(type) {
