Move the store interface out of platform

The folder platform/ is needed for the adapter to the users' platform. The packages platform, awsstore, configstore and register become the module store; code and tests are otherwise unchanged.

--- /dev/null
+++ b/core/primacy/primacy.go
@@ -0,0 +1,219 @@
+// Package primacy decides which member of a database group is its primary and
+// what a read may conclude from that. It is a pure state machine: times are
+// passed in, and nothing here waits, sends or reads a clock.
+//
+// All instances share one Record per service in the platform's store. A change
+// of primary begins with a claim in that record and ends with a new lead. Two
+// rules connect them:
+//
+//   - An instance that read the record without a claim may use the lead for all
+//     requests that arrive within ReadLease of sending that read.
+//   - The holder of a claim publishes the new lead no earlier than ReadLease
+//     after its claim was stored, and no instance writes to the new primary
+//     before that.
+//
+// So no write is acknowledged by a new primary while an instance still reads
+// from the old one.
+package primacy
+
+import (
+	"time"
+
+	"github.com/papayarail/papayarail/core/position"
+)
+
+const (
+	// ReadLease is how long one read of the record proves the lead. It is no
+	// longer than a promotion takes (1 s in the site files), so that waiting
+	// for it does not lengthen a failover.
+	ReadLease = time.Second
+	// LeaseMargin covers the difference in rate between two steady clocks over
+	// a lease and the rounding of the store's time to milliseconds.
+	LeaseMargin = 20 * time.Millisecond
+	// markSpacing thins out the stored marks; the bounds are 1.5 s and more.
+	markSpacing = 20 * time.Millisecond
+	// markLimit bounds the memory of a tracker; at the spacing above, it
+	// covers 2.5 s, the largest staleness bound of the site files.
+	markLimit = 128
+)
+
+// Lead names a primary and the term in which it leads.
+type Lead struct {
+	Member string `json:"member"`
+	Term   uint64 `json:"term"`
+}
+
+// Claim is the exclusive right of an instance to replace a primary.
+type Claim struct {
+	Holder string `json:"holder"`
+	// Since is a store time no later than the moment the claim was stored.
+	Since time.Duration `json:"since"`
+	// Old is the lead that is being replaced.
+	Old Lead `json:"old"`
+}
+
+// Record is what the instances share about one service.
+type Record struct {
+	Service string `json:"service"`
+	// Lead is the last established primary; zero before the first change.
+	Lead  Lead   `json:"lead"`
+	Claim *Claim `json:"claim,omitempty"`
+	// Version is assigned by the store and grows with each write. It serves as
+	// the fencing token of the claim. Zero means that there is no record yet.
+	Version uint64 `json:"-"`
+}
+
+// Mark states that the primary's log had reached Position at time At, so that
+// Position covers every write acknowledged before At.
+type Mark struct {
+	Position position.Position
+	At       time.Duration
+}
+
+// Tracker holds one instance's knowledge of one service.
+//
+// Invariants: lead.Term never decreases; proven never decreases while the lead
+// stays the same; marks are in ascending order of At and all of lead.Term.
+type Tracker struct {
+	lead    Lead
+	record  Record
+	proven  time.Duration
+	marks   []Mark
+	first   position.Position // first known position of lead.Term
+	lastPos position.Position // highest known position of the lead
+}
+
+// Lead returns the current lead; Member is empty if none is known.
+func (t *Tracker) Lead() Lead { return t.lead }
+
+// Record returns the newest record seen.
+func (t *Tracker) Record() Record { return t.record }
+
+// Proven reports whether the lead was the only primary until at.
+func (t *Tracker) Proven(at time.Duration) bool { return t.lead.Member != "" && at <= t.proven }
+
+// ProvenUntil returns the latest arrival time covered by the evidence.
+func (t *Tracker) ProvenUntil() time.Duration { return t.proven }
+
+// Changing reports whether another instance or this one is replacing the lead.
+func (t *Tracker) Changing() bool {
+	return t.record.Claim != nil && t.record.Claim.Old.Term >= t.lead.Term
+}
+
+// ObserveRecord takes in an answered read of the record. sentAt is the local
+// time before the read was sent, storeNow the store's time in the answer. It
+// reports whether the lead changed. Older versions than the newest are ignored.
+func (t *Tracker) ObserveRecord(r Record, storeNow, sentAt time.Duration) bool {
+	if r.Version < t.record.Version {
+		return false
+	}
+	t.record = r
+	changed := r.Lead.Member != "" && t.adopt(r.Lead)
+	if t.lead.Member == "" {
+		return changed
+	}
+	until := sentAt + ReadLease
+	if r.Claim != nil {
+		until = sentAt + r.Claim.Since + ReadLease - storeNow
+	}
+	// A record that names another lead than ours proves nothing about ours:
+	// ours was learned from the members while the store was away.
+	if r.Lead.Member == "" || r.Lead == t.lead {
+		t.proven = max(t.proven, until-LeaseMargin)
+	}
+	return changed
+}
+
+// ObserveRole takes in what a member reports of itself. It matters only before
+// the first change of primary, when no record names a lead.
+func (t *Tracker) ObserveRole(l Lead) bool {
+	if t.record.Lead.Member != "" || t.lead.Member != "" {
+		return false
+	}
+	return t.adopt(l)
+}
+
+// ObserveQuorum takes in answers of the members themselves, all asked at sentAt
+// or later: the lead called itself primary of its term, and a replica of the
+// same term was not held for a promotion. Every promotion holds all replicas
+// but its candidate and finds the candidate on the old term until it leads, so
+// none had taken effect at sentAt.
+func (t *Tracker) ObserveQuorum(l Lead, log position.Position, sentAt time.Duration) {
+	if l != t.lead {
+		return
+	}
+	t.proven = max(t.proven, sentAt)
+	t.ObservePosition(l.Member, log, sentAt)
+}
+
+// AdoptPromoted takes in a lead that the members themselves established, for
+// the time in which the store does not answer. The caller has waited ReadLease
+// since it first saw the member lead.
+func (t *Tracker) AdoptPromoted(l Lead) bool { return t.adopt(l) }
+
+func (t *Tracker) adopt(l Lead) bool {
+	if l.Term < t.lead.Term || l == t.lead {
+		return false
+	}
+	t.lead = l
+	t.proven = 0
+	t.marks = t.marks[:0]
+	t.first, t.lastPos = position.Position{}, position.Position{}
+	return true
+}
+
+// ObservePosition takes in the log position that a member sent with an answer
+// to a request that was sent at sentAt. Only positions of the lead, sent while
+// it was proven, become marks.
+func (t *Tracker) ObservePosition(member string, p position.Position, sentAt time.Duration) {
+	if member != t.lead.Member || p.Term != t.lead.Term || !t.Proven(sentAt) {
+		return
+	}
+	if t.first.IsZero() {
+		t.first = p
+	}
+	t.lastPos = position.Max(t.lastPos, p)
+	if n := len(t.marks); n > 0 && sentAt < t.marks[n-1].At+markSpacing {
+		return
+	}
+	if len(t.marks) == markLimit {
+		t.marks = append(t.marks[:0], t.marks[markLimit/2:]...)
+	}
+	t.marks = append(t.marks, Mark{Position: p, At: sentAt})
+}
+
+// OldestMark returns the earliest mark taken at or after since: the position
+// that a replica must have reached so that it lacks no write acknowledged
+// before since. ok is false if there is no such mark.
+func (t *Tracker) OldestMark(since time.Duration) (m Mark, ok bool) {
+	for i := len(t.marks) - 1; i >= 0 && t.marks[i].At >= since; i-- {
+		m, ok = t.marks[i], true
+	}
+	return m, ok
+}
+
+// Newest returns the newest mark; ok is false if there is none.
+func (t *Tracker) Newest() (m Mark, ok bool) {
+	if len(t.marks) == 0 {
+		return Mark{}, false
+	}
+	return t.marks[len(t.marks)-1], true
+}
+
+// Translate returns a position that covers the acknowledged write at p under
+// the current term. A position of an earlier term may lie past the place at
+// which the current term began, so it is replaced by the first known position
+// of the current term. ok is false if none is known yet.
+func (t *Tracker) Translate(p position.Position) (position.Position, bool) {
+	switch {
+	case p.Term >= t.lead.Term:
+		return p, true
+	case t.first.IsZero():
+		return position.Position{}, false
+	default:
+		return t.first, true
+	}
+}
+
+// Last returns the highest position seen on the lead in its term.
+func (t *Tracker) Last() position.Position { return t.lastPos }
--- /dev/null
+++ b/core/takeover/takeover.go
@@ -0,0 +1,256 @@
+// Package takeover decides the steps by which the holder of a claim replaces
+// the primary of a database group without losing an acknowledged write. It has
+// no I/O and no clock: Decide maps what the members report to the next step.
+//
+// A commit is acknowledged once the primary and at least one replica have it.
+// So a candidate has every acknowledged commit if one of these holds:
+//
+//  1. All replicas were held (they receive nothing more), and the candidate has
+//     the longest log among them.
+//  2. All replicas but the candidate were held, and the candidate has reached
+//     the longest of their logs: every later commit is acknowledged through the
+//     candidate. The old primary keeps serving until the candidate leads.
+//  3. The old primary gave up its lead, and the candidate has reached its log.
+package takeover
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/primacy"
+)
+
+// Status is what a member reports of itself.
+type Status struct {
+	Primary bool
+	Term    uint64
+	// Received is the last position of the member's log, applied or not.
+	Received position.Position
+	// Held is the term for which the member stopped receiving; 0 if it receives.
+	Held uint64
+}
+
+// Member is a member of the group as seen in the present round.
+type Member struct {
+	ID       string
+	Draining bool
+	// Reborn means that the member restarted without its log and has not been
+	// seen to catch up; its log says nothing about earlier commits.
+	Reborn bool
+	// Status is nil if the member did not answer in this round.
+	Status *Status
+}
+
+// Input is one round of answers.
+type Input struct {
+	Old     primacy.Lead
+	Members []Member
+	// Size is the number of members that the group has when it is whole.
+	Size int
+	// StepDown asks the old primary to give up its lead although it answers,
+	// because its commits are not acknowledged.
+	StepDown bool
+	// Prefer is the failure-independent preference among equal candidates,
+	// smaller first; nil means none.
+	Prefer func(id string) int
+}
+
+// Action is the kind of a step.
+type Action uint8
+
+const (
+	// Wait asks the members again.
+	Wait Action = iota
+	// Hold stops the members in Targets from receiving, at term Term.
+	Hold
+	// GiveUp asks the old primary to give up its lead, at term Term.
+	GiveUp
+	// Promote makes Targets[0] the primary.
+	Promote
+	// Done means that Targets[0] leads in term Term.
+	Done
+	// Abort lets the members in Targets receive again: the old primary serves.
+	Abort
+)
+
+// String returns the name of the action as it appears in logs.
+func (a Action) String() string {
+	return [...]string{"wait", "hold", "give_up", "promote", "done", "abort"}[a]
+}
+
+// Step is what the holder does next.
+type Step struct {
+	Action  Action
+	Targets []string
+	Term    uint64
+	Reason  string
+}
+
+// Decide returns the next step.
+func Decide(in Input) Step {
+	r := newRound(in)
+	if lead := r.promoted(); lead != nil {
+		return Step{Action: Done, Targets: []string{lead.ID}, Term: lead.Status.Term, Reason: "a member leads a later term"}
+	}
+	switch {
+	case r.old == nil || r.old.Status == nil || r.old.Reborn:
+		return r.withoutOld()
+	case !r.old.Status.Primary:
+		return r.afterGivingUp()
+	case in.StepDown:
+		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "the primary's commits are not acknowledged"}
+	case !r.old.Draining:
+		return Step{Action: Abort, Targets: r.heldIDs(), Reason: "the primary serves again"}
+	default:
+		return r.planned()
+	}
+}
+
+type round struct {
+	in       Input
+	old      *Member
+	replicas []*Member // all members but the old primary
+	answered []*Member // replicas that answered
+	nextTerm uint64    // greater than every term seen
+}
+
+func newRound(in Input) *round {
+	r := &round{in: in, nextTerm: in.Old.Term + 1}
+	for i := range in.Members {
+		m := &in.Members[i]
+		if m.Status != nil {
+			r.nextTerm = max(r.nextTerm, m.Status.Term+1)
+		}
+		if m.ID == in.Old.Member {
+			r.old = m
+			continue
+		}
+		r.replicas = append(r.replicas, m)
+		if m.Status != nil {
+			r.answered = append(r.answered, m)
+		}
+	}
+	return r
+}
+
+// promoted returns a member that leads a later term than the old primary's.
+func (r *round) promoted() *Member {
+	for i := range r.in.Members {
+		m := &r.in.Members[i]
+		if m.Status != nil && m.Status.Primary && m.Status.Term > r.in.Old.Term {
+			return m
+		}
+	}
+	return nil
+}
+
+// withoutOld handles an old primary that does not answer: rule 1.
+func (r *round) withoutOld() Step {
+	known := 0
+	for _, m := range r.answered {
+		if !m.Reborn {
+			known++
+		}
+	}
+	if known < r.in.Size-1 || known < len(r.replicas) {
+		return Step{Action: Wait, Reason: "a replica that may have the longest log does not answer"}
+	}
+	if ids := r.unheld(nil); len(ids) > 0 {
+		return Step{Action: Hold, Targets: ids, Term: r.nextTerm, Reason: "the primary does not answer"}
+	}
+	best := r.best(r.answered)
+	return Step{Action: Promote, Targets: []string{best.ID}, Term: r.nextTerm, Reason: "longest log of all replicas"}
+}
+
+// afterGivingUp handles an old primary that is a replica now: rule 3.
+func (r *round) afterGivingUp() Step {
+	log := r.old.Status.Received
+	var complete []*Member
+	for _, m := range r.answered {
+		if m.Status.Received.AtLeast(log) {
+			complete = append(complete, m)
+		}
+	}
+	if !r.old.Draining && len(complete) == 0 {
+		complete = append(complete, r.old)
+	}
+	if len(complete) == 0 {
+		return Step{Action: Wait, Reason: "no replica has the log of the former primary"}
+	}
+	best := r.best(complete)
+	return Step{Action: Promote, Targets: []string{best.ID}, Term: r.nextTerm, Reason: "has the log of the former primary"}
+}
+
+// planned handles a primary that serves and is to leave: rule 2, or rule 3 if a
+// replica does not answer.
+func (r *round) planned() Step {
+	var fit []*Member
+	for _, m := range r.answered {
+		if !m.Draining && !m.Reborn && m.Status.Held == 0 {
+			fit = append(fit, m)
+		}
+	}
+	if len(fit) == 0 {
+		if held := r.heldIDs(); len(held) > 0 {
+			return Step{Action: Abort, Targets: held, Reason: "no replica receives"}
+		}
+		return Step{Action: Wait, Reason: "no replica can take over"}
+	}
+	candidate := r.best(fit)
+	if len(r.answered) < len(r.replicas) {
+		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "a replica does not answer"}
+	}
+	if ids := r.unheld(candidate); len(ids) > 0 {
+		return Step{Action: Hold, Targets: ids, Term: r.nextTerm, Reason: "the primary is leaving"}
+	}
+	for _, m := range r.answered {
+		if m != candidate && !candidate.Status.Received.AtLeast(m.Status.Received) {
+			return Step{Action: Wait, Reason: "the candidate has not reached the held replicas"}
+		}
+	}
+	return Step{Action: Promote, Targets: []string{candidate.ID}, Term: r.nextTerm, Reason: "acknowledges every commit of the leaving primary"}
+}
+
+// unheld returns the answering replicas that still receive, except one.
+func (r *round) unheld(except *Member) []string {
+	var ids []string
+	for _, m := range r.answered {
+		if m != except && m.Status.Held == 0 {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func (r *round) heldIDs() []string {
+	var ids []string
+	for _, m := range r.answered {
+		if m.Status.Held > 0 {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// best returns the member with the longest log; among equals one that stays,
+// then the preferred one, then the smallest id.
+func (r *round) best(members []*Member) *Member {
+	return slices.MinFunc(members, func(a, b *Member) int {
+		if c := b.Status.Received.Compare(a.Status.Received); c != 0 {
+			return c
+		}
+		if a.Draining != b.Draining {
+			if a.Draining {
+				return 1
+			}
+			return -1
+		}
+		if r.in.Prefer != nil {
+			if d := r.in.Prefer(a.ID) - r.in.Prefer(b.ID); d != 0 {
+				return d
+			}
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+}
--- a/instance/node/config.go
+++ b/instance/node/config.go
@@ -10,7 +10,7 @@
 	"github.com/papayarail/papayarail/fleet"
 	"github.com/papayarail/papayarail/instance/peer"
 	"github.com/papayarail/papayarail/instance/view"
-	"github.com/papayarail/papayarail/platform"
+	"github.com/papayarail/papayarail/store"
 )
 
 const (
@@ -88,7 +88,7 @@
 }
 
 func (c *config) readDocument(ctx context.Context, a spread.ReadPlatform) (spread.Document, error) {
-	head, err := c.node.store.Head(ctx, platform.Consistency(a.Consistent))
+	head, err := c.node.store.Head(ctx, store.Consistency(a.Consistent))
 	if err != nil {
 		return spread.Document{}, err
 	}
--- a/instance/node/coordinators.go
+++ b/instance/node/coordinators.go
@@ -8,7 +8,7 @@
 	"github.com/papayarail/papayarail/core/failover"
 	"github.com/papayarail/papayarail/fleet"
 	"github.com/papayarail/papayarail/instance/control"
-	"github.com/papayarail/papayarail/platform/register"
+	"github.com/papayarail/papayarail/store/register"
 )
 
 // coordinators runs one failover coordinator per service; only those that the
--- a/instance/node/members.go
+++ b/instance/node/members.go
@@ -9,7 +9,7 @@
 	"github.com/papayarail/papayarail/core/membership"
 	"github.com/papayarail/papayarail/instance/peer"
 	"github.com/papayarail/papayarail/instance/view"
-	"github.com/papayarail/papayarail/platform/register"
+	"github.com/papayarail/papayarail/store/register"
 )
 
 const (
--- a/instance/node/members_test.go
+++ b/instance/node/members_test.go
@@ -14,23 +14,23 @@
 
 	"github.com/papayarail/papayarail/instance/settings"
 	"github.com/papayarail/papayarail/instance/view"
-	"github.com/papayarail/papayarail/platform"
-	"github.com/papayarail/papayarail/platform/register"
+	"github.com/papayarail/papayarail/store"
+	"github.com/papayarail/papayarail/store/register"
 )
 
 // countedTable counts the reads of the instance list, which is empty.
 type countedTable struct {
-	platform.Table
+	store.Table
 	reads atomic.Int32
 }
 
-func (t *countedTable) Query(context.Context, string, platform.Consistency) ([]platform.Item, error) {
+func (t *countedTable) Query(context.Context, string, store.Consistency) ([]store.Item, error) {
 	t.reads.Add(1)
 	return nil, nil
 }
 
 // quiet returns an instance that has not been started.
-func quiet(t *testing.T, name string, table platform.Table) *Node {
+func quiet(t *testing.T, name string, table store.Table) *Node {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n, err := New(&settings.Settings{Name: name, FailureDomain: "messina", PeerAddress: "127.0.0.1:1",
--- a/instance/node/node.go
+++ b/instance/node/node.go
@@ -18,9 +18,9 @@
 	"github.com/papayarail/papayarail/instance/peer"
 	"github.com/papayarail/papayarail/instance/settings"
 	"github.com/papayarail/papayarail/instance/view"
-	"github.com/papayarail/papayarail/platform/awsstore"
-	"github.com/papayarail/papayarail/platform/configstore"
-	"github.com/papayarail/papayarail/platform/register"
+	"github.com/papayarail/papayarail/store/awsstore"
+	"github.com/papayarail/papayarail/store/configstore"
+	"github.com/papayarail/papayarail/store/register"
 	"github.com/papayarail/papayarail/wire/caller"
 	"github.com/papayarail/papayarail/wire/upstream"
 )
--- a/measure/local/local.go
+++ b/measure/local/local.go
@@ -17,10 +17,10 @@
 	"github.com/papayarail/papayarail/fleet"
 	"github.com/papayarail/papayarail/instance/node"
 	"github.com/papayarail/papayarail/instance/settings"
-	"github.com/papayarail/papayarail/platform/awsstore"
-	"github.com/papayarail/papayarail/platform/configstore"
 	"github.com/papayarail/papayarail/standin/dbgroup"
 	"github.com/papayarail/papayarail/standin/platformd"
+	"github.com/papayarail/papayarail/store/awsstore"
+	"github.com/papayarail/papayarail/store/configstore"
 )
 
 // Class groups the errors of this package.
--- a/measure/scenario/change.go
+++ b/measure/scenario/change.go
@@ -14,7 +14,7 @@
 	"github.com/papayarail/papayarail/measure/figures"
 	"github.com/papayarail/papayarail/measure/load"
 	"github.com/papayarail/papayarail/measure/local"
-	"github.com/papayarail/papayarail/platform/configstore"
+	"github.com/papayarail/papayarail/store/configstore"
 	"github.com/papayarail/papayarail/wire/group"
 	"github.com/papayarail/papayarail/wire/upstream"
 )
--- a/measure/scenario/editors.go
+++ b/measure/scenario/editors.go
@@ -12,9 +12,9 @@
 	"github.com/papayarail/papayarail/instance/node"
 	"github.com/papayarail/papayarail/measure/figures"
 	"github.com/papayarail/papayarail/measure/load"
-	"github.com/papayarail/papayarail/platform/awsstore"
-	"github.com/papayarail/papayarail/platform/configstore"
 	"github.com/papayarail/papayarail/standin/platformd"
+	"github.com/papayarail/papayarail/store/awsstore"
+	"github.com/papayarail/papayarail/store/configstore"
 )
 
 const (
--- a/measure/scenario/system.go
+++ b/measure/scenario/system.go
@@ -17,7 +17,7 @@
 	"github.com/papayarail/papayarail/measure/load"
 	"github.com/papayarail/papayarail/measure/local"
 	"github.com/papayarail/papayarail/measure/naive"
-	"github.com/papayarail/papayarail/platform/configstore"
+	"github.com/papayarail/papayarail/store/configstore"
 )
 
 const (
--- a/papayarail/apply/apply.go
+++ b/papayarail/apply/apply.go
@@ -14,9 +14,9 @@
 	"github.com/papayarail/papayarail/fleet"
 	"github.com/papayarail/papayarail/papayarail/check"
 	"github.com/papayarail/papayarail/papayarail/cli"
-	"github.com/papayarail/papayarail/platform"
-	"github.com/papayarail/papayarail/platform/awsstore"
-	"github.com/papayarail/papayarail/platform/configstore"
+	"github.com/papayarail/papayarail/store"
+	"github.com/papayarail/papayarail/store/awsstore"
+	"github.com/papayarail/papayarail/store/configstore"
 )
 
 // Command returns the subcommand.
@@ -73,7 +73,7 @@
 		return err
 	}
 	current, before, _, err := o.store.Read(ctx)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	expected := current
--- a/papayarail/show/show.go
+++ b/papayarail/show/show.go
@@ -6,8 +6,8 @@
 	"fmt"
 
 	"github.com/papayarail/papayarail/papayarail/cli"
-	"github.com/papayarail/papayarail/platform/awsstore"
-	"github.com/papayarail/papayarail/platform/configstore"
+	"github.com/papayarail/papayarail/store/awsstore"
+	"github.com/papayarail/papayarail/store/configstore"
 )
 
 // Command returns the subcommand.
--- a/platform/awsstore/awsstore.go
+++ b/store/awsstore/awsstore.go
@@ -17,7 +17,7 @@
 	"github.com/aws/smithy-go"
 	"github.com/zeebo/errs"
 
-	"github.com/papayarail/papayarail/platform"
+	"github.com/papayarail/papayarail/store"
 )
 
 // Error is the class of errors that are neither an unavailable platform nor a
@@ -95,18 +95,18 @@
 // classify converts an SDK error of an operation. A read has no effect, so its
 // failure always counts as not performed.
 func classify(operation string, read bool, err error) error {
-	outcome := platform.Unknown
+	outcome := store.Unknown
 	if read || refused(err) {
-		outcome = platform.NotPerformed
+		outcome = store.NotPerformed
 	}
 	var api smithy.APIError
 	var response *awshttp.ResponseError
 	if errors.As(err, &api) && throttled[api.ErrorCode()] {
-		outcome = platform.NotPerformed
+		outcome = store.NotPerformed
 	} else if errors.As(err, &response) && response.HTTPStatusCode() >= 400 && response.HTTPStatusCode() < 500 {
 		return Error.New("%s: %v", operation, err)
 	}
-	return &platform.UnavailableError{Operation: operation, Outcome: outcome, Err: err}
+	return &store.UnavailableError{Operation: operation, Outcome: outcome, Err: err}
 }
 
 // refused reports whether no connection could be opened.
@@ -119,7 +119,7 @@
 // nothing has been sent then.
 func begin(ctx context.Context, operation string, timeout time.Duration) (context.Context, context.CancelFunc, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, nil, &platform.UnavailableError{Operation: operation, Outcome: platform.NotPerformed, Err: err}
+		return nil, nil, &store.UnavailableError{Operation: operation, Outcome: store.NotPerformed, Err: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	return ctx, cancel, nil
--- a/platform/awsstore/objects.go
+++ b/store/awsstore/objects.go
@@ -12,7 +12,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 
-	"github.com/papayarail/papayarail/platform"
+	"github.com/papayarail/papayarail/store"
 )
 
 // MaxObjectBytes bounds the size of an object that Get returns. The document of
@@ -26,9 +26,9 @@
 	timeout time.Duration
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ store.Objects = (*Objects)(nil)
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
 	operation := "put object " + key
 	ctx, cancel, err := begin(ctx, operation, o.timeout)
@@ -47,7 +47,7 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	operation := "get object " + key
 	ctx, cancel, err := begin(ctx, operation, o.timeout)
@@ -74,4 +74,4 @@
 	return data, nil
 }
 
-func notFound(operation string) error { return fmt.Errorf("%s: %w", operation, platform.ErrNotFound) }
+func notFound(operation string) error { return fmt.Errorf("%s: %w", operation, store.ErrNotFound) }
--- a/platform/awsstore/table.go
+++ b/store/awsstore/table.go
@@ -11,7 +11,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 
-	"github.com/papayarail/papayarail/platform"
+	"github.com/papayarail/papayarail/store"
 )
 
 // The item key "group/name" is stored as a partition key and a sort key, so
@@ -28,18 +28,18 @@
 	timeout time.Duration
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ store.Table = (*Table)(nil)
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string, c platform.Consistency) (platform.Item, error) {
+// Get implements store.Table.
+func (t *Table) Get(ctx context.Context, key string, c store.Consistency) (store.Item, error) {
 	operation := "get item " + key
 	group, name, err := split(key)
 	if err != nil {
-		return platform.Item{}, err
+		return store.Item{}, err
 	}
 	ctx, cancel, err := begin(ctx, operation, t.timeout)
 	if err != nil {
-		return platform.Item{}, err
+		return store.Item{}, err
 	}
 	defer cancel()
 	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
@@ -48,16 +48,16 @@
 		ConsistentRead: aws.Bool(bool(c)),
 	})
 	if err != nil {
-		return platform.Item{}, classify(operation, true, err)
+		return store.Item{}, classify(operation, true, err)
 	}
 	if out.Item == nil {
-		return platform.Item{}, Error.Wrap(notFound(operation))
+		return store.Item{}, Error.Wrap(notFound(operation))
 	}
 	return item(out.Item)
 }
 
-// Put implements platform.Table.
-func (t *Table) Put(ctx context.Context, it platform.Item, c platform.Condition) error {
+// Put implements store.Table.
+func (t *Table) Put(ctx context.Context, it store.Item, c store.Condition) error {
 	operation := "put item " + it.Key
 	group, name, err := split(it.Key)
 	if err != nil {
@@ -81,7 +81,7 @@
 	_, err = t.client.PutItem(ctx, in)
 	var failed *types.ConditionalCheckFailedException
 	if errors.As(err, &failed) {
-		return Error.New("%s: %w", operation, platform.ErrConditionFailed)
+		return Error.New("%s: %w", operation, store.ErrConditionFailed)
 	}
 	if err != nil {
 		return classify(operation, false, err)
@@ -89,8 +89,8 @@
 	return nil
 }
 
-// Query implements platform.Table. The timeout covers all pages.
-func (t *Table) Query(ctx context.Context, prefix string, c platform.Consistency) ([]platform.Item, error) {
+// Query implements store.Table. The timeout covers all pages.
+func (t *Table) Query(ctx context.Context, prefix string, c store.Consistency) ([]store.Item, error) {
 	operation := "query " + prefix
 	group, name, ok := strings.Cut(prefix, "/")
 	if !ok || group == "" {
@@ -113,7 +113,7 @@
 		in.ExpressionAttributeNames["#s"] = sortKey
 		in.ExpressionAttributeValues[":s"] = text(name)
 	}
-	var items []platform.Item
+	var items []store.Item
 	pages := dynamodb.NewQueryPaginator(t.client, in)
 	for pages.HasMorePages() {
 		page, err := pages.NextPage(ctx)
@@ -152,7 +152,7 @@
 
 // item converts a DynamoDB item. Numbers, which the platform may use in items
 // of its own, are returned in decimal.
-func item(attrs map[string]types.AttributeValue) (platform.Item, error) {
+func item(attrs map[string]types.AttributeValue) (store.Item, error) {
 	plain := map[string]string{}
 	for key, value := range attrs {
 		switch v := value.(type) {
@@ -164,9 +164,9 @@
 	}
 	group, name := plain[partitionKey], plain[sortKey]
 	if group == "" || name == "" {
-		return platform.Item{}, Error.New("an item has no string keys %s and %s", partitionKey, sortKey)
+		return store.Item{}, Error.New("an item has no string keys %s and %s", partitionKey, sortKey)
 	}
 	delete(plain, partitionKey)
 	delete(plain, sortKey)
-	return platform.Item{Key: group + "/" + name, Attributes: plain}, nil
+	return store.Item{Key: group + "/" + name, Attributes: plain}, nil
 }
--- a/platform/configstore/configstore.go
+++ b/store/configstore/configstore.go
@@ -13,7 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/papayarail/papayarail/fleet"
-	"github.com/papayarail/papayarail/platform"
+	"github.com/papayarail/papayarail/store"
 )
 
 // Error is the class of errors of this package.
@@ -73,12 +73,12 @@
 
 // Store reads and replaces the current revision. It is safe for concurrent use.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 }
 
 // New returns a store on the table and the object store.
-func New(t platform.Table, o platform.Objects) *Store { return &Store{table: t, objects: o} }
+func New(t store.Table, o store.Objects) *Store { return &Store{table: t, objects: o} }
 
 // Hash returns the hash under which a raw document is stored.
 func Hash(raw []byte) string {
@@ -86,9 +86,9 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Head returns the current head, or platform.ErrNotFound before the first
+// Head returns the current head, or store.ErrNotFound before the first
 // Apply. An eventual read may return an older one.
-func (s *Store) Head(ctx context.Context, c platform.Consistency) (Head, error) {
+func (s *Store) Head(ctx context.Context, c store.Consistency) (Head, error) {
 	item, err := s.table.Get(ctx, headKey, c)
 	if err != nil {
 		return Head{}, Error.Wrap(err)
@@ -117,9 +117,9 @@
 }
 
 // Read returns the current revision with a consistent read, or
-// platform.ErrNotFound before the first Apply.
+// store.ErrNotFound before the first Apply.
 func (s *Store) Read(ctx context.Context) (Revision, *fleet.Document, []byte, error) {
-	h, err := s.Head(ctx, platform.Consistent)
+	h, err := s.Head(ctx, store.Consistent)
 	if err != nil {
 		return 0, nil, nil, err
 	}
@@ -134,7 +134,7 @@
 // revision. expected is 0 if there is no revision yet. writerID must be unique
 // to this call, because it identifies the write if its answer is lost. Errors
 // are RefusedError, ConflictError and those of the platform; for the latter,
-// platform.MayHaveRun says whether the document may be in force.
+// store.MayHaveRun says whether the document may be in force.
 func (s *Store) Apply(ctx context.Context, expected Revision, raw []byte, writerID string) (Revision, error) {
 	if writerID == "" {
 		return 0, Error.New("the writer id is empty")
@@ -147,9 +147,9 @@
 	}
 	next := Head{Revision: expected + 1, SHA256: Hash(raw), WriterID: writerID}
 	if err := s.objects.Put(ctx, objectPrefix+next.SHA256, raw); err != nil {
-		if platform.MayHaveRun(err) {
+		if store.MayHaveRun(err) {
 			// Without the head the object is not in force, whatever became of it.
-			err = &platform.UnavailableError{Operation: "store document", Outcome: platform.NotPerformed, Err: errors.Unwrap(err)}
+			err = &store.UnavailableError{Operation: "store document", Outcome: store.NotPerformed, Err: errors.Unwrap(err)}
 		}
 		return 0, Error.Wrap(err)
 	}
@@ -159,7 +159,7 @@
 // checkChange compares the document with the one in force.
 func (s *Store) checkChange(ctx context.Context, expected Revision, raw []byte) error {
 	current, doc, currentRaw, err := s.Read(ctx)
-	if errors.Is(err, platform.ErrNotFound) && expected == 0 {
+	if errors.Is(err, store.ErrNotFound) && expected == 0 {
 		return nil
 	}
 	if err != nil {
@@ -182,11 +182,11 @@
 // still in force. Repeating the same put is safe: its condition holds at most
 // once, and the writer id shows whose put took effect.
 func (s *Store) replaceHead(ctx context.Context, expected Revision, next Head) (Revision, error) {
-	condition := platform.IfAbsent()
+	condition := store.IfAbsent()
 	if expected > 0 {
-		condition = platform.IfEquals(attrRevision, formatRevision(expected))
+		condition = store.IfEquals(attrRevision, formatRevision(expected))
 	}
-	item := platform.Item{Key: headKey, Attributes: map[string]string{
+	item := store.Item{Key: headKey, Attributes: map[string]string{
 		attrRevision: formatRevision(next.Revision), attrSHA256: next.SHA256, attrWriter: next.WriterID}}
 	lost := false // an earlier put may have taken effect
 	var err error
@@ -195,18 +195,18 @@
 		if err == nil {
 			return next.Revision, nil
 		}
-		failed := errors.Is(err, platform.ErrConditionFailed)
-		lost = lost || platform.MayHaveRun(err)
+		failed := errors.Is(err, store.ErrConditionFailed)
+		lost = lost || store.MayHaveRun(err)
 		if !failed && !lost {
 			return 0, Error.Wrap(err)
 		}
-		current, readErr := s.Head(ctx, platform.Consistent)
+		current, readErr := s.Head(ctx, store.Consistent)
 		switch {
 		case readErr == nil && current == next:
 			return next.Revision, nil
 		case readErr == nil && current.Revision > expected:
 			return 0, s.conflict(ctx, expected, next, current, lost)
-		case readErr != nil && !errors.Is(readErr, platform.ErrNotFound):
+		case readErr != nil && !errors.Is(readErr, store.ErrNotFound):
 			return 0, outcomeOf(lost, errors.Join(err, readErr))
 		}
 	}
@@ -224,11 +224,11 @@
 }
 
 func outcomeOf(lost bool, err error) error {
-	outcome := platform.NotPerformed
+	outcome := store.NotPerformed
 	if lost {
-		outcome = platform.Unknown
+		outcome = store.Unknown
 	}
-	return Error.Wrap(&platform.UnavailableError{Operation: "replace revision", Outcome: outcome, Err: err})
+	return Error.Wrap(&store.UnavailableError{Operation: "replace revision", Outcome: outcome, Err: err})
 }
 
 func formatRevision(r Revision) string { return strconv.FormatUint(uint64(r), 10) }
--- a/platform/internal/testplatform/testplatform.go
+++ b/store/internal/testplatform/testplatform.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/papayarail/papayarail/platform/awsstore"
 	"github.com/papayarail/papayarail/standin/platformd"
+	"github.com/papayarail/papayarail/store/awsstore"
 )
 
 // Start returns a serving stand-in and adapters for it. Both end with the test.
--- a/platform/register/register.go
+++ b/store/register/register.go
@@ -11,7 +11,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/papayarail/papayarail/platform"
+	"github.com/papayarail/papayarail/store"
 )
 
 // Error is the class of errors of this package.
@@ -53,12 +53,12 @@
 
 // Register reads and writes table items. It is safe for concurrent use.
 type Register struct {
-	table  platform.Table
+	table  store.Table
 	holder string
 }
 
 // New returns a register. holder is the name of this instance.
-func New(t platform.Table, holder string) *Register { return &Register{table: t, holder: holder} }
+func New(t store.Table, holder string) *Register { return &Register{table: t, holder: holder} }
 
 type record struct {
 	exists  bool
@@ -92,18 +92,18 @@
 	if result := before.against(term, attempt); result != Unavailable {
 		return result, nil
 	}
-	condition := platform.IfAbsent()
+	condition := store.IfAbsent()
 	if before.exists {
-		condition = platform.IfEquals(attrTerm, formatTerm(before.term))
+		condition = store.IfEquals(attrTerm, formatTerm(before.term))
 	}
-	err = r.table.Put(ctx, platform.Item{Key: failoverPrefix + service, Attributes: map[string]string{
+	err = r.table.Put(ctx, store.Item{Key: failoverPrefix + service, Attributes: map[string]string{
 		attrTerm: formatTerm(term), attrAttempt: attempt, attrHolder: r.holder}}, condition)
 	switch {
 	case err == nil:
 		return Won, nil
-	case errors.Is(err, platform.ErrConditionFailed):
+	case errors.Is(err, store.ErrConditionFailed):
 		return Lost, nil
-	case !platform.MayHaveRun(err):
+	case !store.MayHaveRun(err):
 		return Unavailable, Error.Wrap(err)
 	}
 	after, readErr := r.read(ctx, service)
@@ -118,8 +118,8 @@
 }
 
 func (r *Register) read(ctx context.Context, service string) (record, error) {
-	item, err := r.table.Get(ctx, failoverPrefix+service, platform.Consistent)
-	if errors.Is(err, platform.ErrNotFound) {
+	item, err := r.table.Get(ctx, failoverPrefix+service, store.Consistent)
+	if errors.Is(err, store.ErrNotFound) {
 		return record{}, nil
 	}
 	if err != nil {
@@ -156,7 +156,7 @@
 // the actual state. Entries without a known state or a valid address are left
 // out, so that one damaged entry does not hide the others.
 func (r *Register) Instances(ctx context.Context) ([]Instance, error) {
-	items, err := r.table.Query(ctx, instancePrefix, platform.Eventual)
+	items, err := r.table.Query(ctx, instancePrefix, store.Eventual)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/platform/register/register_test.go
+++ b/store/register/register_test.go
@@ -9,10 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/papayarail/papayarail/platform"
-	"github.com/papayarail/papayarail/platform/internal/testplatform"
-	"github.com/papayarail/papayarail/platform/register"
 	"github.com/papayarail/papayarail/standin/platformd"
+	"github.com/papayarail/papayarail/store"
+	"github.com/papayarail/papayarail/store/internal/testplatform"
+	"github.com/papayarail/papayarail/store/register"
 )
 
 const service = "registro-lotti-1"
@@ -25,27 +25,27 @@
 
 // Guards against two winners of one term and against a term that goes back.
 func TestReserve(t *testing.T) {
-	_, store := testplatform.Start(t, platformd.Config{})
-	r := register.New(store.Table, "catania-1")
+	_, client := testplatform.Start(t, platformd.Config{})
+	r := register.New(client.Table, "catania-1")
 	assert.Equal(t, reserve(t, r, 2, "a"), register.Won)
 	assert.Equal(t, reserve(t, r, 2, "a"), register.Won)
 	assert.Equal(t, reserve(t, r, 2, "b"), register.Lost)
 	assert.Equal(t, reserve(t, r, 10, "b"), register.Won)
 	assert.Equal(t, reserve(t, r, 9, "c"), register.Lost)
-	item, err := store.Table.Get(t.Context(), "failover/"+service, platform.Consistent)
+	item, err := client.Table.Get(t.Context(), "failover/"+service, store.Consistent)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, item.Attributes, map[string]string{"term": "10", "attempt": "b", "holder": "catania-1"})
 }
 
 // Guards against two coordinators that both hear that they go first.
 func TestConcurrentReservationsHaveOneWinner(t *testing.T) {
-	_, store := testplatform.Start(t, platformd.Config{})
+	_, client := testplatform.Start(t, platformd.Config{})
 	results := make([]register.Result, 8)
 	var work sync.WaitGroup
 	for i := range results {
 		work.Go(func() {
 			name := fmt.Sprint("instance-", i)
-			results[i], _ = register.New(store.Table, name).Reserve(t.Context(), service, 5, name)
+			results[i], _ = register.New(client.Table, name).Reserve(t.Context(), service, 5, name)
 		})
 	}
 	work.Wait()
@@ -62,8 +62,8 @@
 // Guards against a lost answer that costs the winner its turn, and against an
 // outage that is taken for a lost race.
 func TestLostAnswersAndOutages(t *testing.T) {
-	server, store := testplatform.Start(t, platformd.Config{})
-	r := register.New(store.Table, "catania-1")
+	server, client := testplatform.Start(t, platformd.Config{})
+	r := register.New(client.Table, "catania-1")
 	assert.NilError(t, server.SetFaults(platformd.Faults{LoseAnswers: 1}))
 	assert.Equal(t, reserve(t, r, 2, "a"), register.Won)
 	assert.NilError(t, server.SetFaults(platformd.Faults{Outage: platformd.OutageUnavailable}))
@@ -74,7 +74,7 @@
 
 // Guards against one damaged entry that hides the list.
 func TestInstances(t *testing.T) {
-	server, store := testplatform.Start(t, platformd.Config{})
+	server, client := testplatform.Start(t, platformd.Config{})
 	server.SetInstanceLag(0)
 	for name, c := range map[string]struct{ peer, state string }{
 		"lairg-1": {"127.0.0.1:7432", "live"}, "lairg-2": {"127.0.0.1:7433", "leaving"},
@@ -82,7 +82,7 @@
 	} {
 		server.Observe(platformd.InstanceConfig{Name: name, FailureDomain: name[:len(name)-2], PeerAddress: c.peer}, c.state)
 	}
-	list, err := register.New(store.Table, "lairg-1").Instances(t.Context())
+	list, err := register.New(client.Table, "lairg-1").Instances(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, list, []register.Instance{
 		{Name: "lairg-1", State: register.Live, PeerAddress: "127.0.0.1:7432", FailureDomain: "lairg"},
@@ -101,10 +101,10 @@
 	}))
 	t.Cleanup(health.Close)
 	in := platformd.InstanceConfig{Name: "lairg-1", FailureDomain: "lairg", PeerAddress: "127.0.0.1:7432", HealthURL: health.URL}
-	_, store := testplatform.Start(t, platformd.Config{Instances: []platformd.InstanceConfig{in}, InstanceLag: 1})
+	_, client := testplatform.Start(t, platformd.Config{Instances: []platformd.InstanceConfig{in}, InstanceLag: 1})
 	<-polls
 	<-polls // the second check begins after the first has been recorded
-	list, err := register.New(store.Table, "lairg-1").Instances(t.Context())
+	list, err := register.New(client.Table, "lairg-1").Instances(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, list, []register.Instance{{Name: "lairg-1", State: register.Live, PeerAddress: "127.0.0.1:7432", FailureDomain: "lairg"}})
 }
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,7 +1,7 @@
-// Package platform defines the narrow interface to the platform's table
+// Package store defines the narrow interface to the platform's table
 // service and object store, and the errors that separate what was not
 // performed from what may have been.
-package platform
+package store
 
 import (
 	"context"
