--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -46,6 +46,8 @@
 // Claim is the exclusive right of an instance to replace a primary.
 type Claim struct {
 	Holder string `json:"holder"`
+	// Nonce tells the attempts of one holder apart.
+	Nonce uint64 `json:"nonce"`
 	// Since is a store time no later than the moment the claim was stored.
 	Since time.Duration `json:"since"`
 	// Old is the lead that is being replaced.
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -72,6 +72,8 @@
 	ConnectionLimit
 	// InvalidParameter means that a papayarail parameter has a bad value.
 	InvalidParameter
+	// ReadUnanswered means that a read was sent and no upstream answered it.
+	ReadUnanswered
 )
 
 type codeInfo struct {
@@ -97,6 +99,7 @@
 	CommitUnknown:         {"commit_unknown", "40003", MayHaveRun},
 	ConnectionLimit:       {"connection_limit", "53300", NotRun},
 	InvalidParameter:      {"invalid_parameter", "22023", NotRun},
+	ReadUnanswered:        {"read_unanswered", "57014", MayHaveRun},
 }
 
 // String returns the name of the code as it appears in logs and metrics.
--- /dev/null
+++ b/proxy/group/group.go
@@ -0,0 +1,288 @@
+// Package group is one instance's view of one database group: who leads it,
+// which member may execute a request, and how its primary is replaced. The
+// decisions are those of core/primacy, core/choose and core/takeover; this
+// package feeds them with answers and times.
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/steady"
+	"github.com/papayarail/papayarail/proxy/upstream"
+)
+
+// Class groups the errors of this package.
+var Class = errs.Class("group")
+
+// ErrConflict means that a record was not written because another version is stored.
+var ErrConflict = errs.New("record was changed meanwhile")
+
+// Register keeps the records of all groups in the platform's store.
+type Register interface {
+	// Records reads all records and the store's time, in one consistent reading.
+	Records(ctx context.Context) (records map[string]primacy.Record, storeNow time.Duration, err error)
+	// Put stores a record if the stored version is r.Version, and returns the
+	// new version. After any error but ErrConflict it may have been stored, or
+	// may be stored later while the condition holds.
+	Put(ctx context.Context, r primacy.Record) (version uint64, storeNow time.Duration, err error)
+}
+
+// Promotion asks the platform to make a member the primary.
+type Promotion struct {
+	Service string
+	Member  string
+	Holder  string
+	// Token grows with each change of holder.
+	Token uint64
+}
+
+// Promoter sends promotions. The call must not reach the platform after it has
+// returned. maySend is asked after the connection is open, right before sending.
+type Promoter interface {
+	Promote(p Promotion, maySend func() bool, timeout time.Duration) error
+}
+
+// Config is what a Group needs.
+type Config struct {
+	Service       string
+	Instance      string
+	FailureDomain string
+	Dialer        statement.Dialer
+	Register      Register
+	Promoter      Promoter
+	Clock         steady.Clock
+	Log           *logrus.Entry
+}
+
+const (
+	// goneAfter is how long an entry must be missing from consecutive readings
+	// before its member is gone: entries that lapsed during an outage of the
+	// store return within about 2 s of its end.
+	goneAfter = 2500 * time.Millisecond
+	// reservedConnections of each member's limit are left to the other
+	// instances, whose number is not known.
+	reservedConnections = 4
+)
+
+// Group is one database group. It is safe for concurrent use.
+type Group struct {
+	cfg Config
+
+	mu      sync.Mutex
+	service catalog.Service
+	tracker primacy.Tracker
+	members map[string]*member
+	changed chan struct{} // closed whenever a waiting request may go on
+
+	recordsRead     time.Duration // when the last answered reading of the records was sent
+	recordsAnswered time.Duration // when it was answered
+	storeNow        time.Duration // store's time in that reading
+	roleHint        primacy.Lead  // primary by its own word, until the records confirm that no change is under way
+	roleSeen        time.Duration
+
+	trouble  trouble
+	rounds   rounds
+	wake     chan struct{}
+	finished chan struct{}
+}
+
+type member struct {
+	*upstream.Upstream
+	missing time.Duration // since when its entry is missing; 0 if present
+	// rebornFloor is the position that it must reach after a restart without
+	// its log before its log counts again; zero if it does not matter.
+	rebornFloor position.Position
+}
+
+// New returns a Group without members. Run must be called for it to act.
+func New(cfg Config, service catalog.Service) *Group {
+	return &Group{
+		cfg: cfg, service: service,
+		members: make(map[string]*member),
+		changed: make(chan struct{}), wake: make(chan struct{}, 1), finished: make(chan struct{}),
+	}
+}
+
+// Service returns the name of the service.
+func (g *Group) Service() string { return g.cfg.Service }
+
+// broadcast lets waiting requests look again. g.mu is held.
+func (g *Group) broadcast() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *Group) poke() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// UpdateService takes in the service's entry of a new configuration.
+func (g *Group) UpdateService(s catalog.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service = s
+}
+
+// connectionLimit is the number of connections that this instance opens to one
+// member. Members refuse what all instances open beyond their limit.
+func (g *Group) connectionLimit() int { return max(g.service.Connections-reservedConnections, 1) }
+
+// UpdateMembers takes in a reading of the registered members, sent at sentAt.
+func (g *Group) UpdateMembers(all catalog.Members, sentAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, m := range all {
+		if m.Service == g.cfg.Service {
+			g.updateMember(id, m, sentAt)
+		}
+	}
+	for id, m := range g.members {
+		if entry, ok := all[id]; ok && entry.Service == g.cfg.Service {
+			continue
+		}
+		if m.missing == 0 {
+			m.missing = sentAt
+		}
+		if sentAt-m.missing >= goneAfter {
+			g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "missing_ms": (sentAt - m.missing).Milliseconds()}).Info("member left the register")
+			delete(g.members, id)
+			m.Close()
+			g.poke()
+		}
+	}
+	g.broadcast()
+}
+
+func (g *Group) updateMember(id string, m catalog.Member, sentAt time.Duration) {
+	known := g.members[id]
+	if known == nil {
+		known = &member{Upstream: upstream.New(m, g.connectionLimit(), g.cfg.Dialer, g.cfg.Clock)}
+		g.members[id] = known
+		g.cfg.Log.WithFields(logrus.Fields{"event": "member_joined", "member": id, "address": m.Address, "failure_domain": m.FailureDomain, "primary": m.Primary}).Info("member joined")
+		g.poke()
+	}
+	old := known.Member()
+	known.missing = 0
+	if old.Started != m.Started && old.Started != 0 {
+		known.rebornFloor = g.tracker.Last()
+		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.rebornFloor.String()}).Warn("member restarted without its log")
+		g.poke()
+	}
+	if m.Draining && !old.Draining {
+		g.cfg.Log.WithFields(logrus.Fields{"event": "member_draining", "member": id}).Info("member is leaving")
+		g.poke()
+	}
+	known.Update(m, g.connectionLimit())
+	if m.Primary && !m.Draining && g.tracker.Lead().Member == "" {
+		if g.roleHint.Member != id {
+			g.roleHint, g.roleSeen = primacy.Lead{Member: id}, sentAt
+		}
+		g.poke()
+	}
+}
+
+// UpdateRecord takes in a reading of the group's record; present is false if
+// there is none.
+func (g *Group) UpdateRecord(r primacy.Record, storeNow, sentAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old, before := g.tracker.Record(), g.tracker.Lead()
+	g.recordsRead, g.recordsAnswered, g.storeNow = sentAt, g.cfg.Clock(), storeNow
+	changed := g.tracker.ObserveRecord(r, storeNow, sentAt)
+	if r.Version != old.Version {
+		g.logRecord(r)
+		g.poke()
+	}
+	if changed {
+		g.logLead(before, "record")
+		g.trouble.changedAt = g.cfg.Clock()
+		g.trouble.clear()
+	}
+	if r.Claim == nil && g.roleHint.Term > 0 && sentAt > g.roleSeen && g.tracker.ObserveRole(g.roleHint) {
+		g.logLead(before, "own_word")
+		// The next reading proves the lead; this one was sent before it was known.
+		g.tracker.ObserveRecord(r, storeNow, sentAt)
+	}
+	g.broadcast()
+}
+
+func (g *Group) logRecord(r primacy.Record) {
+	fields := logrus.Fields{"event": "record", "version": r.Version, "lead": r.Lead.Member, "term": r.Lead.Term}
+	if r.Claim != nil {
+		fields["claim_holder"], fields["claim_old"] = r.Claim.Holder, r.Claim.Old.Member
+	}
+	g.cfg.Log.WithFields(fields).Info("record of the group changed")
+}
+
+func (g *Group) logLead(before primacy.Lead, source string) {
+	lead := g.tracker.Lead()
+	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": lead.Member, "term": lead.Term, "before": before.Member, "source": source}).Info("primary changed")
+}
+
+// Lead returns the current lead and its upstream, or nil if it is not registered.
+func (g *Group) Lead() (primacy.Lead, *upstream.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leadLocked()
+}
+
+func (g *Group) leadLocked() (primacy.Lead, *upstream.Upstream) {
+	lead := g.tracker.Lead()
+	if m := g.members[lead.Member]; m != nil {
+		return lead, m.Upstream
+	}
+	return lead, nil
+}
+
+// Observe takes in the position that came with an answer of a member to a
+// statement sent at sentAt.
+func (g *Group) Observe(u *upstream.Upstream, p position.Position, sentAt time.Duration) {
+	if p.IsZero() {
+		return
+	}
+	u.NotePosition(p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.ObservePosition(u.Member().ID, p, sentAt)
+	if u.Member().ID == g.tracker.Lead().Member {
+		g.trouble.answered(g.cfg.Clock())
+	}
+}
+
+// Changing reports whether the group's record should be read more often than
+// usual: its primary is being replaced, or does not answer.
+func (g *Group) Changing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Changing() || g.trouble.confirmed || g.tracker.Lead().Member == ""
+}
+
+// Close ends idle connections of all members.
+func (g *Group) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		m.Close()
+	}
+}
+
+// CloseIdle closes connections that were not used for a while.
+func (g *Group) CloseIdle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		m.CloseIdle()
+	}
+}
--- /dev/null
+++ b/proxy/group/monitor.go
@@ -0,0 +1,258 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
+)
+
+const (
+	// monitorInterval is how often a group without news is looked at.
+	monitorInterval = 250 * time.Millisecond
+	// probeTimeout bounds a probe of a suspect primary: a connection takes
+	// 12 ms and a status waits behind queued statements for up to 80 ms.
+	probeTimeout = 250 * time.Millisecond
+	// probePause separates two probes, so that a restart of the member's
+	// listener is not taken for its death.
+	probePause = 60 * time.Millisecond
+	// unansweredWrites is the number of writes without an answer, and without
+	// an answered one between them, after which commits count as stuck.
+	unansweredWrites = 2
+	// storeFresh is the age up to which the last reading of the records shows
+	// that the store is reachable from here; readings are 400 ms apart.
+	storeFresh = 900 * time.Millisecond
+	// settleTime keeps a group from replacing its primary again at once, unless
+	// the primary is leaving or does not answer.
+	settleTime = 3 * time.Second
+)
+
+// trouble is what speaks against the lead.
+type trouble struct {
+	since      time.Duration // first failure since the last answer; 0 if none
+	failures   int
+	unanswered int
+	// confirmed means that probes on fresh connections failed too.
+	confirmed  bool
+	later      primacy.Lead // primary of a later term seen without a record
+	laterSince time.Duration
+	changedAt  time.Duration
+}
+
+func (t *trouble) answered(time.Duration) {
+	if !t.confirmed {
+		t.since, t.failures = 0, 0
+	}
+}
+
+func (t *trouble) clear() { *t = trouble{changedAt: t.changedAt} }
+
+// Failed takes in that a request to a member failed without an answer.
+func (g *Group) Failed(u *upstream.Upstream, unansweredWrite bool) {
+	u.NoteFailure()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, lead := g.leadLocked(); lead != u {
+		return
+	}
+	if g.trouble.since == 0 {
+		g.trouble.since = g.cfg.Clock()
+	}
+	g.trouble.failures++
+	if unansweredWrite {
+		g.trouble.unanswered++
+	}
+	g.poke()
+}
+
+// Committed takes in that the lead acknowledged a write.
+func (g *Group) Committed(u *upstream.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, lead := g.leadLocked(); lead == u {
+		g.trouble.unanswered = 0
+	}
+}
+
+// Demoted takes in that the lead refused a write as a replica.
+func (g *Group) Demoted(u *upstream.Upstream) { g.Failed(u, false) }
+
+// Run watches the primary and replaces it when needed, until ctx ends.
+func (g *Group) Run(ctx context.Context) {
+	defer close(g.finished)
+	ticker := time.NewTicker(monitorInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		case <-ticker.C:
+		}
+		g.look(ctx)
+	}
+}
+
+func (g *Group) look(ctx context.Context) {
+	g.mu.Lock()
+	lead, u := g.leadLocked()
+	g.mu.Unlock()
+	if lead.Member == "" {
+		g.learnLead()
+		return
+	}
+	why, ok := g.reason(lead, u)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	blocked := g.blockedLocked()
+	if why.confirms && !g.trouble.confirmed {
+		g.trouble.confirmed = true
+		if g.trouble.since == 0 {
+			g.trouble.since = g.cfg.Clock()
+		}
+		g.cfg.Log.WithFields(logrus.Fields{"event": "primary_lost", "member": lead.Member, "term": lead.Term, "reason": why.text}).Warn("primary does not serve")
+		g.broadcast()
+	}
+	if blocked != "" && g.trouble.confirmed {
+		g.startRound()
+	}
+	g.mu.Unlock()
+	if blocked != "" {
+		return
+	}
+	g.takeOver(ctx, why)
+}
+
+// learnLead asks the member that calls itself primary for its term, as long as
+// no record names a lead.
+func (g *Group) learnLead() {
+	g.mu.Lock()
+	hint := g.roleHint
+	m := g.members[hint.Member]
+	g.mu.Unlock()
+	if m == nil || hint.Term != 0 {
+		return
+	}
+	askedAt := g.cfg.Clock()
+	status := g.ask(m.Upstream, statement.Control{Kind: statement.AskStatus}, false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if status == nil || !status.Primary || g.roleHint != hint {
+		return
+	}
+	g.roleHint.Term, g.roleSeen = status.Term, askedAt
+}
+
+// reason is why a primary is to be replaced.
+type reason struct {
+	text string
+	// confirms means that the primary cannot serve requests.
+	confirms bool
+	// stepDown means that it must give up its lead although it answers.
+	stepDown bool
+}
+
+// reason returns why the lead should be replaced. It probes a suspect lead.
+func (g *Group) reason(lead primacy.Lead, u *upstream.Upstream) (reason, bool) {
+	g.mu.Lock()
+	r := g.tracker.Record()
+	t := g.trouble
+	settled := g.cfg.Clock()-t.changedAt > settleTime
+	m := g.members[lead.Member]
+	g.mu.Unlock()
+	switch {
+	case r.Claim != nil:
+		return reason{text: "unfinished_change"}, true
+	case u == nil:
+		return reason{text: "gone", confirms: true}, true
+	case u.Member().Draining:
+		return reason{text: "leaving"}, true
+	case !m.rebornFloor.IsZero():
+		return reason{text: "restarted", confirms: true}, true
+	case t.failures == 0 && !t.confirmed:
+		return reason{}, false
+	}
+	switch g.probe(u, lead) {
+	case probeDead:
+		return reason{text: "unreachable", confirms: true}, true
+	case probeReplica:
+		return reason{text: "not_primary", confirms: true}, true
+	}
+	if t.unanswered >= unansweredWrites && settled {
+		return reason{text: "commits_unacknowledged", stepDown: true}, true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	unanswered := g.trouble.unanswered
+	if g.trouble.confirmed {
+		g.cfg.Log.WithFields(logrus.Fields{"event": "primary_back", "member": lead.Member, "term": lead.Term}).Info("primary answers again")
+	}
+	g.trouble.clear()
+	g.trouble.unanswered = unanswered
+	g.broadcast()
+	return reason{}, false
+}
+
+type probeResult uint8
+
+const (
+	probeAlive probeResult = iota
+	probeReplica
+	probeDead
+)
+
+// probe asks the lead on fresh connections: an open one may be silent while the
+// member serves.
+func (g *Group) probe(u *upstream.Upstream, lead primacy.Lead) probeResult {
+	for attempt := range 2 {
+		if attempt > 0 {
+			time.Sleep(probePause)
+		}
+		reply, err := u.Control(true, statement.Control{Kind: statement.AskStatus}, probeTimeout)
+		if err == nil {
+			if reply.Primary && reply.Term == lead.Term {
+				return probeAlive
+			}
+			return probeReplica
+		}
+		if reason, ok := statement.ReasonOf(err); ok && reason != statement.WrongMember {
+			return probeAlive
+		}
+		g.cfg.Log.WithFields(logrus.Fields{"event": "probe_failed", "member": lead.Member, "attempt": attempt, "error": err.Error()}).Info("primary did not answer a probe")
+	}
+	return probeDead
+}
+
+// blockedLocked returns why this instance cannot replace the primary now, or
+// an empty text.
+func (g *Group) blockedLocked() string {
+	now := g.cfg.Clock()
+	if now-g.recordsRead > storeFresh {
+		return "store_unreachable"
+	}
+	if r := g.tracker.Record(); r.Claim != nil {
+		storeNow := g.storeNow
+		if storeNow-r.Claim.Since < claimLife {
+			return "claimed_by_" + r.Claim.Holder
+		}
+	}
+	return ""
+}
+
+// replaceable reports whether enough members answer for a change to succeed.
+func (g *Group) replaceable(members []takeover.Member, lead primacy.Lead) bool {
+	answered := 0
+	for _, m := range members {
+		if m.ID != lead.Member && m.Status != nil {
+			answered++
+		}
+	}
+	return answered > 0
+}
--- /dev/null
+++ b/proxy/group/round.go
@@ -0,0 +1,185 @@
+package group
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
+)
+
+const (
+	// roundSpacing bounds the rounds per second while the store is away: a
+	// status takes a slot of the member for about 0.5 ms.
+	roundSpacing = 40 * time.Millisecond
+	// statusTimeout bounds one answer of a member. A status waits for a slot
+	// behind up to 18 statements of 9 ms on two slots.
+	statusTimeout = 250 * time.Millisecond
+)
+
+// rounds coalesces the readings of the members' own status.
+type rounds struct {
+	running bool
+	started time.Duration
+	failed  int // rounds without a quorum so far
+}
+
+// startRound asks all members, unless a round is running. g.mu is held.
+func (g *Group) startRound() {
+	if g.rounds.running {
+		return
+	}
+	g.rounds.running = true
+	delay := max(g.rounds.started+roundSpacing-g.cfg.Clock(), 0)
+	go func() {
+		time.Sleep(delay)
+		g.round()
+	}()
+}
+
+func (g *Group) round() {
+	g.mu.Lock()
+	lead := g.tracker.Lead()
+	g.rounds.started = g.cfg.Clock()
+	sentAt := g.rounds.started
+	g.mu.Unlock()
+	members := g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rounds.running = false
+	primary, quorum := confirms(lead, members)
+	if quorum {
+		g.tracker.ObserveQuorum(lead, primary.Received, sentAt)
+	} else {
+		g.rounds.failed++
+		g.cfg.Log.WithFields(logrus.Fields{"event": "no_quorum", "lead": lead.Member, "term": lead.Term, "members": describe(members)}).Warn("members do not confirm the primary")
+	}
+	g.noteLater(lead, members)
+	g.broadcast()
+}
+
+// confirms reports whether the members confirm the lead: it calls itself
+// primary of the term, and a replica of the term still receives.
+func confirms(lead primacy.Lead, members []takeover.Member) (primary takeover.Status, ok bool) {
+	var leads, follows bool
+	for _, m := range members {
+		switch {
+		case m.Status == nil || m.Status.Term != lead.Term || m.Reborn:
+		case m.ID == lead.Member:
+			leads, primary = m.Status.Primary, *m.Status
+		case m.Status.Held == 0 && !m.Status.Primary:
+			follows = true
+		}
+	}
+	return primary, leads && follows
+}
+
+// noteLater adopts a lead that the members established while the store is away.
+// g.mu is held.
+func (g *Group) noteLater(lead primacy.Lead, members []takeover.Member) {
+	var later primacy.Lead
+	for _, m := range members {
+		if m.Status != nil && m.Status.Primary && m.Status.Term > lead.Term {
+			later = primacy.Lead{Member: m.ID, Term: m.Status.Term}
+		}
+	}
+	now := g.cfg.Clock()
+	if _, ok := confirms(later, members); !ok || later.Member == "" {
+		return
+	}
+	if g.trouble.later != later {
+		g.trouble.later, g.trouble.laterSince = later, now
+		return
+	}
+	if now-g.trouble.laterSince < primacy.ReadLease {
+		return
+	}
+	before := g.tracker.Lead()
+	if g.tracker.AdoptPromoted(later) {
+		g.trouble.clear()
+		g.logLead(before, "members")
+	}
+}
+
+// askAll sends an order to the members with these ids, or to all, and returns
+// all members with the answers that came in time.
+func (g *Group) askAll(order statement.Control, ids []string, fresh bool) []takeover.Member {
+	g.mu.Lock()
+	members := make([]takeover.Member, 0, len(g.members))
+	upstreams := make([]*member, 0, len(g.members))
+	for id, m := range g.members {
+		members = append(members, takeover.Member{ID: id, Draining: m.Member().Draining})
+		upstreams = append(upstreams, m)
+	}
+	g.mu.Unlock()
+	var wait sync.WaitGroup
+	for i := range members {
+		if ids != nil && !contains(ids, members[i].ID) {
+			continue
+		}
+		wait.Go(func() { members[i].Status = g.ask(upstreams[i].Upstream, order, fresh) })
+	}
+	wait.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range members {
+		floor := upstreams[i].rebornFloor
+		if s := members[i].Status; !floor.IsZero() && s != nil {
+			members[i].Reborn = !s.Received.AtLeast(floor)
+		}
+	}
+	return members
+}
+
+func contains(ids []string, id string) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ask sends an order on a pooled connection and, if that is silent or broken,
+// on a fresh one. It returns nil if the member did not answer.
+func (g *Group) ask(u *upstream.Upstream, order statement.Control, fresh bool) *takeover.Status {
+	for _, fresh := range []bool{fresh, true} {
+		reply, err := u.Control(fresh, order, statusTimeout)
+		if err == nil {
+			u.NotePosition(reply.Received)
+			status := reply.Status
+			return &status
+		}
+		g.cfg.Log.WithFields(logrus.Fields{"event": "control_failed", "member": u.Member().ID, "order": order.Kind, "fresh": fresh, "error": err.Error()}).Info("member did not execute an order")
+	}
+	return nil
+}
+
+func describe(members []takeover.Member) []string {
+	var out []string
+	for _, m := range members {
+		text := m.ID + " no answer"
+		if s := m.Status; s != nil {
+			role := " replica "
+			if s.Primary {
+				role = " primary "
+			}
+			text = m.ID + role + s.Received.String()
+			if s.Held > 0 {
+				text += " held"
+			}
+		}
+		if m.Draining {
+			text += " draining"
+		}
+		if m.Reborn {
+			text += " restarted"
+		}
+		out = append(out, text)
+	}
+	return out
+}
--- /dev/null
+++ b/proxy/group/route.go
@@ -0,0 +1,219 @@
+package group
+
+import (
+	"time"
+
+	"github.com/papayarail/papayarail/core/choose"
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/upstream"
+)
+
+const (
+	// takeoverTime is how long a change of primary takes from its claim: the
+	// promotion itself (1 s) and the members' answers before it.
+	takeoverTime = 1200 * time.Millisecond
+	// roundsBeforeCutOff is the number of rounds without a quorum after which a
+	// request that needs one is refused.
+	roundsBeforeCutOff = 2
+	// retryWithoutPrimary is the time to come back if nothing says when there
+	// will be a primary: the interval in which members register.
+	retryWithoutPrimary = time.Second
+)
+
+// Need is what a request requires of the member that executes it.
+type Need struct {
+	// Writes means that only the primary can execute it.
+	Writes bool
+	// Reads is false for a single write, which needs no evidence of the age of
+	// what it sees.
+	Reads       bool
+	Consistency catalog.Consistency
+	Staleness   time.Duration
+	// Arrival is when the request, or its transaction, was received.
+	Arrival time.Duration
+	// Own is the position of the session's last write, and OwnAt its time.
+	Own   position.Position
+	OwnAt time.Duration
+	Rank  schedule.Rank
+	// Deadline is when the caller no longer waits.
+	Deadline time.Duration
+}
+
+// Choice is the member that executes a request.
+type Choice struct {
+	*upstream.Upstream
+	Primary bool
+	// After is the position that the member's log must have, and At the time at
+	// which the primary had reached it.
+	After position.Position
+	At    time.Duration
+	// Evidence is the age of what the choice rests on, for the log.
+	Evidence time.Duration
+}
+
+// Choose returns the member to execute a request, waiting for a primary or for
+// evidence if that can come in time. excluded members are not chosen.
+func (g *Group) Choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, error) {
+	failedRounds := -1
+	for {
+		g.mu.Lock()
+		c, ok := g.choose(n, excluded)
+		if ok {
+			g.mu.Unlock()
+			return c, nil
+		}
+		if failedRounds < 0 {
+			failedRounds = g.rounds.failed
+		}
+		err := g.refusal(n, excluded, g.rounds.failed-failedRounds)
+		if err == nil && g.needsRound(n) {
+			g.startRound()
+		}
+		changed := g.changed
+		g.mu.Unlock()
+		if err != nil {
+			return Choice{}, err
+		}
+		timer := time.NewTimer(max(n.Deadline-g.cfg.Clock(), 0))
+		select {
+		case <-changed:
+			timer.Stop()
+		case <-timer.C:
+			return Choice{}, verdict.New(verdict.NoPrimary, "service %s had no usable primary until the deadline", g.cfg.Service).After(g.comeBack())
+		}
+	}
+}
+
+// choose decides without waiting. g.mu is held.
+func (g *Group) choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
+	if n.Writes || n.Consistency == catalog.Strict {
+		return g.choosePrimary(n, excluded)
+	}
+	return g.chooseReader(n, excluded)
+}
+
+func (g *Group) choosePrimary(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
+	lead, u := g.leadLocked()
+	if u == nil || excluded[u] || g.trouble.confirmed {
+		return Choice{}, false
+	}
+	if n.Reads && !g.tracker.Proven(n.Arrival-n.Staleness) {
+		return Choice{}, false
+	}
+	// A primary that restarted without its log is not at this position.
+	after := g.tracker.Last()
+	if after.Term != lead.Term || !n.Reads {
+		after = position.Position{}
+	}
+	return Choice{Upstream: u, Primary: true, After: after, Evidence: n.Arrival - g.tracker.ProvenUntil()}, true
+}
+
+// chooseReader picks among the replicas that can prove the age and, if the lead
+// is proven for that age, the primary.
+func (g *Group) chooseReader(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
+	since := n.Arrival - n.Staleness
+	mark, marked := g.tracker.OldestMark(since)
+	after, at := g.coverOwn(n, mark, &marked)
+	var choices []Choice
+	var candidates []choose.Candidate
+	lead, primary := g.leadLocked()
+	for id, m := range g.members {
+		if excluded[m.Upstream] || m.missing != 0 && m.Suspect() {
+			continue
+		}
+		info := m.Member()
+		c := choose.Candidate{Remote: info.FailureDomain != g.cfg.FailureDomain, Suspect: m.Suspect()}
+		c.Wait, c.Service = m.Load(n.Rank)
+		choice := Choice{Upstream: m.Upstream, After: after, At: at, Evidence: n.Arrival - at}
+		switch {
+		case id == lead.Member:
+			if m.Upstream != primary || g.trouble.confirmed || !g.tracker.Proven(since) {
+				continue
+			}
+			c.Primary = true
+			choice = Choice{Upstream: m.Upstream, Primary: true, Evidence: since - g.tracker.ProvenUntil()}
+		case !marked || info.Draining:
+			continue
+		default:
+			c.Behind = m.Behind(after, at)
+		}
+		choices = append(choices, choice)
+		candidates = append(candidates, c)
+	}
+	best := choose.Best(candidates)
+	if best < 0 {
+		return Choice{}, false
+	}
+	return choices[best], true
+}
+
+// coverOwn raises the mark to the session's own last write. It clears marked if
+// no position is known that covers it.
+func (g *Group) coverOwn(n Need, mark primacy.Mark, marked *bool) (position.Position, time.Duration) {
+	if n.Consistency != catalog.ReadYourWrites || n.Own.IsZero() {
+		return mark.Position, mark.At
+	}
+	own, ok := g.tracker.Translate(n.Own)
+	if !ok {
+		*marked = false
+		return position.Position{}, 0
+	}
+	if own.AtLeast(mark.Position) {
+		return own, max(n.OwnAt, mark.At)
+	}
+	return mark.Position, mark.At
+}
+
+// needsRound reports whether a quorum of members can provide what the request
+// lacks. g.mu is held.
+func (g *Group) needsRound(n Need) bool {
+	if _, u := g.leadLocked(); u == nil || g.trouble.confirmed {
+		return false
+	}
+	return n.Reads
+}
+
+// refusal returns why a request should not wait, or nil. g.mu is held.
+func (g *Group) refusal(n Need, excluded map[*upstream.Upstream]bool, failedRounds int) error {
+	now := g.cfg.Clock()
+	if len(g.members) == 0 {
+		return verdict.New(verdict.CutOff, "no member of service %s is registered", g.cfg.Service).After(retryWithoutPrimary)
+	}
+	if _, u := g.leadLocked(); u != nil && excluded[u] && !g.tracker.Changing() && !g.trouble.confirmed {
+		return verdict.New(verdict.ReplicaBehind, "no member of service %s could execute the request", g.cfg.Service).After(g.comeBackLocked())
+	}
+	if failedRounds >= roundsBeforeCutOff {
+		return verdict.New(verdict.CutOff, "no quorum of service %s confirms its primary", g.cfg.Service).After(g.comeBackLocked())
+	}
+	if wait := g.comeBackLocked(); (g.tracker.Changing() || g.trouble.confirmed) && now+wait > n.Deadline {
+		return verdict.New(verdict.NoPrimary, "the primary of service %s is being replaced", g.cfg.Service).After(wait)
+	}
+	return nil
+}
+
+func (g *Group) comeBack() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.comeBackLocked()
+}
+
+// comeBackLocked estimates when a primary can be expected.
+func (g *Group) comeBackLocked() time.Duration {
+	const soon = 50 * time.Millisecond // a change that takes longer than expected
+	now := g.cfg.Clock()
+	switch r := g.tracker.Record(); {
+	case r.Claim != nil && g.tracker.Changing():
+		storeNow := g.storeNow + now - g.recordsRead
+		return max(r.Claim.Since+takeoverTime-storeNow, soon)
+	case g.trouble.confirmed:
+		return max(g.trouble.since+takeoverTime-now, soon)
+	case g.tracker.Lead().Member == "":
+		return retryWithoutPrimary
+	default:
+		return soon
+	}
+}
--- /dev/null
+++ b/proxy/group/takeover.go
@@ -0,0 +1,269 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/statement"
+)
+
+const (
+	// sendWindow is how long after sending its claim a holder may send a
+	// promotion.
+	sendWindow = 1200 * time.Millisecond
+	// promoteTimeout bounds the promotion call; its connection is reset then,
+	// so that nothing of it arrives later.
+	promoteTimeout = 600 * time.Millisecond
+	// claimLife is how long a claim keeps others from claiming. It covers the
+	// window, the call, and the difference between two clocks.
+	claimLife = sendWindow + promoteTimeout + 400*time.Millisecond
+	// claimRenewal is the age at which a holder that is not finished renews its
+	// claim, so that a window of 0.4 s is left for the call.
+	claimRenewal = 800 * time.Millisecond
+	// attemptLimit ends an attempt that makes no progress; the next instance
+	// may see more members.
+	attemptLimit = 6 * time.Second
+	// effectLimit is how long a promotion may take until it is sent again; it
+	// takes 0.3 to 1 s in the site files.
+	effectLimit = 2500 * time.Millisecond
+	// pollInterval separates two questions to the members.
+	pollInterval = 30 * time.Millisecond
+	// claimSpread is the range of the random delay before a claim. Of several
+	// instances that notice a loss, most then see the claim of the first.
+	claimSpread = 60 * time.Millisecond
+	// storeCallTimeout bounds one call to the store; a slow store takes 0.4 s.
+	storeCallTimeout = 800 * time.Millisecond
+	// publishLimit ends the attempts to record a finished change; after that,
+	// another instance records it.
+	publishLimit = 15 * time.Second
+)
+
+// change is one attempt of this instance to replace the primary.
+type change struct {
+	g        *Group
+	why      reason
+	old      primacy.Lead
+	nonce    uint64
+	record   primacy.Record // as stored, with this instance's claim
+	claimed  time.Duration  // local time before the claim was sent
+	stored   time.Duration  // local time after its answer
+	started  time.Duration
+	promoted time.Duration // when the last promotion was sent; 0 if none
+	log      *logrus.Entry
+}
+
+func (g *Group) takeOver(ctx context.Context, why reason) {
+	g.mu.Lock()
+	old := g.tracker.Lead()
+	if r := g.tracker.Record(); r.Claim != nil {
+		old = r.Claim.Old
+	}
+	version := g.tracker.Record().Version
+	g.mu.Unlock()
+	time.Sleep(rand.N(claimSpread))
+	g.mu.Lock()
+	moved := g.tracker.Record().Version != version
+	g.mu.Unlock()
+	if moved || ctx.Err() != nil {
+		return
+	}
+	if !g.replaceable(g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false), old) {
+		g.cfg.Log.WithFields(logrus.Fields{"event": "change_not_started", "old": old.Member, "reason": why.text}).Info("no replica answers")
+		return
+	}
+	c := &change{g: g, why: why, old: old, nonce: rand.Uint64(), started: g.cfg.Clock(),
+		log: g.cfg.Log.WithFields(logrus.Fields{"change_of": old.Member, "old_term": old.Term})}
+	if c.claim(ctx) {
+		c.run(ctx)
+	}
+}
+
+// claim stores this instance's claim, or renews it.
+func (c *change) claim(ctx context.Context) bool {
+	g := c.g
+	g.mu.Lock()
+	r := g.tracker.Record()
+	now := g.cfg.Clock()
+	since := g.storeNow + now - g.recordsAnswered
+	g.mu.Unlock()
+	r.Service = g.cfg.Service
+	r.Claim = &primacy.Claim{Holder: g.cfg.Instance, Nonce: c.nonce, Since: since, Old: c.old}
+	c.claimed = now
+	version, storeNow, err := c.put(ctx, r)
+	if err != nil {
+		c.log.WithFields(logrus.Fields{"event": "claim_failed", "expected_version": r.Version, "error": err.Error()}).Info("claim was not stored")
+		return false
+	}
+	r.Version = version
+	c.record, c.stored = r, g.cfg.Clock()
+	g.UpdateRecord(r, storeNow, c.claimed)
+	c.log.WithFields(logrus.Fields{"event": "claimed", "reason": c.why.text, "token": version}).Info("replacing the primary")
+	return true
+}
+
+// put stores a record. If the answer is lost, it reads the record back.
+func (c *change) put(ctx context.Context, r primacy.Record) (uint64, time.Duration, error) {
+	call, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	version, now, err := c.g.cfg.Register.Put(call, r)
+	cancel()
+	if err == nil || errors.Is(err, ErrConflict) {
+		return version, now, err
+	}
+	call, cancel = context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	records, now, readErr := c.g.cfg.Register.Records(call)
+	if readErr != nil {
+		return 0, 0, errors.Join(err, readErr)
+	}
+	stored := records[r.Service]
+	if stored.Version > r.Version && sameRecord(stored, r) {
+		return stored.Version, now, nil
+	}
+	return 0, 0, err
+}
+
+// sameRecord reports whether stored is what this instance wrote as r.
+func sameRecord(stored, r primacy.Record) bool {
+	if stored.Lead != r.Lead || (stored.Claim == nil) != (r.Claim == nil) {
+		return false
+	}
+	return r.Claim == nil || *stored.Claim == *r.Claim
+}
+
+func (c *change) run(ctx context.Context) {
+	for ctx.Err() == nil && c.g.cfg.Clock()-c.started < attemptLimit {
+		if c.superseded() {
+			return
+		}
+		members := c.g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false)
+		step := takeover.Decide(takeover.Input{Old: c.old, Members: members, Size: groupSize(len(members)), StepDown: c.why.stepDown})
+		fields := logrus.Fields{"event": "change_step", "action": step.Action.String(), "targets": step.Targets, "term": step.Term, "why": step.Reason, "members": describe(members)}
+		if c.promoted != 0 && step.Action != takeover.Done && c.g.cfg.Clock()-c.promoted < effectLimit {
+			time.Sleep(pollInterval)
+			continue
+		}
+		c.log.WithFields(fields).Info("step of a change of primary")
+		if c.perform(ctx, step) {
+			return
+		}
+	}
+	c.log.WithFields(logrus.Fields{"event": "change_unfinished"}).Warn("change of primary was not finished")
+}
+
+// groupSize is the number of members of a whole group. While members are
+// replaced, there may be more; fewer are never enough.
+func groupSize(registered int) int {
+	const usual = 3 // every service of the site files has three copies
+	return max(registered, usual)
+}
+
+// superseded reports whether another instance has changed the record.
+func (c *change) superseded() bool {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	return c.g.tracker.Record().Version > c.record.Version
+}
+
+// perform executes a step and reports whether the change has ended.
+func (c *change) perform(ctx context.Context, s takeover.Step) bool {
+	switch s.Action {
+	case takeover.Done:
+		c.publish(ctx, primacy.Lead{Member: s.Targets[0], Term: s.Term})
+		return true
+	case takeover.Abort:
+		c.g.askAll(statement.Control{Kind: statement.ReleaseReplica}, s.Targets, false)
+		c.withdraw(ctx)
+		return true
+	case takeover.Hold:
+		c.g.askAll(statement.Control{Kind: statement.HoldReplica, Term: s.Term}, s.Targets, false)
+	case takeover.GiveUp:
+		c.g.askAll(statement.Control{Kind: statement.GiveUpLead, Term: s.Term}, s.Targets, false)
+	case takeover.Promote:
+		return !c.promote(ctx, s)
+	case takeover.Wait:
+		time.Sleep(pollInterval)
+	}
+	return c.g.cfg.Clock()-c.claimed > claimRenewal && !c.claim(ctx)
+}
+
+// promote sends the promotion and reports whether the change goes on.
+func (c *change) promote(ctx context.Context, s takeover.Step) bool {
+	g := c.g
+	if g.cfg.Clock()-c.claimed > claimRenewal && !c.claim(ctx) {
+		return false
+	}
+	maySend := func() bool { return g.cfg.Clock()-c.claimed < sendWindow }
+	sentAt := g.cfg.Clock()
+	err := g.cfg.Promoter.Promote(Promotion{Service: g.cfg.Service, Member: s.Targets[0], Holder: g.cfg.Instance, Token: c.record.Version}, maySend, promoteTimeout)
+	fields := logrus.Fields{"event": "promotion_sent", "member": s.Targets[0], "token": c.record.Version, "took_ms": (g.cfg.Clock() - sentAt).Milliseconds()}
+	if err != nil {
+		fields["error"] = err.Error()
+		c.log.WithFields(fields).Warn("promotion failed or was not answered")
+		time.Sleep(pollInterval)
+		return true
+	}
+	c.promoted = sentAt
+	c.log.WithFields(fields).Info("promotion accepted")
+	return true
+}
+
+// publish records the new lead once no instance can still read from the old one.
+func (c *change) publish(ctx context.Context, lead primacy.Lead) {
+	g := c.g
+	go g.askAll(statement.Control{Kind: statement.GiveUpLead, Term: lead.Term}, []string{c.old.Member}, false)
+	seen := g.cfg.Clock()
+	time.Sleep(max(c.stored+primacy.ReadLease-seen, 0))
+	r := c.record
+	r.Lead, r.Claim = lead, nil
+	for g.cfg.Clock()-seen < publishLimit && ctx.Err() == nil && !c.superseded() {
+		sentAt := g.cfg.Clock()
+		version, storeNow, err := c.put(ctx, r)
+		if err == nil {
+			r.Version = version
+			g.UpdateRecord(r, storeNow, sentAt)
+			c.log.WithFields(logrus.Fields{"event": "change_done", "lead": lead.Member, "term": lead.Term, "took_ms": (g.cfg.Clock() - c.started).Milliseconds()}).Info("primary replaced")
+			return
+		}
+		c.log.WithFields(logrus.Fields{"event": "publish_failed", "error": err.Error()}).Warn("new primary was not recorded")
+		if errors.Is(err, ErrConflict) {
+			return
+		}
+		c.adoptWithoutStore(lead)
+		time.Sleep(pollInterval)
+	}
+}
+
+// adoptWithoutStore lets this instance use the new lead although it could not
+// be recorded: all readings that prove the old one are older than ReadLease.
+func (c *change) adoptWithoutStore(lead primacy.Lead) {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	before := c.g.tracker.Lead()
+	if c.g.tracker.AdoptPromoted(lead) {
+		c.g.trouble.clear()
+		c.g.logLead(before, "own_promotion")
+		c.g.broadcast()
+	}
+}
+
+// withdraw removes the claim: the old primary stays.
+func (c *change) withdraw(ctx context.Context) {
+	r := c.record
+	r.Claim = nil
+	sentAt := c.g.cfg.Clock()
+	version, storeNow, err := c.put(ctx, r)
+	if err != nil {
+		c.log.WithFields(logrus.Fields{"event": "withdraw_failed", "error": err.Error()}).Warn("claim was not withdrawn; it ends by its age")
+		return
+	}
+	r.Version = version
+	c.g.UpdateRecord(r, storeNow, sentAt)
+	c.log.WithFields(logrus.Fields{"event": "withdrawn", "reason": fmt.Sprint(c.why.text)}).Info("primary stays")
+}
--- /dev/null
+++ b/proxy/node/node.go
@@ -0,0 +1,343 @@
+// Package node is one instance: it keeps the configuration and the members up
+// to date, renews the evidence that reads rest on, serves callers and stops
+// without cutting a request.
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/figures"
+	"github.com/papayarail/papayarail/proxy/group"
+	"github.com/papayarail/papayarail/proxy/session"
+	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/steady"
+)
+
+// Store is what an instance reads from the platform's store.
+type Store interface {
+	group.Register
+	// Config waits up to wait for a configuration past the cursor. It returns
+	// nil and the cursor to go on from if there is none. A cursor of zero reads
+	// the configuration as it is.
+	Config(ctx context.Context, cursor uint64, wait time.Duration) (*catalog.Config, uint64, error)
+	// Members reads the registered members.
+	Members(ctx context.Context) (catalog.Members, error)
+}
+
+// Settings of an instance.
+type Settings struct {
+	Instance      string
+	FailureDomain string
+	// Grace is the time between the order to stop and the end of the process.
+	Grace time.Duration
+}
+
+// Config is what a Node needs.
+type Config struct {
+	Settings Settings
+	Store    Store
+	Dialer   statement.Dialer
+	Promoter group.Promoter
+	Clock    steady.Clock
+	Log      *logrus.Entry
+	Figures  *figures.Figures
+}
+
+const (
+	// recordInterval is how often the records are read: three readings fall
+	// into a read lease of 1 s, so that one may fail.
+	recordInterval = 400 * time.Millisecond
+	// changingInterval is the interval while a primary is being replaced.
+	changingInterval = 100 * time.Millisecond
+	// recordTimeout bounds a reading of the records. A store that is slower
+	// than this is taken as away.
+	recordTimeout = 450 * time.Millisecond
+	// membersInterval is how often the members are read. They must be out of
+	// use within 7 s after they announce that they leave.
+	membersInterval = time.Second
+	// configWait is how long one call waits for a new configuration; a silent
+	// connection is noticed configSlack later. Both fit twice into the 3 s in
+	// which a configuration must be in force.
+	configWait  = time.Second
+	configSlack = 450 * time.Millisecond
+	// retryInterval separates failed calls to the store.
+	retryInterval = 100 * time.Millisecond
+	// slowTimeout is given to calls that are not urgent: a slow store takes
+	// 0.4 s for an answer.
+	slowTimeout = 1500 * time.Millisecond
+	// idleInterval is how often unused upstream connections are closed.
+	idleInterval = time.Second
+)
+
+// Node is one instance.
+type Node struct {
+	cfg    Config
+	config atomic.Pointer[catalog.Config]
+
+	mu         sync.Mutex
+	groups     map[string]*group.Group
+	sessions   map[*served]struct{}
+	membersOK  bool
+	loops      sync.WaitGroup
+	stopGroups context.CancelFunc
+	running    context.Context
+
+	stop stopState
+}
+
+// New returns a Node that does nothing until Run.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg, groups: make(map[string]*group.Group), sessions: make(map[*served]struct{})}
+	cfg.Figures.Sessions(func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(len(n.sessions))
+	})
+	return n
+}
+
+// Run keeps the instance up to date until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.mu.Lock()
+	n.running, n.stopGroups = context.WithCancel(ctx)
+	ctx = n.running
+	n.mu.Unlock()
+	n.loops.Go(func() { n.followConfig(ctx) })
+	n.loops.Go(func() { n.followMembers(ctx) })
+	n.loops.Go(func() { n.followRecords(ctx) })
+	n.loops.Go(func() { n.closeIdle(ctx) })
+	n.loops.Wait()
+}
+
+// Ready reports whether the instance can serve new callers.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Load() != nil && n.membersOK && !n.stop.ordered()
+}
+
+// Route implements session.Directory.
+func (n *Node) Route(database string) (catalog.Route, *group.Group, bool) {
+	c := n.config.Load()
+	if c == nil {
+		return catalog.Route{}, nil, false
+	}
+	r, ok := c.Routes[database]
+	if !ok {
+		return r, nil, false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return r, n.groups[r.Service], true
+}
+
+// TransactionIdle implements session.Directory.
+func (n *Node) TransactionIdle() time.Duration {
+	if c := n.config.Load(); c != nil {
+		return c.TransactionIdle
+	}
+	return 0
+}
+
+// followConfig applies each new configuration. A version below the one in
+// force is never applied.
+func (n *Node) followConfig(ctx context.Context) {
+	var cursor uint64
+	link := n.dependency("config")
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, configWait+configSlack)
+		started := n.cfg.Clock()
+		c, next, err := n.cfg.Store.Config(call, cursor, configWait)
+		cancel()
+		n.cfg.Figures.StoreCall("config", err, n.cfg.Clock()-started)
+		link.note(err)
+		if err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		cursor = next
+		if c != nil {
+			n.apply(c)
+		}
+	}
+}
+
+func (n *Node) apply(c *catalog.Config) {
+	old := n.config.Load()
+	if old != nil && c.Version <= old.Version {
+		return
+	}
+	n.mu.Lock()
+	for name, s := range c.Services {
+		if g := n.groups[name]; g != nil {
+			g.UpdateService(s)
+		} else {
+			n.addGroup(s)
+		}
+	}
+	n.mu.Unlock()
+	n.config.Store(c)
+	n.cfg.Log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "routes": len(c.Routes), "services": len(c.Services)}).Info("configuration in force")
+}
+
+// addGroup starts a group. n.mu is held.
+func (n *Node) addGroup(s catalog.Service) {
+	g := group.New(group.Config{
+		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
+		Dialer: n.cfg.Dialer, Register: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
+		Log: n.cfg.Log.WithField("service", s.Name),
+	}, s)
+	n.groups[s.Name] = g
+	ctx := n.running
+	n.loops.Go(func() { g.Run(ctx) })
+}
+
+func (n *Node) allGroups() []*group.Group {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	groups := make([]*group.Group, 0, len(n.groups))
+	for _, g := range n.groups {
+		groups = append(groups, g)
+	}
+	return groups
+}
+
+func (n *Node) followMembers(ctx context.Context) {
+	link := n.dependency("members")
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, slowTimeout)
+		sentAt := n.cfg.Clock()
+		members, err := n.cfg.Store.Members(call)
+		cancel()
+		n.cfg.Figures.StoreCall("members", err, n.cfg.Clock()-sentAt)
+		link.note(err)
+		if err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		groups := n.allGroups()
+		for _, g := range groups {
+			g.UpdateMembers(members, sentAt)
+		}
+		n.mu.Lock()
+		n.membersOK = n.membersOK || len(groups) > 0
+		n.mu.Unlock()
+		if len(groups) == 0 {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		sleep(ctx, membersInterval)
+	}
+}
+
+// followRecords reads the records of all groups, which renews the read leases.
+func (n *Node) followRecords(ctx context.Context) {
+	link := n.dependency("records")
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, recordTimeout)
+		sentAt := n.cfg.Clock()
+		records, storeNow, err := n.cfg.Store.Records(call)
+		cancel()
+		n.cfg.Figures.StoreCall("records", err, n.cfg.Clock()-sentAt)
+		link.note(err)
+		if err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		interval := recordInterval
+		for _, g := range n.allGroups() {
+			r := records[g.Service()]
+			r.Service = g.Service()
+			g.UpdateRecord(r, storeNow, sentAt)
+			if g.Changing() {
+				interval = changingInterval
+			}
+		}
+		sleep(ctx, interval-(n.cfg.Clock()-sentAt))
+	}
+}
+
+func (n *Node) closeIdle(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, idleInterval)
+		for _, g := range n.allGroups() {
+			g.CloseIdle()
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// dependency logs when a dependency is lost and when it is back.
+type dependency struct {
+	name  string
+	log   *logrus.Entry
+	clock steady.Clock
+	since time.Duration
+}
+
+func (n *Node) dependency(name string) *dependency {
+	return &dependency{name: name, log: n.cfg.Log, clock: n.cfg.Clock}
+}
+
+func (d *dependency) note(err error) {
+	switch {
+	case err != nil && d.since == 0:
+		d.since = d.clock()
+		d.log.WithFields(logrus.Fields{"event": "dependency_lost", "dependency": d.name, "error": err.Error()}).Warn("call to the store failed")
+	case err == nil && d.since != 0:
+		d.log.WithFields(logrus.Fields{"event": "dependency_back", "dependency": d.name, "away_ms": (d.clock() - d.since).Milliseconds()}).Info("store answers again")
+		d.since = 0
+	}
+}
+
+// Caller is a caller's connection that the node can wake and close.
+type Caller interface {
+	statement.Caller
+	// Wake makes a waiting Next return ErrIdle.
+	Wake()
+}
+
+type served struct{ caller Caller }
+
+// Serve serves one caller until it leaves or the instance stops.
+func (n *Node) Serve(caller Caller, name, database string) error {
+	entry := &served{caller}
+	n.mu.Lock()
+	n.sessions[entry] = struct{}{}
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.sessions, entry)
+		n.mu.Unlock()
+	}()
+	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, Metrics: n.cfg.Figures}
+	return session.New(env, caller, name, database).Serve(&n.stop)
+}
+
+// Primaries returns the lead of each group, for the state dump.
+func (n *Node) Primaries() map[string]primacy.Lead {
+	leads := make(map[string]primacy.Lead)
+	for _, g := range n.allGroups() {
+		lead, _ := g.Lead()
+		leads[g.Service()] = lead
+	}
+	return leads
+}
+
+// Configured reports whether a configuration is in force.
+func (n *Node) Configured() bool { return n.config.Load() != nil }
--- /dev/null
+++ b/proxy/session/attempt.go
@@ -0,0 +1,249 @@
+package session
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/group"
+	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
+)
+
+const (
+	// maxAttempts bounds the attempts of one statement. Three members and a
+	// second choice of the primary need four.
+	maxAttempts = 5
+	// readAttempt bounds one attempt of a read while another member may answer:
+	// the slowest read takes 110 ms, and 18 before it on two slots take 80 ms.
+	readAttempt = 300 * time.Millisecond
+	// answerSlack is the part of a statement's time that is kept for the answer
+	// to reach the caller (3 ms one way).
+	answerSlack = 5 * time.Millisecond
+)
+
+// outcome is what is known after one attempt.
+type outcome uint8
+
+const (
+	answered   outcome = iota // the answer is final
+	notRun                    // nothing of it ran or is kept
+	unanswered                // it was sent and may have run
+)
+
+// single runs a statement outside of a transaction.
+func (s *Session) single(w work, arrival time.Duration) statement.Reply {
+	r, g, err := s.route()
+	if err != nil {
+		return refused(err)
+	}
+	need := s.need(r, arrival, w.writes, !w.writes)
+	reply := s.attempts(g, r, w, need)
+	s.env.Metrics.Statement(r.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
+	if reply.Err != nil {
+		s.logFailure(w, r, need, reply.Err)
+	} else if w.writes {
+		s.wrote(r.Service, reply.Position)
+	}
+	return reply
+}
+
+func (s *Session) attempts(g *group.Group, r catalog.Route, w work, need group.Need) statement.Reply {
+	excluded := make(map[*upstream.Upstream]bool)
+	var last error
+	for attempt := 1; attempt <= maxAttempts; attempt++ {
+		choice, err := g.Choose(need, excluded)
+		if err != nil {
+			return refused(preferFirst(last, err))
+		}
+		reply, result := s.attempt(g, choice, w, need, len(excluded))
+		switch {
+		case result == answered:
+			return reply
+		case result == unanswered && w.writes:
+			return refused(verdict.New(verdict.OutcomeUnknown, "upstream %s did not answer the write: %v", choice.Member().ID, reply.Err))
+		}
+		last = reply.Err
+		if s.env.Clock() >= need.Deadline {
+			break
+		}
+		s.logRetry(w, choice, attempt, reply.Err)
+		// A primary that refused as a replica is chosen again once it is
+		// known which member leads.
+		if reason, ok := statement.ReasonOf(reply.Err); ok && reason == statement.ReadOnly && choice.Primary {
+			g.Demoted(choice.Upstream)
+			s.pause(need, demotedPause)
+			continue
+		}
+		if choice.Primary && w.writes {
+			if overloaded(reply.Err) {
+				return reply
+			}
+			s.pause(need, busyPause)
+			continue
+		}
+		excluded[choice.Upstream] = true
+	}
+	return refused(s.giveUp(last))
+}
+
+// overloaded reports whether the queue for an upstream refused a request.
+func overloaded(err error) bool {
+	var v *verdict.Error
+	return errors.As(err, &v) && v.Overload()
+}
+
+const (
+	// demotedPause is the time to the next look after a primary has refused a
+	// write as a replica; its group learns the new one within a poll.
+	demotedPause = 30 * time.Millisecond
+	// busyPause is the time to the next try at a primary that did not run a
+	// write; it executes about two statements in that time.
+	busyPause = 10 * time.Millisecond
+)
+
+func (s *Session) pause(need group.Need, d time.Duration) {
+	time.Sleep(max(min(d, need.Deadline-s.env.Clock()), 0))
+}
+
+// preferFirst returns the refusal that says why the first attempt failed, if
+// the later one says only that no member is left.
+func preferFirst(first, later error) error {
+	var v *verdict.Error
+	if first == nil || !errors.As(later, &v) || v.Code != verdict.ReplicaBehind {
+		return later
+	}
+	return asRefusal(first, v.RetryAfter)
+}
+
+// giveUp returns the final error of a statement of which nothing ran.
+func (s *Session) giveUp(last error) error { return asRefusal(last, retryAfterFailure) }
+
+// retryAfterFailure is the time to come back after all members failed to run a
+// statement: they are suspect for that long.
+const retryAfterFailure = 200 * time.Millisecond
+
+// asRefusal turns the failure of an attempt into the answer for the caller.
+func asRefusal(err error, retryAfter time.Duration) error {
+	var v *verdict.Error
+	if errors.As(err, &v) {
+		return v
+	}
+	if reason, ok := statement.ReasonOf(err); ok {
+		if reason == statement.Behind {
+			return verdict.New(verdict.ReplicaBehind, "%v", err).After(retryAfter)
+		}
+		return verdict.New(verdict.Overloaded, "%v", err).After(retryAfter)
+	}
+	return verdict.New(verdict.ReadUnanswered, "no upstream answered the read: %v", err).After(retryAfter)
+}
+
+// attempt runs a statement once.
+func (s *Session) attempt(g *group.Group, c group.Choice, w work, need group.Need, tried int) (statement.Reply, outcome) {
+	ticket, err := c.Acquire(s.name, need.Rank, need.Deadline)
+	if err != nil {
+		// The queue is full or too long; a read may still start elsewhere.
+		return refused(err), notRun
+	}
+	left := need.Deadline - s.env.Clock() - answerSlack
+	conn, err := c.Checkout(s.values, left)
+	if err != nil {
+		c.Release(ticket, false)
+		s.noteDialFailure(g, c.Upstream, err)
+		return refused(err), notRun
+	}
+	if err := conn.Adapt(s.values, w.prepared, false, left); err != nil {
+		c.Discard(conn)
+		c.Release(ticket, false)
+		g.Failed(c.Upstream, false)
+		return refused(err), notRun
+	}
+	timeout := need.Deadline - s.env.Clock() - answerSlack
+	if !w.writes && tried == 0 {
+		timeout = min(timeout, readAttempt)
+	}
+	st := w.Statement
+	st.After = c.After
+	sentAt := s.env.Clock()
+	reply, err := conn.Exec(st, timeout)
+	c.Release(ticket, err == nil)
+	if err != nil {
+		c.Discard(conn)
+		g.Failed(c.Upstream, w.writes)
+		return s.broken(err)
+	}
+	c.Return(conn)
+	return s.judge(g, c, w, reply, sentAt)
+}
+
+// broken classifies a connection that failed during a statement.
+func (s *Session) broken(err error) (statement.Reply, outcome) {
+	var link *statement.LinkError
+	if errors.As(err, &link) && !link.Sent {
+		return refused(err), notRun
+	}
+	return refused(err), unanswered
+}
+
+// judge classifies the answer of a member and learns from it.
+func (s *Session) judge(g *group.Group, c group.Choice, w work, reply statement.Reply, sentAt time.Duration) (statement.Reply, outcome) {
+	reason, failed := statement.ReasonOf(reply.Err)
+	if !failed {
+		g.Observe(c.Upstream, reply.Position, sentAt)
+		if w.writes {
+			g.Committed(c.Upstream)
+		} else if !c.Primary {
+			c.NoteBehind(c.At, true)
+		}
+		return reply, answered
+	}
+	switch {
+	case reason == statement.Behind:
+		c.NoteBehind(c.At, false)
+		return reply, notRun
+	case reason.NothingKept(), reason == statement.NoSuchStatement:
+		return reply, notRun
+	case !w.writes && (reason == statement.Failed || reason == statement.TimedOut):
+		return reply, unanswered // a read that ran without result may run again
+	default:
+		return reply, answered
+	}
+}
+
+// noteDialFailure takes in that no connection could be had.
+func (s *Session) noteDialFailure(g *group.Group, u *upstream.Upstream, err error) {
+	var link *statement.LinkError
+	if errors.As(err, &link) {
+		g.Failed(u, false)
+	}
+}
+
+func (s *Session) logRetry(w work, c group.Choice, attempt int, err error) {
+	s.env.Metrics.Retried(outcomeName(err))
+	s.env.Log.WithFields(logrus.Fields{"event": "retry", "request": w.ID, "session": s.name, "upstream": c.Member().ID, "primary": c.Primary,
+		"after": c.After.String(), "evidence_age_ms": c.Evidence.Milliseconds(), "attempt": attempt, "error": err.Error()}).Info("statement is tried again")
+}
+
+func (s *Session) logFailure(w work, r catalog.Route, need group.Need, err error) {
+	s.env.Log.WithFields(logrus.Fields{"event": "failed", "request": w.ID, "session": s.name, "database": s.database, "service": r.Service,
+		"consistency": r.Consistency.String(), "rank": need.Rank.String(), "writes": w.writes, "outcome": outcomeName(err),
+		"took_ms": (s.env.Clock() - need.Arrival).Milliseconds(), "error": err.Error()}).Info("statement was not served")
+}
+
+// outcomeName names the outcome of a statement in logs and metrics.
+func outcomeName(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	if reason, ok := statement.ReasonOf(err); ok {
+		return "upstream_" + reason.String()
+	}
+	var link *statement.LinkError
+	if errors.As(err, &link) {
+		return "connection_lost"
+	}
+	return verdict.As(err).Code.String()
+}
--- /dev/null
+++ b/proxy/upstream/upstream.go
@@ -0,0 +1,438 @@
+// Package upstream runs statements on one database member: it decides with
+// core/schedule which request goes next, and keeps a small pool of connections.
+package upstream
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/steady"
+)
+
+const (
+	// DefaultConcurrency is the number of statements that one instance runs on
+	// a member at a time. With nine instances and the two slots of a member,
+	// the queue at the member stays below its limit of 16.
+	DefaultConcurrency = 3
+	// QueueLimit bounds the requests that wait at one instance for a member.
+	// At 9 ms a statement and 3 at a time, a full queue takes 100 ms.
+	QueueLimit = 32
+	// initialServiceTime is the mean work of a statement in the site files.
+	initialServiceTime = 9 * time.Millisecond
+	// floorMiddle and floorLeast are the guaranteed shares of the lower ranks.
+	floorMiddle = 0.10
+	floorLeast  = 0.05
+	// tickInterval is how often waiting requests are checked for deadlines that
+	// can no longer be met.
+	tickInterval = 20 * time.Millisecond
+	// suspectFor is how long a member is the last choice after a failure.
+	suspectFor = 500 * time.Millisecond
+	// connectionCapRetry is the time after which an instance that was refused a
+	// connection tries to open one more.
+	connectionCapRetry = time.Second
+	// DialTimeout bounds the opening of a connection: 12 ms at a calm member,
+	// and 18 queued statements of 9 ms on two slots before it.
+	DialTimeout = 400 * time.Millisecond
+	// idleKeep connections stay open without work; others close after idleClose.
+	idleKeep  = 1
+	idleClose = 3 * time.Second
+	// initialLag is assumed until answers of the replica show its lag.
+	initialLag = 30 * time.Millisecond
+	maxLag     = 2 * time.Second
+)
+
+// Conn is a connection of the pool with what is set on it.
+type Conn struct {
+	statement.Link
+	values   map[string]string
+	prepared map[string]bool // by upstream name
+	used     time.Duration
+	broken   bool
+}
+
+// Upstream is one member. It is safe for concurrent use.
+type Upstream struct {
+	dialer statement.Dialer
+	clock  steady.Clock
+
+	mu      sync.Mutex
+	member  catalog.Member
+	sched   *schedule.Scheduler
+	nextID  uint64
+	waiting map[uint64]chan error
+	ticking bool
+	closed  bool
+
+	idle    []*Conn
+	open    int
+	limit   int // connections that this instance may open
+	capped  time.Duration
+	handoff []chan *Conn
+
+	suspect time.Duration // last choice until then
+	known   position.Position
+	lag     time.Duration
+}
+
+// New returns an Upstream without connections. limit is the number of
+// connections that all instances together may open to the member.
+func New(m catalog.Member, limit int, dialer statement.Dialer, clock steady.Clock) *Upstream {
+	return &Upstream{
+		dialer: dialer, clock: clock, member: m, limit: limit, lag: initialLag,
+		waiting: make(map[uint64]chan error),
+		sched: schedule.New(schedule.Config{
+			Slots: DefaultConcurrency, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
+			Floor: [schedule.Ranks]float64{0, floorMiddle, floorLeast},
+			Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}),
+	}
+}
+
+// Member returns the member as last registered.
+func (u *Upstream) Member() catalog.Member {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.member
+}
+
+// Update takes in a newer registration of the same member. Another life of the
+// member ends all idle connections.
+func (u *Upstream) Update(m catalog.Member, limit int) {
+	u.mu.Lock()
+	var drop []*Conn
+	if m.Started != u.member.Started || m.Address != u.member.Address {
+		drop, u.idle = u.idle, nil
+		u.open -= len(drop)
+		u.known = position.Position{}
+	}
+	u.member, u.limit = m, limit
+	u.mu.Unlock()
+	closeAll(drop)
+}
+
+// Close ends idle connections and refuses new work. Running work continues.
+func (u *Upstream) Close() {
+	u.mu.Lock()
+	u.closed = true
+	idle := u.idle
+	u.idle = nil
+	u.open -= len(idle)
+	u.dispatch(u.sched.Drain(u.clock()))
+	u.mu.Unlock()
+	closeAll(idle)
+}
+
+func closeAll(conns []*Conn) {
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+// Load is the expected wait of a new request and its expected service time.
+func (u *Upstream) Load(r schedule.Rank) (wait, service time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	service = u.sched.ServiceTime(r)
+	ahead := u.sched.Running()
+	for i := range int(r) + 1 {
+		ahead += u.sched.Waiting(schedule.Rank(i))
+	}
+	// The member executes in parallel what its slots allow.
+	return time.Duration(ahead) * service / time.Duration(max(u.member.Slots, 1)), service
+}
+
+// Suspect reports whether the last request to the member failed.
+func (u *Upstream) Suspect() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.clock() < u.suspect
+}
+
+// NoteFailure makes the member the last choice for a while.
+func (u *Upstream) NoteFailure() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.suspect = u.clock() + suspectFor
+}
+
+// NotePosition takes in a position of the member's log.
+func (u *Upstream) NotePosition(p position.Position) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.known = position.Max(u.known, p)
+	u.suspect = 0
+}
+
+// Behind reports whether the member has probably not reached p, which some
+// primary reached at the time at.
+func (u *Upstream) Behind(p position.Position, at time.Duration) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.known.AtLeast(p) && u.clock()-at < u.lag
+}
+
+// NoteBehind takes in that the member had not reached a position of the time
+// at; reached says that it had, although it was not known to.
+func (u *Upstream) NoteBehind(at time.Duration, reached bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	age := u.clock() - at
+	switch {
+	case !reached:
+		u.lag = min(max(u.lag, age)*2, maxLag)
+	case age < u.lag:
+		u.lag -= (u.lag - age) / 8
+	}
+}
+
+// Acquire waits for the right to run one statement. The result of a later
+// Release is measured as service time.
+func (u *Upstream) Acquire(caller string, rank schedule.Rank, deadline time.Duration) (uint64, error) {
+	u.mu.Lock()
+	if u.closed {
+		u.mu.Unlock()
+		return 0, verdict.New(verdict.Draining, "upstream %s is gone", u.member.ID)
+	}
+	u.nextID++
+	id := u.nextID
+	ready := make(chan error, 1)
+	u.waiting[id] = ready
+	u.dispatch(u.sched.Submit(schedule.Request{ID: id, Caller: caller, Rank: rank, Deadline: deadline}, u.clock()))
+	if !u.ticking && len(u.waiting) > 0 {
+		u.ticking = true
+		time.AfterFunc(tickInterval, u.tick)
+	}
+	u.mu.Unlock()
+	return id, <-ready
+}
+
+// Release ends the right to run a statement. measured is false if the time it
+// took says nothing about the member.
+func (u *Upstream) Release(id uint64, measured bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if measured {
+		u.dispatch(u.sched.Done(id, u.clock()))
+	} else {
+		u.dispatch(u.sched.Cancel(id, u.clock()))
+	}
+}
+
+func (u *Upstream) tick() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dispatch(u.sched.Tick(u.clock()))
+	u.ticking = len(u.waiting) > 0
+	if u.ticking {
+		time.AfterFunc(tickInterval, u.tick)
+	}
+}
+
+// dispatch wakes the requests that the scheduler has decided on.
+func (u *Upstream) dispatch(r schedule.Result) {
+	for _, id := range r.Started {
+		u.wake(id, nil)
+	}
+	for _, rejected := range r.Rejected {
+		u.wake(rejected.ID, rejected.Err)
+	}
+}
+
+func (u *Upstream) wake(id uint64, err error) {
+	if ready := u.waiting[id]; ready != nil {
+		delete(u.waiting, id)
+		ready <- err
+	}
+}
+
+// Checkout returns an idle connection, or opens one. It prefers a connection
+// on which the session's values are already set.
+func (u *Upstream) Checkout(values map[string]string, timeout time.Duration) (*Conn, error) {
+	deadline := u.clock() + timeout
+	for {
+		c, wait, err := u.take(values)
+		if err != nil || c != nil {
+			return c, err
+		}
+		if wait == nil {
+			return u.dial(min(deadline-u.clock(), DialTimeout))
+		}
+		timer := time.NewTimer(deadline - u.clock())
+		select {
+		case c = <-wait:
+			timer.Stop()
+		case <-timer.C:
+			c = u.stopWaiting(wait)
+			if c == nil {
+				return nil, verdict.New(verdict.Overloaded, "no connection to upstream %s came free", u.member.ID).After(timeout)
+			}
+		}
+		if c != nil {
+			return c, nil
+		}
+	}
+}
+
+// take returns an idle connection, a channel to wait on, or neither: then the
+// caller opens a connection, which is already counted.
+func (u *Upstream) take(values map[string]string) (*Conn, chan *Conn, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		return nil, nil, verdict.New(verdict.Draining, "upstream %s is gone", u.member.ID)
+	}
+	for len(u.idle) > 0 {
+		i := u.match(values)
+		c := u.idle[i]
+		u.idle = append(u.idle[:i], u.idle[i+1:]...)
+		if c.Alive() {
+			return c, nil, nil
+		}
+		u.open--
+		c.Close()
+	}
+	now := u.clock()
+	if u.open < u.limit && now >= u.capped || u.open == 0 {
+		u.open++
+		return nil, nil, nil
+	}
+	wait := make(chan *Conn, 1)
+	u.handoff = append(u.handoff, wait)
+	return nil, wait, nil
+}
+
+// match returns the index of the idle connection that needs least preparation,
+// among equals the one used last.
+func (u *Upstream) match(values map[string]string) int {
+	best, score := len(u.idle)-1, -1
+	for i := len(u.idle) - 1; i >= 0; i-- {
+		c := u.idle[i]
+		s := 0
+		switch {
+		case sameValues(c.values, values):
+			s = 2
+		case within(c.values, values):
+			s = 1
+		}
+		if s > score {
+			best, score = i, s
+		}
+	}
+	return best
+}
+
+func (u *Upstream) stopWaiting(wait chan *Conn) *Conn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, w := range u.handoff {
+		if w == wait {
+			u.handoff = append(u.handoff[:i], u.handoff[i+1:]...)
+			return nil
+		}
+	}
+	return <-wait // handed over meanwhile
+}
+
+func (u *Upstream) dial(timeout time.Duration) (*Conn, error) {
+	m := u.Member()
+	link, err := u.dialer.Dial(statement.Target{Service: m.Service, ID: m.ID, Address: m.Address}, timeout)
+	if err == nil {
+		return &Conn{Link: link, prepared: make(map[string]bool)}, nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.open--
+	if reason, ok := statement.ReasonOf(err); ok && reason == statement.TooManyConnections {
+		u.capped = u.clock() + connectionCapRetry
+	}
+	u.passOn(nil)
+	return nil, err
+}
+
+// Return puts a connection back that is idle and in a known state.
+func (u *Upstream) Return(c *Conn) {
+	u.mu.Lock()
+	c.used = u.clock()
+	if c.broken || u.closed {
+		u.open--
+		u.passOn(nil)
+		u.mu.Unlock()
+		c.Close()
+		return
+	}
+	if !u.passOn(c) {
+		u.idle = append(u.idle, c)
+	}
+	u.mu.Unlock()
+}
+
+// Discard closes a connection whose state is not known.
+func (u *Upstream) Discard(c *Conn) {
+	c.broken = true
+	u.Return(c)
+}
+
+// passOn gives a connection, or nil for the right to try again, to the first
+// request that waits for one.
+func (u *Upstream) passOn(c *Conn) bool {
+	if len(u.handoff) == 0 {
+		return false
+	}
+	wait := u.handoff[0]
+	u.handoff = u.handoff[1:]
+	wait <- c
+	return true
+}
+
+// CloseIdle closes connections that were not used for a while.
+func (u *Upstream) CloseIdle() {
+	u.mu.Lock()
+	now := u.clock()
+	var drop []*Conn
+	for len(u.idle) > idleKeep && now-u.idle[0].used > idleClose {
+		drop = append(drop, u.idle[0])
+		u.idle = u.idle[1:]
+		u.open--
+	}
+	u.mu.Unlock()
+	closeAll(drop)
+}
+
+// Control sends an order on a connection of its own, so that neither the queue
+// nor a silent connection of the pool delays it.
+func (u *Upstream) Control(fresh bool, c statement.Control, timeout time.Duration) (StatusReply, error) {
+	conn, err := u.controlConn(fresh, timeout)
+	if err != nil {
+		return StatusReply{}, err
+	}
+	sentAt := u.clock()
+	status, err := conn.Control(c, timeout)
+	if err != nil {
+		var link *statement.LinkError
+		if errors.As(err, &link) {
+			u.Discard(conn)
+			return StatusReply{}, err
+		}
+		u.Return(conn)
+		return StatusReply{}, err
+	}
+	u.Return(conn)
+	return StatusReply{Status: status, SentAt: sentAt}, nil
+}
+
+func (u *Upstream) controlConn(fresh bool, timeout time.Duration) (*Conn, error) {
+	if !fresh {
+		return u.Checkout(nil, timeout)
+	}
+	u.mu.Lock()
+	u.open++
+	u.mu.Unlock()
+	return u.dial(timeout)
+}
