Close four gaps in the change of a primary

The judged version is now the condition. - LOST: a draining replica, cut off together with the primary, acknowledged commits after it had left the register and was taken as gone. A member that left is now kept for promotions until its address refuses connections or the primary has served without it for 8 s. - A renewed claim lengthened the read leases on the old primary, a withdrawn one ended the hold on which a late promotion relies, and one replica was taken as a quorum although a promotion ends its hold.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -48,8 +48,12 @@
 	Holder string `json:"holder"`
 	// Nonce tells the attempts of one holder apart.
 	Nonce uint64 `json:"nonce"`
-	// Since is a store time no later than the moment the claim was stored.
+	// Since is a store time no later than the moment at which the first claim
+	// against Old was stored. A renewal keeps it: leases on the old lead end
+	// ReadLease after it.
 	Since time.Duration `json:"since"`
+	// Renewed is the same for the latest claim, and decides when it ends.
+	Renewed time.Duration `json:"renewed"`
 	// Old is the lead that is being replaced.
 	Old Lead `json:"old"`
 }
@@ -136,10 +140,11 @@
 }
 
 // ObserveQuorum takes in answers of the members themselves, all asked at sentAt
-// or later: the lead called itself primary of its term, and a replica of the
-// same term was not held for a promotion. Every promotion holds all replicas
-// but its candidate and finds the candidate on the old term until it leads, so
-// none had taken effect at sentAt.
+// or later: the lead called itself primary of its term, and every replica was
+// of the same term and not held for a promotion. A promoted member is one of
+// them and would have answered with a later term, so no promotion had taken
+// effect at sentAt. One replica is not enough: a promotion ends the hold of the
+// others, and one that cannot reach the new primary stays on the old term.
 func (t *Tracker) ObserveQuorum(l Lead, log position.Position, sentAt time.Duration) {
 	if l != t.lead {
 		return
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -35,6 +35,10 @@
 type Member struct {
 	ID       string
 	Draining bool
+	// Departed means that the member has left the register but is not known to
+	// have ended. Cut off together with the primary, it may still acknowledge
+	// the primary's commits.
+	Departed bool
 	// Reborn means that the member restarted without its log and has not been
 	// seen to catch up; its log says nothing about earlier commits.
 	Reborn bool
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -68,6 +68,10 @@
 	// before its member is gone: entries that lapsed during an outage of the
 	// store return within about 2 s of its end.
 	goneAfter = 2500 * time.Millisecond
+	// departedFor is how long a member that has left the register is kept while
+	// the primary serves: the other replicas then have every commit that it
+	// acknowledged, unless they lag by more.
+	departedFor = 8 * time.Second
 	// reservedConnections of each member's limit are left to the other
 	// instances, whose number is not known.
 	reservedConnections = 4
@@ -98,6 +102,9 @@
 type member struct {
 	*upstream.Upstream
 	missing time.Duration // since when its entry is missing; 0 if present
+	// departed means that it has left the register. It is kept until it is known
+	// to have ended, because it may acknowledge commits until then.
+	departed bool
 	// rebornFloor is the position that it must reach after a restart without
 	// its log before its log counts again; zero if it does not matter.
 	rebornFloor position.Position
@@ -155,16 +162,35 @@
 		if m.missing == 0 {
 			m.missing = sentAt
 		}
-		if sentAt-m.missing >= goneAfter {
-			g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "missing_ms": (sentAt - m.missing).Milliseconds()}).Info("member left the register")
-			delete(g.members, id)
-			m.Close()
+		if sentAt-m.missing >= goneAfter && !m.departed {
+			m.departed = true
+			g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (sentAt - m.missing).Milliseconds()}).Info("member left the register")
 			g.poke()
 		}
+		if m.departed && sentAt-m.missing >= departedFor && g.trouble.since == 0 && id != g.tracker.Lead().Member {
+			g.drop(id, m, "primary_serves_without_it")
+		}
 	}
 	g.broadcast()
 }
 
+// drop forgets a member. g.mu is held.
+func (g *Group) drop(id string, m *member, why string) {
+	g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "reason": why}).Info("member is gone")
+	delete(g.members, id)
+	m.Close()
+	g.poke()
+}
+
+// noteGone takes in that no process of the member is running.
+func (g *Group) noteGone(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id := m.Member().ID; m.departed && g.members[id] == m {
+		g.drop(id, m, "not_running")
+	}
+}
+
 func (g *Group) updateMember(id string, m catalog.Member, sentAt time.Duration) {
 	known := g.members[id]
 	if known == nil {
@@ -174,7 +200,7 @@
 		g.poke()
 	}
 	old := known.Member()
-	known.missing = 0
+	known.missing, known.departed = 0, false
 	if old.Started != m.Started && old.Started != 0 {
 		known.rebornFloor = g.tracker.Last()
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.rebornFloor.String()}).Warn("member restarted without its log")
@@ -206,6 +232,7 @@
 		g.poke()
 	}
 	if changed {
+		g.retire(before)
 		g.logLead(before, "record")
 		g.trouble.changedAt = g.cfg.Clock()
 		g.trouble.clear()
@@ -218,6 +245,16 @@
 	g.broadcast()
 }
 
+// retire asks a former primary to give up its lead: it may be reachable from
+// here only, and does not learn of its successor while it is cut off from it.
+func (g *Group) retire(before primacy.Lead) {
+	if before.Member == "" || before.Member == g.tracker.Lead().Member || g.members[before.Member] == nil {
+		return
+	}
+	order := statement.Control{Kind: statement.GiveUpLead, Term: g.tracker.Lead().Term}
+	go g.askAll(order, []string{before.Member}, false)
+}
+
 func (g *Group) logRecord(r primacy.Record) {
 	fields := logrus.Fields{"event": "record", "version": r.Version, "lead": r.Lead.Member, "term": r.Lead.Term}
 	if r.Claim != nil {
@@ -240,7 +277,7 @@
 
 func (g *Group) leadLocked() (primacy.Lead, *upstream.Upstream) {
 	lead := g.tracker.Lead()
-	if m := g.members[lead.Member]; m != nil {
+	if m := g.members[lead.Member]; m != nil && !m.departed {
 		return lead, m.Upstream
 	}
 	return lead, nil
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -141,7 +141,7 @@
 		return
 	}
 	askedAt := g.cfg.Clock()
-	status := g.ask(m.Upstream, statement.Control{Kind: statement.AskStatus}, false)
+	status, _ := g.ask(m.Upstream, statement.Control{Kind: statement.AskStatus}, false)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if status == nil || !status.Primary || g.roleHint != hint {
@@ -239,7 +239,7 @@
 	}
 	if r := g.tracker.Record(); r.Claim != nil {
 		storeNow := g.storeNow
-		if storeNow-r.Claim.Since < claimLife {
+		if storeNow-r.Claim.Renewed < claimLife {
 			return "claimed_by_" + r.Claim.Holder
 		}
 	}
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -63,34 +64,48 @@
 }
 
 // confirms reports whether the members confirm the lead: it calls itself
-// primary of the term, and a replica of the term still receives.
+// primary of its term, and all replicas of the group receive in that term.
 func confirms(lead primacy.Lead, members []takeover.Member) (primary takeover.Status, ok bool) {
-	var leads, follows bool
+	followers := 0
 	for _, m := range members {
 		switch {
-		case m.Status == nil || m.Status.Term != lead.Term || m.Reborn:
+		case m.Departed:
+		case m.Status == nil || m.Status.Term != lead.Term || m.Reborn || m.Status.Held != 0:
+			return primary, false
 		case m.ID == lead.Member:
-			leads, primary = m.Status.Primary, *m.Status
-		case m.Status.Held == 0 && !m.Status.Primary:
-			follows = true
+			primary, ok = *m.Status, m.Status.Primary
+		case m.Status.Primary:
+			return primary, false
+		default:
+			followers++
 		}
 	}
-	return primary, leads && follows
+	return primary, ok && followers > 0
 }
 
-// noteLater adopts a lead that the members established while the store is away.
-// g.mu is held.
-func (g *Group) noteLater(lead primacy.Lead, members []takeover.Member) {
-	var later primacy.Lead
+// leadsLater returns a member that leads a later term with at least one follower.
+func leadsLater(lead primacy.Lead, members []takeover.Member) (primacy.Lead, bool) {
 	for _, m := range members {
-		if m.Status != nil && m.Status.Primary && m.Status.Term > lead.Term {
-			later = primacy.Lead{Member: m.ID, Term: m.Status.Term}
+		if m.Status == nil || !m.Status.Primary || m.Status.Term <= lead.Term {
+			continue
+		}
+		for _, f := range members {
+			if f.Status != nil && !f.Status.Primary && f.Status.Term == m.Status.Term {
+				return primacy.Lead{Member: m.ID, Term: m.Status.Term}, true
+			}
 		}
 	}
-	now := g.cfg.Clock()
-	if _, ok := confirms(later, members); !ok || later.Member == "" {
+	return primacy.Lead{}, false
+}
+
+// noteLater adopts a lead that the members established while the store is away.
+// g.mu is held.
+func (g *Group) noteLater(lead primacy.Lead, members []takeover.Member) {
+	later, ok := leadsLater(lead, members)
+	if !ok {
 		return
 	}
+	now := g.cfg.Clock()
 	if g.trouble.later != later {
 		g.trouble.later, g.trouble.laterSince = later, now
 		return
@@ -112,7 +127,7 @@
 	members := make([]takeover.Member, 0, len(g.members))
 	upstreams := make([]*member, 0, len(g.members))
 	for id, m := range g.members {
-		members = append(members, takeover.Member{ID: id, Draining: m.Member().Draining})
+		members = append(members, takeover.Member{ID: id, Draining: m.Member().Draining, Departed: m.departed})
 		upstreams = append(upstreams, m)
 	}
 	g.mu.Unlock()
@@ -121,7 +136,13 @@
 		if ids != nil && !contains(ids, members[i].ID) {
 			continue
 		}
-		wait.Go(func() { members[i].Status = g.ask(upstreams[i].Upstream, order, fresh) })
+		wait.Go(func() {
+			var gone bool
+			members[i].Status, gone = g.ask(upstreams[i].Upstream, order, fresh)
+			if gone {
+				g.noteGone(upstreams[i])
+			}
+		})
 	}
 	wait.Wait()
 	g.mu.Lock()
@@ -145,18 +166,30 @@
 }
 
 // ask sends an order on a pooled connection and, if that is silent or broken,
-// on a fresh one. It returns nil if the member did not answer.
-func (g *Group) ask(u *upstream.Upstream, order statement.Control, fresh bool) *takeover.Status {
+// on a fresh one. The status is nil if the member did not answer; gone says
+// that nothing, or another member, listens at its address.
+func (g *Group) ask(u *upstream.Upstream, order statement.Control, fresh bool) (status *takeover.Status, gone bool) {
 	for _, fresh := range []bool{fresh, true} {
 		reply, err := u.Control(fresh, order, statusTimeout)
 		if err == nil {
 			u.NotePosition(reply.Received)
-			status := reply.Status
-			return &status
+			return &reply.Status, false
 		}
+		gone = notThere(err)
 		g.cfg.Log.WithFields(logrus.Fields{"event": "control_failed", "member": u.Member().ID, "order": order.Kind, "fresh": fresh, "error": err.Error()}).Info("member did not execute an order")
 	}
-	return nil
+	return nil, gone
+}
+
+// notThere reports whether an error proves that the member's process is not
+// running at its address.
+func notThere(err error) bool {
+	var link *statement.LinkError
+	if errors.As(err, &link) {
+		return link.Refused
+	}
+	reason, ok := statement.ReasonOf(err)
+	return ok && reason == statement.WrongMember
 }
 
 func describe(members []takeover.Member) []string {
@@ -176,6 +209,9 @@
 		if m.Draining {
 			text += " draining"
 		}
+		if m.Departed {
+			text += " departed"
+		}
 		if m.Reborn {
 			text += " restarted"
 		}
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -13,6 +13,10 @@
 )
 
 const (
+	// writeEvidence is the age of the evidence that a write needs. The members
+	// themselves keep a replaced primary from acknowledging; this keeps writes
+	// from one that nobody has confirmed for as long as a promotion takes.
+	writeEvidence = time.Second
 	// takeoverTime is how long a change of primary takes from its claim: the
 	// promotion itself (1 s) and the members' answers before it.
 	takeoverTime = 1200 * time.Millisecond
@@ -70,7 +74,7 @@
 			failedRounds = g.rounds.failed
 		}
 		err := g.refusal(n, excluded, g.rounds.failed-failedRounds)
-		if err == nil && g.needsRound(n) {
+		if err == nil && g.needsRound() {
 			g.startRound()
 		}
 		changed := g.changed
@@ -101,7 +105,11 @@
 	if u == nil || excluded[u] || g.trouble.confirmed {
 		return Choice{}, false
 	}
-	if n.Reads && !g.tracker.Proven(n.Arrival-n.Staleness) {
+	age := n.Staleness
+	if !n.Reads {
+		age = writeEvidence
+	}
+	if !g.tracker.Proven(n.Arrival - age) {
 		return Choice{}, false
 	}
 	// A primary that restarted without its log is not at this position.
@@ -122,7 +130,7 @@
 	var candidates []choose.Candidate
 	lead, primary := g.leadLocked()
 	for id, m := range g.members {
-		if excluded[m.Upstream] || m.missing != 0 && m.Suspect() {
+		if excluded[m.Upstream] || m.departed || m.missing != 0 && m.Suspect() {
 			continue
 		}
 		info := m.Member()
@@ -170,11 +178,11 @@
 
 // needsRound reports whether a quorum of members can provide what the request
 // lacks. g.mu is held.
-func (g *Group) needsRound(n Need) bool {
+func (g *Group) needsRound() bool {
 	if _, u := g.leadLocked(); u == nil || g.trouble.confirmed {
 		return false
 	}
-	return n.Reads
+	return true
 }
 
 // refusal returns why a request should not wait, or nil. g.mu is held.
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -55,31 +55,36 @@
 	claimed  time.Duration  // local time before the claim was sent
 	stored   time.Duration  // local time after its answer
 	started  time.Duration
-	promoted time.Duration // when the last promotion was sent; 0 if none
-	log      *logrus.Entry
+	promoted time.Duration // when the last promotion was accepted; 0 if none
+	// pending is until when a promotion that was sent, by this or an earlier
+	// holder, may still take effect.
+	pending time.Duration
+	log     *logrus.Entry
 }
 
 func (g *Group) takeOver(ctx context.Context, why reason) {
 	g.mu.Lock()
 	old := g.tracker.Lead()
-	if r := g.tracker.Record(); r.Claim != nil {
-		old = r.Claim.Old
-	}
-	version := g.tracker.Record().Version
+	base := g.tracker.Record()
 	g.mu.Unlock()
+	if base.Claim != nil {
+		old = base.Claim.Old
+	}
 	time.Sleep(rand.N(claimSpread))
-	g.mu.Lock()
-	moved := g.tracker.Record().Version != version
-	g.mu.Unlock()
-	if moved || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return
 	}
 	if !g.replaceable(g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false), old) {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "change_not_started", "old": old.Member, "reason": why.text}).Info("no replica answers")
 		return
 	}
-	c := &change{g: g, why: why, old: old, nonce: rand.Uint64(), started: g.cfg.Clock(),
+	// The record that was judged is the condition of the claim: one that another
+	// instance has claimed meanwhile makes it fail.
+	c := &change{g: g, why: why, old: old, nonce: rand.Uint64(), started: g.cfg.Clock(), record: base,
 		log: g.cfg.Log.WithFields(logrus.Fields{"change_of": old.Member, "old_term": old.Term})}
+	if base.Claim != nil {
+		c.pending = c.started + effectLimit
+	}
 	if c.claim(ctx) {
 		c.run(ctx)
 	}
@@ -89,12 +94,20 @@
 func (c *change) claim(ctx context.Context) bool {
 	g := c.g
 	g.mu.Lock()
-	r := g.tracker.Record()
+	r := c.record
 	now := g.cfg.Clock()
 	since := g.storeNow + now - g.recordsAnswered
+	moved := g.tracker.Record().Version > r.Version
 	g.mu.Unlock()
+	if moved {
+		return false
+	}
 	r.Service = g.cfg.Service
-	r.Claim = &primacy.Claim{Holder: g.cfg.Instance, Nonce: c.nonce, Since: since, Old: c.old}
+	claim := &primacy.Claim{Holder: g.cfg.Instance, Nonce: c.nonce, Since: since, Renewed: since, Old: c.old}
+	if r.Claim != nil && r.Claim.Old == c.old {
+		claim.Since = min(claim.Since, r.Claim.Since)
+	}
+	r.Claim = claim
 	c.claimed = now
 	version, storeNow, err := c.put(ctx, r)
 	if err != nil {
@@ -178,6 +191,11 @@
 		c.publish(ctx, primacy.Lead{Member: s.Targets[0], Term: s.Term})
 		return true
 	case takeover.Abort:
+		// A promotion that may still take effect relies on the holds.
+		if c.g.cfg.Clock() < c.pending {
+			time.Sleep(pollInterval)
+			break
+		}
 		c.g.askAll(statement.Control{Kind: statement.ReleaseReplica}, s.Targets, false)
 		c.withdraw(ctx)
 		return true
@@ -201,6 +219,7 @@
 	}
 	maySend := func() bool { return g.cfg.Clock()-c.claimed < sendWindow }
 	sentAt := g.cfg.Clock()
+	c.pending = sentAt + promoteTimeout + effectLimit
 	err := g.cfg.Promoter.Promote(Promotion{Service: g.cfg.Service, Member: s.Targets[0], Holder: g.cfg.Instance, Token: c.record.Version}, maySend, promoteTimeout)
 	fields := logrus.Fields{"event": "promotion_sent", "member": s.Targets[0], "token": c.record.Version, "took_ms": (g.cfg.Clock() - sentAt).Milliseconds()}
 	if err != nil {
--- a/proxy/statement/statement.go
+++ b/proxy/statement/statement.go
@@ -170,6 +170,8 @@
 	Sent bool
 	// Timeout means that no answer came in time, as opposed to a broken connection.
 	Timeout bool
+	// Refused means that no process listens at the address.
+	Refused bool
 	Err     error
 }
 
