Let one instance read the store for all

Cause: each instance polled the store by itself, about 6.5 calls a second. A reading that begins after another instance has asked for it proves as much for the asker as one of its own.

--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -159,21 +159,26 @@
 		if entry, ok := all[id]; ok && entry.Service == g.cfg.Service {
 			continue
 		}
-		if m.missing == 0 {
-			m.missing = sentAt
-		}
-		if sentAt-m.missing >= goneAfter && !m.departed {
-			m.departed = true
-			g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (sentAt - m.missing).Milliseconds()}).Info("member left the register")
-			g.poke()
-		}
-		if m.departed && sentAt-m.missing >= departedFor && g.trouble.since == 0 && id != g.tracker.Lead().Member {
-			g.drop(id, m, "primary_serves_without_it")
-		}
+		g.updateMissing(id, m, sentAt)
 	}
 	g.broadcast()
 }
 
+// updateMissing judges a member whose entry is missing in a reading. g.mu is held.
+func (g *Group) updateMissing(id string, m *member, sentAt time.Duration) {
+	if m.missing == 0 {
+		m.missing = sentAt
+	}
+	if sentAt-m.missing >= goneAfter && !m.departed {
+		m.departed = true
+		g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (sentAt - m.missing).Milliseconds()}).Info("member left the register")
+		g.poke()
+	}
+	if m.departed && sentAt-m.missing >= departedFor && g.trouble.since == 0 && id != g.tracker.Lead().Member {
+		g.drop(id, m, "primary_serves_without_it")
+	}
+}
+
 // drop forgets a member. g.mu is held.
 func (g *Group) drop(id string, m *member, why string) {
 	g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "reason": why}).Info("member is gone")
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/figures"
 	"github.com/papayarail/papayarail/proxy/group"
@@ -29,12 +30,22 @@
 	Config(ctx context.Context, cursor uint64, wait time.Duration) (*catalog.Config, uint64, error)
 	// Members reads the registered members.
 	Members(ctx context.Context) (catalog.Members, error)
+	// Instances reads the announced instances.
+	Instances(ctx context.Context) ([]source.Candidate, error)
+	// Announce stores how other instances reach this one, Withdraw removes it.
+	Announce(ctx context.Context, self source.Candidate) error
+	Withdraw(ctx context.Context, name string) error
 }
 
 // Settings of an instance.
 type Settings struct {
 	Instance      string
 	FailureDomain string
+	// RelayAddress is where this instance reads the store for others; empty if
+	// it does not.
+	RelayAddress string
+	// Weight is its capacity for that.
+	Weight float64
 	// Grace is the time between the order to stop and the end of the process.
 	Grace time.Duration
 }
@@ -51,27 +62,6 @@
 }
 
 const (
-	// recordInterval is how often the records are read: three readings fall
-	// into a read lease of 1 s, so that one may fail.
-	recordInterval = 400 * time.Millisecond
-	// changingInterval is the interval while a primary is being replaced.
-	changingInterval = 100 * time.Millisecond
-	// recordTimeout bounds a reading of the records. A store that is slower
-	// than this is taken as away.
-	recordTimeout = 450 * time.Millisecond
-	// membersInterval is how often the members are read. They must be out of
-	// use within 7 s after they announce that they leave.
-	membersInterval = time.Second
-	// configWait is how long one call waits for a new configuration; a silent
-	// connection is noticed configSlack later. Both fit twice into the 3 s in
-	// which a configuration must be in force.
-	configWait  = time.Second
-	configSlack = 450 * time.Millisecond
-	// retryInterval separates failed calls to the store.
-	retryInterval = 100 * time.Millisecond
-	// slowTimeout is given to calls that are not urgent: a slow store takes
-	// 0.4 s for an answer.
-	slowTimeout = 1500 * time.Millisecond
 	// idleInterval is how often unused upstream connections are closed.
 	idleInterval = time.Second
 )
@@ -89,12 +79,14 @@
 	stopGroups context.CancelFunc
 	running    context.Context
 
-	stop stopState
+	reader *reader
+	stop   stopState
 }
 
 // New returns a Node that does nothing until Run.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, groups: make(map[string]*group.Group), sessions: make(map[*served]struct{})}
+	n.reader = newReader(n)
 	cfg.Figures.Sessions(func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -109,9 +101,9 @@
 	n.running, n.stopGroups = context.WithCancel(ctx)
 	ctx = n.running
 	n.mu.Unlock()
-	n.loops.Go(func() { n.followConfig(ctx) })
-	n.loops.Go(func() { n.followMembers(ctx) })
-	n.loops.Go(func() { n.followRecords(ctx) })
+	n.loops.Go(func() { n.announce(ctx) })
+	n.loops.Go(func() { n.reader.followConfig(ctx) })
+	n.loops.Go(func() { n.follow(ctx) })
 	n.loops.Go(func() { n.closeIdle(ctx) })
 	n.loops.Wait()
 }
@@ -146,29 +138,6 @@
 	return 0
 }
 
-// followConfig applies each new configuration. A version below the one in
-// force is never applied.
-func (n *Node) followConfig(ctx context.Context) {
-	var cursor uint64
-	link := n.dependency("config")
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, configWait+configSlack)
-		started := n.cfg.Clock()
-		c, next, err := n.cfg.Store.Config(call, cursor, configWait)
-		cancel()
-		n.cfg.Figures.StoreCall("config", err, n.cfg.Clock()-started)
-		link.note(err)
-		if err != nil {
-			sleep(ctx, retryInterval)
-			continue
-		}
-		cursor = next
-		if c != nil {
-			n.apply(c)
-		}
-	}
-}
-
 func (n *Node) apply(c *catalog.Config) {
 	old := n.config.Load()
 	if old != nil && c.Version <= old.Version {
@@ -209,61 +178,6 @@
 	return groups
 }
 
-func (n *Node) followMembers(ctx context.Context) {
-	link := n.dependency("members")
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, slowTimeout)
-		sentAt := n.cfg.Clock()
-		members, err := n.cfg.Store.Members(call)
-		cancel()
-		n.cfg.Figures.StoreCall("members", err, n.cfg.Clock()-sentAt)
-		link.note(err)
-		if err != nil {
-			sleep(ctx, retryInterval)
-			continue
-		}
-		groups := n.allGroups()
-		for _, g := range groups {
-			g.UpdateMembers(members, sentAt)
-		}
-		n.mu.Lock()
-		n.membersOK = n.membersOK || len(groups) > 0
-		n.mu.Unlock()
-		if len(groups) == 0 {
-			sleep(ctx, retryInterval)
-			continue
-		}
-		sleep(ctx, membersInterval)
-	}
-}
-
-// followRecords reads the records of all groups, which renews the read leases.
-func (n *Node) followRecords(ctx context.Context) {
-	link := n.dependency("records")
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, recordTimeout)
-		sentAt := n.cfg.Clock()
-		records, storeNow, err := n.cfg.Store.Records(call)
-		cancel()
-		n.cfg.Figures.StoreCall("records", err, n.cfg.Clock()-sentAt)
-		link.note(err)
-		if err != nil {
-			sleep(ctx, retryInterval)
-			continue
-		}
-		interval := recordInterval
-		for _, g := range n.allGroups() {
-			r := records[g.Service()]
-			r.Service = g.Service()
-			g.UpdateRecord(r, storeNow, sentAt)
-			if g.Changing() {
-				interval = changingInterval
-			}
-		}
-		sleep(ctx, interval-(n.cfg.Clock()-sentAt))
-	}
-}
-
 func (n *Node) closeIdle(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, idleInterval)
--- a/proxy/node/stop.go
+++ b/proxy/node/stop.go
@@ -49,6 +49,7 @@
 	grace := n.cfg.Settings.Grace
 	n.stop.stage.Store(stageUnlisted)
 	n.cfg.Log.WithFields(logrus.Fields{"event": "stop_ordered", "grace_ms": grace.Milliseconds(), "sessions": n.openSessions()}).Info("stopping")
+	go n.withdraw()
 	half := grace / 2
 	time.Sleep(min(unlistTime, max(half-closeSpread, 0)))
 	n.stop.stage.Store(stageClosing)
