--- a/core/source/source.go
+++ b/core/source/source.go
@@ -18,9 +18,10 @@
 	// is gone for good is hardly asked any more.
 	markTime    = 1500 * time.Millisecond
 	maxMarkTime = 24 * time.Second
-	// triesBeforeOwn is the number of candidates that may fail in a row before
-	// an instance reads for itself.
-	triesBeforeOwn = 2
+	// awayBeforeOwn is the number of candidates in a row to which the store must
+	// be away before an instance reads for itself. After one that is silent it
+	// reads at once: its evidence is about to run out.
+	awayBeforeOwn = 2
 	// ownSpacing separates an instance's own readings while others have told it
 	// that the store is away: calls to a store that is away are priced too.
 	ownSpacing = time.Second
@@ -55,6 +56,7 @@
 	candidates []Candidate
 	marks      map[string]mark
 	failed     int // candidates that failed in a row
+	silent     bool
 	away       bool
 	ownAt      time.Duration // last own reading
 	owned      bool
@@ -81,7 +83,7 @@
 
 // Next returns the source of the next reading.
 func (p *Picker) Next(now time.Duration) Choice {
-	if p.failed < triesBeforeOwn {
+	if p.failed < awayBeforeOwn && !p.silent {
 		for _, c := range p.candidates {
 			if c.Name == p.self {
 				return p.own(now)
@@ -105,7 +107,7 @@
 // Answered takes in a reading from a candidate.
 func (p *Picker) Answered(name string) {
 	delete(p.marks, name)
-	p.failed, p.away = 0, false
+	p.failed, p.silent, p.away = 0, false, false
 }
 
 // Failed takes in that a candidate gave no reading.
@@ -116,12 +118,13 @@
 	p.marks[name] = m
 	p.failed++
 	p.away = p.away || why == StoreAway
+	p.silent = p.silent || why == Silent
 }
 
 // Read takes in the result of an own reading.
 func (p *Picker) Read(ok bool, now time.Duration) {
 	p.ownAt, p.owned = now, true
-	p.failed = 0
+	p.failed, p.silent = 0, false
 	if ok {
 		p.away = false
 	}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -94,6 +94,7 @@
 	roleSeen        time.Duration
 
 	trouble  trouble
+	silence  silence
 	rounds   rounds
 	wake     chan struct{}
 	finished chan struct{}
@@ -311,6 +312,18 @@
 	return g.tracker.Changing() || g.trouble.confirmed || g.tracker.Lead().Member == ""
 }
 
+// ProvenUntil returns until when the lead is proven, and starts a round of
+// questions to the members if that is past.
+func (g *Group) ProvenUntil() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until := g.tracker.ProvenUntil()
+	if g.tracker.Lead().Member != "" && until < g.cfg.Clock() {
+		g.startRound()
+	}
+	return until
+}
+
 // Close ends idle connections of all members.
 func (g *Group) Close() {
 	g.mu.Lock()
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/primacy"
-	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/statement"
 	"github.com/papayarail/papayarail/proxy/upstream"
 )
@@ -18,6 +18,10 @@
 	// probeTimeout bounds a probe of a suspect primary: a connection takes
 	// 12 ms and a status waits behind queued statements for up to 80 ms.
 	probeTimeout = 250 * time.Millisecond
+	// silenceLimit is how long the lead may leave statements unanswered, without
+	// any answer between, until it is probed. 18 statements of 9 ms on two slots
+	// take 80 ms.
+	silenceLimit = 150 * time.Millisecond
 	// probePause separates two probes, so that a restart of the member's
 	// listener is not taken for its death.
 	probePause = 60 * time.Millisecond
@@ -52,6 +56,56 @@
 
 func (t *trouble) clear() { *t = trouble{changedAt: t.changedAt} }
 
+// silence watches whether statements sent to the lead are answered.
+type silence struct {
+	outstanding int
+	since       time.Duration // last answer, or first statement after a quiet time
+	watching    bool
+}
+
+// Started takes in that a statement is sent to the lead.
+func (g *Group) Started() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.silence.outstanding == 0 {
+		g.silence.since = g.cfg.Clock()
+	}
+	g.silence.outstanding++
+	if !g.silence.watching {
+		g.silence.watching = true
+		time.AfterFunc(silenceLimit, g.checkSilence)
+	}
+}
+
+// Finished takes in that such a statement was answered or given up.
+func (g *Group) Finished(answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silence.outstanding--
+	if answered {
+		g.silence.since = g.cfg.Clock()
+	}
+}
+
+func (g *Group) checkSilence() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silence.watching = false
+	if g.silence.outstanding == 0 {
+		return
+	}
+	now := g.cfg.Clock()
+	if now-g.silence.since >= silenceLimit {
+		if g.trouble.since == 0 {
+			g.trouble.since = g.silence.since
+		}
+		g.trouble.failures++
+		g.poke()
+	}
+	g.silence.watching = true
+	time.AfterFunc(max(g.silence.since+silenceLimit-now, silenceLimit/2), g.checkSilence)
+}
+
 // Failed takes in that a request to a member failed without an answer.
 func (g *Group) Failed(u *upstream.Upstream, unansweredWrite bool) {
 	u.NoteFailure()
@@ -226,6 +280,10 @@
 			return probeAlive
 		}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "probe_failed", "member": lead.Member, "attempt": attempt, "error": err.Error()}).Info("primary did not answer a probe")
+		var link *statement.LinkError
+		if errors.As(err, &link) && link.Timeout {
+			break // it was silent for longer than any pause
+		}
 	}
 	return probeDead
 }
@@ -245,14 +303,3 @@
 	}
 	return ""
 }
-
-// replaceable reports whether enough members answer for a change to succeed.
-func (g *Group) replaceable(members []takeover.Member, lead primacy.Lead) bool {
-	answered := 0
-	for _, m := range members {
-		if m.ID != lead.Member && m.Status != nil {
-			answered++
-		}
-	}
-	return answered > 0
-}
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,9 @@
 	// statusTimeout bounds one answer of a member. A status waits for a slot
 	// behind up to 18 statements of 9 ms on two slots.
 	statusTimeout = 250 * time.Millisecond
+	// laggardPatience is the wait for a member that is known not to serve, after
+	// the others have answered; a live one answers in 5 ms.
+	laggardPatience = 40 * time.Millisecond
 )
 
 // rounds coalesces the readings of the members' own status.
@@ -121,9 +125,12 @@
 }
 
 // askAll sends an order to the members with these ids, or to all, and returns
-// all members with the answers that came in time.
+// all members with the answers that came in time. Once the others have answered,
+// it waits only laggardPatience longer for a lead that is known not to serve.
 func (g *Group) askAll(order statement.Control, ids []string, fresh bool) []takeover.Member {
 	g.mu.Lock()
+	lead := g.tracker.Lead().Member
+	doubted := g.trouble.confirmed
 	members := make([]takeover.Member, 0, len(g.members))
 	upstreams := make([]*member, 0, len(g.members))
 	for id, m := range g.members {
@@ -131,31 +138,53 @@
 		upstreams = append(upstreams, m)
 	}
 	g.mu.Unlock()
-	var wait sync.WaitGroup
-	for i := range members {
+	answers := make([]atomic.Pointer[takeover.Status], len(members))
+	var others, all sync.WaitGroup
+	for i, m := range upstreams {
 		if ids != nil && !contains(ids, members[i].ID) {
 			continue
 		}
-		wait.Go(func() {
-			var gone bool
-			members[i].Status, gone = g.ask(upstreams[i].Upstream, order, fresh)
+		work := &others
+		if doubted && (members[i].ID == lead || members[i].Departed) {
+			work = &all
+		}
+		work.Go(func() {
+			status, gone := g.ask(m.Upstream, order, fresh)
+			answers[i].Store(status)
 			if gone {
-				g.noteGone(upstreams[i])
+				g.noteGone(m)
 			}
 		})
 	}
-	wait.Wait()
+	others.Wait()
+	waitAtMost(&all, laggardPatience)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i := range members {
-		floor := upstreams[i].rebornFloor
-		if s := members[i].Status; !floor.IsZero() && s != nil {
+		s := answers[i].Load()
+		members[i].Status = s
+		if floor := upstreams[i].rebornFloor; !floor.IsZero() && s != nil {
 			members[i].Reborn = !s.Received.AtLeast(floor)
 		}
 	}
 	return members
 }
 
+// waitAtMost waits for the work to end, but no longer than a limit.
+func waitAtMost(work *sync.WaitGroup, limit time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		work.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
 func contains(ids []string, id string) bool {
 	for _, other := range ids {
 		if other == id {
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -23,6 +23,8 @@
 	// roundsBeforeCutOff is the number of rounds without a quorum after which a
 	// request that needs one is refused.
 	roundsBeforeCutOff = 2
+	// minPatience covers a round of questions to the members under load.
+	minPatience = 60 * time.Millisecond
 	// retryWithoutPrimary is the time to come back if nothing says when there
 	// will be a primary: the interval in which members register.
 	retryWithoutPrimary = time.Second
@@ -43,6 +45,8 @@
 	Own   position.Position
 	OwnAt time.Duration
 	Rank  schedule.Rank
+	// Objective is the time in which the caller wants its answer.
+	Objective time.Duration
 	// Deadline is when the caller no longer waits.
 	Deadline time.Duration
 }
@@ -63,6 +67,7 @@
 // evidence if that can come in time. excluded members are not chosen.
 func (g *Group) Choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, error) {
 	failedRounds := -1
+	giveUp := min(n.Deadline, g.cfg.Clock()+g.patience(n))
 	for {
 		g.mu.Lock()
 		c, ok := g.choose(n, excluded)
@@ -82,16 +87,23 @@
 		if err != nil {
 			return Choice{}, err
 		}
-		timer := time.NewTimer(max(n.Deadline-g.cfg.Clock(), 0))
+		timer := time.NewTimer(max(giveUp-g.cfg.Clock(), 0))
 		select {
 		case <-changed:
 			timer.Stop()
 		case <-timer.C:
-			return Choice{}, verdict.New(verdict.NoPrimary, "service %s had no usable primary until the deadline", g.cfg.Service).After(g.comeBack())
+			return Choice{}, verdict.New(verdict.NoPrimary, "nothing confirms the primary of service %s", g.cfg.Service).After(g.comeBack())
 		}
 	}
 }
 
+// patience is how long a request waits for evidence. While a primary is being
+// replaced it is known when to come back; else a round takes some 10 ms, and a
+// caller that is refused early tries another instance.
+func (g *Group) patience(n Need) time.Duration {
+	return max(n.Objective/4, minPatience)
+}
+
 // choose decides without waiting. g.mu is held.
 func (g *Group) choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
 	if n.Writes || n.Consistency == catalog.Strict {
@@ -187,7 +199,6 @@
 
 // refusal returns why a request should not wait, or nil. g.mu is held.
 func (g *Group) refusal(n Need, excluded map[*upstream.Upstream]bool, failedRounds int) error {
-	now := g.cfg.Clock()
 	if len(g.members) == 0 {
 		return verdict.New(verdict.CutOff, "no member of service %s is registered", g.cfg.Service).After(retryWithoutPrimary)
 	}
@@ -197,7 +208,7 @@
 	if failedRounds >= roundsBeforeCutOff {
 		return verdict.New(verdict.CutOff, "no quorum of service %s confirms its primary", g.cfg.Service).After(g.comeBackLocked())
 	}
-	if wait := g.comeBackLocked(); (g.tracker.Changing() || g.trouble.confirmed) && now+wait > n.Deadline {
+	if wait := g.comeBackLocked(); (g.tracker.Changing() || g.trouble.confirmed) && wait > g.patience(n) {
 		return verdict.New(verdict.NoPrimary, "the primary of service %s is being replaced", g.cfg.Service).After(wait)
 	}
 	return nil
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -74,10 +74,6 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !g.replaceable(g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false), old) {
-		g.cfg.Log.WithFields(logrus.Fields{"event": "change_not_started", "old": old.Member, "reason": why.text}).Info("no replica answers")
-		return
-	}
 	// The record that was judged is the condition of the claim: one that another
 	// instance has claimed meanwhile makes it fail.
 	c := &change{g: g, why: why, old: old, nonce: rand.Uint64(), started: g.cfg.Clock(), record: base,
--- /dev/null
+++ b/proxy/node/isolation.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// isolationCheck is how often an instance judges whether it is cut off.
+	isolationCheck = 200 * time.Millisecond
+	// isolationAfter is how long nothing may prove any primary until the
+	// instance is cut off. It is longer than a change of primary.
+	isolationAfter = 1500 * time.Millisecond
+)
+
+// isolation is what an instance does that is cut off from the store and from
+// the members: it can serve next to nothing, but callers may still reach other
+// instances. It is not ready, so that new callers go elsewhere, and once the
+// load balancer has noticed, it closes sessions between requests.
+type isolation struct {
+	isolated atomic.Bool
+	closing  atomic.Bool
+}
+
+func (n *Node) watchIsolation(ctx context.Context) {
+	var since time.Duration
+	for ctx.Err() == nil {
+		sleep(ctx, isolationCheck)
+		now := n.cfg.Clock()
+		proven, any := time.Duration(0), false
+		for _, g := range n.allGroups() {
+			any = true
+			proven = max(proven, g.ProvenUntil())
+		}
+		cut := any && proven > 0 && now-proven > isolationAfter
+		switch {
+		case cut && since == 0:
+			since = now
+			n.isolation.isolated.Store(true)
+			n.cfg.Log.WithFields(logrus.Fields{"event": "cut_off", "proven_age_ms": (now - proven).Milliseconds()}).Warn("instance is cut off and not ready")
+		case !cut && since != 0:
+			n.cfg.Log.WithFields(logrus.Fields{"event": "cut_off_ended", "lasted_ms": (now - since).Milliseconds()}).Info("instance is ready again")
+			since = 0
+			n.isolation.isolated.Store(false)
+			n.isolation.closing.Store(false)
+		case cut && now-since >= unlistTime && !n.isolation.closing.Load():
+			n.isolation.closing.Store(true)
+			go n.wakeSpread(closeSpread)
+		}
+	}
+}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -79,8 +79,9 @@
 	stopGroups context.CancelFunc
 	running    context.Context
 
-	reader *reader
-	stop   stopState
+	reader    *reader
+	isolation isolation
+	stop      stopState
 }
 
 // New returns a Node that does nothing until Run.
@@ -105,6 +106,7 @@
 	n.loops.Go(func() { n.reader.followConfig(ctx) })
 	n.loops.Go(func() { n.follow(ctx) })
 	n.loops.Go(func() { n.closeIdle(ctx) })
+	n.loops.Go(func() { n.watchIsolation(ctx) })
 	n.loops.Wait()
 }
 
@@ -112,7 +114,7 @@
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.config.Load() != nil && n.membersOK && !n.stop.ordered()
+	return n.config.Load() != nil && n.membersOK && !n.stop.ordered() && !n.isolation.isolated.Load()
 }
 
 // Route implements session.Directory.
@@ -240,9 +242,15 @@
 		n.mu.Unlock()
 	}()
 	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, Metrics: n.cfg.Figures}
-	return session.New(env, caller, name, database).Serve(&n.stop)
+	return session.New(env, caller, name, database).Serve(n)
 }
 
+// CloseIdle implements session.Stopping.
+func (n *Node) CloseIdle() bool { return n.stop.closing() || n.isolation.closing.Load() }
+
+// EndTransactions implements session.Stopping.
+func (n *Node) EndTransactions() bool { return n.stop.ending() }
+
 // Primaries returns the lead of each group, for the state dump.
 func (n *Node) Primaries() map[string]primacy.Lead {
 	leads := make(map[string]primacy.Lead)
--- a/proxy/node/stop.go
+++ b/proxy/node/stop.go
@@ -34,11 +34,9 @@
 
 func (s *stopState) ordered() bool { return s.stage.Load() >= stageUnlisted }
 
-// CloseIdle implements session.Stopping.
-func (s *stopState) CloseIdle() bool { return s.stage.Load() >= stageClosing }
+func (s *stopState) closing() bool { return s.stage.Load() >= stageClosing }
 
-// EndTransactions implements session.Stopping.
-func (s *stopState) EndTransactions() bool { return s.stage.Load() >= stageEnding }
+func (s *stopState) ending() bool { return s.stage.Load() >= stageEnding }
 
 // Stop leaves without cutting a request: the instance is not ready at once, new
 // connections and requests are served until the load balancer has noticed, then
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -168,7 +168,7 @@
 	st := w.Statement
 	st.After = c.After
 	sentAt := s.env.Clock()
-	reply, err := conn.Exec(st, timeout)
+	reply, err := execute(g, c, conn, st, timeout)
 	c.Release(ticket, err == nil)
 	if err != nil {
 		c.Discard(conn)
@@ -179,6 +179,17 @@
 	return s.judge(g, c, w, reply, sentAt)
 }
 
+// execute runs a statement on a connection, watching the silence of a primary.
+func execute(g *group.Group, c group.Choice, conn *upstream.Conn, st statement.Statement, timeout time.Duration) (statement.Reply, error) {
+	if !c.Primary {
+		return conn.Exec(st, timeout)
+	}
+	g.Started()
+	reply, err := conn.Exec(st, timeout)
+	g.Finished(err == nil)
+	return reply, err
+}
+
 // broken classifies a connection that failed during a statement.
 func (s *Session) broken(err error) (statement.Reply, outcome) {
 	var link *statement.LinkError
--- a/proxy/session/session.go
+++ b/proxy/session/session.go
@@ -228,7 +228,7 @@
 func (s *Session) need(r catalog.Route, arrival time.Duration, writes, reads bool) group.Need {
 	own := s.own[r.Service]
 	return group.Need{Writes: writes, Reads: reads, Consistency: r.Consistency, Staleness: r.Staleness, Arrival: arrival,
-		Own: own.position, OwnAt: own.at, Rank: rank(r), Deadline: arrival + r.Timeout}
+		Own: own.position, OwnAt: own.at, Rank: rank(r), Objective: r.Objective, Deadline: arrival + r.Timeout}
 }
 
 func rank(r catalog.Route) schedule.Rank {
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -197,7 +197,7 @@
 	err = conn.Adapt(s.values, nil, false, left)
 	var reply statement.Reply
 	if err == nil {
-		reply, err = conn.Exec(begin, left)
+		reply, err = execute(t.group, c, conn, begin, left)
 	}
 	if err != nil {
 		c.Release(ticket, false)
@@ -236,7 +236,7 @@
 	}
 	sentAt := s.env.Clock()
 	t.wrote = t.wrote || w.writes
-	reply, err := t.conn.Exec(w.Statement, left)
+	reply, err := execute(t.group, c, t.conn, w.Statement, left)
 	c.Release(ticket, err == nil)
 	if err != nil {
 		t.drop()
@@ -290,7 +290,7 @@
 		return refused(err)
 	}
 	sentAt := s.env.Clock()
-	reply, err := t.conn.Exec(st, arrival+t.route.Timeout-sentAt-answerSlack)
+	reply, err := execute(t.group, c, t.conn, st, arrival+t.route.Timeout-sentAt-answerSlack)
 	c.Release(ticket, err == nil)
 	if err != nil {
 		t.drop()
