--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -16,6 +16,9 @@
 	BehindCost = 12 * time.Millisecond
 )
 
+// ColdCost is the time to open a connection (12 ms of a slot and a round trip).
+const ColdCost = 14 * time.Millisecond
+
 // Candidate is a member that may execute the read.
 type Candidate struct {
 	// Wait is the expected time until the read starts.
@@ -26,6 +29,8 @@
 	Primary bool
 	// Behind means that the member has probably not reached the position.
 	Behind bool
+	// Cold means that a connection must be opened first.
+	Cold bool
 	// Suspect means that the last request to the member failed.
 	Suspect bool
 }
@@ -46,6 +51,9 @@
 	if c.Behind {
 		cost += BehindCost
 	}
+	if c.Cold {
+		cost += ColdCost
+	}
 	if c.Suspect {
 		cost += SuspectCost
 	}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -14,6 +14,7 @@
 
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/share"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
 	"github.com/papayarail/papayarail/proxy/steady"
@@ -72,9 +73,6 @@
 	// the primary serves: the other replicas then have every commit that it
 	// acknowledged, unless they lag by more.
 	departedFor = 8 * time.Second
-	// reservedConnections of each member's limit are left to the other
-	// instances, whose number is not known.
-	reservedConnections = 4
 )
 
 // Group is one database group. It is safe for concurrent use.
@@ -85,7 +83,9 @@
 	service catalog.Service
 	tracker primacy.Tracker
 	members map[string]*member
-	changed chan struct{} // closed whenever a waiting request may go on
+	// instances is the number of instances that share the members.
+	instances int
+	changed   chan struct{} // closed whenever a waiting request may go on
 
 	recordsRead     time.Duration // when the last answered reading of the records was sent
 	recordsAnswered time.Duration // when it was answered
@@ -144,9 +144,14 @@
 	g.service = s
 }
 
-// connectionLimit is the number of connections that this instance opens to one
-// member. Members refuse what all instances open beyond their limit.
-func (g *Group) connectionLimit() int { return max(g.service.Connections-reservedConnections, 1) }
+// SetInstances takes in the number of instances that share the members.
+func (g *Group) SetInstances(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.instances = n
+}
+
+func (g *Group) policy() share.Policy { return share.For(g.service.Connections, g.instances) }
 
 // UpdateMembers takes in a reading of the registered members, sent at sentAt.
 func (g *Group) UpdateMembers(all catalog.Members, sentAt time.Duration) {
@@ -201,7 +206,7 @@
 func (g *Group) updateMember(id string, m catalog.Member, sentAt time.Duration) {
 	known := g.members[id]
 	if known == nil {
-		known = &member{Upstream: upstream.New(m, g.connectionLimit(), g.cfg.Dialer, g.cfg.Clock)}
+		known = &member{Upstream: upstream.New(m, g.policy(), g.cfg.Dialer, g.cfg.Clock)}
 		g.members[id] = known
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_joined", "member": id, "address": m.Address, "failure_domain": m.FailureDomain, "primary": m.Primary}).Info("member joined")
 		g.poke()
@@ -217,7 +222,7 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_draining", "member": id}).Info("member is leaving")
 		g.poke()
 	}
-	known.Update(m, g.connectionLimit())
+	known.Update(m, g.policy())
 	if m.Primary && !m.Draining && g.tracker.Lead().Member == "" {
 		if g.roleHint.Member != id {
 			g.roleHint, g.roleSeen = primacy.Lead{Member: id}, sentAt
@@ -333,12 +338,3 @@
 		m.Close()
 	}
 }
-
-// CloseIdle closes connections that were not used for a while.
-func (g *Group) CloseIdle() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, m := range g.members {
-		m.CloseIdle()
-	}
-}
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -147,7 +147,7 @@
 		}
 		info := m.Member()
 		c := choose.Candidate{Remote: info.FailureDomain != g.cfg.FailureDomain, Suspect: m.Suspect()}
-		c.Wait, c.Service = m.Load(n.Rank)
+		c.Wait, c.Service, c.Cold = m.Load(n.Rank)
 		choice := Choice{Upstream: m.Upstream, After: after, At: at, Evidence: n.Arrival - at}
 		switch {
 		case id == lead.Member:
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -61,11 +61,6 @@
 	Figures  *figures.Figures
 }
 
-const (
-	// idleInterval is how often unused upstream connections are closed.
-	idleInterval = time.Second
-)
-
 // Node is one instance.
 type Node struct {
 	cfg    Config
@@ -105,7 +100,6 @@
 	n.loops.Go(func() { n.announce(ctx) })
 	n.loops.Go(func() { n.reader.followConfig(ctx) })
 	n.loops.Go(func() { n.follow(ctx) })
-	n.loops.Go(func() { n.closeIdle(ctx) })
 	n.loops.Go(func() { n.watchIsolation(ctx) })
 	n.loops.Wait()
 }
@@ -180,15 +174,6 @@
 	return groups
 }
 
-func (n *Node) closeIdle(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, idleInterval)
-		for _, g := range n.allGroups() {
-			g.CloseIdle()
-		}
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(max(d, 0))
 	defer timer.Stop()
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -119,6 +119,7 @@
 	}
 	groups := n.allGroups()
 	for _, g := range groups {
+		g.SetInstances(len(r.Instances))
 		g.UpdateMembers(r.Members, sentAt)
 		record := r.Records[g.Service()]
 		record.Service = g.Service()
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/share"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -34,15 +35,13 @@
 	tickInterval = 20 * time.Millisecond
 	// suspectFor is how long a member is the last choice after a failure.
 	suspectFor = 500 * time.Millisecond
-	// connectionCapRetry is the time after which an instance that was refused a
-	// connection tries to open one more.
-	connectionCapRetry = time.Second
+	// refusedPause is how long an instance opens no connection after it was
+	// refused one; it doubles with each further refusal up to maxRefusedPause.
+	refusedPause    = 20 * time.Millisecond
+	maxRefusedPause = 320 * time.Millisecond
 	// DialTimeout bounds the opening of a connection: 12 ms at a calm member,
 	// and 18 queued statements of 9 ms on two slots before it.
 	DialTimeout = 400 * time.Millisecond
-	// idleKeep connections stay open without work; others close after idleClose.
-	idleKeep  = 1
-	idleClose = 3 * time.Second
 	// initialLag is assumed until answers of the replica show its lag.
 	initialLag = 30 * time.Millisecond
 	maxLag     = 2 * time.Second
@@ -72,8 +71,9 @@
 
 	idle    []*Conn
 	open    int
-	limit   int // connections that this instance may open
-	capped  time.Duration
+	policy  share.Policy
+	capped  time.Duration // no connection is opened before
+	refused int           // refused connections in a row
 	handoff []chan *Conn
 
 	suspect time.Duration // last choice until then
@@ -81,11 +81,10 @@
 	lag     time.Duration
 }
 
-// New returns an Upstream without connections. limit is the number of
-// connections that all instances together may open to the member.
-func New(m catalog.Member, limit int, dialer statement.Dialer, clock steady.Clock) *Upstream {
+// New returns an Upstream without connections.
+func New(m catalog.Member, policy share.Policy, dialer statement.Dialer, clock steady.Clock) *Upstream {
 	return &Upstream{
-		dialer: dialer, clock: clock, member: m, limit: limit, lag: initialLag,
+		dialer: dialer, clock: clock, member: m, policy: policy, lag: initialLag,
 		waiting: make(map[uint64]chan error),
 		sched: schedule.New(schedule.Config{
 			Slots: DefaultConcurrency, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
@@ -104,7 +103,7 @@
 
 // Update takes in a newer registration of the same member. Another life of the
 // member ends all idle connections.
-func (u *Upstream) Update(m catalog.Member, limit int) {
+func (u *Upstream) Update(m catalog.Member, policy share.Policy) {
 	u.mu.Lock()
 	var drop []*Conn
 	if m.Started != u.member.Started || m.Address != u.member.Address {
@@ -112,7 +111,7 @@
 		u.open -= len(drop)
 		u.known = position.Position{}
 	}
-	u.member, u.limit = m, limit
+	u.member, u.policy = m, policy
 	u.mu.Unlock()
 	closeAll(drop)
 }
@@ -136,7 +135,8 @@
 }
 
 // Load is the expected wait of a new request and its expected service time.
-func (u *Upstream) Load(r schedule.Rank) (wait, service time.Duration) {
+// cold means that it needs a new connection.
+func (u *Upstream) Load(r schedule.Rank) (wait, service time.Duration, cold bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	service = u.sched.ServiceTime(r)
@@ -145,7 +145,12 @@
 		ahead += u.sched.Waiting(schedule.Rank(i))
 	}
 	// The member executes in parallel what its slots allow.
-	return time.Duration(ahead) * service / time.Duration(max(u.member.Slots, 1)), service
+	wait = time.Duration(ahead) * service / time.Duration(max(u.member.Slots, 1))
+	cold = len(u.idle) == 0
+	if cold {
+		wait += max(u.capped-u.clock(), 0)
+	}
+	return wait, service, cold
 }
 
 // Suspect reports whether the last request to the member failed.
@@ -257,55 +262,74 @@
 func (u *Upstream) Checkout(values map[string]string, timeout time.Duration) (*Conn, error) {
 	deadline := u.clock() + timeout
 	for {
-		c, wait, err := u.take(values)
+		c, wait, pause, err := u.take(values)
 		if err != nil || c != nil {
 			return c, err
 		}
 		if wait == nil {
-			return u.dial(min(deadline-u.clock(), DialTimeout))
-		}
-		timer := time.NewTimer(deadline - u.clock())
-		select {
-		case c = <-wait:
-			timer.Stop()
-		case <-timer.C:
-			c = u.stopWaiting(wait)
-			if c == nil {
-				return nil, verdict.New(verdict.Overloaded, "no connection to upstream %s came free", u.member.ID).After(timeout)
+			c, err = u.dial(min(deadline-u.clock(), DialTimeout))
+			if !refusedConnection(err) {
+				return c, err
 			}
+			continue
 		}
-		if c != nil {
+		if c := u.await(wait, min(pause, deadline-u.clock())); c != nil {
 			return c, nil
 		}
+		if u.clock() >= deadline {
+			return nil, verdict.New(verdict.Overloaded, "no connection to upstream %s came free", u.Member().ID).After(maxRefusedPause)
+		}
+	}
+}
+
+// refusedConnection reports whether the member's connection limit is reached.
+func refusedConnection(err error) bool {
+	reason, ok := statement.ReasonOf(err)
+	return ok && reason == statement.TooManyConnections
+}
+
+// await waits for a connection that another request gives back. It returns nil
+// after the limit, or if the request may try again.
+func (u *Upstream) await(wait chan *Conn, limit time.Duration) *Conn {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case c := <-wait:
+		return c
+	case <-timer.C:
+		return u.stopWaiting(wait)
 	}
 }
 
-// take returns an idle connection, a channel to wait on, or neither: then the
-// caller opens a connection, which is already counted.
-func (u *Upstream) take(values map[string]string) (*Conn, chan *Conn, error) {
+// take returns an idle connection; or a channel to wait on, for at most pause;
+// or neither: then the caller opens a connection, which is already counted.
+func (u *Upstream) take(values map[string]string) (c *Conn, wait chan *Conn, pause time.Duration, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.closed {
-		return nil, nil, verdict.New(verdict.Draining, "upstream %s is gone", u.member.ID)
+		return nil, nil, 0, verdict.New(verdict.Draining, "upstream %s is gone", u.member.ID)
 	}
 	for len(u.idle) > 0 {
 		i := u.match(values)
 		c := u.idle[i]
 		u.idle = append(u.idle[:i], u.idle[i+1:]...)
 		if c.Alive() {
-			return c, nil, nil
+			return c, nil, 0, nil
 		}
 		u.open--
 		c.Close()
 	}
-	now := u.clock()
-	if u.open < u.limit && now >= u.capped || u.open == 0 {
+	pause = u.capped - u.clock()
+	if u.open < u.policy.Open && pause <= 0 {
 		u.open++
-		return nil, nil, nil
+		return nil, nil, 0, nil
+	}
+	if u.open >= u.policy.Open {
+		pause = DialTimeout
 	}
-	wait := make(chan *Conn, 1)
+	wait = make(chan *Conn, 1)
 	u.handoff = append(u.handoff, wait)
-	return nil, wait, nil
+	return nil, wait, pause, nil
 }
 
 // match returns the index of the idle connection that needs least preparation,
@@ -343,14 +367,18 @@
 func (u *Upstream) dial(timeout time.Duration) (*Conn, error) {
 	m := u.Member()
 	link, err := u.dialer.Dial(statement.Target{Service: m.Service, ID: m.ID, Address: m.Address}, timeout)
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	if err == nil {
+		u.refused = 0
 		return &Conn{Link: link, prepared: make(map[string]bool)}, nil
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.open--
-	if reason, ok := statement.ReasonOf(err); ok && reason == statement.TooManyConnections {
-		u.capped = u.clock() + connectionCapRetry
+	if refusedConnection(err) {
+		pause := min(refusedPause<<min(u.refused, 8), maxRefusedPause)
+		u.refused++
+		u.capped = u.clock() + pause/2 + rand.N(pause)
+		return nil, err
 	}
 	u.passOn(nil)
 	return nil, err
@@ -369,6 +397,9 @@
 	}
 	if !u.passOn(c) {
 		u.idle = append(u.idle, c)
+		if len(u.idle) > u.policy.Keep {
+			time.AfterFunc(u.policy.Idle+time.Millisecond, u.CloseIdle)
+		}
 	}
 	u.mu.Unlock()
 }
@@ -396,7 +427,7 @@
 	u.mu.Lock()
 	now := u.clock()
 	var drop []*Conn
-	for len(u.idle) > idleKeep && now-u.idle[0].used > idleClose {
+	for len(u.idle) > u.policy.Keep && now-u.idle[0].used > u.policy.Idle {
 		drop = append(drop, u.idle[0])
 		u.idle = u.idle[1:]
 		u.open--
