--- a/proxy/standin/standin.go
+++ b/proxy/standin/standin.go
@@ -285,7 +285,7 @@
 	if m == nil || m.down {
 		return fmt.Errorf("not running")
 	}
-	if m == w.leader() {
+	if m.primary && m == w.leader() {
 		return nil
 	}
 	time.AfterFunc(promoteTime, func() { w.promoted(m) })
@@ -297,7 +297,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.leader()
-	if m.down || m == old {
+	if m.down || m.primary && m == old {
 		return
 	}
 	seen := make(map[string]bool)
@@ -321,7 +321,9 @@
 			time.AfterFunc(learnTime, func() { w.learn(m, r) })
 		}
 	}
-	time.AfterFunc(promoteTime, func() { w.demote(m, old) })
+	if old != m {
+		time.AfterFunc(promoteTime, func() { w.demote(m, old) })
+	}
 }
 
 func (w *World) learn(p, r *Member) {
