--- /dev/null
+++ b/core/primacy/primacy_test.go
@@ -0,0 +1,94 @@
+package primacy_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/primacy"
+)
+
+const ms = time.Millisecond
+
+var leadA, leadB = primacy.Lead{Member: "a", Term: 1}, primacy.Lead{Member: "b", Term: 2}
+
+func at(term, offset uint64) position.Position { return position.Position{Term: term, Offset: offset} }
+
+// led returns a tracker whose lead a was read at 10 s.
+func led() *primacy.Tracker {
+	t := &primacy.Tracker{}
+	t.ObserveRecord(primacy.Record{Lead: leadA, Version: 5}, 100*time.Second, 10*time.Second)
+	return t
+}
+
+// Guards the end of the read lease: a reading proves the lead for arrivals up
+// to one lease after it was sent, and a claim ends all leases together.
+func TestLeaseEndsWithTheClaim(t *testing.T) {
+	tr := led()
+	assert.Assert(t, tr.Proven(10*time.Second+900*ms))
+	assert.Assert(t, !tr.Proven(11*time.Second))
+	claim := &primacy.Claim{Holder: "x", Since: 100*time.Second + 500*ms, Old: leadA}
+	tr.ObserveRecord(primacy.Record{Lead: leadA, Claim: claim, Version: 6}, 101*time.Second, 11*time.Second)
+	// The claim is 0.5 s old in the reading sent at 11 s: 0.5 s of lease is left.
+	assert.Assert(t, tr.Proven(11*time.Second+450*ms))
+	assert.Assert(t, !tr.Proven(11*time.Second+500*ms))
+	assert.Assert(t, tr.Changing())
+	tr.ObserveRecord(primacy.Record{Lead: leadA, Claim: claim, Version: 6}, 103*time.Second, 13*time.Second)
+	assert.Assert(t, !tr.Proven(12*time.Second))
+}
+
+// Guards against a late answer of the store: an older record never replaces a
+// newer one.
+func TestOlderRecordIsIgnored(t *testing.T) {
+	tr := led()
+	assert.Assert(t, tr.ObserveRecord(primacy.Record{Lead: leadB, Version: 8}, 102*time.Second, 12*time.Second))
+	assert.Assert(t, !tr.ObserveRecord(primacy.Record{Lead: leadA, Version: 5}, 101*time.Second, 13*time.Second))
+	assert.Equal(t, tr.Lead(), leadB)
+	assert.Assert(t, !tr.Proven(13*time.Second+500*ms))
+}
+
+// Guards marks: only answers of the proven lead say what a replica must have.
+func TestMarks(t *testing.T) {
+	tr := led()
+	tr.ObservePosition("c", at(1, 99), 10*time.Second)
+	_, ok := tr.OldestMark(0)
+	assert.Assert(t, !ok, "a replica's position is no mark")
+	tr.ObservePosition("a", at(1, 4), 10*time.Second+100*ms)
+	tr.ObservePosition("a", at(1, 7), 10*time.Second+300*ms)
+	tr.ObservePosition("a", at(1, 9), 11*time.Second+500*ms) // after the lease
+	m, ok := tr.OldestMark(10*time.Second + 50*ms)
+	assert.Assert(t, ok)
+	assert.Equal(t, m.Position, at(1, 4))
+	m, ok = tr.OldestMark(10*time.Second + 200*ms)
+	assert.Assert(t, ok)
+	assert.Equal(t, m.Position, at(1, 7))
+	_, ok = tr.OldestMark(10*time.Second + 301*ms)
+	assert.Assert(t, !ok)
+}
+
+// A new primary that has committed nothing yet answers with a position of the
+// term before; ignoring it left replicas without reads by age after each change.
+func TestMarkOfAnEarlierTermAfterPromotion(t *testing.T) {
+	tr := led()
+	tr.ObserveRecord(primacy.Record{Lead: leadB, Version: 8}, 102*time.Second, 12*time.Second)
+	tr.ObservePosition("b", at(1, 40), 12*time.Second+100*ms)
+	m, ok := tr.OldestMark(12 * time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, m.Position, at(1, 40))
+	// A write acknowledged in term 1 is covered by the first position seen.
+	covered, ok := tr.Translate(at(1, 44))
+	assert.Assert(t, ok)
+	assert.Equal(t, covered, at(1, 40))
+}
+
+// Guards the first lead, known from the members' own word only: a claim that
+// could be under way must not be overlooked.
+func TestRoleIsOverruledByRecords(t *testing.T) {
+	tr := &primacy.Tracker{}
+	assert.Assert(t, tr.ObserveRole(leadA))
+	assert.Assert(t, !tr.ObserveRole(leadB))
+	assert.Assert(t, tr.ObserveRecord(primacy.Record{Lead: leadB, Version: 1}, 1, 1))
+	assert.Assert(t, !tr.ObserveRole(primacy.Lead{Member: "c", Term: 9}))
+}
--- /dev/null
+++ b/core/takeover/takeover_test.go
@@ -0,0 +1,62 @@
+package takeover_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/takeover"
+)
+
+var old = primacy.Lead{Member: "a", Term: 3}
+
+func replica(offset, held uint64) *takeover.Status {
+	return &takeover.Status{Term: 3, Received: position.Position{Term: 3, Offset: offset}, Held: held}
+}
+
+func primary(term, offset uint64) *takeover.Status {
+	return &takeover.Status{Primary: true, Term: term, Received: position.Position{Term: term, Offset: offset}}
+}
+
+// Each case guards one way in which a change of primary could lose an
+// acknowledged commit or stop for good.
+func TestDecide(t *testing.T) {
+	type members = []takeover.Member
+	for _, test := range []struct {
+		name     string
+		in       members
+		stepDown bool
+		want     takeover.Action
+		target   string
+	}{
+		{"dead primary: hold the replicas first", members{{ID: "a"}, {ID: "b", Status: replica(5, 0)}, {ID: "c", Status: replica(7, 0)}}, false, takeover.Hold, "b"},
+		{"dead primary: the longest log leads", members{{ID: "a"}, {ID: "b", Status: replica(5, 4)}, {ID: "c", Status: replica(7, 4)}}, false, takeover.Promote, "c"},
+		{"dead primary: a silent replica may be ahead", members{{ID: "a"}, {ID: "b", Status: replica(5, 4)}, {ID: "c"}}, false, takeover.Wait, ""},
+		{"dead primary: so may one that left the register", members{{ID: "a"}, {ID: "b", Status: replica(5, 4)}, {ID: "c", Status: replica(5, 4)}, {ID: "d", Departed: true}}, false, takeover.Wait, ""},
+		{"dead primary: a replica without its log proves nothing", members{{ID: "a"}, {ID: "b", Status: replica(5, 4)}, {ID: "c", Reborn: true, Status: replica(0, 4)}}, false, takeover.Wait, ""},
+		{"primary without its log counts as dead", members{{ID: "a", Reborn: true, Status: replica(0, 0)}, {ID: "b", Status: replica(5, 4)}, {ID: "c", Status: replica(4, 4)}}, false, takeover.Promote, "b"},
+		{"primary back: let the replicas go on", members{{ID: "a", Status: primary(3, 8)}, {ID: "b", Status: replica(5, 4)}, {ID: "c", Status: replica(7, 0)}}, false, takeover.Abort, "b"},
+		{"leaving primary: hold all but the candidate", members{{ID: "a", Draining: true, Status: primary(3, 8)}, {ID: "b", Status: replica(8, 0)}, {ID: "c", Status: replica(7, 0)}}, false, takeover.Hold, "c"},
+		{"leaving primary: the candidate must reach the held", members{{ID: "a", Draining: true, Status: primary(3, 9)}, {ID: "b", Status: replica(8, 0)}, {ID: "c", Status: replica(9, 4)}}, false, takeover.Wait, ""},
+		{"leaving primary: promote", members{{ID: "a", Draining: true, Status: primary(3, 9)}, {ID: "b", Status: replica(9, 0)}, {ID: "c", Status: replica(9, 4)}}, false, takeover.Promote, "b"},
+		{"leaving primary, replica silent: give up the lead", members{{ID: "a", Draining: true, Status: primary(3, 9)}, {ID: "b", Status: replica(9, 0)}, {ID: "c"}}, false, takeover.GiveUp, "a"},
+		{"primary that left the register but serves", members{{ID: "a", Departed: true, Status: primary(3, 9)}, {ID: "b", Status: replica(9, 0)}, {ID: "c", Status: replica(9, 4)}}, false, takeover.Promote, "b"},
+		{"former primary: its whole log is needed", members{{ID: "a", Draining: true, Status: replica(9, 0)}, {ID: "b", Status: replica(8, 0)}, {ID: "c"}}, false, takeover.Wait, ""},
+		{"former primary: a replica with its log leads", members{{ID: "a", Draining: true, Status: replica(9, 0)}, {ID: "b", Status: replica(9, 0)}, {ID: "c"}}, false, takeover.Promote, "b"},
+		{"commits not acknowledged: give up the lead", members{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(8, 0)}, {ID: "c", Status: replica(8, 0)}}, true, takeover.GiveUp, "a"},
+		{"already promoted", members{{ID: "a"}, {ID: "b", Status: primary(4, 9)}, {ID: "c", Status: replica(9, 0)}}, false, takeover.Done, "b"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			step := takeover.Decide(takeover.Input{Old: old, Members: test.in, Size: max(len(test.in), 3), StepDown: test.stepDown})
+			assert.Equal(t, step.Action, test.want, step.Reason)
+			if test.target != "" {
+				assert.Equal(t, step.Targets[0], test.target)
+			}
+			if step.Action == takeover.Hold || step.Action == takeover.Promote {
+				assert.Assert(t, step.Term > old.Term)
+			}
+		})
+	}
+}
