Recover sooner after all instances have lost power

The first lead is recorded, the first reading includes the configuration, idle connections close after 1 s, and an instance is cut off when its evidence is 0.4 s out of date.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -22,9 +22,11 @@
 	minOpen = 3
 	// burst is the multiple of its part that an instance may open: load is
 	// uneven, and most others are below their part.
-	burst = 3
-	// longIdle is used while every instance can keep a connection.
-	longIdle = 3 * time.Second
+	burst = 2
+	// longIdle is used while every instance can keep a connection. Connections
+	// of instances that lost power count at the upstream for 3 s; what bursts
+	// have opened must be closed before, or their successors get none.
+	longIdle = time.Second
 	// shortIdle is used while instances outnumber connections. With 73
 	// operations a second on a primary (grown colle-avvisi) it keeps 22 of its
 	// 46 connections open and idle.
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -93,12 +93,13 @@
 	roleHint        primacy.Lead  // primary by its own word, until the records confirm that no change is under way
 	roleSeen        time.Duration
 
-	attempted time.Duration // last attempt to replace the primary; used by Run only
-	trouble   trouble
-	silence   silence
-	rounds    rounds
-	wake      chan struct{}
-	finished  chan struct{}
+	attempted  time.Duration // last attempt to replace the primary; used by Run only
+	unrecorded bool          // the first lead is to be recorded
+	trouble    trouble
+	silence    silence
+	rounds     rounds
+	wake       chan struct{}
+	finished   chan struct{}
 }
 
 type member struct {
@@ -257,6 +258,17 @@
 	g.broadcast()
 }
 
+// RecordFirstLead asks for a record of a lead that is known from its own word
+// only, so that instances that start later need not ask the members.
+func (g *Group) RecordFirstLead() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.tracker.Record().Version == 0 && g.tracker.Lead().Member != "" && !g.unrecorded {
+		g.unrecorded = true
+		g.poke()
+	}
+}
+
 // retire asks a former primary to give up its lead: it may be reachable from
 // here only, and does not learn of its successor while it is cut off from it.
 func (g *Group) retire(before primacy.Lead) {
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -160,6 +160,7 @@
 		g.learnLead()
 		return
 	}
+	g.recordFirstLead(ctx, lead)
 	why, ok := g.reason(lead, u)
 	if !ok {
 		return
@@ -204,6 +205,27 @@
 	g.roleHint.Term, g.roleSeen = status.Term, askedAt
 }
 
+// recordFirstLead stores a record of the lead if there is none.
+func (g *Group) recordFirstLead(ctx context.Context, lead primacy.Lead) {
+	g.mu.Lock()
+	due := g.unrecorded && g.tracker.Record().Version == 0
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	_, _, err := g.cfg.Register.Put(call, primacy.Record{Service: g.cfg.Service, Lead: lead})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unrecorded = false
+	fields := logrus.Fields{"event": "first_lead_recorded", "member": lead.Member, "term": lead.Term}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	g.cfg.Log.WithFields(fields).Info("first primary recorded")
+}
+
 // reason is why a primary is to be replaced.
 type reason struct {
 	text string
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -11,9 +11,10 @@
 const (
 	// isolationCheck is how often an instance judges whether it is cut off.
 	isolationCheck = 200 * time.Millisecond
-	// isolationAfter is how long nothing may prove any primary until the
-	// instance is cut off. It is longer than a change of primary.
-	isolationAfter = 1500 * time.Millisecond
+	// isolationAfter is how long the evidence of all primaries may have run out
+	// until the instance is cut off: three rounds of questions to the members
+	// and one reading of the store have failed then.
+	isolationAfter = 400 * time.Millisecond
 )
 
 // isolation is what an instance does that is cut off from the store and from
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -80,7 +80,7 @@
 			picker.SetCandidates(reading.Instances)
 		}
 		latest = latest.Updated(reading)
-		n.takeIn(ctx, latest, sentAt)
+		n.takeIn(ctx, latest, sentAt, choice.Own)
 	}
 }
 
@@ -109,8 +109,9 @@
 	return reading, err
 }
 
-// takeIn applies a reading that was asked for at sentAt.
-func (n *Node) takeIn(ctx context.Context, r relay.Reading, sentAt time.Duration) {
+// takeIn applies a reading that was asked for at sentAt. own says that this
+// instance read the store itself.
+func (n *Node) takeIn(ctx context.Context, r relay.Reading, sentAt time.Duration, own bool) {
 	switch {
 	case r.Config != nil:
 		n.apply(r.Config)
@@ -124,6 +125,9 @@
 		record := r.Records[g.Service()]
 		record.Service = g.Service()
 		g.UpdateRecord(record, r.StoreNow, sentAt)
+		if own {
+			g.RecordFirstLead()
+		}
 	}
 	n.mu.Lock()
 	n.membersOK = n.membersOK || len(groups) > 0
@@ -287,6 +291,10 @@
 	n := r.n
 	ctx := context.Background()
 	now := n.cfg.Clock()
+	if n.config.Load() == nil {
+		// Without it there are no groups that could take in the rest.
+		n.fetchConfig(ctx)
+	}
 	var storeNow time.Duration
 	records, err := timed(n, ctx, "records", func(ctx context.Context) (map[string]primacy.Record, error) {
 		records, at, err := n.cfg.Store.Records(ctx)
