--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -141,11 +141,10 @@
 }
 
 // ObserveQuorum takes in answers of the members themselves, all asked at sentAt
-// or later: the lead called itself primary of its term, and every replica was
-// of the same term and not held for a promotion. A promoted member is one of
-// them and would have answered with a later term, so no promotion had taken
-// effect at sentAt. One replica is not enough: a promotion ends the hold of the
-// others, and one that cannot reach the new primary stays on the old term.
+// or later, that confirm the lead: it called itself primary of its term, and
+// replicas of the same term were not held for a promotion. A promoted member
+// would have answered with a later term, or, if it was silent, have kept the
+// replicas from taking entries of this lead.
 func (t *Tracker) ObserveQuorum(l Lead, log position.Position, sentAt time.Duration) {
 	if l != t.lead {
 		return
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -94,6 +94,7 @@
 	roleSeen        time.Duration
 
 	attempted  time.Duration // last attempt to replace the primary; used by Run only
+	committed  time.Duration // when the last acknowledged write was sent to the lead
 	unrecorded bool          // the first lead is to be recorded
 	trouble    trouble
 	silence    silence
@@ -108,6 +109,7 @@
 	// departed means that it has left the register. It is kept until it is known
 	// to have ended, because it may acknowledge commits until then.
 	departed bool
+	silent   bool // it did not answer the last order
 	// rebornFloor is the position that it must reach after a restart without
 	// its log before its log counts again; zero if it does not matter.
 	rebornFloor position.Position
@@ -195,15 +197,6 @@
 	g.poke()
 }
 
-// noteGone takes in that no process of the member is running.
-func (g *Group) noteGone(m *member) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if id := m.Member().ID; m.departed && g.members[id] == m {
-		g.drop(id, m, "not_running")
-	}
-}
-
 func (g *Group) updateMember(id string, m catalog.Member, sentAt time.Duration) {
 	known := g.members[id]
 	if known == nil {
@@ -246,12 +239,12 @@
 	}
 	if changed {
 		g.retire(before)
-		g.logLead(before, "record")
+		g.noteLead(before, "record")
 		g.trouble.changedAt = g.cfg.Clock()
 		g.trouble.clear()
 	}
 	if r.Claim == nil && g.roleHint.Term > 0 && sentAt > g.roleSeen && g.tracker.ObserveRole(g.roleHint) {
-		g.logLead(before, "own_word")
+		g.noteLead(before, "own_word")
 		// The next reading proves the lead; this one was sent before it was known.
 		g.tracker.ObserveRecord(r, storeNow, sentAt)
 	}
@@ -287,7 +280,9 @@
 	g.cfg.Log.WithFields(fields).Info("record of the group changed")
 }
 
-func (g *Group) logLead(before primacy.Lead, source string) {
+// noteLead logs a new lead and forgets what was known of the former one.
+func (g *Group) noteLead(before primacy.Lead, source string) {
+	g.committed = 0 // it says nothing about another lead
 	lead := g.tracker.Lead()
 	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": lead.Member, "term": lead.Term, "before": before.Member, "source": source}).Info("primary changed")
 }
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -124,12 +124,13 @@
 	g.poke()
 }
 
-// Committed takes in that the lead acknowledged a write.
-func (g *Group) Committed(u *upstream.Upstream) {
+// Committed takes in that the lead acknowledged a write that was sent at sentAt.
+func (g *Group) Committed(u *upstream.Upstream, sentAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, lead := g.leadLocked(); lead == u {
 		g.trouble.unanswered = 0
+		g.committed = max(g.committed, sentAt)
 	}
 }
 
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -2,8 +2,7 @@
 
 import (
 	"errors"
-	"sync"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,9 +20,15 @@
 	// statusTimeout bounds one answer of a member. A status waits for a slot
 	// behind up to 18 statements of 9 ms on two slots.
 	statusTimeout = 250 * time.Millisecond
+	// commitEvidence is the age up to which an acknowledged commit makes up for
+	// members that do not answer a round. Leases run out 1 s after the store is
+	// lost; commits of that second let service go on.
+	commitEvidence = 1200 * time.Millisecond
+	// quorumSize is the lead and a replica.
+	quorumSize = 2
 	// laggardPatience is the wait for a member that is known not to serve, after
 	// the others have answered; a live one answers in 5 ms.
-	laggardPatience = 40 * time.Millisecond
+	laggardPatience = 20 * time.Millisecond
 )
 
 // rounds coalesces the readings of the members' own status.
@@ -52,11 +57,14 @@
 	g.rounds.started = g.cfg.Clock()
 	sentAt := g.rounds.started
 	g.mu.Unlock()
-	members := g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false)
+	members := g.askSome(statement.Control{Kind: statement.AskStatus}, nil, false, true)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rounds.running = false
-	primary, quorum := confirms(lead, members)
+	// A commit that was acknowledged of late shows that a replica takes the
+	// lead's entries, which none does after a promotion of another member.
+	partial := g.committed > 0 && sentAt-g.committed < commitEvidence
+	primary, quorum := confirms(lead, members, partial)
 	if quorum {
 		g.tracker.ObserveQuorum(lead, primary.Received, sentAt)
 	} else {
@@ -68,12 +76,14 @@
 }
 
 // confirms reports whether the members confirm the lead: it calls itself
-// primary of its term, and all replicas of the group receive in that term.
-func confirms(lead primacy.Lead, members []takeover.Member) (primary takeover.Status, ok bool) {
+// primary of its term, and replicas of that term receive. If partial is set, one
+// such replica is enough, and the others may be silent; an answer that speaks
+// against the lead counts in any case.
+func confirms(lead primacy.Lead, members []takeover.Member, partial bool) (primary takeover.Status, ok bool) {
 	followers := 0
 	for _, m := range members {
 		switch {
-		case m.Departed:
+		case m.Departed || m.Status == nil && partial:
 		case m.Status == nil || m.Status.Term != lead.Term || m.Reborn || m.Status.Held != 0:
 			return primary, false
 		case m.ID == lead.Member:
@@ -120,78 +130,100 @@
 	before := g.tracker.Lead()
 	if g.tracker.AdoptPromoted(later) {
 		g.trouble.clear()
-		g.logLead(before, "members")
+		g.noteLead(before, "members")
 	}
 }
 
 // askAll sends an order to the members with these ids, or to all, and returns
-// all members with the answers that came in time. Once the others have answered,
-// it waits only laggardPatience longer for a lead that is known not to serve.
+// all members with the answers that came in time. It waits for a member that is
+// known not to serve only laggardPatience longer than for the others.
 func (g *Group) askAll(order statement.Control, ids []string, fresh bool) []takeover.Member {
+	return g.askSome(order, ids, fresh, false)
+}
+
+// askSome is askAll; with quorum set, it waits laggardPatience after two answers
+// for all others.
+func (g *Group) askSome(order statement.Control, ids []string, fresh, quorum bool) []takeover.Member {
 	g.mu.Lock()
 	lead := g.tracker.Lead().Member
-	doubted := g.trouble.confirmed
 	members := make([]takeover.Member, 0, len(g.members))
 	upstreams := make([]*member, 0, len(g.members))
+	asked, awaited := 0, 0
 	for id, m := range g.members {
 		members = append(members, takeover.Member{ID: id, Draining: m.Member().Draining, Departed: m.departed})
 		upstreams = append(upstreams, m)
+		if ids != nil && !slices.Contains(ids, id) {
+			continue
+		}
+		asked++
+		if !(id == lead && g.trouble.confirmed || m.departed || m.silent) {
+			awaited++
+		}
 	}
 	g.mu.Unlock()
-	answers := make([]atomic.Pointer[takeover.Status], len(members))
-	var others, all sync.WaitGroup
+	if quorum {
+		awaited = min(awaited, quorumSize)
+	}
+	answers := make(chan answer, asked)
 	for i, m := range upstreams {
-		if ids != nil && !contains(ids, members[i].ID) {
-			continue
-		}
-		work := &others
-		if doubted && (members[i].ID == lead || members[i].Departed) {
-			work = &all
+		if ids == nil || slices.Contains(ids, members[i].ID) {
+			go func() {
+				status, gone := g.ask(m.Upstream, order, fresh)
+				g.noteAnswer(m, status != nil, gone)
+				answers <- answer{i, status}
+			}()
 		}
-		work.Go(func() {
-			status, gone := g.ask(m.Upstream, order, fresh)
-			answers[i].Store(status)
-			if gone {
-				g.noteGone(m)
-			}
-		})
 	}
-	others.Wait()
-	waitAtMost(&all, laggardPatience)
+	for _, a := range collect(answers, asked, awaited) {
+		members[a.member].Status = a.status
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i := range members {
-		s := answers[i].Load()
-		members[i].Status = s
-		if floor := upstreams[i].rebornFloor; !floor.IsZero() && s != nil {
-			members[i].Reborn = !s.Received.AtLeast(floor)
+	for i, m := range upstreams {
+		if s := members[i].Status; !m.rebornFloor.IsZero() && s != nil {
+			members[i].Reborn = !s.Received.AtLeast(m.rebornFloor)
 		}
 	}
 	return members
 }
 
-// waitAtMost waits for the work to end, but no longer than a limit.
-func waitAtMost(work *sync.WaitGroup, limit time.Duration) {
-	done := make(chan struct{})
-	go func() {
-		work.Wait()
-		close(done)
-	}()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
+// answer is a member's status, nil if it did not answer.
+type answer struct {
+	member int
+	status *takeover.Status
 }
 
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
+// collect returns the answers of all that were asked, without those that come
+// laggardPatience after as many as are awaited have answered.
+func collect(answers <-chan answer, asked, awaited int) []answer {
+	var all []answer
+	var patience <-chan time.Time
+	answered := 0
+	for len(all) < asked {
+		if answered >= awaited && patience == nil {
+			patience = time.After(laggardPatience)
+		}
+		select {
+		case a := <-answers:
+			all = append(all, a)
+			if a.status != nil {
+				answered++
+			}
+		case <-patience:
+			return all
 		}
 	}
-	return false
+	return all
+}
+
+// noteAnswer takes in whether a member answered; gone says that it is not running.
+func (g *Group) noteAnswer(m *member, answered, gone bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.silent = !answered
+	if id := m.Member().ID; gone && m.departed && g.members[id] == m {
+		g.drop(id, m, "not_running")
+	}
 }
 
 // ask sends an order on a pooled connection and, if that is silent or broken,
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -23,8 +23,9 @@
 	// roundsBeforeCutOff is the number of rounds without a quorum after which a
 	// request that needs one is refused.
 	roundsBeforeCutOff = 2
-	// minPatience covers a round of questions to the members under load.
-	minPatience = 60 * time.Millisecond
+	// minPatience covers a round of questions to the members after the one that
+	// runs, with a member that does not answer.
+	minPatience = 120 * time.Millisecond
 	// retryWithoutPrimary is the time to come back if nothing says when there
 	// will be a primary: the interval in which members register.
 	retryWithoutPrimary = time.Second
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -276,7 +276,7 @@
 	before := c.g.tracker.Lead()
 	if c.g.tracker.AdoptPromoted(lead) {
 		c.g.trouble.clear()
-		c.g.logLead(before, "own_promotion")
+		c.g.noteLead(before, "own_promotion")
 		c.g.broadcast()
 	}
 }
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -218,7 +218,7 @@
 	if !failed {
 		g.Observe(c.Upstream, reply.Position, sentAt)
 		if w.writes {
-			g.Committed(c.Upstream)
+			g.Committed(c.Upstream, sentAt)
 		} else if !c.Primary {
 			c.NoteBehind(c.At, true)
 		}
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -309,7 +309,7 @@
 	if reply.Err == nil {
 		t.group.Observe(c.Upstream, reply.Position, sentAt)
 		if t.wrote {
-			t.group.Committed(c.Upstream)
+			t.group.Committed(c.Upstream, sentAt)
 			s.wrote(t.route.Service, reply.Position)
 		}
 	}
