Replace a primary for stuck commits only if no replica follows it

The replicas' positions are now compared with the primary's, twice. A probe that the connection limit refuses says nothing about the role and no longer clears the doubt.

The test for a primary that is really cut from its replicas found that it was promoted again after it had given up its lead, as it had the longest log; what nobody acknowledged no longer makes it a candidate.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -100,10 +100,12 @@
 	switch {
 	case r.old == nil || r.old.Status == nil || r.old.Reborn:
 		return r.withoutOld()
+	case in.StepDown && len(r.answered) == len(r.replicas):
+		return r.stuck()
 	case !r.old.Status.Primary:
 		return r.afterGivingUp()
 	case in.StepDown:
-		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "the primary's commits are not acknowledged"}
+		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "the primary's commits are not acknowledged and a replica does not answer"}
 	case !r.old.Draining && !r.old.Departed:
 		return Step{Action: Abort, Targets: r.heldIDs(), Reason: "the primary serves again"}
 	default:
@@ -161,12 +163,22 @@
 		return Step{Action: Wait, Reason: "a replica that may have the longest log does not answer"}
 	}
 	if ids := r.unheld(nil); len(ids) > 0 {
-		return Step{Action: Hold, Targets: ids, Term: r.nextTerm, Reason: "the primary does not answer"}
+		return Step{Action: Hold, Targets: ids, Term: r.nextTerm, Reason: "the primary does not serve"}
 	}
 	best := r.best(r.answered)
 	return Step{Action: Promote, Targets: []string{best.ID}, Term: r.nextTerm, Reason: "longest log of all replicas"}
 }
 
+// stuck handles a primary that answers but whose commits reach no replica: rule
+// 1. Its own log is longer by what nobody acknowledged, so it is no candidate.
+func (r *round) stuck() Step {
+	step := r.withoutOld()
+	if step.Action == Promote && r.old.Status.Primary {
+		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "the primary's commits are not acknowledged"}
+	}
+	return step
+}
+
 // afterGivingUp handles an old primary that is a replica now: rule 3.
 func (r *round) afterGivingUp() Step {
 	log := r.old.Status.Received
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -45,7 +45,10 @@
 		{"primary that left the register but serves", members{{ID: "a", Departed: true, Status: primary(3, 9)}, {ID: "b", Status: replica(9, 0)}, {ID: "c", Status: replica(9, 4)}}, false, takeover.Promote, "b"},
 		{"former primary: its whole log is needed", members{{ID: "a", Draining: true, Status: replica(9, 0)}, {ID: "b", Status: replica(8, 0)}, {ID: "c"}}, false, takeover.Wait, ""},
 		{"former primary: a replica with its log leads", members{{ID: "a", Draining: true, Status: replica(9, 0)}, {ID: "b", Status: replica(9, 0)}, {ID: "c"}}, false, takeover.Promote, "b"},
-		{"commits not acknowledged: give up the lead", members{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(8, 0)}, {ID: "c", Status: replica(8, 0)}}, true, takeover.GiveUp, "a"},
+		{"commits not acknowledged: hold the replicas", members{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(8, 0)}, {ID: "c", Status: replica(8, 0)}}, true, takeover.Hold, "b"},
+		{"commits not acknowledged: give up the lead", members{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(8, 4)}, {ID: "c", Status: replica(8, 4)}}, true, takeover.GiveUp, "a"},
+		{"commits not acknowledged: a replica leads", members{{ID: "a", Status: replica(9, 0)}, {ID: "b", Status: replica(8, 4)}, {ID: "c", Status: replica(7, 4)}}, true, takeover.Promote, "b"},
+		{"commits not acknowledged, a replica silent", members{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(8, 0)}, {ID: "c"}}, true, takeover.GiveUp, "a"},
 		{"already promoted", members{{ID: "a"}, {ID: "b", Status: primary(4, 9)}, {ID: "c", Status: replica(9, 0)}}, false, takeover.Done, "b"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -317,6 +317,30 @@
 	}
 }
 
+// Evidence is what a decision of the group rests on, for the log.
+type Evidence struct {
+	Lead          primacy.Lead
+	RecordVersion uint64
+	// ProvenFor is how much longer the lead is proven; negative: how long it has
+	// not been.
+	ProvenFor time.Duration
+	// ClaimHolder is the instance that is replacing the lead, or empty.
+	ClaimHolder string
+	// Doubted means that the lead does not answer probes.
+	Doubted bool
+}
+
+// Evidence returns what the group knows now.
+func (g *Group) Evidence() Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := Evidence{Lead: g.tracker.Lead(), RecordVersion: g.tracker.Record().Version, ProvenFor: g.tracker.ProvenUntil() - g.cfg.Clock(), Doubted: g.trouble.confirmed}
+	if g.tracker.Changing() {
+		e.ClaimHolder = g.tracker.Record().Claim.Holder
+	}
+	return e
+}
+
 // Changing reports whether the group's record should be read more often than
 // usual: its primary is being replaced, or does not answer.
 func (g *Group) Changing() bool {
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/proxy/statement"
 	"github.com/papayarail/papayarail/proxy/upstream"
@@ -26,8 +27,12 @@
 	// listener is not taken for its death.
 	probePause = 60 * time.Millisecond
 	// unansweredWrites is the number of writes without an answer, and without
-	// an answered one between them, after which commits count as stuck.
+	// an answered one between them, after which the replicas are compared with
+	// the primary: answers get lost also where commits go on.
 	unansweredWrites = 2
+	// stuckInterval separates the two comparisons; a replica of the site files
+	// is 20 ms behind on average and 120 ms at most.
+	stuckInterval = 150 * time.Millisecond
 	// storeFresh is the age up to which the last reading of the records shows
 	// that the store is reachable from here; readings are 400 ms apart.
 	storeFresh = 900 * time.Millisecond
@@ -261,8 +266,10 @@
 		return reason{text: "unreachable", confirms: true}, true
 	case probeReplica:
 		return reason{text: "not_primary", confirms: true}, true
+	case probeUnknown:
+		return reason{}, false
 	}
-	if t.unanswered >= unansweredWrites && settled {
+	if t.unanswered >= unansweredWrites && settled && g.replicationStuck(lead) {
 		return reason{text: "commits_unacknowledged", stepDown: true}, true
 	}
 	g.mu.Lock()
@@ -283,6 +290,9 @@
 	probeAlive probeResult = iota
 	probeReplica
 	probeDead
+	// probeUnknown means that the member runs but did not say its role, as when
+	// its connection limit is reached.
+	probeUnknown
 )
 
 // probe asks the lead on fresh connections: an open one may be silent while the
@@ -300,7 +310,7 @@
 			return probeReplica
 		}
 		if reason, ok := statement.ReasonOf(err); ok && reason != statement.WrongMember {
-			return probeAlive
+			return probeUnknown
 		}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "probe_failed", "member": lead.Member, "attempt": attempt, "error": err.Error()}).Info("primary did not answer a probe")
 		var link *statement.LinkError
@@ -311,6 +321,34 @@
 	return probeDead
 }
 
+// replicationStuck reports whether no replica has the primary's log, nor comes
+// closer to it: then no commit can be acknowledged.
+func (g *Group) replicationStuck(lead primacy.Lead) bool {
+	first, ok := g.furthestReplica(lead)
+	if !ok {
+		return false
+	}
+	time.Sleep(stuckInterval)
+	second, ok := g.furthestReplica(lead)
+	return ok && first == second
+}
+
+// furthestReplica returns the greatest position of a replica; ok is false if it
+// is the primary's, or the primary does not answer.
+func (g *Group) furthestReplica(lead primacy.Lead) (furthest position.Position, ok bool) {
+	var own position.Position
+	for _, m := range g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false) {
+		switch {
+		case m.Status == nil:
+		case m.ID == lead.Member:
+			own = m.Status.Received
+		default:
+			furthest = position.Max(furthest, m.Status.Received)
+		}
+	}
+	return furthest, !own.IsZero() && !furthest.AtLeast(own)
+}
+
 // blockedLocked returns why this instance cannot replace the primary now, or
 // an empty text.
 func (g *Group) blockedLocked() string {
--- a/proxy/node/world_test.go
+++ b/proxy/node/world_test.go
@@ -368,6 +368,40 @@
 	})
 }
 
+// Lost answers were taken for commits that no replica acknowledges, and a
+// serving primary was replaced twice (colle-avvisi, trouble-1).
+func TestLostAnswersReplaceNoPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "i1", "i2")
+		stop := c.load(7)
+		time.Sleep(4 * time.Second)
+		c.world.LoseReplies(12)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, c.world.Leader(), "a")
+		stop()
+		c.close()
+	})
+}
+
+// Guards the replacement of a primary that answers but reaches no replica: its
+// commits are never acknowledged.
+func TestPrimaryCutFromReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "i1", "i2")
+		stop := c.load(8)
+		time.Sleep(4 * time.Second)
+		c.world.Cut("a", "b")
+		c.world.Cut("a", "c")
+		s := c.open("i1", standin.Database)
+		gap := c.eventually(8*time.Second, func() error { return c.write(s) })
+		assert.Assert(t, gap < 5*time.Second, "gap %s", gap)
+		assert.Assert(t, c.world.Leader() != "a")
+		stop()
+		s.leave()
+		c.close()
+	})
+}
+
 // Guards the refusal of what cannot be served: at once, with the time to come
 // back, and said not to have run.
 func TestRefusedAtOnceWithoutPrimary(t *testing.T) {
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -44,7 +44,7 @@
 	reply := s.attempts(g, r, w, need)
 	s.env.Metrics.Statement(r.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
 	if reply.Err != nil {
-		s.logFailure(w, r, need, reply.Err)
+		s.logFailure(g, w, r, need, reply.Err)
 	} else if w.writes {
 		s.wrote(r.Service, reply.Position)
 	}
@@ -251,10 +251,13 @@
 		"after": c.After.String(), "evidence_age_ms": c.Evidence.Milliseconds(), "attempt": attempt, "error": err.Error()}).Info("statement is tried again")
 }
 
-func (s *Session) logFailure(w work, r catalog.Route, need group.Need, err error) {
+func (s *Session) logFailure(g *group.Group, w work, r catalog.Route, need group.Need, err error) {
+	e := g.Evidence()
 	s.env.Log.WithFields(logrus.Fields{"event": "failed", "request": w.ID, "session": s.name, "database": s.database, "service": r.Service,
 		"consistency": r.Consistency.String(), "rank": need.Rank.String(), "writes": w.writes, "outcome": outcomeName(err),
-		"took_ms": (s.env.Clock() - need.Arrival).Milliseconds(), "error": err.Error()}).Info("statement was not served")
+		"took_ms": (s.env.Clock() - need.Arrival).Milliseconds(), "timeout_ms": r.Timeout.Milliseconds(),
+		"lead": e.Lead.Member, "term": e.Lead.Term, "record_version": e.RecordVersion, "proven_for_ms": e.ProvenFor.Milliseconds(),
+		"claim_holder": e.ClaimHolder, "lead_doubted": e.Doubted, "error": err.Error()}).Info("statement was not served")
 }
 
 // outcomeName names the outcome of a statement in logs and metrics.
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -89,7 +89,7 @@
 	t := s.tx
 	t.abandon()
 	s.state = statement.FailedTransaction
-	s.logFailure(w, t.route, s.need(t.route, t.used, w.writes, true), err)
+	s.logFailure(t.group, w, t.route, s.need(t.route, t.used, w.writes, true), err)
 	return refused(abortedBy(err))
 }
 
@@ -272,7 +272,7 @@
 	reply := s.commit(t, st, arrival)
 	s.env.Metrics.Statement(t.route.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
 	if reply.Err != nil {
-		s.logFailure(work{Statement: st, writes: t.wrote}, t.route, s.need(t.route, arrival, t.wrote, true), reply.Err)
+		s.logFailure(t.group, work{Statement: st, writes: t.wrote}, t.route, s.need(t.route, arrival, t.wrote, true), reply.Err)
 	}
 	return reply
 }
--- a/proxy/standin/link.go
+++ b/proxy/standin/link.go
@@ -152,6 +152,12 @@
 		}
 		reply.Position = at
 	}
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	if l.w.loseReplies > 0 {
+		l.w.loseReplies--
+		return reply, false
+	}
 	return reply, true
 }
 
--- a/proxy/standin/standin.go
+++ b/proxy/standin/standin.go
@@ -69,6 +69,8 @@
 	tokens  uint64
 	row     int
 	store   store
+	// loseReplies is the number of writes whose answers are lost.
+	loseReplies int
 }
 
 // NewWorld returns a group of members; the first leads term 1.
@@ -107,6 +109,14 @@
 
 func (w *World) cut(a, b string) bool { return w.cuts[[2]string{a, b}] }
 
+// LoseReplies loses the answers of the next n writes of callers; the writes take
+// effect.
+func (w *World) LoseReplies(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loseReplies = n
+}
+
 // Crash ends a member's process; dark also keeps its address silent.
 func (w *World) Crash(id string, dark bool) {
 	w.mu.Lock()
