--- a/core/source/source.go
+++ b/core/source/source.go
@@ -22,6 +22,11 @@
 	// be away before an instance reads for itself. After one that is silent it
 	// reads at once: its evidence is about to run out.
 	awayBeforeOwn = 2
+	// silentBeforeHold candidates that are silent in a row mean that the store is
+	// slow rather than that an instance is gone; asking further ones would use
+	// up the evidence. The instance then reads for itself during ownHold.
+	silentBeforeHold = 2
+	ownHold          = 2 * time.Second
 	// ownSpacing separates an instance's own readings while others have told it
 	// that the store is away: calls to a store that is away are priced too.
 	ownSpacing = time.Second
@@ -57,6 +62,8 @@
 	marks      map[string]mark
 	failed     int // candidates that failed in a row
 	silent     bool
+	silentRow  int           // silent candidates since the last that answered
+	ownUntil   time.Duration // no candidate is asked before
 	away       bool
 	ownAt      time.Duration // last own reading
 	owned      bool
@@ -83,7 +90,7 @@
 
 // Next returns the source of the next reading.
 func (p *Picker) Next(now time.Duration) Choice {
-	if p.failed < awayBeforeOwn && !p.silent {
+	if p.failed < awayBeforeOwn && !p.silent && now >= p.ownUntil {
 		for _, c := range p.candidates {
 			if c.Name == p.self {
 				return p.own(now)
@@ -107,7 +114,7 @@
 // Answered takes in a reading from a candidate.
 func (p *Picker) Answered(name string) {
 	delete(p.marks, name)
-	p.failed, p.silent, p.away = 0, false, false
+	p.failed, p.silent, p.silentRow, p.away = 0, false, 0, false
 }
 
 // Failed takes in that a candidate gave no reading.
@@ -118,7 +125,14 @@
 	p.marks[name] = m
 	p.failed++
 	p.away = p.away || why == StoreAway
-	p.silent = p.silent || why == Silent
+	if why != Silent {
+		return
+	}
+	p.silent = true
+	p.silentRow++
+	if p.silentRow >= silentBeforeHold {
+		p.ownUntil = now + ownHold
+	}
 }
 
 // Read takes in the result of an own reading.
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -51,6 +51,26 @@
 	assert.Equal(t, p.Next(4*time.Second).From.Name, first, "it is asked again later")
 }
 
+// With a slow store, every other candidate in turn was asked and was silent for
+// 0.45 s, so that the evidence ran out between own readings (incident inc-5af3).
+func TestSlowStore(t *testing.T) {
+	p := source.New("i0")
+	p.SetCandidates(candidates(6))
+	now, asked := time.Duration(0), 0
+	for now < 6*time.Second {
+		c := p.Next(now)
+		if c.Own {
+			now += 400 * time.Millisecond
+			p.Read(true, now)
+			continue
+		}
+		asked++
+		now += 450 * time.Millisecond
+		p.Failed(c.From.Name, source.Silent, now)
+	}
+	assert.Assert(t, asked <= 4, "%d candidates asked in 6 s", asked)
+}
+
 // Guards the price of an outage: while others say that the store is away, an
 // instance asks the store itself once a second at most.
 func TestStoreAway(t *testing.T) {
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -63,7 +63,9 @@
 		known.Config = n.configVersion()
 		sentAt := n.cfg.Clock()
 		reading, err := n.obtain(ctx, choice, &client, known, picker)
-		link.note(err)
+		if choice.Own || err == nil {
+			link.note(err)
+		}
 		if err != nil {
 			known = relay.Known{}
 			if choice.Own {
