Run the simulated nodes without the race detector

Under the race detector of Go 1.26.8 these tests end with a segmentation violation in the runtime in about half of the runs: goroutine 0 of a synctest bubble, while a timer fires; no data race is reported before it. Replacing time.AfterFunc made it rarer, not gone.

--- a/proxy/node/world_test.go
+++ b/proxy/node/world_test.go
@@ -1,3 +1,9 @@
+//go:build !race
+
+// The race detector of Go 1.26.8 ends these tests with a segmentation violation
+// in the runtime (goroutine 0 of a synctest bubble, while a timer fires), in
+// about half of the runs. .ci/run runs them without it.
+
 package node_test
 
 import (
@@ -57,6 +63,7 @@
 // close ends the instances and fails the test if a promise was broken.
 func (c *cluster) close() {
 	c.t.Helper()
+	c.world.Close()
 	c.cancel()
 	c.wait.Wait()
 	time.Sleep(5 * time.Second) // calls under way end by their own time-outs
