--- /dev/null
+++ b/proxy/node/cluster_test.go
@@ -0,0 +1,197 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/proxy/figures"
+	"github.com/papayarail/papayarail/proxy/node"
+	"github.com/papayarail/papayarail/proxy/standin"
+	"github.com/papayarail/papayarail/proxy/statement"
+)
+
+// cluster runs instances against a simulated group and store.
+type cluster struct {
+	t      *testing.T
+	world  *standin.World
+	nodes  map[string]*node.Node
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	nextID atomic.Uint64
+}
+
+func newCluster(t *testing.T, instances ...string) *cluster {
+	c := &cluster{t: t, world: standin.NewWorld("a", "b", "c"), nodes: make(map[string]*node.Node)}
+	ctx, cancel := context.WithCancel(t.Context())
+	c.cancel = cancel
+	for _, name := range instances {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		if testing.Verbose() {
+			log.SetOutput(t.Output())
+		}
+		n := node.New(node.Config{
+			Settings: node.Settings{Instance: name, FailureDomain: "a", Grace: 6 * time.Second},
+			Store:    c.world.StoreOf(name), Dialer: c.world.Dialer(name), Promoter: c.world.Promoter(name),
+			Clock: c.world.Clock, Log: log.WithField("instance", name), Figures: figures.New(),
+		})
+		c.nodes[name] = n
+		c.wait.Go(func() { n.Run(ctx) })
+	}
+	time.Sleep(2 * time.Second)
+	return c
+}
+
+// close ends the instances and fails the test if a promise was broken.
+func (c *cluster) close() {
+	c.t.Helper()
+	c.world.Close()
+	c.cancel()
+	c.wait.Wait()
+	time.Sleep(5 * time.Second) // calls under way end by their own time-outs
+	for _, f := range c.world.Faults() {
+		c.t.Error(f)
+	}
+}
+
+// callerStub is a caller's connection in memory.
+type callerStub struct {
+	statements chan statement.Statement
+	replies    chan statement.Reply
+	wake       chan struct{}
+	ended      chan struct{} // closed when the session has ended
+}
+
+var _ node.Caller = (*callerStub)(nil)
+
+func (s *callerStub) Next(idle time.Duration) (statement.Statement, error) {
+	var timeout <-chan time.Time
+	if idle > 0 {
+		timeout = time.After(idle)
+	}
+	select {
+	case st, ok := <-s.statements:
+		if !ok {
+			return st, io.EOF
+		}
+		return st, nil
+	case <-s.wake:
+		return statement.Statement{}, statement.ErrIdle
+	case <-timeout:
+		return statement.Statement{}, statement.ErrIdle
+	}
+}
+
+func (s *callerStub) Answer(r statement.Reply) error { s.replies <- r; return nil }
+func (s *callerStub) Pending() bool                  { return len(s.statements) > 0 }
+func (s *callerStub) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// open starts a session on an instance.
+func (c *cluster) open(instance, database string) *callerStub {
+	s := &callerStub{make(chan statement.Statement, 1), make(chan statement.Reply, 1), make(chan struct{}, 1), make(chan struct{})}
+	c.wait.Go(func() {
+		defer close(s.ended)
+		_ = c.nodes[instance].Serve(s, "caller", database) // ends with io.EOF, or because the instance is cut off
+	})
+	return s
+}
+
+func (s *callerStub) leave() { close(s.statements) }
+
+var errEnded = errors.New("session has ended")
+
+func (s *callerStub) ask(st statement.Statement) statement.Reply {
+	select {
+	case s.statements <- st:
+	case <-s.ended:
+		return statement.Reply{Err: errEnded}
+	}
+	select {
+	case r := <-s.replies:
+		return r
+	case <-s.ended:
+		return statement.Reply{Err: errEnded}
+	}
+}
+
+// write sends a write and records its acknowledgement.
+func (c *cluster) write(s *callerStub) error {
+	id := fmt.Sprintf("w%d", c.nextID.Add(1))
+	r := s.ask(statement.Statement{ID: id, Kind: statement.Write, Operands: "x 1"})
+	if r.Err == nil {
+		c.world.Acknowledge(id)
+	}
+	return r.Err
+}
+
+// read sends a read and checks that it sees what was acknowledged before since.
+func (c *cluster) read(s *callerStub, staleness time.Duration) error {
+	started := c.world.Clock()
+	r := s.ask(statement.Statement{ID: "r", Kind: statement.Read, Operands: "x"})
+	if r.Err == nil {
+		c.world.CheckRead(r.Rows[0], started-staleness)
+	}
+	return r.Err
+}
+
+// eventually repeats an operation until it succeeds and returns how long it took.
+func (c *cluster) eventually(limit time.Duration, op func() error) time.Duration {
+	c.t.Helper()
+	started := time.Now()
+	for {
+		err := op()
+		if err == nil {
+			return time.Since(started)
+		}
+		if time.Since(started) > limit {
+			c.t.Fatalf("not served within %s: %v", limit, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// load writes and reads on all instances until it is stopped.
+func (c *cluster) load(seed uint64) (stop func()) {
+	var ended atomic.Bool
+	var work sync.WaitGroup
+	for name := range c.nodes {
+		for _, kind := range []struct {
+			database string
+			stale    time.Duration
+		}{{standin.Database, 0}, {standin.Database + "_stale", 1500 * time.Millisecond}, {standin.Database + "_own", 2500 * time.Millisecond}} {
+			random := rand.New(rand.NewPCG(seed, uint64(len(name)+len(kind.database))))
+			s := c.open(name, kind.database)
+			work.Go(func() {
+				defer func() { s.leave() }()
+				for !ended.Load() {
+					time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+					var err error
+					if random.IntN(3) == 0 && kind.stale != 1500*time.Millisecond {
+						err = c.write(s)
+					} else {
+						err = c.read(s, kind.stale)
+					}
+					// Refusals are part of the load.
+					if errors.Is(err, errEnded) {
+						s = c.open(name, kind.database)
+					}
+				}
+			})
+		}
+	}
+	return func() { ended.Store(true); work.Wait() }
+}
