--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -96,7 +96,7 @@
 	attempted  time.Duration // last attempt to replace the primary; used by Run only
 	committed  time.Duration // when the last acknowledged write was sent to the lead
 	unrecorded bool          // the first lead is to be recorded
-	trouble    trouble
+	suspicion  suspicion
 	silence    silence
 	rounds     rounds
 	wake       chan struct{}
@@ -184,7 +184,7 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (sentAt - m.missing).Milliseconds()}).Info("member left the register")
 		g.poke()
 	}
-	if m.departed && sentAt-m.missing >= departedFor && g.trouble.since == 0 && id != g.tracker.Lead().Member {
+	if m.departed && sentAt-m.missing >= departedFor && g.suspicion.since == 0 && id != g.tracker.Lead().Member {
 		g.drop(id, m, "primary_serves_without_it")
 	}
 }
@@ -240,8 +240,8 @@
 	if changed {
 		g.retire(before)
 		g.noteLead(before, "record")
-		g.trouble.changedAt = g.cfg.Clock()
-		g.trouble.clear()
+		g.suspicion.changedAt = g.cfg.Clock()
+		g.suspicion.clear()
 	}
 	if r.Claim == nil && g.roleHint.Term > 0 && sentAt > g.roleSeen && g.tracker.ObserveRole(g.roleHint) {
 		g.noteLead(before, "own_word")
@@ -313,7 +313,7 @@
 	defer g.mu.Unlock()
 	g.tracker.ObservePosition(u.Member().ID, p, sentAt)
 	if u.Member().ID == g.tracker.Lead().Member {
-		g.trouble.answered(g.cfg.Clock())
+		g.suspicion.answered(g.cfg.Clock())
 	}
 }
 
@@ -334,7 +334,7 @@
 func (g *Group) Evidence() Evidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := Evidence{Lead: g.tracker.Lead(), RecordVersion: g.tracker.Record().Version, ProvenFor: g.tracker.ProvenUntil() - g.cfg.Clock(), Doubted: g.trouble.confirmed}
+	e := Evidence{Lead: g.tracker.Lead(), RecordVersion: g.tracker.Record().Version, ProvenFor: g.tracker.ProvenUntil() - g.cfg.Clock(), Doubted: g.suspicion.confirmed}
 	if g.tracker.Changing() {
 		e.ClaimHolder = g.tracker.Record().Claim.Holder
 	}
@@ -346,7 +346,7 @@
 func (g *Group) Changing() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.tracker.Changing() || g.trouble.confirmed || g.tracker.Lead().Member == ""
+	return g.tracker.Changing() || g.suspicion.confirmed || g.tracker.Lead().Member == ""
 }
 
 // ProvenUntil returns until when the lead is proven, and starts a round of
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -41,8 +41,8 @@
 	settleTime = 3 * time.Second
 )
 
-// trouble is what speaks against the lead.
-type trouble struct {
+// suspicion is what speaks against the lead.
+type suspicion struct {
 	since      time.Duration // first failure since the last answer; 0 if none
 	failures   int
 	unanswered int
@@ -53,13 +53,13 @@
 	changedAt  time.Duration
 }
 
-func (t *trouble) answered(time.Duration) {
+func (t *suspicion) answered(time.Duration) {
 	if !t.confirmed {
 		t.since, t.failures = 0, 0
 	}
 }
 
-func (t *trouble) clear() { *t = trouble{changedAt: t.changedAt} }
+func (t *suspicion) clear() { *t = suspicion{changedAt: t.changedAt} }
 
 // silence watches whether statements sent to the lead are answered.
 type silence struct {
@@ -101,10 +101,10 @@
 	}
 	now := g.cfg.Clock()
 	if now-g.silence.since >= silenceLimit {
-		if g.trouble.since == 0 {
-			g.trouble.since = g.silence.since
+		if g.suspicion.since == 0 {
+			g.suspicion.since = g.silence.since
 		}
-		g.trouble.failures++
+		g.suspicion.failures++
 		g.poke()
 	}
 	g.silence.watching = true
@@ -119,12 +119,12 @@
 	if _, lead := g.leadLocked(); lead != u {
 		return
 	}
-	if g.trouble.since == 0 {
-		g.trouble.since = g.cfg.Clock()
+	if g.suspicion.since == 0 {
+		g.suspicion.since = g.cfg.Clock()
 	}
-	g.trouble.failures++
+	g.suspicion.failures++
 	if unansweredWrite {
-		g.trouble.unanswered++
+		g.suspicion.unanswered++
 	}
 	g.poke()
 }
@@ -134,7 +134,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, lead := g.leadLocked(); lead == u {
-		g.trouble.unanswered = 0
+		g.suspicion.unanswered = 0
 		g.committed = max(g.committed, sentAt)
 	}
 }
@@ -173,15 +173,15 @@
 	}
 	g.mu.Lock()
 	blocked := g.blockedLocked()
-	if why.confirms && !g.trouble.confirmed {
-		g.trouble.confirmed = true
-		if g.trouble.since == 0 {
-			g.trouble.since = g.cfg.Clock()
+	if why.confirms && !g.suspicion.confirmed {
+		g.suspicion.confirmed = true
+		if g.suspicion.since == 0 {
+			g.suspicion.since = g.cfg.Clock()
 		}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "primary_lost", "member": lead.Member, "term": lead.Term, "reason": why.text}).Warn("primary does not serve")
 		g.broadcast()
 	}
-	if blocked != "" && g.trouble.confirmed {
+	if blocked != "" && g.suspicion.confirmed {
 		g.startRound()
 	}
 	g.mu.Unlock()
@@ -245,7 +245,7 @@
 func (g *Group) reason(lead primacy.Lead, u *upstream.Upstream) (reason, bool) {
 	g.mu.Lock()
 	r := g.tracker.Record()
-	t := g.trouble
+	t := g.suspicion
 	settled := g.cfg.Clock()-t.changedAt > settleTime
 	m := g.members[lead.Member]
 	g.mu.Unlock()
@@ -274,12 +274,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	unanswered := g.trouble.unanswered
-	if g.trouble.confirmed {
+	unanswered := g.suspicion.unanswered
+	if g.suspicion.confirmed {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "primary_back", "member": lead.Member, "term": lead.Term}).Info("primary answers again")
 	}
-	g.trouble.clear()
-	g.trouble.unanswered = unanswered
+	g.suspicion.clear()
+	g.suspicion.unanswered = unanswered
 	g.broadcast()
 	return reason{}, false
 }
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -26,9 +26,9 @@
 	commitEvidence = 1200 * time.Millisecond
 	// quorumSize is the lead and a replica.
 	quorumSize = 2
-	// laggardPatience is the wait for a member that is known not to serve, after
+	// stragglerTimeout is the wait for a member that is known not to serve, after
 	// the others have answered; a live one answers in 5 ms.
-	laggardPatience = 20 * time.Millisecond
+	stragglerTimeout = 20 * time.Millisecond
 )
 
 // rounds coalesces the readings of the members' own status.
@@ -120,28 +120,28 @@
 		return
 	}
 	now := g.cfg.Clock()
-	if g.trouble.later != later {
-		g.trouble.later, g.trouble.laterSince = later, now
+	if g.suspicion.later != later {
+		g.suspicion.later, g.suspicion.laterSince = later, now
 		return
 	}
-	if now-g.trouble.laterSince < primacy.ReadLease {
+	if now-g.suspicion.laterSince < primacy.ReadLease {
 		return
 	}
 	before := g.tracker.Lead()
 	if g.tracker.AdoptPromoted(later) {
-		g.trouble.clear()
+		g.suspicion.clear()
 		g.noteLead(before, "members")
 	}
 }
 
 // askAll sends an order to the members with these ids, or to all, and returns
 // all members with the answers that came in time. It waits for a member that is
-// known not to serve only laggardPatience longer than for the others.
+// known not to serve only stragglerTimeout longer than for the others.
 func (g *Group) askAll(order statement.Control, ids []string, fresh bool) []takeover.Member {
 	return g.askSome(order, ids, fresh, false)
 }
 
-// askSome is askAll; with quorum set, it waits laggardPatience after two answers
+// askSome is askAll; with quorum set, it waits stragglerTimeout after two answers
 // for all others.
 func (g *Group) askSome(order statement.Control, ids []string, fresh, quorum bool) []takeover.Member {
 	g.mu.Lock()
@@ -156,7 +156,7 @@
 			continue
 		}
 		asked++
-		if !(id == lead && g.trouble.confirmed || m.departed || m.silent) {
+		if !(id == lead && g.suspicion.confirmed || m.departed || m.silent) {
 			awaited++
 		}
 	}
@@ -194,14 +194,14 @@
 }
 
 // collect returns the answers of all that were asked, without those that come
-// laggardPatience after as many as are awaited have answered.
+// stragglerTimeout after as many as are awaited have answered.
 func collect(answers <-chan answer, asked, awaited int) []answer {
 	var all []answer
-	var patience <-chan time.Time
+	var timeout <-chan time.Time
 	answered := 0
 	for len(all) < asked {
-		if answered >= awaited && patience == nil {
-			patience = time.After(laggardPatience)
+		if answered >= awaited && timeout == nil {
+			timeout = time.After(stragglerTimeout)
 		}
 		select {
 		case a := <-answers:
@@ -209,7 +209,7 @@
 			if a.status != nil {
 				answered++
 			}
-		case <-patience:
+		case <-timeout:
 			return all
 		}
 	}
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -23,9 +23,9 @@
 	// roundsBeforeCutOff is the number of rounds without a quorum after which a
 	// request that needs one is refused.
 	roundsBeforeCutOff = 2
-	// minPatience covers a round of questions to the members after the one that
+	// minEvidenceWait covers a round of questions to the members after the one that
 	// runs, with a member that does not answer.
-	minPatience = 120 * time.Millisecond
+	minEvidenceWait = 120 * time.Millisecond
 	// retryWithoutPrimary is the time to come back if nothing says when there
 	// will be a primary: the interval in which members register.
 	retryWithoutPrimary = time.Second
@@ -68,7 +68,7 @@
 // evidence if that can come in time. excluded members are not chosen.
 func (g *Group) Choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, error) {
 	failedRounds := -1
-	giveUp := min(n.Deadline, g.cfg.Clock()+g.patience(n))
+	giveUp := min(n.Deadline, g.cfg.Clock()+g.evidenceWait(n))
 	for {
 		g.mu.Lock()
 		c, ok := g.choose(n, excluded)
@@ -98,11 +98,11 @@
 	}
 }
 
-// patience is how long a request waits for evidence. While a primary is being
+// evidenceWait is how long a request waits for evidence. While a primary is being
 // replaced it is known when to come back; else a round takes some 10 ms, and a
 // caller that is refused early tries another instance.
-func (g *Group) patience(n Need) time.Duration {
-	return max(n.Objective/4, minPatience)
+func (g *Group) evidenceWait(n Need) time.Duration {
+	return max(n.Objective/4, minEvidenceWait)
 }
 
 // choose decides without waiting. g.mu is held.
@@ -115,7 +115,7 @@
 
 func (g *Group) choosePrimary(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
 	lead, u := g.leadLocked()
-	if u == nil || excluded[u] || g.trouble.confirmed {
+	if u == nil || excluded[u] || g.suspicion.confirmed {
 		return Choice{}, false
 	}
 	age := n.Staleness
@@ -152,7 +152,7 @@
 		choice := Choice{Upstream: m.Upstream, After: after, At: at, Evidence: n.Arrival - at}
 		switch {
 		case id == lead.Member:
-			if m.Upstream != primary || g.trouble.confirmed || !g.tracker.Proven(since) {
+			if m.Upstream != primary || g.suspicion.confirmed || !g.tracker.Proven(since) {
 				continue
 			}
 			c.Primary = true
@@ -192,7 +192,7 @@
 // needsRound reports whether a quorum of members can provide what the request
 // lacks. g.mu is held.
 func (g *Group) needsRound() bool {
-	if _, u := g.leadLocked(); u == nil || g.trouble.confirmed {
+	if _, u := g.leadLocked(); u == nil || g.suspicion.confirmed {
 		return false
 	}
 	return true
@@ -203,13 +203,13 @@
 	if len(g.members) == 0 {
 		return verdict.New(verdict.CutOff, "no member of service %s is registered", g.cfg.Service).After(retryWithoutPrimary)
 	}
-	if _, u := g.leadLocked(); u != nil && excluded[u] && !g.tracker.Changing() && !g.trouble.confirmed {
+	if _, u := g.leadLocked(); u != nil && excluded[u] && !g.tracker.Changing() && !g.suspicion.confirmed {
 		return verdict.New(verdict.ReplicaBehind, "no member of service %s could execute the request", g.cfg.Service).After(g.comeBackLocked())
 	}
 	if failedRounds >= roundsBeforeCutOff {
 		return verdict.New(verdict.CutOff, "no quorum of service %s confirms its primary", g.cfg.Service).After(g.comeBackLocked())
 	}
-	if wait := g.comeBackLocked(); (g.tracker.Changing() || g.trouble.confirmed) && wait > g.patience(n) {
+	if wait := g.comeBackLocked(); (g.tracker.Changing() || g.suspicion.confirmed) && wait > g.evidenceWait(n) {
 		return verdict.New(verdict.NoPrimary, "the primary of service %s is being replaced", g.cfg.Service).After(wait)
 	}
 	return nil
@@ -229,8 +229,8 @@
 	case r.Claim != nil && g.tracker.Changing():
 		storeNow := g.storeNow + now - g.recordsRead
 		return max(r.Claim.Since+takeoverTime-storeNow, soon)
-	case g.trouble.confirmed:
-		return max(g.trouble.since+takeoverTime-now, soon)
+	case g.suspicion.confirmed:
+		return max(g.suspicion.since+takeoverTime-now, soon)
 	case g.tracker.Lead().Member == "":
 		return retryWithoutPrimary
 	default:
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -275,7 +275,7 @@
 	defer c.g.mu.Unlock()
 	before := c.g.tracker.Lead()
 	if c.g.tracker.AdoptPromoted(lead) {
-		c.g.trouble.clear()
+		c.g.suspicion.clear()
 		c.g.noteLead(before, "own_promotion")
 		c.g.broadcast()
 	}
