Remove a service field and a preference that nothing reads

SyncReplicas was decoded and kept under the platform's name outside platform/, and takeover.Input.Prefer was never set.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -55,9 +55,6 @@
 	// StepDown asks the old primary to give up its lead although it answers,
 	// because its commits are not acknowledged.
 	StepDown bool
-	// Prefer is the failure-independent preference among equal candidates,
-	// smaller first; nil means none.
-	Prefer func(id string) int
 }
 
 // Action is the kind of a step.
@@ -250,7 +247,7 @@
 }
 
 // best returns the member with the longest log; among equals one that stays,
-// then the preferred one, then the smallest id.
+// then the smallest id.
 func (r *round) best(members []*Member) *Member {
 	return slices.MinFunc(members, func(a, b *Member) int {
 		if c := b.Status.Received.Compare(a.Status.Received); c != 0 {
@@ -262,11 +259,6 @@
 			}
 			return -1
 		}
-		if r.in.Prefer != nil {
-			if d := r.in.Prefer(a.ID) - r.in.Prefer(b.ID); d != 0 {
-				return d
-			}
-		}
 		return strings.Compare(a.ID, b.ID)
 	})
 }
--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -43,8 +43,6 @@
 	Name string
 	// Connections is the limit of each member over all instances.
 	Connections int
-	// SyncReplicas is the number of replicas that acknowledge a commit.
-	SyncReplicas int
 }
 
 // Config is one version of the operators' configuration.
