--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -41,7 +41,7 @@
 		return refused(err)
 	}
 	need := s.need(r, arrival, w.writes, !w.writes)
-	reply := s.attempts(g, r, w, need)
+	reply := s.attempts(g, w, need)
 	s.env.Metrics.Statement(r.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
 	if reply.Err != nil {
 		s.logFailure(g, w, r, need, reply.Err)
@@ -51,20 +51,29 @@
 	return reply
 }
 
-func (s *Session) attempts(g *group.Group, r catalog.Route, w work, need group.Need) statement.Reply {
+func (s *Session) attempts(g *group.Group, w work, need group.Need) statement.Reply {
+	return s.tryMembers(g, w, need, func(c group.Choice, tried int) (statement.Reply, outcome) {
+		reply, result := s.attempt(g, c, w, need, tried)
+		if result == unanswered && w.writes {
+			return refused(verdict.New(verdict.OutcomeUnknown, "upstream %s did not answer the write: %v", c.Member().ID, reply.Err)), answered
+		}
+		return reply, result
+	})
+}
+
+// tryMembers runs an attempt on one member after the other until it has a final
+// answer. tried is the number of members that are not tried again.
+func (s *Session) tryMembers(g *group.Group, w work, need group.Need, attempt func(c group.Choice, tried int) (statement.Reply, outcome)) statement.Reply {
 	excluded := make(map[*upstream.Upstream]bool)
 	var last error
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
+	for n := 1; n <= maxAttempts; n++ {
 		choice, err := g.Choose(need, excluded)
 		if err != nil {
 			return refused(preferFirst(last, err))
 		}
-		reply, result := s.attempt(g, choice, w, need, len(excluded))
-		switch {
-		case result == answered:
+		reply, result := attempt(choice, len(excluded))
+		if result == answered {
 			return reply
-		case result == unanswered && w.writes:
-			return refused(verdict.New(verdict.OutcomeUnknown, "upstream %s did not answer the write: %v", choice.Member().ID, reply.Err))
 		}
 		last = reply.Err
 		if result == notRun {
@@ -73,22 +82,20 @@
 		if s.env.Clock() >= need.Deadline {
 			break
 		}
-		s.logRetry(w, choice, attempt, reply.Err)
-		// A primary that refused as a replica is chosen again once it is
-		// known which member leads.
-		if reason, ok := statement.ReasonOf(reply.Err); ok && reason == statement.ReadOnly && choice.Primary {
+		s.logRetry(w, choice, n, reply.Err)
+		reason, failed := statement.ReasonOf(reply.Err)
+		switch {
+		case failed && reason == statement.ReadOnly && choice.Primary:
+			// It is chosen again once it is known which member leads.
 			g.Demoted(choice.Upstream)
 			s.pause(need, demotedPause)
-			continue
-		}
-		if choice.Primary && w.writes {
-			if overloaded(reply.Err) {
-				return reply
-			}
+		case !choice.Primary || !need.Writes:
+			excluded[choice.Upstream] = true
+		case overloaded(reply.Err):
+			return reply
+		default:
 			s.pause(need, busyPause)
-			continue
 		}
-		excluded[choice.Upstream] = true
 	}
 	return refused(s.giveUp(last))
 }
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -138,39 +138,14 @@
 	t := s.tx
 	need := s.need(t.route, t.arrival, !t.readOnly, true)
 	need.Deadline = arrival + t.route.Timeout
-	excluded := make(map[*upstream.Upstream]bool)
-	var last error
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		choice, err := t.group.Choose(need, excluded)
-		if err != nil {
-			return refused(preferFirst(last, err))
-		}
-		t.choice = choice
+	return s.tryMembers(t.group, w, need, func(c group.Choice, _ int) (statement.Reply, outcome) {
+		t.choice = c
 		reply, result := s.open(w, need, arrival)
-		if result == answered {
-			return reply
-		}
-		t.drop()
-		last = notRunError(reply.Err)
-		if s.env.Clock() >= need.Deadline {
-			break
-		}
-		s.logRetry(w, choice, attempt, reply.Err)
-		if reason, ok := statement.ReasonOf(reply.Err); ok && reason == statement.ReadOnly && choice.Primary {
-			t.group.Demoted(choice.Upstream)
-			s.pause(need, demotedPause)
-			continue
+		if result != answered {
+			t.drop()
 		}
-		if choice.Primary && need.Writes {
-			if overloaded(reply.Err) {
-				return reply
-			}
-			s.pause(need, busyPause)
-			continue
-		}
-		excluded[choice.Upstream] = true
-	}
-	return refused(s.giveUp(last))
+		return reply, result
+	})
 }
 
 // open begins the transaction on the chosen upstream and runs its first
