Keep a record's version in one place

Relayed readings carried a second map with the versions of the records, because the version was left out of their JSON.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -66,7 +66,7 @@
 	Claim *Claim `json:"claim,omitempty"`
 	// Version is assigned by the store and grows with each write. It serves as
 	// the fencing token of the claim. Zero means that there is no record yet.
-	Version uint64 `json:"-"`
+	Version uint64 `json:"version,omitempty"`
 }
 
 // Mark states that the primary's log had reached Position at time At, so that
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -53,26 +53,17 @@
 // instance has are nil.
 type Reading struct {
 	// StoreNow is the store's time in the reading of the records.
-	StoreNow time.Duration             `json:"store_now"`
-	Records  map[string]primacy.Record `json:"records,omitempty"`
-	// Versions holds the versions of Records, which are not part of their JSON.
-	Versions  map[string]uint64  `json:"versions,omitempty"`
-	Members   catalog.Members    `json:"members,omitempty"`
-	Instances []source.Candidate `json:"instances,omitempty"`
-	Config    *catalog.Config    `json:"config,omitempty"`
-	Digests   Known              `json:"digests"`
+	StoreNow  time.Duration             `json:"store_now"`
+	Records   map[string]primacy.Record `json:"records,omitempty"`
+	Members   catalog.Members           `json:"members,omitempty"`
+	Instances []source.Candidate        `json:"instances,omitempty"`
+	Config    *catalog.Config           `json:"config,omitempty"`
+	Digests   Known                     `json:"digests"`
 }
 
-// Complete fills in digests and versions of a full reading.
+// Complete fills in the digests of a full reading.
 func (r *Reading) Complete() {
-	r.Versions = make(map[string]uint64, len(r.Records))
-	for name, record := range r.Records {
-		r.Versions[name] = record.Version
-	}
-	r.Digests.Records = digest(struct {
-		Records  map[string]primacy.Record
-		Versions map[string]uint64
-	}{r.Records, r.Versions})
+	r.Digests.Records = digest(r.Records)
 	r.Digests.Members = digest(r.Members)
 	r.Digests.Instances = digest(r.Instances)
 	if r.Config != nil {
@@ -94,7 +85,7 @@
 // without returns the reading without the parts that the asker has.
 func (r Reading) without(k Known) Reading {
 	if r.Digests.Records == k.Records {
-		r.Records, r.Versions = nil, nil
+		r.Records = nil
 	}
 	if r.Digests.Members == k.Members {
 		r.Members = nil
@@ -111,7 +102,7 @@
 // Updated returns r with the parts that a later reading brought.
 func (r Reading) Updated(later Reading) Reading {
 	if later.Records == nil {
-		later.Records, later.Versions = r.Records, r.Versions
+		later.Records = r.Records
 	}
 	if later.Members == nil {
 		later.Members = r.Members
@@ -181,11 +172,6 @@
 	var r Reading
 	err = conn.Call(ctx, method, known, &r)
 	if err == nil {
-		for name, record := range r.Records {
-			record.Version = r.Versions[name]
-			record.Service = name
-			r.Records[name] = record
-		}
 		return r, nil
 	}
 	var rpc *jsonrpc2.Error
