--- a/proxy/group/claim_test.go
+++ b/proxy/group/claim_test.go
@@ -34,18 +34,23 @@
 	return New(Config{Service: "s", Instance: "self", Register: register, Clock: clock, Log: log.WithField("test", true)}, catalog.Service{Name: "s", Connections: 16})
 }
 
+// judgedChange returns an attempt to replace member a, judged on record 7.
+func judgedChange(register Register, now *time.Duration) *change {
+	g := newTestGroup(register, func() time.Duration { return *now })
+	old := primacy.Lead{Member: "a", Term: 1}
+	judged := primacy.Record{Service: "s", Lead: old, Version: 7}
+	g.UpdateRecord(judged, *now, *now)
+	return &change{g: g, old: old, record: judged, log: g.cfg.Log}
+}
+
 // A claim that had been written over another instance's newer claim let two
 // holders promote, the second with the lower token (colle-avvisi, hunt-faf4-3).
 func TestClaimIsConditionalOnTheJudgedRecord(t *testing.T) {
 	now := 10 * time.Second
 	register := &fakeRegister{now: &now}
-	g := newTestGroup(register, func() time.Duration { return now })
-	old := primacy.Lead{Member: "a", Term: 1}
-	judged := primacy.Record{Service: "s", Lead: old, Version: 7}
-	g.UpdateRecord(judged, now, now)
-	c := &change{g: g, old: old, record: judged, log: g.cfg.Log}
-	theirs := primacy.Record{Service: "s", Lead: old, Version: 8, Claim: &primacy.Claim{Holder: "other", Since: now, Renewed: now, Old: old}}
-	g.UpdateRecord(theirs, now, now)
+	c := judgedChange(register, &now)
+	theirs := primacy.Record{Service: "s", Lead: c.old, Version: 8, Claim: &primacy.Claim{Holder: "other", Since: now, Renewed: now, Old: c.old}}
+	c.g.UpdateRecord(theirs, now, now)
 	assert.Assert(t, !c.claim(t.Context()))
 	assert.Equal(t, len(register.puts), 0)
 }
@@ -55,11 +60,7 @@
 func TestRenewedClaimKeepsItsBeginning(t *testing.T) {
 	now := 10 * time.Second
 	register := &fakeRegister{now: &now}
-	g := newTestGroup(register, func() time.Duration { return now })
-	old := primacy.Lead{Member: "a", Term: 1}
-	judged := primacy.Record{Service: "s", Lead: old, Version: 7}
-	g.UpdateRecord(judged, now, now)
-	c := &change{g: g, old: old, record: judged, log: g.cfg.Log}
+	c := judgedChange(register, &now)
 	assert.Assert(t, c.claim(t.Context()))
 	now += time.Second
 	assert.Assert(t, c.claim(t.Context()))
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -317,17 +317,17 @@
 	}
 }
 
-// Evidence is what a decision of the group rests on, for the log.
+// Evidence is what a decision of the group rests on, for the log and the dump.
 type Evidence struct {
-	Lead          primacy.Lead
-	RecordVersion uint64
+	Lead          primacy.Lead `json:"lead"`
+	RecordVersion uint64       `json:"record_version"`
 	// ProvenFor is how much longer the lead is proven; negative: how long it has
 	// not been.
-	ProvenFor time.Duration
+	ProvenFor time.Duration `json:"proven_for_ns"`
 	// ClaimHolder is the instance that is replacing the lead, or empty.
-	ClaimHolder string
+	ClaimHolder string `json:"claim_holder,omitempty"`
 	// Doubted means that the lead does not answer probes.
-	Doubted bool
+	Doubted bool `json:"doubted"`
 }
 
 // Evidence returns what the group knows now.
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -12,6 +12,7 @@
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/steady"
 )
 
 const (
@@ -73,7 +74,7 @@
 	if base.Claim != nil {
 		old = base.Claim.Old
 	}
-	sleep(ctx, rand.N(claimSpread))
+	steady.Sleep(ctx, rand.N(claimSpread))
 	if ctx.Err() != nil || g.cfg.Clock()-g.attempted < attemptSpacing {
 		return
 	}
@@ -90,15 +91,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // claim stores this instance's claim, or renews it.
 func (c *change) claim(ctx context.Context) bool {
 	g := c.g
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -52,7 +52,7 @@
 	}
 	c.await(5*time.Second, "a primary on all instances", func() bool {
 		for _, n := range c.nodes {
-			if !n.Ready() || n.Primaries()[standin.Service].Member == "" {
+			if !n.Ready() || n.State().Groups[standin.Service].Lead.Member == "" {
 				return false
 			}
 		}
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/proxy/steady"
 )
 
 const (
@@ -29,7 +31,7 @@
 func (n *Node) watchIsolation(ctx context.Context) {
 	var since time.Duration
 	for ctx.Err() == nil {
-		sleep(ctx, isolationCheck)
+		steady.Sleep(ctx, isolationCheck)
 		now := n.cfg.Clock()
 		proven, any := time.Duration(0), false
 		for _, g := range n.allGroups() {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/figures"
@@ -83,11 +82,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, groups: make(map[string]*group.Group), sessions: make(map[*served]struct{})}
 	n.reader = newReader(n)
-	cfg.Figures.Sessions(func() float64 {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		return float64(len(n.sessions))
-	})
+	cfg.Figures.Sessions(func() float64 { return float64(n.openSessions()) })
 	return n
 }
 
@@ -174,15 +169,6 @@
 	return groups
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // dependency logs when a dependency is lost and when it is back.
 type dependency struct {
 	name  string
@@ -236,14 +222,22 @@
 // EndTransactions implements session.Stopping.
 func (n *Node) EndTransactions() bool { return n.stop.ending() }
 
-// Primaries returns the lead of each group, for the state dump.
-func (n *Node) Primaries() map[string]primacy.Lead {
-	leads := make(map[string]primacy.Lead)
+// State is the dump of an instance.
+type State struct {
+	Instance      string                    `json:"instance"`
+	Ready         bool                      `json:"ready"`
+	ConfigVersion int64                     `json:"config_version"`
+	Sessions      int                       `json:"sessions"`
+	Groups        map[string]group.Evidence `json:"groups"`
+}
+
+// State returns what the instance believes now.
+func (n *Node) State() State {
+	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.Evidence)}
 	for _, g := range n.allGroups() {
-		lead, _ := g.Lead()
-		leads[g.Service()] = lead
+		state.Groups[g.Service()] = g.Evidence()
 	}
-	return leads
+	return state
 }
 
 // Configured reports whether a configuration is in force.
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -12,6 +12,7 @@
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/relay"
+	"github.com/papayarail/papayarail/proxy/steady"
 )
 
 const (
@@ -58,7 +59,7 @@
 	defer client.Close()
 	for ctx.Err() == nil {
 		choice := picker.Next(n.cfg.Clock())
-		sleep(ctx, choice.Wait)
+		steady.Sleep(ctx, choice.Wait)
 		known.Urgent = n.changing()
 		known.Config = n.configVersion()
 		sentAt := n.cfg.Clock()
@@ -69,7 +70,7 @@
 		if err != nil {
 			known = relay.Known{}
 			if choice.Own {
-				sleep(ctx, retryInterval)
+				steady.Sleep(ctx, retryInterval)
 			}
 			continue
 		}
@@ -185,7 +186,7 @@
 			return
 		}
 		n.cfg.Log.WithFields(logrus.Fields{"event": "announce_failed", "error": err.Error()}).Info("instance could not announce itself")
-		sleep(ctx, membersInterval)
+		steady.Sleep(ctx, membersInterval)
 	}
 }
 
@@ -356,7 +357,7 @@
 		n.cfg.Figures.StoreCall("config", err, n.cfg.Clock()-started)
 		if err != nil {
 			n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "cursor": cursor, "error": err.Error()}).Info("configuration could not be followed")
-			sleep(ctx, retryInterval)
+			steady.Sleep(ctx, retryInterval)
 			continue
 		}
 		cursor = next
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -161,24 +161,32 @@
 	return verdict.New(verdict.ReadUnanswered, "no upstream answered the read: %v", err).After(retryAfter)
 }
 
-// attempt runs a statement once.
-func (s *Session) attempt(g *group.Group, c group.Choice, w work, need group.Need, tried int) (statement.Reply, outcome) {
-	ticket, err := c.Acquire(s.name, need.Rank, need.Deadline)
-	if err != nil {
-		// The queue is full or too long; a read may still start elsewhere.
-		return refused(err), notRun
+// connect waits for the right to run a statement on the chosen member, and for a
+// connection that has the session's values and the prepared statement. After an
+// error nothing is held and nothing has run; a read may still start elsewhere.
+func (s *Session) connect(g *group.Group, c group.Choice, need group.Need, p *upstream.Prepared) (ticket uint64, conn *upstream.Conn, err error) {
+	if ticket, err = c.Acquire(s.name, need.Rank, need.Deadline); err != nil {
+		return 0, nil, err
 	}
 	left := need.Deadline - s.env.Clock() - answerSlack
-	conn, err := c.Checkout(s.values, left)
-	if err != nil {
+	if conn, err = c.Checkout(s.values, left); err != nil {
 		c.Release(ticket, false)
 		s.noteDialFailure(g, c.Upstream, err)
-		return refused(err), notRun
+		return 0, nil, err
 	}
-	if err := conn.Adapt(s.values, w.prepared, false, left); err != nil {
+	if err = conn.Adapt(s.values, p, false, left); err != nil {
 		c.Discard(conn)
 		c.Release(ticket, false)
 		g.Failed(c.Upstream, false)
+		return 0, nil, err
+	}
+	return ticket, conn, nil
+}
+
+// attempt runs a statement once.
+func (s *Session) attempt(g *group.Group, c group.Choice, w work, need group.Need, tried int) (statement.Reply, outcome) {
+	ticket, conn, err := s.connect(g, c, need, w.prepared)
+	if err != nil {
 		return refused(err), notRun
 	}
 	timeout := need.Deadline - s.env.Clock() - answerSlack
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -153,27 +153,16 @@
 func (s *Session) open(w work, need group.Need, arrival time.Duration) (statement.Reply, outcome) {
 	t := s.tx
 	c := t.choice
-	ticket, err := c.Acquire(s.name, need.Rank, need.Deadline)
+	ticket, conn, err := s.connect(t.group, c, need, nil)
 	if err != nil {
 		return refused(err), notRun
 	}
-	left := need.Deadline - s.env.Clock() - answerSlack
-	conn, err := c.Checkout(s.values, left)
-	if err != nil {
-		c.Release(ticket, false)
-		s.noteDialFailure(t.group, c.Upstream, err)
-		return refused(err), notRun
-	}
 	t.conn = conn
 	begin := statement.Statement{Kind: statement.Begin, After: c.After}
 	if t.readOnly {
 		begin.Kind = statement.BeginReadOnly
 	}
-	err = conn.Adapt(s.values, nil, false, left)
-	var reply statement.Reply
-	if err == nil {
-		reply, err = execute(t.group, c, conn, begin, left)
-	}
+	reply, err := execute(t.group, c, conn, begin, need.Deadline-s.env.Clock()-answerSlack)
 	if err != nil {
 		c.Release(ticket, false)
 		t.group.Failed(c.Upstream, false)
--- a/proxy/steady/steady.go
+++ b/proxy/steady/steady.go
@@ -4,6 +4,7 @@
 package steady
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -22,3 +23,13 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
