Judge a conditional put of the stand-in by the latest version

The stand-in of the table service read the clock before it took its lock and looked for the version of that time, so that a put which came to the lock second did not see the version of the first. The product is not concerned: the condition was sent and answered as it should be.

TestConditionSeesEveryEarlierPut fails without the change, and passes with it; TestTwoOperators passes five times with -race.

--- a/standin/platformd/table.go
+++ b/standin/platformd/table.go
@@ -77,12 +77,21 @@
 	return nil
 }
 
-// put replaces an item if the condition holds for its latest version.
+// put replaces an item if the condition holds for its latest version. now may be
+// earlier than that version: puts take effect in the order in which they get the
+// lock, whenever they read the clock.
 func (t *tables) put(key itemKey, attrs attributes, now time.Time, holds func(attributes) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	versions := t.items[key]
-	if !holds(newest(versions, now)) {
+	var latest attributes
+	if n := len(versions); n > 0 {
+		latest = versions[n-1].attrs
+		if versions[n-1].at.After(now) {
+			now = versions[n-1].at
+		}
+	}
+	if !holds(latest) {
 		return false
 	}
 	versions = append(versions, version{now, attrs})
--- /dev/null
+++ b/standin/platformd/table_order_test.go
@@ -0,0 +1,28 @@
+package platformd
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Two puts with the same condition both took effect: the one that had read the
+// clock first came to the lock second, and its condition was judged without the
+// other's version (TestTwoOperators, seen once under CI).
+func TestConditionSeesEveryEarlierPut(t *testing.T) {
+	tables := newTables()
+	key := itemKey{"papayarail", "config", "head"}
+	revision := func(n string) attributes { return attributes{"revision": text(n)} }
+	is := func(n string) func(attributes) bool {
+		return func(a attributes) bool { return a["revision"].equal(text(n)) }
+	}
+	start := time.Now()
+	assert.Assert(t, tables.put(key, revision("1"), start, func(attributes) bool { return true }))
+	early, late := start.Add(time.Millisecond), start.Add(2*time.Millisecond)
+	assert.Assert(t, tables.put(key, revision("2"), late, is("1")))
+	assert.Assert(t, !tables.put(key, revision("2 again"), early, is("1")), "the condition no longer holds")
+	// A put that is performed with an earlier time comes after the others all the same.
+	assert.Assert(t, tables.put(key, revision("3"), early, is("2")))
+	assert.Assert(t, is("3")(tables.get(key, late)))
+}
