Judge a gateway by its answer to the last ping; test hops in simulated time

TestSlowReadLeavesGatewayInUse failed once on a busy machine: it compared real times. It now runs in a synctest bubble, where it showed that an answer to a ping could be taken for one before it.

--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -237,7 +237,7 @@
 	defer deadline.Stop()
 	watch := time.NewTimer(silentAfter)
 	defer watch.Stop()
-	pinged := false
+	var pinged time.Time // zero unless a sign of life is awaited
 	for {
 		select {
 		case err := <-done:
@@ -246,15 +246,15 @@
 			return context.DeadlineExceeded
 		case <-watch.C:
 		}
-		silent := time.Since(w.heardSince(sent))
-		switch {
+		heard := w.heardSince(sent)
+		switch silent := time.Since(heard); {
 		case !j.Keeps && time.Since(sent) >= readPatience:
 			return errSlow
-		case silent < silentAfter:
-			pinged = false
-			watch.Reset(silentAfter - silent)
-		case !pinged:
-			pinged = true
+		case silent < silentAfter || !pinged.IsZero() && !heard.Before(pinged):
+			pinged = time.Time{}
+			watch.Reset(max(silentAfter-silent, silentAfter/2))
+		case pinged.IsZero():
+			pinged = time.Now()
 			go w.ping(ctx)
 			watch.Reset(pingTimeout)
 		default:
