Serve reads on replicas while the primary does not serve

Cause: during a change of primary (1.5 s), and while the store is away and the primary cut off, all reads that needed evidence of the primary were refused; they are two thirds of the load.

A commit is acknowledged once the primary and a replica have it. So if all members but one answer a round of questions, the greatest position among them covers every commit acknowledged before the round (takeover.Cover), and a read may run on a member that has it. It is used when the lead cannot be used or proven, not if a member departed, lost its log, or the members were last read more than 10 s ago. The number of replicas that must have a commit is decoded from the configuration; without one, neither this nor the partial quorum applies.

TestReadsWithoutPrimary failed before; the random faults check every read against the acknowledged commits.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -86,6 +86,7 @@
 	record  Record
 	proven  time.Duration
 	marks   []Mark
+	cover   Mark              // latest position that covers all acknowledged writes, without the lead's word
 	first   position.Position // first known position of the lead
 	lastPos position.Position // highest known position of the lead
 }
@@ -207,6 +208,20 @@
 	return t.marks[len(t.marks)-1], true
 }
 
+// ObserveCover takes in a position that covers every write acknowledged before
+// sentAt, whichever member leads: see takeover.Cover.
+func (t *Tracker) ObserveCover(p position.Position, sentAt time.Duration) {
+	if sentAt > t.cover.At {
+		t.cover = Mark{Position: p, At: sentAt}
+	}
+}
+
+// Cover returns such a position for writes acknowledged before since; ok is false
+// if none is known.
+func (t *Tracker) Cover(since time.Duration) (m Mark, ok bool) {
+	return t.cover, t.cover.At > 0 && t.cover.At >= since
+}
+
 // Translate returns a position that covers the acknowledged write at p under
 // the current term. A position of an earlier term may lie past the place at
 // which the current term began, so it is replaced by the first known position
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -42,6 +42,9 @@
 	// Reborn means that the member restarted without its log and has not been
 	// seen to catch up; its log says nothing about earlier commits.
 	Reborn bool
+	// Shorter means that its log ended later when it was asked before under the
+	// same lead: it may have lost commits that it had confirmed.
+	Shorter bool
 	// Status is nil if the member did not answer in this round.
 	Status *Status
 }
--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -43,6 +43,9 @@
 	Name string
 	// Connections is the limit of each member over all instances.
 	Connections int
+	// AcknowledgedBy is the number of replicas that have a commit before it is
+	// acknowledged.
+	AcknowledgedBy int
 }
 
 // Config is one version of the operators' configuration.
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -150,6 +150,8 @@
 	// rebornFloor is the position that it must reach after a restart without
 	// its log before its log counts again; zero if it does not matter.
 	rebornFloor position.Position
+	// longest is its greatest position under the present lead.
+	longest position.Position
 }
 
 // New returns a Group without members. Run must be called for it to act.
@@ -331,6 +333,9 @@
 // noteLead logs a new lead and forgets what was known of the former one.
 func (g *Group) noteLead(before primacy.Lead, source string) {
 	g.committed = 0 // it says nothing about another lead
+	for _, m := range g.members {
+		m.longest = position.Position{} // replicas that were ahead are rolled back
+	}
 	lead := g.tracker.Lead()
 	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": lead.Member, "term": lead.Term, "before": before.Member, "source": source}).Info("primary changed")
 }
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -26,6 +26,9 @@
 	// members that do not answer a round. Leases run out 1 s after the store is
 	// lost; commits of that second let service go on.
 	commitEvidence = 1200 * time.Millisecond
+	// coverLimit is the age of the last reading of the members up to which they
+	// are all known: a database takes longer to start and to catch up.
+	coverLimit = 10 * time.Second
 	// quorumSize is the lead and a replica.
 	quorumSize = 2
 	// stragglerTimeout is the wait for a member that is known not to serve, after
@@ -40,6 +43,10 @@
 	Received position.Position `json:"received"`
 	// Confirmed means that the members confirm the lead.
 	Confirmed bool `json:"confirmed"`
+	// Covered is a position that covers every write acknowledged before the
+	// round, if Covers is set.
+	Covered position.Position `json:"covered"`
+	Covers  bool              `json:"covers,omitempty"`
 	// Later is a lead of a later term that the members established, if any.
 	Later primacy.Lead `json:"later"`
 }
@@ -49,6 +56,7 @@
 	running bool
 	started time.Duration
 	failed  int // rounds without a quorum so far
+	blind   int // rounds without anything that a read can rest on
 	// last is the result of the last round of this instance, begun at lastStarted.
 	last        Confirmation
 	lastStarted time.Duration
@@ -118,10 +126,14 @@
 	g.mu.Lock()
 	// A commit that was acknowledged of late shows that a replica takes the
 	// lead's entries, which none does after a promotion of another member.
-	partial := g.committed > 0 && sentAt-g.committed < commitEvidence
+	synchronous := g.service.AcknowledgedBy > 0
+	partial := synchronous && g.committed > 0 && sentAt-g.committed < commitEvidence
 	primary, quorum := confirms(lead, members, partial)
 	c := Confirmation{Lead: lead, Received: primary.Received, Confirmed: quorum}
 	c.Later, _ = leadsLater(lead, members)
+	if synchronous && sentAt-g.recordsRead < coverLimit {
+		c.Covered, c.Covers = takeover.Cover(members, groupSize(len(members)))
+	}
 	g.rounds.last, g.rounds.lastStarted = c, sentAt
 	if !quorum {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "no_quorum", "lead": lead.Member, "term": lead.Term, "members": describe(members)}).Warn("members do not confirm the primary")
@@ -140,6 +152,12 @@
 	} else {
 		g.rounds.failed++
 	}
+	if c.Covers {
+		g.tracker.ObserveCover(c.Covered, sentAt)
+	}
+	if !c.Confirmed && !c.Covers {
+		g.rounds.blind++
+	}
 	g.noteLater(c.Later)
 	g.broadcast()
 }
@@ -248,9 +266,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, m := range upstreams {
-		if s := members[i].Status; !m.rebornFloor.IsZero() && s != nil {
+		s := members[i].Status
+		if s == nil {
+			continue
+		}
+		if !m.rebornFloor.IsZero() {
 			members[i].Reborn = !s.Received.AtLeast(m.rebornFloor)
 		}
+		members[i].Shorter = !s.Received.AtLeast(m.longest)
+		m.longest = position.Max(m.longest, s.Received)
 	}
 	return members
 }
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -67,7 +67,7 @@
 // Choose returns the member to execute a request, waiting for a primary or for
 // evidence if that can come in time. excluded members are not chosen.
 func (g *Group) Choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, error) {
-	failedRounds := -1
+	failedRounds, blindRounds := -1, -1
 	giveUp := min(n.Deadline, g.cfg.Clock()+g.evidenceWait(n))
 	for {
 		g.mu.Lock()
@@ -77,10 +77,14 @@
 			return c, nil
 		}
 		if failedRounds < 0 {
-			failedRounds = g.rounds.failed
+			failedRounds, blindRounds = g.rounds.failed, g.rounds.blind
 		}
-		err := g.refusal(n, excluded, g.rounds.failed-failedRounds)
-		if err == nil && g.needsRound() {
+		failed := g.rounds.failed - failedRounds
+		if !n.Writes {
+			failed = g.rounds.blind - blindRounds
+		}
+		err := g.refusal(n, excluded, failed)
+		if err == nil && g.needsRound(n) {
 			g.startRound()
 		}
 		changed := g.changed
@@ -107,9 +111,14 @@
 
 // choose decides without waiting. g.mu is held.
 func (g *Group) choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
-	if n.Writes || n.Consistency == catalog.Strict {
+	if n.Writes {
 		return g.choosePrimary(n, excluded)
 	}
+	if n.Consistency == catalog.Strict {
+		if c, ok := g.choosePrimary(n, excluded); ok {
+			return c, true
+		}
+	}
 	return g.chooseReader(n, excluded)
 }
 
@@ -137,8 +146,7 @@
 // is proven for that age, the primary.
 func (g *Group) chooseReader(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
 	since := n.Arrival - n.Staleness
-	mark, marked := g.tracker.OldestMark(since)
-	after, at := g.coverOwn(n, mark, &marked)
+	after, at, marked := g.requirement(n, since)
 	var choices []Choice
 	var candidates []choose.Candidate
 	lead, primary := g.leadLocked()
@@ -154,6 +162,8 @@
 		}
 		choice := Choice{Upstream: m.Upstream, After: after, At: at, Evidence: n.Arrival - at}
 		switch {
+		case id == lead.Member && n.Consistency == catalog.Strict:
+			continue // choosePrimary has refused it
 		case id == lead.Member:
 			if m.Upstream != primary || g.suspicion.confirmed || !g.tracker.Proven(since) {
 				continue
@@ -175,6 +185,24 @@
 	return choices[best], true
 }
 
+// requirement returns the position that a replica must have for a read, and the
+// time at which a primary had reached it; ok is false if none is known. A mark of
+// the lead comes first: a cover is known only if the lead does not answer.
+func (g *Group) requirement(n Need, since time.Duration) (after position.Position, at time.Duration, ok bool) {
+	if n.Consistency != catalog.Strict {
+		mark, marked := g.tracker.OldestMark(since)
+		after, at = g.coverOwn(n, mark, &marked)
+		if marked {
+			return after, at, true
+		}
+	}
+	if n.Consistency == catalog.ReadYourWrites {
+		since = max(since, n.OwnAt)
+	}
+	cover, ok := g.tracker.Cover(since)
+	return cover.Position, cover.At, ok
+}
+
 // coverOwn raises the mark to the session's own last write. It clears marked if
 // no position is known that covers it.
 func (g *Group) coverOwn(n Need, mark primacy.Mark, marked *bool) (position.Position, time.Duration) {
@@ -194,11 +222,18 @@
 
 // needsRound reports whether a quorum of members can provide what the request
 // lacks. g.mu is held.
-func (g *Group) needsRound() bool {
-	if _, u := g.leadLocked(); u == nil || g.suspicion.confirmed {
-		return false
+func (g *Group) needsRound(n Need) bool {
+	if g.mayCover(n) {
+		return true
 	}
-	return true
+	_, u := g.leadLocked()
+	return u != nil && !g.suspicion.confirmed
+}
+
+// mayCover reports whether the members may show what a read needs without the
+// lead. g.mu is held.
+func (g *Group) mayCover(n Need) bool {
+	return !n.Writes && g.service.AcknowledgedBy > 0 && g.tracker.Lead().Member != "" && g.cfg.Clock()-g.recordsRead < coverLimit
 }
 
 // refusal returns why a request should not wait, or nil. g.mu is held.
@@ -206,6 +241,9 @@
 	if len(g.members) == 0 {
 		return verdict.New(verdict.CutOff, "no member of service %s is registered", g.cfg.Service).After(retryWithoutPrimary)
 	}
+	if failedRounds < roundsBeforeCutOff && g.mayCover(n) && len(excluded) < len(g.members)-1 {
+		return nil
+	}
 	if _, u := g.leadLocked(); u != nil && excluded[u] && !g.tracker.Changing() && !g.suspicion.confirmed {
 		return verdict.New(verdict.ReplicaBehind, "no member of service %s could execute the request", g.cfg.Service).After(g.comeBackLocked())
 	}
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -82,6 +82,42 @@
 	}
 }
 
+// Guards reads while the primary is being replaced: any two of three members show
+// every acknowledged commit, so reads of all kinds go on, on a replica. They were
+// refused for the 1.5 s that a change takes, and until the store was back if that
+// was away.
+func TestReadsWithoutPrimary(t *testing.T) {
+	for _, store := range []bool{true, false} {
+		t.Run(fmt.Sprintf("store=%t", store), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "i2", "i3")
+				stop := c.load(1)
+				time.Sleep(time.Second)
+				if !store {
+					for name := range c.nodes {
+						c.world.Cut(name, "store")
+					}
+				}
+				c.world.Crash("a", true)
+				time.Sleep(500 * time.Millisecond) // until the silence is noticed
+				for _, kind := range []struct {
+					database string
+					stale    time.Duration
+				}{{standin.Database, 0}, {standin.Database + "_stale", 1500 * time.Millisecond}, {standin.Database + "_own", 2500 * time.Millisecond}} {
+					s := c.open("i1", kind.database)
+					for range 5 {
+						assert.NilError(t, c.read(s, kind.stale), kind.database)
+						time.Sleep(20 * time.Millisecond)
+					}
+					s.leave()
+				}
+				stop()
+				c.closeSimulated()
+			})
+		})
+	}
+}
+
 // Guards a planned change: the leaving primary serves until its successor leads.
 func TestPrimaryLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/proxy/standin/store.go
+++ b/proxy/standin/store.go
@@ -120,7 +120,7 @@
 	own.Database, own.Consistency, own.Staleness, own.Priority = Database+"_own", catalog.ReadYourWrites, 2500*time.Millisecond, 1
 	return &catalog.Config{
 		Version: 1, Routes: map[string]catalog.Route{route.Database: route, stale.Database: stale, own.Database: own},
-		Services: map[string]catalog.Service{Service: {Name: Service, Connections: 16}}, TransactionIdle: 3 * time.Second,
+		Services: map[string]catalog.Service{Service: {Name: Service, Connections: 16, AcknowledgedBy: 1}}, TransactionIdle: 3 * time.Second,
 	}, 1, nil
 }
 
