Limit what lower ranks send to a member that has a queue of its own

Cause: each instance ran three statements at a time on a member, whatever their rank, and a member executes in order of arrival. In a burst of lookups, 18 of them from six instances took its two slots for 135 ms before an urgent statement. core/schedule/replay plays it (shared-member): urgent p50 123 ms, middle 141 ms.

share.Policy now also limits how many statements of a rank or less urgent ones an instance runs: all instances together fill the slots with lookups alone and leave a short queue. In the same play urgent p50 is 52 ms, middle 62 ms, and as many lookups are answered (5,981 against 5,939).

--- a/core/schedule/estimate.go
+++ b/core/schedule/estimate.go
@@ -117,6 +117,9 @@
 	if s.slow(r) {
 		left = min(left, float64(s.slots-1)/float64(s.slots))
 	}
+	if limit := s.cfg.Limit[r]; limit > 0 && s.slots > 0 {
+		left = min(left, float64(limit)/float64(s.slots))
+	}
 	return max(left, s.cfg.Floor[r], minShare)
 }
 
--- a/core/schedule/replay/replay.go
+++ b/core/schedule/replay/replay.go
@@ -54,6 +54,12 @@
 	Floor      [schedule.Ranks]float64
 	QueueLimit int
 	MaxWait    [schedule.Ranks]time.Duration
+	// Instances is the number of instances, each with a queue of its own and Slots
+	// slots, that send what they start to one member. It executes MemberSlots
+	// requests at a time in order of arrival. 0: one owner with the member's slots.
+	Instances   int
+	MemberSlots int
+	Limit       [schedule.Ranks]int
 	// Door puts a schedule.Door before the scheduler. It hears of the load and
 	// of refusals with each answer. Ignored by FIFO.
 	Door     bool
@@ -147,6 +153,7 @@
 	arrived time.Duration // first attempt
 	sent    time.Duration // this attempt
 	attempt int
+	queue   queue
 	started time.Duration
 	service time.Duration
 	counted bool
@@ -164,7 +171,8 @@
 
 type run struct {
 	scenario Scenario
-	queue    queue
+	queues   []queue
+	member   member
 	door     *schedule.Door      // nil without Door
 	owner    *schedule.Scheduler // the queue, if there is a Door
 	events   eventHeap
@@ -195,7 +203,9 @@
 		case comeBack:
 			r.attempt(e.id, e.at)
 		case tick:
-			r.apply(r.queue.Tick(e.at), e.at)
+			for _, q := range r.queues {
+				r.apply(q.Tick(e.at), e.at)
+			}
 			if e.at < end || len(r.requests) > 0 {
 				r.at(event{at: e.at + tickPeriod, kind: tick})
 			}
@@ -208,8 +218,10 @@
 func newRun(sc Scenario, seed uint64) *run {
 	r := &run{scenario: sc, requests: make(map[uint64]*request)}
 	r.figures = Figures{Scenario: sc.Name, Policy: sc.Policy, Seed: seed}
-	r.queue = newQueue(sc, seed)
-	if s, ok := r.queue.(*schedule.Scheduler); ok && sc.Door {
+	for i := range max(sc.Instances, 1) {
+		r.queues = append(r.queues, newQueue(sc, seed+uint64(i)))
+	}
+	if s, ok := r.queues[0].(*schedule.Scheduler); ok && sc.Door {
 		r.owner, r.door = s, schedule.NewDoor(rand.New(rand.NewPCG(seed, 1)))
 	}
 	for i := range schedule.Ranks {
@@ -228,7 +240,7 @@
 		return &fifo{slots: sc.Slots}
 	}
 	return schedule.New(schedule.Config{
-		Slots: sc.Slots, Floor: sc.Floor, QueueLimit: sc.QueueLimit, MaxWait: sc.MaxWait,
+		Slots: sc.Slots, Floor: sc.Floor, QueueLimit: sc.QueueLimit, MaxWait: sc.MaxWait, Limit: sc.Limit,
 		Rand: rand.New(rand.NewPCG(seed, 0)),
 	})
 }
@@ -264,7 +276,10 @@
 
 func (r *run) arrive(s *source, now time.Duration) {
 	r.nextID++
-	req := &request{source: s, arrived: now, counted: now >= r.scenario.Warmup}
+	req := &request{source: s, arrived: now, counted: now >= r.scenario.Warmup, queue: r.queues[0]}
+	if n := len(r.queues); n > 1 {
+		req.queue = r.queues[s.rand.IntN(n)]
+	}
 	req.service = max(time.Duration(s.rand.ExpFloat64()*float64(s.class.Service)), time.Microsecond)
 	r.requests[r.nextID] = req
 	if req.counted {
@@ -292,7 +307,7 @@
 	if class.Deadline > 0 {
 		sr.Deadline = now + class.Deadline
 	}
-	r.apply(r.queue.Submit(sr, now), now)
+	r.apply(req.queue.Submit(sr, now), now)
 }
 
 // upstream is the name under which the Door knows the only upstream.
@@ -321,7 +336,7 @@
 	for _, id := range res.Started {
 		req := r.requests[id]
 		req.started = now
-		r.at(event{at: now + req.service, kind: completion, id: id})
+		r.execute(id, now)
 	}
 	r.advertise(res.Rejected, now)
 	for _, rej := range res.Rejected {
@@ -329,6 +344,27 @@
 	}
 }
 
+// member executes what instances have started.
+type member struct {
+	running int
+	waiting []uint64
+}
+
+func (r *run) execute(id uint64, now time.Duration) {
+	r.member.waiting = append(r.member.waiting, id)
+	r.next(now)
+}
+
+// next starts what waits at the member. A single owner has exactly its slots.
+func (r *run) next(now time.Duration) {
+	for m := &r.member; len(m.waiting) > 0 && (r.scenario.Instances == 0 || m.running < r.scenario.MemberSlots); {
+		id := m.waiting[0]
+		m.waiting = m.waiting[1:]
+		m.running++
+		r.at(event{at: now + r.requests[id].service, kind: completion, id: id})
+	}
+}
+
 // defaultComeBack is the pause of a caller after a refusal without advice.
 const defaultComeBack = 50 * time.Millisecond
 
@@ -354,7 +390,9 @@
 func (r *run) complete(id uint64, now time.Duration) {
 	req := r.requests[id]
 	delete(r.requests, id)
-	r.apply(r.queue.Done(id, now), now)
+	r.apply(req.queue.Done(id, now), now)
+	r.member.running--
+	r.next(now)
 	class := req.source.class
 	if now >= r.scenario.Warmup && now < r.scenario.Warmup+r.scenario.Duration {
 		r.busy[class.Rank] += req.service
--- a/core/schedule/replay/replay_test.go
+++ b/core/schedule/replay/replay_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/share"
 )
 
 var seeds = []uint64{1, 2, 3}
@@ -134,3 +135,28 @@
 		}
 	}
 }
+
+// Guards urgent and middle requests against lookups that other instances have
+// sent to the same member, which executes in order of arrival; and the rate of
+// lookups that it executes.
+func TestLimitsKeepTheMembersQueueShort(t *testing.T) {
+	t.Parallel()
+	limit := share.For(16, 2, 6).Limit
+	for _, seed := range seeds {
+		limited, before := play(SharedMember(Papayarail, limit), seed), play(SharedMember(Papayarail, [schedule.Ranks]int{}), seed)
+		logFigures(t, before)
+		logFigures(t, limited)
+		for _, r := range []schedule.Rank{schedule.Urgent, schedule.Middle} {
+			now, was := limited.Ranks[r], before.Ranks[r]
+			assert.Assert(t, now.Answered >= was.Answered, "%s: %d answered, %d before", r, now.Answered, was.Answered)
+			assert.Assert(t, now.ResponseP50 < was.ResponseP50*7/10, "%s: p50 %s, %s before", r, now.ResponseP50, was.ResponseP50)
+		}
+		total := func(f Figures) (n int) {
+			for _, r := range f.Ranks {
+				n += r.Answered
+			}
+			return n
+		}
+		assert.Assert(t, float64(total(limited)) >= 0.97*float64(total(before)), "%d answered, %d before", total(limited), total(before))
+	}
+}
--- a/core/schedule/replay/scenarios.go
+++ b/core/schedule/replay/scenarios.go
@@ -51,7 +51,7 @@
 // Scenarios lists all scenarios by name.
 func Scenarios(p Policy) map[string]Scenario {
 	list := make(map[string]Scenario)
-	for _, sc := range []Scenario{Quiet(p), FloodLookups(p), QuietSlow(p), FloodSlowLookups(p), FloodUrgent(p), FloodCallers(p), BurstUrgent(p)} {
+	for _, sc := range []Scenario{Quiet(p), FloodLookups(p), QuietSlow(p), FloodSlowLookups(p), FloodUrgent(p), FloodCallers(p), BurstUrgent(p), SharedMember(p, [schedule.Ranks]int{})} {
 		list[sc.Name] = sc
 	}
 	return list
@@ -100,3 +100,20 @@
 	sc.Classes[schedule.Urgent].Flood = 2
 	return sc
 }
+
+// SharedMember is a burst of lookups from six instances to a member with two
+// slots, with the mix of requests of the users' site files. limit is the limit of
+// each rank at an instance; zero: none but the three slots.
+func SharedMember(p Policy, limit [schedule.Ranks]int) Scenario {
+	return Scenario{
+		Name: "shared-member", Policy: p, Slots: 3, Limit: limit, QueueLimit: 32,
+		Floor:     [schedule.Ranks]float64{0, 0.10, 0.05},
+		Instances: 6, MemberSlots: 2,
+		Warmup: 2 * time.Second, Duration: 30 * time.Second,
+		Classes: []Class{
+			{Rank: schedule.Urgent, Callers: 6, Rate: 12, Service: 3 * time.Millisecond, Deadline: 800 * time.Millisecond},
+			{Rank: schedule.Middle, Callers: 12, Rate: 50, Service: 9 * time.Millisecond, Deadline: 800 * time.Millisecond},
+			{Rank: schedule.Least, Callers: 12, Rate: 12, Service: 15 * time.Millisecond, Deadline: 1200 * time.Millisecond, Flood: 12},
+		},
+	}
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -65,6 +65,10 @@
 type Config struct {
 	// Slots is the number of requests executed at a time.
 	Slots int
+	// Limit is the number of slots that requests of a rank and of less urgent
+	// ranks may take together; 0 selects Slots. It keeps what is ahead of urgent
+	// requests short where the upstream has a queue of its own without ranks.
+	Limit [Ranks]int
 	// Floor is the guaranteed share of the slots' time per rank, from 0 to 0.5.
 	// The entry of Urgent is ignored: it goes first anyway.
 	Floor [Ranks]float64
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -127,9 +127,14 @@
 
 // SetSlots changes the number of slots. Running requests are not interrupted.
 func (s *Scheduler) SetSlots(n int, now time.Duration) Result {
+	return s.SetLimits(n, s.cfg.Limit, now)
+}
+
+// SetLimits changes the number of slots and the limits of the ranks.
+func (s *Scheduler) SetLimits(n int, limit [Ranks]int, now time.Duration) Result {
 	var res Result
 	s.advance(now)
-	s.slots = max(n, 0)
+	s.slots, s.cfg.Limit = max(n, 0), limit
 	s.fill(now, &res)
 	return res
 }
@@ -197,7 +202,20 @@
 // mayStart reports whether a request of the rank may take a slot now. Slow
 // requests leave one slot to the others.
 func (s *Scheduler) mayStart(r Rank) bool {
-	return s.running < s.slots && (s.slowRunning() < s.slots-1 || !s.slow(r))
+	return s.running < s.slots && s.belowLimits(r) && (s.slowRunning() < s.slots-1 || !s.slow(r))
+}
+
+// belowLimits reports whether another request of the rank keeps its limit and
+// those of more urgent ranks.
+func (s *Scheduler) belowLimits(r Rank) bool {
+	running := 0
+	for i := Ranks - 1; i >= 0; i-- {
+		running += s.ranks[i].running
+		if limit := s.cfg.Limit[i]; i <= int(r) && limit > 0 && running >= limit {
+			return false
+		}
+	}
+	return true
 }
 
 // slow reports whether requests of the rank occupy a slot so much longer than
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -4,7 +4,11 @@
 // pure function of the limit and the number of instances.
 package share
 
-import "time"
+import (
+	"time"
+
+	"github.com/papayarail/papayarail/core/schedule"
+)
 
 // Policy is what one instance does with its connections to one upstream.
 type Policy struct {
@@ -14,8 +18,12 @@
 	Keep int
 	// Idle is how long further idle connections stay open.
 	Idle time.Duration
-	// Run is the number of statements that run at a time.
-	Run int
+	// Run is the number of statements that run at a time, Limit how many of them
+	// may be of a rank or less urgent. A member executes its queue in order of
+	// arrival: all instances together fill its slots with each rank alone, and
+	// leave a short queue to what is more urgent.
+	Run   int
+	Limit [schedule.Ranks]int
 }
 
 const (
@@ -43,13 +51,16 @@
 	// larger site files serves 62 statements of 9 ms a second, 20 for each of
 	// three gateways.
 	gatewayKeep = 2
+	// gatewayQueue is the number of statements that each gateway may have waiting
+	// at the member.
+	gatewayQueue = 3
 )
 
 // For returns the policy for an upstream with a limit, shared by a number of
 // instances.
-func For(limit, instances int) Policy {
+func For(limit, slots, instances int) Policy {
 	part := limit / max(instances, 1)
-	p := Policy{Open: min(max(part, minOpen), max(limit, 1)), Idle: idle, Run: run}
+	p := Policy{Open: min(max(part, minOpen), max(limit, 1)), Idle: idle, Run: run, Limit: limits(run, slots, instances)}
 	if part >= 1 {
 		p.Keep = 1
 	}
@@ -62,7 +73,18 @@
 	part := (limit - limit/gatewayReserve) / max(gateways, 1)
 	return Policy{
 		Open: min(max(part, minOpen), max(limit, 1)), Keep: gatewayKeep, Idle: idle,
-		// Together they fill the slots of the member and a short queue before them.
-		Run: max(run, slots/max(gateways, 1)+2),
+		Run: max(run, slots/max(gateways, 1)+gatewayQueue), Limit: limits(max(run, slots/max(gateways, 1)+gatewayQueue), slots, gateways),
+	}
+}
+
+// limits divides the slots of a member, with half as many more waiting, among
+// instances for the least urgent rank, and twice as many for the middle one.
+func limits(run, slots, instances int) [schedule.Ranks]int {
+	part := func(of int) int { return (of + max(instances, 1) - 1) / max(instances, 1) }
+	least := min(max(part(slots+slots/2), 1), run-1)
+	return [schedule.Ranks]int{
+		schedule.Urgent: run,
+		schedule.Middle: min(max(part(2*slots), least+1), run),
+		schedule.Least:  least,
 	}
 }
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/share"
 )
 
@@ -13,10 +14,26 @@
 // that kept one idle connection each exceeded a limit of 46.
 func TestPolicy(t *testing.T) {
 	for _, test := range []struct{ limit, instances, keep int }{{16, 6, 1}, {34, 9, 1}, {120, 84, 1}, {46, 85, 0}, {16, 0, 1}} {
-		p := share.For(test.limit, test.instances)
+		p := share.For(test.limit, 2, test.instances)
 		assert.Equal(t, p.Keep, test.keep)
 		assert.Assert(t, p.Keep*test.instances <= test.limit)
 		assert.Assert(t, p.Open >= 1 && p.Open <= test.limit)
 		assert.Assert(t, p.Idle < time.Second, "connections of bursts close before their instances are replaced")
 	}
 }
+
+// Guards the use of a member by lookups alone, and the queue that they leave to
+// urgent statements: before, 18 lookups of six instances took two slots for 135 ms.
+func TestLimits(t *testing.T) {
+	for _, test := range []struct{ slots, instances, gateways int }{{2, 1, 0}, {2, 6, 0}, {2, 9, 0}, {4, 0, 3}, {4, 0, 4}, {4, 0, 1}} {
+		p, n := share.For(34, test.slots, test.instances), test.instances
+		if test.gateways > 0 {
+			p, n = share.ForGateway(46, test.slots, test.gateways), test.gateways
+		}
+		least, middle := p.Limit[schedule.Least]*n, p.Limit[schedule.Middle]*n
+		assert.Assert(t, least >= test.slots, "%+v: %d lookups leave slots free", test, least)
+		assert.Assert(t, least < middle || p.Limit[schedule.Least] < p.Limit[schedule.Middle], "%+v", test)
+		assert.Assert(t, p.Limit[schedule.Least] == 1 || least <= 3*test.slots, "%+v: %d lookups", test, least)
+		assert.Equal(t, p.Limit[schedule.Urgent], p.Run)
+	}
+}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -203,7 +203,7 @@
 	if sharers := g.cfg.Gateways.Sharers(m.ID, limit); sharers > 0 {
 		return share.ForGateway(limit, m.Slots, sharers)
 	}
-	return share.For(limit, g.instances)
+	return share.For(limit, m.Slots, g.instances)
 }
 
 // way returns the gateway of a chosen member, or nil.
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -84,7 +84,7 @@
 		dialer: dialer, clock: clock, member: m, policy: policy, lag: initialLag,
 		waiting: make(map[uint64]chan error),
 		sched: schedule.New(schedule.Config{
-			Slots: policy.Run, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
+			Slots: policy.Run, Limit: policy.Limit, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
 			Floor: [schedule.Ranks]float64{0, floorMiddle, floorLeast},
 			Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
@@ -108,8 +108,8 @@
 		u.open -= len(drop)
 		u.known = position.Position{}
 	}
-	if policy.Run != u.policy.Run {
-		u.dispatch(u.sched.SetSlots(policy.Run, u.clock()))
+	if policy.Run != u.policy.Run || policy.Limit != u.policy.Limit {
+		u.dispatch(u.sched.SetLimits(policy.Run, policy.Limit, u.clock()))
 	}
 	u.member, u.policy = m, policy
 	u.mu.Unlock()
