--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/papayarail/papayarail/core/defaults"
 	"github.com/papayarail/papayarail/core/verdict"
 )
 
@@ -34,21 +35,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Ratio <= 0 {
-		c.Ratio = DefaultRatio
-	}
-	if c.Burst <= 0 {
-		c.Burst = DefaultBurst
-	}
-	if c.Base <= 0 {
-		c.Base = DefaultBase
-	}
-	if c.Max <= 0 {
-		c.Max = DefaultMax
-	}
-	if c.MaxAttempts <= 0 {
-		c.MaxAttempts = DefaultMaxAttempts
-	}
+	c.Ratio = defaults.Positive(c.Ratio, DefaultRatio)
+	c.Burst = defaults.Positive(c.Burst, DefaultBurst)
+	c.Base = defaults.Positive(c.Base, DefaultBase)
+	c.Max = defaults.Positive(c.Max, DefaultMax)
+	c.MaxAttempts = defaults.Positive(c.MaxAttempts, DefaultMaxAttempts)
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(1, 2))
 	}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -10,6 +10,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/papayarail/papayarail/core/defaults"
 	"github.com/papayarail/papayarail/core/verdict"
 )
 
@@ -85,12 +86,8 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.QueueLimit <= 0 {
-		c.QueueLimit = DefaultQueueLimit
-	}
-	if c.InitialServiceTime <= 0 {
-		c.InitialServiceTime = DefaultServiceTime
-	}
+	c.QueueLimit = defaults.Positive(c.QueueLimit, DefaultQueueLimit)
+	c.InitialServiceTime = defaults.Positive(c.InitialServiceTime, DefaultServiceTime)
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(1, 2))
 	}
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -77,7 +77,7 @@
 	}
 	g.Observe(u, r.Reply.Position, sentAt)
 	if j.Keeps {
-		g.Committed(u, sentAt)
+		g.Committed(u, r.Reply.Position, sentAt)
 	}
 }
 
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -130,14 +130,15 @@
 	roleHint        primacy.Lead  // primary by its own word, until the records confirm that no change is under way
 	roleSeen        time.Duration
 
-	attempted  time.Duration // last attempt to replace the primary; used by Run only
-	committed  time.Duration // when the last acknowledged write was sent to the lead
-	unrecorded bool          // the first lead is to be recorded
-	suspicion  suspicion
-	silence    silence
-	rounds     rounds
-	wake       chan struct{}
-	finished   chan struct{}
+	attempted    time.Duration     // last attempt to replace the primary; used by Run only
+	committed    time.Duration     // when the last acknowledged write was sent to the lead
+	acknowledged position.Position // greatest position of an acknowledged write
+	unrecorded   bool              // the first lead is to be recorded
+	suspicion    suspicion
+	silence      silence
+	rounds       rounds
+	wake         chan struct{}
+	finished     chan struct{}
 }
 
 type member struct {
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -132,10 +132,12 @@
 	g.poke()
 }
 
-// Committed takes in that the lead acknowledged a write that was sent at sentAt.
-func (g *Group) Committed(u *upstream.Upstream, sentAt time.Duration) {
+// Committed takes in that a write that was sent at sentAt was acknowledged, at
+// position p.
+func (g *Group) Committed(u *upstream.Upstream, p position.Position, sentAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.acknowledged = position.Max(g.acknowledged, p)
 	if _, lead := g.leadLocked(); lead == u {
 		g.suspicion.unanswered = 0
 		g.committed = max(g.committed, sentAt)
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -133,6 +133,8 @@
 	c.Later, _ = leadsLater(lead, members)
 	if synchronous && sentAt-g.recordsRead < coverLimit {
 		c.Covered, c.Covers = takeover.Cover(members, groupSize(len(members)))
+		// A member that restarted without its log behind a cut has not said so.
+		c.Covers = c.Covers && c.Covered.AtLeast(g.acknowledged)
 	}
 	g.rounds.last, g.rounds.lastStarted = c, sentAt
 	if !quorum {
--- a/proxy/standin/link.go
+++ b/proxy/standin/link.go
@@ -95,7 +95,7 @@
 		}
 	}
 	primary, at := m.primary, m.position()
-	if !s.After.IsZero() && !at.AtLeast(s.After) {
+	if !s.After.IsZero() && !at.AtLeast(s.After) && !w.ignorePositions {
 		w.mu.Unlock()
 		return statement.Reply{Err: &statement.UpstreamError{Reason: statement.Behind}, Position: at}, true
 	}
--- a/proxy/standin/standin.go
+++ b/proxy/standin/standin.go
@@ -73,6 +73,8 @@
 	closed  bool // no timer is set any more
 	// loseReplies is the number of writes whose answers are lost.
 	loseReplies int
+	// ignorePositions is a planted fault; see IgnorePositions.
+	ignorePositions bool
 }
 
 // NewWorld returns a group of members; the first leads term 1.
@@ -378,6 +380,26 @@
 	return takeover.Status{Primary: m.primary, Term: m.term, Received: m.position(), Held: m.held}
 }
 
+// Entries returns how often a write is in the log of the present primary.
+func (w *World) Entries(id string) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.leader().log {
+		if e.id == id {
+			n++
+		}
+	}
+	return n
+}
+
+// IgnorePositions makes members execute reads whatever position they need: a
+// planted fault, for tests of the checks.
+func (w *World) IgnorePositions() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ignorePositions = true
+}
+
 // Connections returns the number of open connections to a member.
 func (w *World) Connections(id string) int {
 	w.mu.Lock()
--- a/wire/caller/server.go
+++ b/wire/caller/server.go
@@ -17,6 +17,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarail/papayarail/core/defaults"
 	"github.com/papayarail/papayarail/core/verdict"
 )
 
@@ -55,18 +56,10 @@
 }
 
 func withDefaults(s Settings) Settings {
-	if s.MaxMessageBytes <= 0 {
-		s.MaxMessageBytes = defaultMaxMessageBytes
-	}
-	if s.MaxConnections <= 0 {
-		s.MaxConnections = defaultMaxConnections
-	}
-	if s.StartupTimeout <= 0 {
-		s.StartupTimeout = defaultStartupTimeout
-	}
-	if s.WriteTimeout <= 0 {
-		s.WriteTimeout = defaultWriteTimeout
-	}
+	s.MaxMessageBytes = defaults.Positive(s.MaxMessageBytes, defaultMaxMessageBytes)
+	s.MaxConnections = defaults.Positive(s.MaxConnections, defaultMaxConnections)
+	s.StartupTimeout = defaults.Positive(s.StartupTimeout, defaultStartupTimeout)
+	s.WriteTimeout = defaults.Positive(s.WriteTimeout, defaultWriteTimeout)
 	if s.Log == nil {
 		silent := logrus.New()
 		silent.SetOutput(io.Discard)
