Replace a primary that came back under another name

A member that leads the old primary's term is now told to give up its lead, and the longest log is promoted. TestPrimaryReplacedUnderAnotherName failed before.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -153,6 +153,9 @@
 
 // withoutOld handles an old primary that does not answer: rule 1.
 func (r *round) withoutOld() Step {
+	if s := r.successor(); s != nil {
+		return Step{Action: GiveUp, Targets: []string{s.ID}, Term: r.nextTerm, Reason: "a member leads the old primary's term under another name"}
+	}
 	known := 0
 	for _, m := range r.answered {
 		if !m.Reborn {
@@ -169,6 +172,17 @@
 	return Step{Action: Promote, Targets: []string{best.ID}, Term: r.nextTerm, Reason: "longest log of all replicas"}
 }
 
+// successor returns a member that leads the old primary's term: one that was
+// started in its place, with its log. It cannot be held while it leads.
+func (r *round) successor() *Member {
+	for _, m := range r.answered {
+		if m.Status.Primary {
+			return m
+		}
+	}
+	return nil
+}
+
 // stuck handles a primary that answers but whose commits reach no replica: rule
 // 1. Its own log is longer by what nobody acknowledged, so it is no candidate.
 func (r *round) stuck() Step {
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -173,6 +174,7 @@
 }
 
 func (c *change) run(ctx context.Context) {
+	var last takeover.Step
 	for ctx.Err() == nil && c.g.cfg.Clock()-c.started < attemptLimit {
 		if c.superseded() {
 			return
@@ -184,6 +186,10 @@
 			time.Sleep(pollInterval)
 			continue
 		}
+		if step.Action == last.Action && slices.Equal(step.Targets, last.Targets) && step.Action != takeover.Wait {
+			time.Sleep(pollInterval) // the members have not followed the order yet
+		}
+		last = step
 		c.log.WithFields(fields).Info("step of a change of primary")
 		if c.perform(ctx, step) {
 			return
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -118,6 +118,33 @@
 	}
 }
 
+// A primary that had crashed came back under another name, as primary of the same
+// term. Its holder tried to hold it as a replica, which it refused, until the end
+// of the day (deploy/days/promotion-without-store, macaskill-tags, seed 2).
+func TestPrimaryReplacedUnderAnotherName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSimulated(t, "i1", "i2", "i3")
+		stop := c.load(5)
+		time.Sleep(time.Second)
+		for name := range c.nodes {
+			c.world.Cut(name, "store")
+		}
+		c.world.Crash("a", true)
+		time.Sleep(2 * time.Second)
+		c.world.Replace("a", "a2")
+		time.Sleep(time.Second)
+		for name := range c.nodes {
+			c.world.Heal(name, "store")
+		}
+		s := c.open("i1", standin.Database)
+		gap := c.eventually(8*time.Second, func() error { return c.write(s) })
+		assert.Assert(t, gap < 5*time.Second, "gap %s", gap)
+		s.leave()
+		stop()
+		c.closeSimulated()
+	})
+}
+
 // Guards a planned change: the leaving primary serves until its successor leads.
 func TestPrimaryLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/proxy/standin/link.go
+++ b/proxy/standin/link.go
@@ -21,6 +21,11 @@
 	w := d.w
 	w.mu.Lock()
 	m := w.member(t.ID)
+	if m == nil {
+		w.mu.Unlock()
+		time.Sleep(roundTrip)
+		return nil, &statement.UpstreamError{Reason: statement.WrongMember}
+	}
 	silent := w.cut(d.instance, t.ID) || m.down && m.dark
 	down := m.down
 	w.mu.Unlock()
--- a/proxy/standin/standin.go
+++ b/proxy/standin/standin.go
@@ -154,6 +154,15 @@
 	}
 }
 
+// Replace starts a member that is down again under another name, with its log
+// and its role.
+func (w *World) Replace(id, name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.member(id)
+	m.ID, m.down, m.dark, m.life = name, false, false, m.life+1
+}
+
 // Drain makes a member announce that it leaves.
 func (w *World) Drain(id string) {
 	w.mu.Lock()
