--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -281,6 +283,7 @@
 	sentAt := g.cfg.Clock()
 	r = g.executeHere(u, primary, j)
 	g.learn(u, j, r, sentAt)
+	g.logForPeer(member, j, r)
 	return r, true
 }
 
@@ -293,12 +296,23 @@
 	sentAt := g.cfg.Clock()
 	tx, o = g.openHere(u, primary, begin, j)
 	if tx == nil {
+		g.logForPeer(member, j, o.Begin)
 		return nil, o, true
 	}
 	g.learn(u, j, o.First, sentAt)
+	g.logForPeer(member, j, o.First)
 	return &observedTx{g, u, tx}, o, true
 }
 
+// logForPeer logs a job of another instance that has no answer.
+func (g *Group) logForPeer(member string, j upstream.Job, r upstream.Result) {
+	if r.Err == nil {
+		return
+	}
+	g.cfg.Log.WithFields(logrus.Fields{"event": "gateway_job_failed", "request": j.Statement.ID, "session": j.Caller, "upstream": member,
+		"rank": j.Rank.String(), "sent": r.Sent, "error": r.Err.Error()}).Info("statement of another instance was not answered")
+}
+
 // forPeer returns the upstream for work of another instance, or why there is none.
 func (g *Group) forPeer(member string, primary bool) (u *upstream.Upstream, known bool, err error) {
 	g.mu.Lock()
--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -181,7 +181,7 @@
 		return w.lost(err)
 	}
 	w.router.answered(w.gateway, w.target, answer.Load)
-	return answer.Result.result(), true
+	return w.named(answer.Result), true
 }
 
 // Open implements group.Way.
@@ -195,7 +195,7 @@
 		return nil, upstream.Opened{Begin: r}, reached
 	}
 	w.router.answered(w.gateway, w.target, answer.Load)
-	o := upstream.Opened{Begin: answer.Begin.result(), First: answer.First.result()}
+	o := upstream.Opened{Begin: w.named(answer.Begin), First: w.named(answer.First)}
 	if !o.Begun() {
 		return nil, o, true
 	}
@@ -215,6 +215,13 @@
 	return c, nil
 }
 
+// named returns a result with the name of the gateway.
+func (w *way) named(answer wireResult) upstream.Result {
+	r := answer.result()
+	r.Gateway = w.gateway
+	return r
+}
+
 func (w *way) wire(j upstream.Job) wireJob { return toWire(j, w.router.clock()+transit) }
 
 var (
@@ -300,7 +307,7 @@
 	if !errors.Is(err, errSlow) && !errors.Is(err, errSilent) && !errors.Is(err, context.DeadlineExceeded) {
 		w.router.failed(w.gateway, err)
 	}
-	return upstream.Result{Err: &statement.LinkError{Sent: true, Timeout: errors.Is(err, context.DeadlineExceeded), Err: Class.New("gateway %s: %v", w.gateway, err)}, Sent: true}, true
+	return upstream.Result{Err: &statement.LinkError{Sent: true, Timeout: errors.Is(err, context.DeadlineExceeded), Err: Class.New("gateway %s: %v", w.gateway, err)}, Sent: true, Gateway: w.gateway}, true
 }
 
 // gatewayTx is an open transaction on a gateway's connection.
@@ -319,14 +326,14 @@
 	err := t.way.call(methodNext, txRequest{t.id, t.way.wire(j)}, &answer, j)
 	if err == nil {
 		t.way.router.answered(t.way.gateway, t.way.target, answer.Load)
-		r := answer.Result.result()
+		r := t.way.named(answer.Result)
 		t.ended = j.Statement.Kind == statement.Commit && r.Err == nil && r.Reply.State == statement.Idle
 		return r
 	}
 	t.Abandon()
 	r, reached := t.way.lost(err)
 	rolledBack := verdict.New(verdict.TransactionRolledBack, "the gateway of the transaction was lost: %v", r.Err)
-	return upstream.Result{Err: rolledBack, Sent: reached}
+	return upstream.Result{Err: rolledBack, Sent: reached, Gateway: t.way.gateway}
 }
 
 // Abandon implements upstream.Tx.
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -173,6 +173,7 @@
 		j.Limit = readAttempt
 	}
 	r := g.Execute(c, j)
+	s.gateway = r.Gateway
 	switch {
 	case r.Err == nil:
 		return s.judge(c, w, r.Reply)
@@ -208,13 +209,13 @@
 func (s *Session) logRetry(w work, c group.Choice, attempt int, err error) {
 	s.env.Metrics.Retried(outcomeName(err))
 	s.env.Log.WithFields(logrus.Fields{"event": "retry", "request": w.ID, "session": s.name, "upstream": c.Member().ID, "primary": c.Primary,
-		"after": c.After.String(), "evidence_age_ms": c.Evidence.Milliseconds(), "attempt": attempt, "error": err.Error()}).Info("statement is tried again")
+		"after": c.After.String(), "evidence_age_ms": c.Evidence.Milliseconds(), "attempt": attempt, "gateway": s.gateway, "error": err.Error()}).Info("statement is tried again")
 }
 
 func (s *Session) logFailure(g *group.Group, w work, r catalog.Route, need group.Need, err error) {
 	e := g.Evidence()
 	s.env.Log.WithFields(logrus.Fields{"event": "failed", "request": w.ID, "session": s.name, "database": s.database, "service": r.Service,
-		"consistency": r.Consistency.String(), "rank": need.Rank.String(), "writes": w.writes, "outcome": outcomeName(err),
+		"consistency": r.Consistency.String(), "rank": need.Rank.String(), "writes": w.writes, "outcome": outcomeName(err), "gateway": s.gateway,
 		"took_ms": (s.env.Clock() - need.Arrival).Milliseconds(), "timeout_ms": r.Timeout.Milliseconds(),
 		"lead": e.Lead.Member, "term": e.Lead.Term, "record_version": e.RecordVersion, "proven_for_ms": e.ProvenFor.Milliseconds(),
 		"claim_holder": e.ClaimHolder, "lead_doubted": e.Doubted, "error": err.Error()}).Info("statement was not served")
--- a/proxy/session/session.go
+++ b/proxy/session/session.go
@@ -57,6 +57,7 @@
 	own      map[string]ownWrite // by service
 	tx       *transaction
 	state    statement.State
+	gateway  string // that ran the last attempt, if it was another instance
 }
 
 // ownWrite is the position and the time of a session's last write to a service.
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -103,6 +103,7 @@
 	deadline := arrival + t.route.Timeout
 	for {
 		r := t.tx.Run(s.job(w, schedule.Urgent, deadline))
+		s.gateway = r.Gateway
 		if r.Err != nil {
 			return refused(r.Err)
 		}
@@ -141,6 +142,7 @@
 	}
 	t.wrote = t.wrote || w.writes
 	tx, o := t.group.Open(t.choice, begin, s.job(w, need.Rank, need.Deadline))
+	s.gateway = cmp.Or(o.First.Gateway, o.Begin.Gateway)
 	if !o.Begun() {
 		if reason, ok := statement.ReasonOf(o.Begin.Reply.Err); ok && reason == statement.Behind {
 			t.choice.NoteBehind(t.choice.At, false)
@@ -200,6 +202,7 @@
 	j := s.job(work{Statement: st}, schedule.Urgent, arrival+t.route.Timeout)
 	j.Keeps = t.wrote
 	r := t.tx.Run(j)
+	s.gateway = r.Gateway
 	t.abandon() // unless the commit has ended it
 	switch {
 	case r.Err != nil && !r.Sent:
--- a/proxy/upstream/job.go
+++ b/proxy/upstream/job.go
@@ -36,6 +36,8 @@
 	Err error
 	// Sent says, with Err, that the member may have received the statement.
 	Sent bool
+	// Gateway is the instance that ran the job, if it was another one.
+	Gateway string
 }
 
 // NotSent returns the Result of a job of which nothing was sent.
