--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -64,7 +64,10 @@
 
 // startRound asks all members, or a gateway to do so, unless a round is running.
 // g.mu is held.
-func (g *Group) startRound() {
+func (g *Group) startRound() { g.beginRound(g.askGateway) }
+
+// beginRound runs a round after the spacing, unless one is running. g.mu is held.
+func (g *Group) beginRound(ask func(lead primacy.Lead, sentAt time.Duration)) {
 	if g.rounds.running {
 		return
 	}
@@ -73,20 +76,29 @@
 	go func() {
 		time.Sleep(delay)
 		g.mu.Lock()
-		lead, limit := g.tracker.Lead(), g.service.Connections
+		lead := g.tracker.Lead()
 		g.rounds.started = g.cfg.Clock()
 		sentAt := g.rounds.started
 		g.mu.Unlock()
-		if way := g.cfg.Gateways.Way(g.cfg.Service, lead.Member, true, limit); way != nil {
-			if c, err := way.Confirm(g.cfg.Service); err == nil {
-				g.endRound(c, sentAt)
-				return
-			}
-		}
-		g.askQuorum(lead, sentAt)
+		ask(lead, sentAt)
 	}()
 }
 
+// askGateway asks the lead's gateway for a round, and the members themselves if
+// there is none or it does not answer.
+func (g *Group) askGateway(lead primacy.Lead, sentAt time.Duration) {
+	g.mu.Lock()
+	limit := g.service.Connections
+	g.mu.Unlock()
+	if way := g.cfg.Gateways.Way(g.cfg.Service, lead.Member, true, limit); way != nil {
+		if c, err := way.Confirm(g.cfg.Service); err == nil {
+			g.endRound(c, sentAt)
+			return
+		}
+	}
+	g.askQuorum(lead, sentAt)
+}
+
 // Confirm returns the result of a round of this instance that begins after the
 // call.
 func (g *Group) Confirm(ctx context.Context) (Confirmation, error) {
@@ -97,19 +109,7 @@
 			defer g.mu.Unlock()
 			return g.rounds.last, nil
 		}
-		if !g.rounds.running {
-			g.rounds.running = true
-			delay := max(g.rounds.started+roundSpacing-arrival, 0)
-			go func() {
-				time.Sleep(delay)
-				g.mu.Lock()
-				lead := g.tracker.Lead()
-				g.rounds.started = g.cfg.Clock()
-				sentAt := g.rounds.started
-				g.mu.Unlock()
-				g.askQuorum(lead, sentAt)
-			}()
-		}
+		g.beginRound(g.askQuorum)
 		changed := g.changed
 		g.mu.Unlock()
 		select {
--- a/proxy/node/gateway_test.go
+++ b/proxy/node/gateway_test.go
@@ -204,16 +204,5 @@
 		}
 	}
 	time.Sleep(8 * time.Second)
-	s := c.open("i1", standin.Database)
-	c.eventually(10*time.Second, func() error {
-		err := c.write(s)
-		if err == errEnded {
-			s = c.open("i1", standin.Database)
-		}
-		return err
-	})
-	stop()
-	s.leave()
-	time.Sleep(5 * time.Second)
-	c.closeSimulated()
+	c.endFaults(stop)
 }
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -365,6 +365,12 @@
 		c.world.Restart(down, false)
 	}
 	time.Sleep(6 * time.Second)
+	c.endFaults(stop)
+}
+
+// endFaults ends a cluster once it serves writes again.
+func (c *cluster) endFaults(stop func()) {
+	c.t.Helper()
 	s := c.open("i1", standin.Database)
 	c.eventually(10*time.Second, func() error {
 		err := c.write(s)
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -89,7 +89,7 @@
 			s.pause(need, demotedPause)
 		case !choice.Primary || !need.Writes:
 			excluded[choice.Upstream] = true
-		case overloaded(reply.Err):
+		case overloaded(reply.Err) || withoutPrimary(reply.Err):
 			return reply
 		default:
 			s.pause(need, busyPause)
@@ -114,6 +114,13 @@
 	return errors.As(err, &v) && v.Overload()
 }
 
+// withoutPrimary reports whether a gateway knows that the primary does not serve,
+// and when one can be expected.
+func withoutPrimary(err error) bool {
+	var v *verdict.Error
+	return errors.As(err, &v) && v.Code == verdict.NoPrimary
+}
+
 const (
 	// demotedPause is the time to the next look after a primary has refused a
 	// write as a replica; its group learns the new one within a poll.
