--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -296,14 +296,11 @@
 func (w *way) lost(err error) (r upstream.Result, reached bool) {
 	var notSent *peer.NotSentError
 	var answered *peer.Error
-	switch {
-	case errors.As(err, &notSent):
-		w.router.failed(w.gateway, err)
-		return upstream.NotSent(err), false
-	case errors.As(err, &answered):
+	if errors.As(err, &notSent) || errors.As(err, &answered) {
 		w.router.failed(w.gateway, err)
 		return upstream.NotSent(err), false
 	}
+	// A slow job does not speak against the gateway, and its silence was noted.
 	if !errors.Is(err, errSlow) && !errors.Is(err, errSilent) && !errors.Is(err, context.DeadlineExceeded) {
 		w.router.failed(w.gateway, err)
 	}
