Forget a member that left and does not answer after 4 s

A primary was released at 17 s and no longer answered at 26 s; it was kept for 8 s after its entry had gone. At 33 s its successor was cut off, and because two members were silent, nobody was promoted until 39 s.

TestMemberThatLeftIsForgotten failed before.

--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -102,10 +102,11 @@
 	// before its member is gone: entries that lapsed during an outage of the
 	// store return within about 2 s of its end.
 	goneAfter = 2500 * time.Millisecond
-	// departedFor is how long a member that has left the register is kept while
-	// the primary serves: the other replicas then have every commit that it
-	// acknowledged, unless they lag by more.
-	departedFor = 8 * time.Second
+	// departedFor is how long a member that has left the register and does not
+	// answer is kept while the primary serves: the other replicas then have every
+	// commit that it acknowledged, unless they lag by more. A replica of the site
+	// files lags by 2 s at most, if it hears anything.
+	departedFor = 4 * time.Second
 )
 
 // Group is one database group. It is safe for concurrent use.
@@ -148,6 +149,8 @@
 	// to have ended, because it may acknowledge commits until then.
 	departed bool
 	silent   bool // it did not answer the last order
+	// lastWord says, of a departed member, that it was asked once more and is silent.
+	lastWord bool
 	// rebornFloor is the position that it must reach after a restart without
 	// its log before its log counts again; zero if it does not matter.
 	rebornFloor position.Position
@@ -243,9 +246,24 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (sentAt - m.missing).Milliseconds()}).Info("member left the register")
 		g.poke()
 	}
-	if m.departed && sentAt-m.missing >= departedFor && g.suspicion.since == 0 && id != g.tracker.Lead().Member {
+	if !m.departed || g.suspicion.since != 0 || id == g.tracker.Lead().Member {
+		m.lastWord = false
+		return
+	}
+	if m.lastWord && sentAt-m.missing >= departedFor {
 		g.drop(id, m, "primary_serves_without_it")
+		return
 	}
+	go g.askDeparted(m)
+}
+
+// askDeparted finds out whether a member that has left the register still runs.
+func (g *Group) askDeparted(m *member) {
+	status, gone := g.ask(m.Upstream, statement.Control{Kind: statement.AskStatus}, true)
+	g.noteAnswer(m, status != nil, gone)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.lastWord = status == nil
 }
 
 // drop forgets a member. g.mu is held.
@@ -265,7 +283,7 @@
 		g.poke()
 	}
 	old := known.Member()
-	known.missing, known.departed = 0, false
+	known.missing, known.departed, known.lastWord = 0, false, false
 	if old.Started != m.Started && old.Started != 0 {
 		known.rebornFloor = g.tracker.Last()
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.rebornFloor.String()}).Warn("member restarted without its log")
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -118,6 +118,30 @@
 	}
 }
 
+// A database that had left and no longer answered was waited for when the primary
+// was cut off 7 s later: it might have had the latest commits (macaskill-tags,
+// scale-1, a primary released at 17 s and a cut at 33 s).
+func TestMemberThatLeftIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSimulated(t, "i1", "i2", "i3")
+		stop := c.load(6)
+		c.world.Join("d")
+		time.Sleep(time.Second)
+		c.world.Drain("a")
+		time.Sleep(4 * time.Second)
+		c.world.Crash("a", true)
+		c.world.Unlist("a")
+		time.Sleep(6500 * time.Millisecond)
+		c.world.Crash(c.world.Leader(), true)
+		s := c.open("i1", standin.Database)
+		gap := c.eventually(8*time.Second, func() error { return c.write(s) })
+		assert.Assert(t, gap < 3*time.Second, "gap %s, the target is 3 s", gap)
+		s.leave()
+		stop()
+		c.closeSimulated()
+	})
+}
+
 // A primary that had crashed came back under another name, as primary of the same
 // term. Its holder tried to hold it as a replica, which it refused, until the end
 // of the day (deploy/days/promotion-without-store, macaskill-tags, seed 2).
