--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -228,7 +228,7 @@
 		}
 		return Step{Action: Wait, Reason: "no replica can take over"}
 	}
-	candidate := r.best(r.apart(fit))
+	candidate := r.best(r.outsideOfLeaving(fit))
 	if len(r.answered) < len(r.replicas) {
 		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "a replica does not answer"}
 	}
@@ -243,12 +243,12 @@
 	return Step{Action: Promote, Targets: []string{candidate.ID}, Term: r.nextTerm, Reason: "acknowledges every commit of the leaving primary"}
 }
 
-// apart returns the candidates whose failure domain has no member that is
+// outsideOfLeaving returns the candidates whose failure domain has no member that is
 // leaving, if their logs are close to the longest; else all. A database that is
 // replaced and its successor share a domain. If the successor led, a cut of that
 // domain would take the primary and a member that may have its latest commits, and
 // nobody could be promoted until it ends.
-func (r *round) apart(fit []*Member) []*Member {
+func (r *round) outsideOfLeaving(fit []*Member) []*Member {
 	longest := r.best(fit).Status.Received
 	leaving := make(map[string]bool)
 	for _, m := range r.in.Members {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -149,8 +149,8 @@
 	// to have ended, because it may acknowledge commits until then.
 	departed bool
 	silent   bool // it did not answer the last order
-	// lastWord says, of a departed member, that it was asked once more and is silent.
-	lastWord bool
+	// stillSilent says, of a departed member, that it was asked once more and is silent.
+	stillSilent bool
 	// rebornFloor is the position that it must reach after a restart without
 	// its log before its log counts again; zero if it does not matter.
 	rebornFloor position.Position
@@ -247,10 +247,10 @@
 		g.poke()
 	}
 	if !m.departed || g.suspicion.since != 0 || id == g.tracker.Lead().Member {
-		m.lastWord = false
+		m.stillSilent = false
 		return
 	}
-	if m.lastWord && sentAt-m.missing >= departedFor {
+	if m.stillSilent && sentAt-m.missing >= departedFor {
 		g.drop(id, m, "primary_serves_without_it")
 		return
 	}
@@ -263,7 +263,7 @@
 	g.noteAnswer(m, status != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.lastWord = status == nil
+	m.stillSilent = status == nil
 }
 
 // drop forgets a member. g.mu is held.
@@ -283,7 +283,7 @@
 		g.poke()
 	}
 	old := known.Member()
-	known.missing, known.departed, known.lastWord = 0, false, false
+	known.missing, known.departed, known.stillSilent = 0, false, false
 	if old.Started != m.Started && old.Started != 0 {
 		known.rebornFloor = g.tracker.Last()
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.rebornFloor.String()}).Warn("member restarted without its log")
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -53,10 +53,10 @@
 
 // rounds coalesces the readings of the members' own status.
 type rounds struct {
-	running bool
-	started time.Duration
-	failed  int // rounds without a quorum so far
-	blind   int // rounds without anything that a read can rest on
+	running  bool
+	started  time.Duration
+	failed   int // rounds without a quorum so far
+	unproven int // rounds without anything that a read can rest on
 	// last is the result of the last round of this instance, begun at lastStarted.
 	last        Confirmation
 	lastStarted time.Duration
@@ -158,7 +158,7 @@
 		g.tracker.ObserveCover(c.Covered, sentAt)
 	}
 	if !c.Confirmed && !c.Covers {
-		g.rounds.blind++
+		g.rounds.unproven++
 	}
 	g.noteLater(c.Later)
 	g.broadcast()
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -67,7 +67,7 @@
 // Choose returns the member to execute a request, waiting for a primary or for
 // evidence if that can come in time. excluded members are not chosen.
 func (g *Group) Choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, error) {
-	failedRounds, blindRounds := -1, -1
+	failedRounds, unprovenRounds := -1, -1
 	giveUp := min(n.Deadline, g.cfg.Clock()+g.evidenceWait(n))
 	for {
 		g.mu.Lock()
@@ -77,11 +77,11 @@
 			return c, nil
 		}
 		if failedRounds < 0 {
-			failedRounds, blindRounds = g.rounds.failed, g.rounds.blind
+			failedRounds, unprovenRounds = g.rounds.failed, g.rounds.unproven
 		}
 		failed := g.rounds.failed - failedRounds
 		if !n.Writes {
-			failed = g.rounds.blind - blindRounds
+			failed = g.rounds.unproven - unprovenRounds
 		}
 		err := g.refusal(n, excluded, failed)
 		if err == nil && g.needsRound(n) {
