--- a/proxy/logsink/logsink.go
+++ b/proxy/logsink/logsink.go
@@ -17,8 +17,8 @@
 	// queueLines bounds the lines that wait for a slow reader. At 500 bytes a
 	// line, a full queue takes 0.5 MB.
 	queueLines = 1024
-	// linesPerSecond bounds the volume; a line costs about 20 µs of processor
-	// time, so that a flood of failures costs under 1% of 0.4 cores.
+	// linesPerSecond bounds the volume; a line costs about 50 µs of processor
+	// time, so that a flood of failures costs 1.2% of 0.4 cores.
 	linesPerSecond = 100
 	// burstLines may be written at once, as at a change of primary.
 	burstLines = 300
