--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -200,14 +200,6 @@
 	return m, ok
 }
 
-// Newest returns the newest mark; ok is false if there is none.
-func (t *Tracker) Newest() (m Mark, ok bool) {
-	if len(t.marks) == 0 {
-		return Mark{}, false
-	}
-	return t.marks[len(t.marks)-1], true
-}
-
 // ObserveCover takes in a position that covers every write acknowledged before
 // sentAt, whichever member leads: see takeover.Cover.
 func (t *Tracker) ObserveCover(p position.Position, sentAt time.Duration) {
--- a/papayarail/failover_test.go
+++ b/papayarail/failover_test.go
@@ -34,10 +34,7 @@
 	c.signal(old, syscall.SIGSTOP)
 	l.registerUntil(t, func() bool { return c.primary("messina") != old })
 	c.signal(old, syscall.SIGCONT)
-	for range 20 {
-		l.register()
-	}
-	l.check(t, reader)
+	l.goOn(t, reader)
 }
 
 // Guards against a primary that is cut off from its replicas and goes on to
@@ -55,10 +52,7 @@
 	c.fault(old, map[string]any{"cut": others})
 	l.registerUntil(t, func() bool { return c.primary("messina") != old })
 	c.fault(old, map[string]any{"cut": []string{}})
-	for range 20 {
-		l.register()
-	}
-	l.check(t, reader)
+	l.goOn(t, reader)
 }
 
 // Guards against a failover that needs the platform.
@@ -87,10 +81,7 @@
 	c.signal(owner, syscall.SIGSTOP)
 	l.registerUntil(t, func() bool { return true })
 	c.signal(owner, syscall.SIGCONT)
-	for range 20 {
-		l.register()
-	}
-	l.check(t, reader)
+	l.goOn(t, reader)
 }
 
 // Guards against open connections that have gone silent being taken for a dead
--- a/papayarail/ledger_test.go
+++ b/papayarail/ledger_test.go
@@ -72,6 +72,15 @@
 	}, poll.WithTimeout(hangLimit), poll.WithDelay(1))
 }
 
+// goOn writes on after a fault and then checks.
+func (l *ledger) goOn(t *testing.T, reader *pgx.Conn) {
+	t.Helper()
+	for range 20 {
+		l.register()
+	}
+	l.check(t, reader)
+}
+
 // check reads everything back through another instance.
 func (l *ledger) check(t *testing.T, reader *pgx.Conn) {
 	found := make(map[string]bool)
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -149,8 +149,7 @@
 	// to have ended, because it may acknowledge commits until then.
 	departed bool
 	silent   bool // it did not answer the last order
-	// stillSilent says, of a departed member, that it was asked once more and is silent.
-	stillSilent bool
+	asking   bool // a departed member is being asked whether it still runs
 	// rebornFloor is the position that it must reach after a restart without
 	// its log before its log counts again; zero if it does not matter.
 	rebornFloor position.Position
@@ -247,23 +246,26 @@
 		g.poke()
 	}
 	if !m.departed || g.suspicion.since != 0 || id == g.tracker.Lead().Member {
-		m.stillSilent = false
 		return
 	}
-	if m.stillSilent && sentAt-m.missing >= departedFor {
+	switch {
+	case m.silent && sentAt-m.missing >= departedFor:
 		g.drop(id, m, "primary_serves_without_it")
-		return
+	case !m.asking:
+		m.asking = true
+		go g.askDeparted(m)
 	}
-	go g.askDeparted(m)
 }
 
 // askDeparted finds out whether a member that has left the register still runs.
+// It is asked again from its departure on, so that what is known of its silence
+// when it is forgotten is no older than two time-outs.
 func (g *Group) askDeparted(m *member) {
 	status, gone := g.ask(m.Upstream, statement.Control{Kind: statement.AskStatus}, true)
 	g.noteAnswer(m, status != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.stillSilent = status == nil
+	m.asking = false
 }
 
 // drop forgets a member. g.mu is held.
@@ -283,7 +285,7 @@
 		g.poke()
 	}
 	old := known.Member()
-	known.missing, known.departed, known.stillSilent = 0, false, false
+	known.missing, known.departed = 0, false
 	if old.Started != m.Started && old.Started != 0 {
 		known.rebornFloor = g.tracker.Last()
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.rebornFloor.String()}).Warn("member restarted without its log")
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -238,3 +238,25 @@
 	}
 	return func() { ended.Store(true); work.Wait() }
 }
+
+// cutStore cuts all instances off from the store; healStore ends that.
+func (c *cluster) cutStore() {
+	for name := range c.nodes {
+		c.world.Cut(name, "store")
+	}
+}
+
+func (c *cluster) healStore() {
+	for name := range c.nodes {
+		c.world.Heal(name, "store")
+	}
+}
+
+// writeGap returns how long a caller of an instance waits for its first write,
+// which must come within the limit.
+func (c *cluster) writeGap(instance string, limit time.Duration) time.Duration {
+	c.t.Helper()
+	s := c.open(instance, standin.Database)
+	defer s.leave()
+	return c.eventually(limit, func() error { return c.write(s) })
+}
--- a/proxy/node/gateway_test.go
+++ b/proxy/node/gateway_test.go
@@ -86,10 +86,8 @@
 			for _, other := range others {
 				c.world.Cut(lost, other)
 			}
-			s := c.open(fmt.Sprint("i", i+1), standin.Database)
-			gap := c.eventually(3*time.Second, func() error { return c.write(s) })
+			gap := c.writeGap(fmt.Sprint("i", i+1), 3*time.Second)
 			assert.Assert(t, gap < 1500*time.Millisecond, "without %s: %s", lost, gap)
-			s.leave()
 			time.Sleep(time.Second)
 			for _, other := range others {
 				c.world.Heal(lost, other)
@@ -109,9 +107,7 @@
 		stop := c.load(3)
 		c.world.Crash("c", true)
 		time.Sleep(500 * time.Millisecond)
-		for name := range c.nodes {
-			c.world.Cut(name, "store")
-		}
+		c.cutStore()
 		time.Sleep(3 * time.Second)
 		served := 0
 		s := c.open("i7", standin.Database)
@@ -141,13 +137,11 @@
 				} else {
 					c.world.Drain("a")
 				}
-				s := c.open("i5", standin.Database)
 				time.Sleep(50 * time.Millisecond)
-				gap := c.eventually(5*time.Second, func() error { return c.write(s) })
+				gap := c.writeGap("i5", 5*time.Second)
 				assert.Assert(t, gap < 3*time.Second, "gap %s, the target is 3 s", gap)
 				time.Sleep(3 * time.Second)
 				assert.Assert(t, c.world.Leader() != "a")
-				s.leave()
 				stop()
 				c.closeSimulated()
 			})
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -68,14 +68,12 @@
 				stop := c.load(1)
 				time.Sleep(time.Second)
 				c.world.Crash("a", dark)
-				s := c.open("i1", standin.Database)
-				gap := c.eventually(5*time.Second, func() error { return c.write(s) })
+				gap := c.writeGap("i1", 5*time.Second)
 				assert.Assert(t, gap < 2500*time.Millisecond, "gap %s", gap)
 				time.Sleep(time.Second)
 				c.world.Restart("a", false)
 				time.Sleep(time.Second)
 				stop()
-				s.leave()
 				c.closeSimulated()
 			})
 		})
@@ -94,9 +92,7 @@
 				stop := c.load(1)
 				time.Sleep(time.Second)
 				if !store {
-					for name := range c.nodes {
-						c.world.Cut(name, "store")
-					}
+					c.cutStore()
 				}
 				c.world.Crash("a", true)
 				time.Sleep(500 * time.Millisecond) // until the silence is noticed
@@ -133,10 +129,8 @@
 		c.world.Unlist("a")
 		time.Sleep(6500 * time.Millisecond)
 		c.world.Crash(c.world.Leader(), true)
-		s := c.open("i1", standin.Database)
-		gap := c.eventually(8*time.Second, func() error { return c.write(s) })
+		gap := c.writeGap("i1", 8*time.Second)
 		assert.Assert(t, gap < 3*time.Second, "gap %s, the target is 3 s", gap)
-		s.leave()
 		stop()
 		c.closeSimulated()
 	})
@@ -150,20 +144,14 @@
 		c := newSimulated(t, "i1", "i2", "i3")
 		stop := c.load(5)
 		time.Sleep(time.Second)
-		for name := range c.nodes {
-			c.world.Cut(name, "store")
-		}
+		c.cutStore()
 		c.world.Crash("a", true)
 		time.Sleep(2 * time.Second)
 		c.world.Replace("a", "a2")
 		time.Sleep(time.Second)
-		for name := range c.nodes {
-			c.world.Heal(name, "store")
-		}
-		s := c.open("i1", standin.Database)
-		gap := c.eventually(8*time.Second, func() error { return c.write(s) })
+		c.healStore()
+		gap := c.writeGap("i1", 8*time.Second)
 		assert.Assert(t, gap < 5*time.Second, "gap %s", gap)
-		s.leave()
 		stop()
 		c.closeSimulated()
 	})
@@ -317,12 +305,10 @@
 		time.Sleep(4 * time.Second)
 		c.world.Cut("a", "b")
 		c.world.Cut("a", "c")
-		s := c.open("i1", standin.Database)
-		gap := c.eventually(8*time.Second, func() error { return c.write(s) })
+		gap := c.writeGap("i1", 8*time.Second)
 		assert.Assert(t, gap < 5*time.Second, "gap %s", gap)
 		assert.Assert(t, c.world.Leader() != "a")
 		stop()
-		s.leave()
 		c.closeSimulated()
 	})
 }
