Hold the group of a former primary before a promotion

A former primary is now a reason to promote only if all members but one answer and are held, and the candidate has the longest of their logs. A primary whose replicas are in a later term does not count as serving again. The next holder waits while a promotion of the earlier one may take effect, and publishes no other member than its own candidate meanwhile.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -10,7 +10,10 @@
 //  2. All replicas but the candidate were held, and the candidate has reached
 //     the longest of their logs: every later commit is acknowledged through the
 //     candidate. The old primary keeps serving until the candidate leads.
-//  3. The old primary gave up its lead, and the candidate has reached its log.
+//  3. The old primary gave up its lead, all members but one answer and are held,
+//     and the candidate has the longest of their logs. The silent one may have
+//     been promoted by an earlier holder: then one of the others has each of its
+//     acknowledged commits too.
 package takeover
 
 import (
@@ -105,6 +108,8 @@
 		return r.stuck()
 	case !r.old.Status.Primary:
 		return r.afterGivingUp()
+	case r.deposed():
+		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "a member that does not answer leads a later term"}
 	case in.StepDown:
 		return Step{Action: GiveUp, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "the primary's commits are not acknowledged and a replica does not answer"}
 	case !r.old.Draining && !r.old.Departed:
@@ -194,21 +199,40 @@
 	return step
 }
 
+// deposed reports whether a replica is in a later term than the old primary's:
+// another member was promoted, and does not answer.
+func (r *round) deposed() bool {
+	return slices.ContainsFunc(r.answered, func(m *Member) bool { return m.Status.Term > r.in.Old.Term })
+}
+
 // afterGivingUp handles an old primary that is a replica now: rule 3.
 func (r *round) afterGivingUp() Step {
+	if len(r.answered) < len(r.replicas)-1 {
+		return Step{Action: Wait, Reason: "two members do not answer"}
+	}
 	log := r.old.Status.Received
+	for _, m := range r.answered {
+		log = position.Max(log, m.Status.Received)
+	}
 	var complete []*Member
 	for _, m := range r.answered {
 		if m.Status.Received.AtLeast(log) {
 			complete = append(complete, m)
 		}
 	}
-	if !r.old.Draining && len(complete) == 0 {
+	if len(complete) == 0 && r.old.Status.Received.AtLeast(log) && !r.old.Draining {
 		complete = append(complete, r.old)
 	}
 	if len(complete) == 0 {
 		return Step{Action: Wait, Reason: "no replica has the log of the former primary"}
 	}
+	ids := r.unheld(nil)
+	if r.old.Status.Held == 0 {
+		ids = append(ids, r.old.ID)
+	}
+	if len(ids) > 0 {
+		return Step{Action: Hold, Targets: ids, Term: r.nextTerm, Reason: "the former primary is a replica"}
+	}
 	best := r.best(complete)
 	return Step{Action: Promote, Targets: []string{best.ID}, Term: r.nextTerm, Reason: "has the log of the former primary"}
 }
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -35,6 +35,9 @@
 	// effectLimit is how long a promotion may take until it is sent again; it
 	// takes 0.3 to 1 s in the site files.
 	effectLimit = 2500 * time.Millisecond
+	// promoteEffect is how long a promotion takes from its arrival: 1 s in the site
+	// files, and the time until a member says so.
+	promoteEffect = 1200 * time.Millisecond
 	// pollInterval separates two questions to the members.
 	pollInterval = 30 * time.Millisecond
 	// claimSpread is the range of the random delay before a claim. Of several
@@ -60,18 +63,20 @@
 
 // change is one attempt of this instance to replace the primary.
 type change struct {
-	g        *Group
-	why      reason
-	old      primacy.Lead
-	nonce    uint64
-	record   primacy.Record // as stored, with this instance's claim
-	claimed  time.Duration  // local time before the claim was sent
-	stored   time.Duration  // local time after its answer
-	started  time.Duration
-	promoted time.Duration // when the last promotion was accepted; 0 if none
+	g         *Group
+	why       reason
+	old       primacy.Lead
+	nonce     uint64
+	record    primacy.Record // as stored, with this instance's claim
+	claimed   time.Duration  // local time before the claim was sent
+	stored    time.Duration  // local time after its answer
+	started   time.Duration
+	promoted  time.Duration // when the last promotion was accepted; 0 if none
+	candidate string        // of that promotion
 	// pending is until when a promotion that was sent, by this or an earlier
-	// holder, may still take effect.
+	// holder, may still take effect, settled the same of earlier holders alone.
 	pending time.Duration
+	settled time.Duration
 	log     *logrus.Entry
 }
 
@@ -107,6 +112,7 @@
 		log: g.cfg.Log.WithFields(logrus.Fields{"change_of": old.Member, "old_term": old.Term})}
 	if base.Claim != nil {
 		c.pending = c.started + effectLimit
+		c.settled = c.started + g.untilSettled(*base.Claim)
 	}
 	if c.claim(ctx) {
 		c.run(ctx)
@@ -182,7 +188,7 @@
 		members := c.g.askAll(statement.Control{Kind: statement.AskStatus}, nil, false)
 		step := takeover.Decide(takeover.Input{Old: c.old, Members: members, Size: groupSize(len(members)), StepDown: c.why.stepDown})
 		fields := logrus.Fields{"event": "change_step", "action": step.Action.String(), "targets": step.Targets, "term": step.Term, "why": step.Reason, "members": describe(members)}
-		if c.promoted != 0 && step.Action != takeover.Done && c.g.cfg.Clock()-c.promoted < effectLimit {
+		if c.mustWait(step) {
 			time.Sleep(pollInterval)
 			continue
 		}
@@ -198,6 +204,26 @@
 	c.log.WithFields(logrus.Fields{"event": "change_unfinished"}).Warn("change of primary was not finished")
 }
 
+// mustWait reports whether a promotion that was sent may still change who leads.
+// Its candidate may take over from a member that leads now, with fewer commits.
+func (c *change) mustWait(step takeover.Step) bool {
+	now := c.g.cfg.Clock()
+	if now < c.settled && (step.Action == takeover.Promote || step.Action == takeover.Done) {
+		return true
+	}
+	done := step.Action == takeover.Done && step.Targets[0] == c.candidate
+	return c.promoted != 0 && !done && now-c.promoted < effectLimit
+}
+
+// untilSettled returns how long a promotion by the holder of a claim may still
+// take effect.
+func (g *Group) untilSettled(claim primacy.Claim) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	storeNow := g.storeNow + g.cfg.Clock() - g.recordsAnswered
+	return claim.Renewed + sendWindow + promoteTimeout + promoteEffect - storeNow
+}
+
 // groupSize is the number of members of a whole group. While members are
 // replaced, there may be more; fewer are never enough.
 func groupSize(registered int) int {
@@ -256,7 +282,7 @@
 		time.Sleep(pollInterval)
 		return true
 	}
-	c.promoted = sentAt
+	c.promoted, c.candidate = sentAt, s.Targets[0]
 	c.log.WithFields(fields).Info("promotion accepted")
 	return true
 }
