--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -156,19 +156,3 @@
 
 // minWeight is the weight of a candidate that states none.
 const minWeight = 0.01
-
-// Turn returns the place of an instance among all in acting on what one of them
-// should do for a subject, from 0. An instance that is not announced comes last.
-func Turn(self, subject string, all []source.Candidate) int {
-	own := slices.IndexFunc(all, func(c source.Candidate) bool { return c.Name == self })
-	if own < 0 {
-		return len(all)
-	}
-	turn := 0
-	for _, c := range all {
-		if cost(subject, c) < cost(subject, all[own]) {
-			turn++
-		}
-	}
-	return turn
-}
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -1,7 +1,13 @@
-// Package source decides from which instance the readings of the store come. At
-// any time one instance should read for all: a reading costs the store as much
-// for one instance as for a hundred. All instances order the candidates alike,
-// so that without failures they agree. It is a pure state machine.
+// Package source decides from which instance the readings of the store come. One
+// instance reads for all: a reading costs the store as much for one instance as
+// for a thousand. It passes its readings to one instance of each other failure
+// domain, and each passes them on to a bounded number of others, so that no
+// instance serves more than these, whatever the size of the deployment.
+//
+// The structure needs no agreement: all instances order the candidates alike, and
+// each gets its readings from one that comes before it. Without failures that is
+// a tree; an instance passes over candidates that failed it, which moves it and
+// nobody else. It is a pure state machine.
 package source
 
 import (
@@ -13,6 +19,10 @@
 )
 
 const (
+	// Fanout is the number of instances of its failure domain to which an instance
+	// passes readings. At 360 instances a domain, two levels below the first are
+	// enough; 24 answers every 0.3 s take 0.5% of a core.
+	Fanout = 24
 	// markTime is how long a candidate is passed over after a failure; it
 	// doubles with each further one up to maxMarkTime, so that an instance that
 	// is gone for good is hardly asked any more.
@@ -22,14 +32,16 @@
 	// be away before an instance reads for itself. After one that is silent it
 	// reads at once: its evidence is about to run out.
 	awayBeforeOwn = 2
-	// silentBeforeHold candidates that are silent in a row mean that the store is
-	// slow rather than that an instance is gone; asking further ones would use
-	// up the evidence. The instance then reads for itself during ownHold.
+	// silentBeforeHold candidates that are silent in a row mean that this instance
+	// is cut off from them rather than that they are gone; asking further ones
+	// would use up the evidence. It then reads for itself during ownHold.
 	silentBeforeHold = 2
 	ownHold          = 2 * time.Second
-	// ownSpacing separates an instance's own readings while others have told it
-	// that the store is away: calls to a store that is away are priced too.
-	ownSpacing = time.Second
+	// ownSpacing separates an instance's own readings after one has failed, and
+	// perInstance makes it longer with the number of instances: calls to a store
+	// that is away are priced too, and all instances make them.
+	ownSpacing  = time.Second
+	perInstance = 5 * time.Millisecond
 )
 
 // Candidate is an instance that can read for others.
@@ -47,7 +59,7 @@
 const (
 	// Silent means that the candidate did not answer.
 	Silent Failure = iota
-	// StoreAway means that it answered that the store does not answer it.
+	// StoreAway means that it answered and has no fresh reading of the store.
 	StoreAway
 )
 
@@ -58,25 +70,27 @@
 
 // Picker chooses the source for one instance.
 type Picker struct {
-	self       string
-	candidates []Candidate
-	marks      map[string]mark
-	failed     int // candidates that failed in a row
-	silent     bool
-	silentRow  int           // silent candidates since the last that answered
-	ownUntil   time.Duration // no candidate is asked before
-	away       bool
-	ownAt      time.Duration // last own reading
-	owned      bool
+	self      string
+	domain    string
+	order     []Candidate // best first
+	marks     map[string]mark
+	failed    int // candidates that failed in a row
+	silent    bool
+	silentRow int           // silent candidates since the last that answered
+	ownUntil  time.Duration // no candidate is asked before
+	refusedAt time.Duration // last own reading that failed
+	refused   bool          // the last own reading failed
 }
 
 // New returns a Picker without candidates: the instance reads for itself.
-func New(self string) *Picker { return &Picker{self: self, marks: make(map[string]mark)} }
+func New(self, domain string) *Picker {
+	return &Picker{self: self, domain: domain, marks: make(map[string]mark)}
+}
 
 // SetCandidates replaces the candidates, the instance itself included.
 func (p *Picker) SetCandidates(cs []Candidate) {
-	p.candidates = slices.Clone(cs)
-	slices.SortFunc(p.candidates, func(a, b Candidate) int {
+	p.order = slices.Clone(cs)
+	slices.SortFunc(p.order, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 }
@@ -91,31 +105,79 @@
 
 // Next returns the source of the next reading.
 func (p *Picker) Next(now time.Duration) Choice {
+	before, after := p.split()
 	if p.failed < awayBeforeOwn && !p.silent && now >= p.ownUntil {
-		for _, c := range p.candidates {
-			if c.Name == p.self {
-				return p.own(now)
-			}
-			if now >= p.marks[c.Name].until {
+		if c, ok := p.parent(before, now); ok {
+			return Choice{From: c}
+		}
+		// The store may turn only this instance away.
+		if p.refused && now < p.refusedAt+p.spacing() {
+			if c, ok := p.first(after, now); ok {
 				return Choice{From: c}
 			}
 		}
 	}
-	return p.own(now)
-}
-
-func (p *Picker) own(now time.Duration) Choice {
 	c := Choice{Own: true}
-	if p.away && p.owned {
-		c.Wait = max(p.ownAt+ownSpacing-now, 0)
+	if p.refused {
+		c.Wait = max(p.refusedAt+p.spacing()-now, 0)
 	}
 	return c
 }
 
+// split returns the candidates before and after this instance. One that is not
+// announced comes last.
+func (p *Picker) split() (before, after []Candidate) {
+	i := slices.IndexFunc(p.order, func(c Candidate) bool { return c.Name == p.self })
+	if i < 0 {
+		return p.order, nil
+	}
+	return p.order[:i], p.order[i+1:]
+}
+
+// parent returns the candidate that passes readings to this instance: the
+// instances of a failure domain form a tree in their order, and the first of each
+// domain asks the first of all. ok is false if this instance is the first of all.
+func (p *Picker) parent(before []Candidate, now time.Duration) (c Candidate, ok bool) {
+	own := 0
+	for _, c := range before {
+		if c.FailureDomain == p.domain && p.usable(c, now) {
+			own++
+		}
+	}
+	if own == 0 {
+		return p.first(before, now)
+	}
+	place := (own - 1) / Fanout
+	for _, c := range before {
+		if c.FailureDomain != p.domain || !p.usable(c, now) {
+			continue
+		}
+		if place == 0 {
+			return c, true
+		}
+		place--
+	}
+	return Candidate{}, false
+}
+
+func (p *Picker) first(cs []Candidate, now time.Duration) (c Candidate, ok bool) {
+	i := slices.IndexFunc(cs, func(c Candidate) bool { return p.usable(c, now) })
+	if i < 0 {
+		return Candidate{}, false
+	}
+	return cs[i], true
+}
+
+func (p *Picker) usable(c Candidate, now time.Duration) bool { return now >= p.marks[c.Name].until }
+
+func (p *Picker) spacing() time.Duration {
+	return max(ownSpacing, time.Duration(len(p.order))*perInstance)
+}
+
 // Answered takes in a reading from a candidate.
 func (p *Picker) Answered(name string) {
 	delete(p.marks, name)
-	p.failed, p.silent, p.silentRow, p.away = 0, false, 0, false
+	p.failed, p.silent, p.silentRow = 0, false, 0
 }
 
 // Failed takes in that a candidate gave no reading.
@@ -125,7 +187,6 @@
 	m.until = now + min(markTime<<min(m.times-1, 8), maxMarkTime)
 	p.marks[name] = m
 	p.failed++
-	p.away = p.away || why == StoreAway
 	if why != Silent {
 		return
 	}
@@ -138,9 +199,9 @@
 
 // Read takes in the result of an own reading.
 func (p *Picker) Read(ok bool, now time.Duration) {
-	p.ownAt, p.owned = now, true
 	p.failed, p.silent = 0, false
-	if ok {
-		p.away = false
+	p.refused = !ok
+	if !ok {
+		p.refusedAt = now
 	}
 }
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -10,37 +10,132 @@
 	"github.com/papayarail/papayarail/core/source"
 )
 
+// candidates returns n instances in five failure domains, one of them greater.
 func candidates(n int) []source.Candidate {
 	var all []source.Candidate
 	for i := range n {
-		all = append(all, source.Candidate{Name: fmt.Sprint("i", i), Weight: 1})
+		all = append(all, source.Candidate{Name: fmt.Sprint("i", i), FailureDomain: fmt.Sprint("d", i%5), Weight: 1})
 	}
 	all[n-1].Weight = 2
 	return all
 }
 
-// Guards the number of readers: without failures all instances agree on one,
-// the one with most capacity.
-func TestAllAgreeOnOneReader(t *testing.T) {
-	const n = 85
-	for i := range n {
-		p := source.New(fmt.Sprint("i", i))
-		assert.Assert(t, p.Next(0).Own, "without candidates it reads for itself")
-		p.SetCandidates(candidates(n))
-		c := p.Next(0)
-		if i == n-1 {
-			assert.Assert(t, c.Own)
+// pickers returns the pickers of all instances by name.
+func pickers(all []source.Candidate) map[string]*source.Picker {
+	ps := make(map[string]*source.Picker)
+	for _, c := range all {
+		ps[c.Name] = source.New(c.Name, c.FailureDomain)
+		ps[c.Name].SetCandidates(all)
+	}
+	return ps
+}
+
+// tree is who asks whom, as all instances but the dead ones decide.
+type tree struct {
+	asks     map[string]string // by asker
+	children map[string]int
+	readers  int // instances that read the store
+	depth    int
+	across   int // asks to another failure domain
+}
+
+func grow(t *testing.T, all []source.Candidate, ps map[string]*source.Picker, now time.Duration, dead map[string]bool) tree {
+	tr := tree{asks: make(map[string]string), children: make(map[string]int)}
+	domain := make(map[string]string)
+	for _, c := range all {
+		domain[c.Name] = c.FailureDomain
+	}
+	for name, p := range ps {
+		if dead[name] {
+			continue
+		}
+		c := p.Next(now)
+		for !c.Own && dead[c.From.Name] {
+			p.Failed(c.From.Name, source.Silent, now)
+			p.Read(true, now)
+			c = p.Next(now)
+		}
+		if c.Own {
+			tr.readers++
+			continue
+		}
+		tr.asks[name] = c.From.Name
+		tr.children[c.From.Name]++
+		if domain[name] != domain[c.From.Name] {
+			tr.across++
+		}
+	}
+	for name := range ps {
+		depth := 0
+		for at, ok := tr.asks[name]; ok; at, ok = tr.asks[at] {
+			depth++
+			assert.Assert(t, depth <= len(all), "%s is its own source", name)
+		}
+		tr.depth = max(tr.depth, depth)
+	}
+	return tr
+}
+
+// Guards the cost of a reading at any size: one instance reads the store, one in
+// each failure domain asks it, none serves more than its fanout, and a reading
+// passes few steps. One instance that served 195 others would serve 6,000 calls a
+// second at 1,796.
+func TestReadingsFormATree(t *testing.T) {
+	for _, size := range []struct{ n, depth int }{{6, 2}, {30, 2}, {195, 3}, {1796, 4}} {
+		t.Run(fmt.Sprint(size.n), func(t *testing.T) {
+			all := candidates(size.n)
+			tr := grow(t, all, pickers(all), 0, nil)
+			assert.Equal(t, tr.readers, 1)
+			assert.Equal(t, tr.across, 4)
+			assert.Assert(t, tr.depth <= size.depth, "depth %d", tr.depth)
+			for name, n := range tr.children {
+				assert.Assert(t, n <= source.Fanout+4, "%s serves %d", name, n)
+			}
+		})
+	}
+}
+
+// Guards the death of any instance: those that asked it find another source at
+// once, nobody else changes, and the store gets no storm.
+func TestTreeWithoutOne(t *testing.T) {
+	all := candidates(195)
+	before := grow(t, all, pickers(all), 0, nil)
+	for _, c := range all {
+		if before.children[c.Name] == 0 {
 			continue
 		}
-		assert.Equal(t, c.From.Name, fmt.Sprint("i", n-1))
+		ps := pickers(all)
+		now := 10 * time.Second
+		dead := map[string]bool{c.Name: true}
+		tr := grow(t, all, ps, now, dead)
+		assert.Assert(t, tr.readers >= 1 && tr.readers <= 5, "%d readers without %s", tr.readers, c.Name)
+		moved := 0
+		for name, from := range before.asks {
+			if name != c.Name && tr.asks[name] != from {
+				moved++
+			}
+		}
+		assert.Equal(t, moved, before.children[c.Name], "without %s", c.Name)
+	}
+}
+
+// Guards instances that learn of others at different times, as at a start of all:
+// while some know only a part of the others, nobody asks in a circle.
+func TestPartialKnowledgeHasNoCircle(t *testing.T) {
+	all := candidates(60)
+	ps := pickers(all)
+	for i, c := range all {
+		ps[c.Name].SetCandidates(all[:i+1])
 	}
+	grow(t, all, ps, 0, nil)
 }
 
 // Guards the read lease: after one silent source an instance reads at once, and
 // then prefers another source.
 func TestSilentSource(t *testing.T) {
-	p := source.New("i0")
-	p.SetCandidates(candidates(4))
+	p := source.New("i0", "d0")
+	assert.Assert(t, p.Next(0).Own, "without candidates it reads for itself")
+	p.SetCandidates(candidates(40))
 	first := p.Next(0).From.Name
 	p.Failed(first, source.Silent, time.Second)
 	c := p.Next(time.Second)
@@ -51,11 +146,11 @@
 	assert.Equal(t, p.Next(4*time.Second).From.Name, first, "it is asked again later")
 }
 
-// With a slow store, every other candidate in turn was asked and was silent for
-// 0.45 s, so that the evidence ran out between own readings (incident inc-5af3).
-func TestSlowStore(t *testing.T) {
-	p := source.New("i0")
-	p.SetCandidates(candidates(6))
+// An instance that reaches none of the others asked every one of them in turn and
+// was without evidence in between (incident inc-5af3).
+func TestCutOffFromOthers(t *testing.T) {
+	p := source.New("i0", "d0")
+	p.SetCandidates(candidates(60))
 	now, asked := time.Duration(0), 0
 	for now < 6*time.Second {
 		c := p.Next(now)
@@ -72,21 +167,43 @@
 }
 
 // Guards the price of an outage: while others say that the store is away, an
-// instance asks the store itself once a second at most.
+// instance asks the store itself once a second at most, and more rarely where
+// there are many.
 func TestStoreAway(t *testing.T) {
-	p := source.New("i0")
-	p.SetCandidates(candidates(85))
-	own := 0
-	now := time.Duration(0)
-	for now < 10*time.Second {
-		c := p.Next(now)
-		now += max(c.Wait, 10*time.Millisecond)
-		if c.Own {
-			own++
-			p.Read(false, now)
-		} else {
-			p.Failed(c.From.Name, source.StoreAway, now)
+	for _, test := range []struct{ n, most int }{{85, 11}, {1796, 3}} {
+		for _, self := range []string{"i0", fmt.Sprint("i", test.n-1)} {
+			p := source.New(self, "d0")
+			p.SetCandidates(candidates(test.n))
+			own, asked := 0, 0
+			now := time.Duration(0)
+			for now < 10*time.Second {
+				c := p.Next(now)
+				now += max(c.Wait, 10*time.Millisecond)
+				if c.Own {
+					own++
+					p.Read(false, now)
+				} else {
+					asked++
+					p.Failed(c.From.Name, source.StoreAway, now)
+				}
+			}
+			assert.Assert(t, own <= test.most, "%s: %d own readings in 10 s", self, own)
+			assert.Assert(t, asked <= 4*test.most, "%s: %d candidates asked in 10 s", self, asked)
 		}
 	}
-	assert.Assert(t, own <= 11, "%d own readings in 10 s", own)
+}
+
+// Guards the first instance where the store turns only it away: it gets readings
+// from one that comes after it.
+func TestFirstIsTurnedAway(t *testing.T) {
+	all := candidates(30)
+	p := source.New("i29", "d4")
+	p.SetCandidates(all)
+	assert.Assert(t, p.Next(0).Own, "it comes first")
+	p.Read(false, 0)
+	c := p.Next(0)
+	assert.Assert(t, !c.Own)
+	p.Answered(c.From.Name)
+	assert.Assert(t, !p.Next(500*time.Millisecond).Own)
+	assert.Assert(t, p.Next(2*time.Second).Own, "it tries the store again")
 }
--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -2,7 +2,10 @@
 // database members: immutable snapshots, replaced as a whole.
 package catalog
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Consistency is what reads of a route must see.
 type Consistency uint8
@@ -73,3 +76,26 @@
 
 // Members is one reading of the members, by ID.
 type Members map[string]Member
+
+// Reading is one consistent reading of a table of the platform's store.
+type Reading[T any] struct {
+	Rows map[string]T
+	// Version is the store's counter over all its changes, StoreNow its clock.
+	Version  uint64
+	StoreNow time.Duration
+}
+
+// ByService returns the members of each service.
+func (all Members) ByService() map[string]Members {
+	byService := make(map[string]Members)
+	for id, m := range all {
+		if byService[m.Service] == nil {
+			byService[m.Service] = make(Members)
+		}
+		byService[m.Service][id] = m
+	}
+	return byService
+}
+
+// Same reports whether two readings show the same members.
+func (all Members) Same(other Members) bool { return maps.Equal(all, other) }
--- a/proxy/group/claim_test.go
+++ b/proxy/group/claim_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 )
 
@@ -19,8 +20,8 @@
 	puts []primacy.Record
 }
 
-func (f *fakeRegister) Records(context.Context) (map[string]primacy.Record, time.Duration, error) {
-	return nil, 0, nil
+func (f *fakeRegister) Records(context.Context) (catalog.Reading[primacy.Record], error) {
+	return catalog.Reading[primacy.Record]{}, nil
 }
 
 func (f *fakeRegister) Put(_ context.Context, r primacy.Record) (uint64, time.Duration, error) {
@@ -34,12 +35,17 @@
 	return New(Config{Service: "s", Instance: "self", Register: register, Clock: clock, Log: log.WithField("test", true)}, catalog.Service{Name: "s", Connections: 16})
 }
 
+// exactly is a moment on clocks that agree.
+func exactly(at time.Duration) storetime.Stamp {
+	return storetime.Stamp{Store: at, Earliest: at, Latest: at}
+}
+
 // judgedChange returns an attempt to replace member a, judged on record 7.
 func judgedChange(register Register, now *time.Duration) *change {
 	g := newTestGroup(register, func() time.Duration { return *now })
 	old := primacy.Lead{Member: "a", Term: 1}
 	judged := primacy.Record{Service: "s", Lead: old, Version: 7}
-	g.UpdateRecord(judged, *now, *now)
+	g.UpdateRecord(judged, exactly(*now))
 	return &change{g: g, old: old, record: judged, log: g.cfg.Log}
 }
 
@@ -50,7 +56,7 @@
 	register := &fakeRegister{now: &now}
 	c := judgedChange(register, &now)
 	theirs := primacy.Record{Service: "s", Lead: c.old, Version: 8, Claim: &primacy.Claim{Holder: "other", Since: now, Renewed: now, Old: c.old}}
-	c.g.UpdateRecord(theirs, now, now)
+	c.g.UpdateRecord(theirs, exactly(now))
 	assert.Assert(t, !c.claim(t.Context()))
 	assert.Equal(t, len(register.puts), 0)
 }
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -12,9 +12,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/papayarail/papayarail/core/gateway"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/share"
+	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
 	"github.com/papayarail/papayarail/proxy/steady"
@@ -29,8 +31,8 @@
 
 // Register keeps the records of all groups in the platform's store.
 type Register interface {
-	// Records reads all records and the store's time, in one consistent reading.
-	Records(ctx context.Context) (records map[string]primacy.Record, storeNow time.Duration, err error)
+	// Records reads the records of all groups, by service.
+	Records(ctx context.Context) (catalog.Reading[primacy.Record], error)
 	// Put stores a record if the stored version is r.Version, and returns the
 	// new version. After any error but ErrConflict it may have been stored, or
 	// may be stored later while the condition holds.
@@ -102,6 +104,9 @@
 	// before its member is gone: entries that lapsed during an outage of the
 	// store return within about 2 s of its end.
 	goneAfter = 2500 * time.Millisecond
+	// readingGap is the time without a reading of the members after which missing
+	// entries may have lapsed while the store was away: their time starts anew.
+	readingGap = 2200 * time.Millisecond
 	// departedFor is how long a member that has left the register and does not
 	// answer is kept while the primary serves: the other replicas then have every
 	// commit that it acknowledged, unless they lag by more. A replica of the site
@@ -117,19 +122,16 @@
 	service catalog.Service
 	tracker primacy.Tracker
 	members map[string]*member
-	// instances is the number of announced instances, and turn this instance's
-	// place among them in acting on what one of them should do.
-	instances int
-	turn      int
-	changed   chan struct{} // closed whenever a waiting request may go on
+	fleet   *gateway.Fleet
+	changed chan struct{} // closed whenever a waiting request may go on
 	// doubtedUntil is until when a gateway's doubt of the primary counts.
 	doubtedUntil time.Duration
 
-	recordsRead     time.Duration // when the last answered reading of the records was sent
-	recordsAnswered time.Duration // when it was answered
-	storeNow        time.Duration // store's time in that reading
-	roleHint        primacy.Lead  // primary by its own word, until the records confirm that no change is under way
-	roleSeen        time.Duration
+	recordsRead storetime.Stamp // of the last reading of the records
+	membersRead time.Duration   // of the last reading of the members
+	usedAt      time.Duration   // last request of a caller of this instance
+	roleHint    primacy.Lead    // primary by its own word, until the records confirm that no change is under way
+	roleSeen    time.Duration
 
 	attempted    time.Duration     // last attempt to replace the primary; used by Run only
 	committed    time.Duration     // when the last acknowledged write was sent to the lead
@@ -164,7 +166,7 @@
 	}
 	return &Group{
 		cfg: cfg, service: service,
-		members: make(map[string]*member),
+		members: make(map[string]*member), fleet: gateway.Alone(cfg.Instance),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), finished: make(chan struct{}),
 	}
 }
@@ -192,12 +194,11 @@
 	g.service = s
 }
 
-// SetInstances takes in the number of announced instances, and the place of this
-// one among them in acting on what one of them should do.
-func (g *Group) SetInstances(n, turn int) {
+// SetFleet takes in the announced instances.
+func (g *Group) SetFleet(f *gateway.Fleet) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.instances, g.turn = n, turn
+	g.fleet = f
 }
 
 // policy returns the policy for connections to a member.
@@ -206,7 +207,7 @@
 	if sharers := g.cfg.Gateways.Sharers(m.ID, limit); sharers > 0 {
 		return share.ForGateway(limit, m.Slots, sharers)
 	}
-	return share.For(limit, m.Slots, g.instances)
+	return share.For(limit, m.Slots, g.fleet.Size())
 }
 
 // way returns the gateway of a chosen member, or nil.
@@ -217,27 +218,41 @@
 	return g.cfg.Gateways.Way(g.cfg.Service, c.Member().ID, c.Primary, limit)
 }
 
-// UpdateMembers takes in a reading of the registered members, sent at sentAt.
-func (g *Group) UpdateMembers(all catalog.Members, sentAt time.Duration) {
+// Incomplete reports whether a member that is known is missing from the register;
+// the group then needs each reading of the members, also one without changes.
+func (g *Group) Incomplete() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.missing != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// UpdateMembers takes in a reading of the registered members, made at readAt.
+func (g *Group) UpdateMembers(all catalog.Members, readAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, m := range all {
 		if m.Service == g.cfg.Service {
-			g.updateMember(id, m, sentAt)
+			g.updateMember(id, m, readAt)
 		}
 	}
 	for id, m := range g.members {
 		if entry, ok := all[id]; ok && entry.Service == g.cfg.Service {
 			continue
 		}
-		g.updateMissing(id, m, sentAt)
+		g.updateMissing(id, m, readAt)
 	}
+	g.membersRead = readAt
 	g.broadcast()
 }
 
 // updateMissing judges a member whose entry is missing in a reading. g.mu is held.
 func (g *Group) updateMissing(id string, m *member, sentAt time.Duration) {
-	if m.missing == 0 {
+	if m.missing == 0 || !m.departed && sentAt-g.membersRead > readingGap {
 		m.missing = sentAt
 	}
 	if sentAt-m.missing >= goneAfter && !m.departed {
@@ -304,13 +319,16 @@
 	}
 }
 
-// UpdateRecord takes in a reading of the group's record; present is false if
-// there is none.
-func (g *Group) UpdateRecord(r primacy.Record, storeNow, sentAt time.Duration) {
+// UpdateRecord takes in a reading of the group's record; one without a version
+// means that there is none.
+func (g *Group) UpdateRecord(r primacy.Record, at storetime.Stamp) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	storeNow, sentAt := at.Store, at.Earliest
 	old, before := g.tracker.Record(), g.tracker.Lead()
-	g.recordsRead, g.recordsAnswered, g.storeNow = sentAt, g.cfg.Clock(), storeNow
+	if at.Store > g.recordsRead.Store {
+		g.recordsRead = at
+	}
 	changed := g.tracker.ObserveRecord(r, storeNow, sentAt)
 	if r.Version != old.Version {
 		g.logRecord(r)
@@ -361,6 +379,11 @@
 	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": lead.Member, "term": lead.Term, "before": before.Member, "source": source}).Info("primary changed")
 }
 
+// storeTime returns the store's time at the earliest, now. g.mu is held.
+func (g *Group) storeTime() time.Duration {
+	return g.recordsRead.Store + g.cfg.Clock() - g.recordsRead.Latest
+}
+
 // Lead returns the current lead and its upstream, or nil if it is not registered.
 func (g *Group) Lead() (primacy.Lead, *upstream.Upstream) {
 	g.mu.Lock()
@@ -435,6 +458,14 @@
 	return until
 }
 
+// UsedSince reports whether a caller of this instance has sent the group a request
+// since then.
+func (g *Group) UsedSince(at time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usedAt > at
+}
+
 // Close ends idle connections of all members.
 func (g *Group) Close() {
 	g.mu.Lock()
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	// monitorInterval is how often a group without news is looked at.
+	// monitorInterval is how often a group is looked at while something is to be
+	// done. Others wait for news: thousands of groups that were looked at four times
+	// a second would use up a small machine.
 	monitorInterval = 250 * time.Millisecond
 	// probeTimeout bounds a probe of a suspect primary: a connection takes
 	// 12 ms and a status waits behind queued statements for up to 80 ms.
@@ -39,6 +41,9 @@
 	// learnSpacing is the time between the turns of two instances in asking for
 	// the first lead. The record of the one before is read within 0.4 s.
 	learnSpacing = 500 * time.Millisecond
+	// unannouncedWait is how long an instance that is not announced leaves that to
+	// others: announcements take up to 2 s.
+	unannouncedWait = 4 * time.Second
 	// settleTime keeps a group from replacing its primary again at once, unless
 	// the primary is leaving or does not answer.
 	settleTime = 3 * time.Second
@@ -150,31 +155,36 @@
 // Run watches the primary and replaces it when needed, until ctx ends.
 func (g *Group) Run(ctx context.Context) {
 	defer close(g.finished)
-	ticker := time.NewTicker(monitorInterval)
-	defer ticker.Stop()
+	again := time.NewTimer(monitorInterval)
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.wake:
-		case <-ticker.C:
+		case <-again.C:
+		}
+		if g.look(ctx) {
+			again.Reset(monitorInterval)
 		}
-		g.look(ctx)
 	}
 }
 
-func (g *Group) look(ctx context.Context) {
+// look does what is to be done now, and reports whether something is left to do
+// without further news.
+func (g *Group) look(ctx context.Context) bool {
 	g.mu.Lock()
 	lead, u := g.leadLocked()
+	hinted := g.roleHint.Member != ""
 	g.mu.Unlock()
 	if lead.Member == "" {
 		g.learnLead()
-		return
+		return hinted
 	}
 	g.recordFirstLead(ctx, lead)
 	why, ok := g.reason(lead, u)
 	if !ok {
-		return
+		return g.suspects()
 	}
 	g.mu.Lock()
 	blocked := g.blockedLocked()
@@ -190,10 +200,17 @@
 		g.startRound()
 	}
 	g.mu.Unlock()
-	if blocked != "" {
-		return
+	if blocked == "" {
+		g.takeOver(ctx, why)
 	}
-	g.takeOver(ctx, why)
+	return true
+}
+
+// suspects reports whether something speaks against the lead.
+func (g *Group) suspects() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.suspicion.failures > 0 || g.suspicion.confirmed
 }
 
 // learnLead asks the member that calls itself primary for its term, as long as
@@ -202,14 +219,18 @@
 // after the start.
 func (g *Group) learnLead() {
 	g.mu.Lock()
-	hint, seen, turn := g.roleHint, g.roleSeen, g.turn
+	hint, seen, fleet := g.roleHint, g.roleSeen, g.fleet
 	m := g.members[hint.Member]
 	g.mu.Unlock()
 	if m == nil || hint.Term != 0 {
 		return
 	}
+	wait := unannouncedWait
+	if turn, announced := fleet.Turn(g.cfg.Service); announced {
+		wait = time.Duration(turn) * learnSpacing
+	}
 	askedAt := g.cfg.Clock()
-	if askedAt < seen+time.Duration(turn)*learnSpacing {
+	if askedAt < seen+wait {
 		return
 	}
 	status, _ := g.ask(m.Upstream, statement.Control{Kind: statement.AskStatus}, false)
@@ -366,12 +387,11 @@
 // an empty text.
 func (g *Group) blockedLocked() string {
 	now := g.cfg.Clock()
-	if now-g.recordsRead > storeFresh {
+	if now-g.recordsRead.Earliest > storeFresh {
 		return "store_unreachable"
 	}
 	if r := g.tracker.Record(); r.Claim != nil {
-		storeNow := g.storeNow
-		if storeNow-r.Claim.Renewed < claimLife {
+		if g.recordsRead.Store-r.Claim.Renewed < claimLife {
 			return "claimed_by_" + r.Claim.Holder
 		}
 	}
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -131,7 +131,7 @@
 	primary, quorum := confirms(lead, members, partial)
 	c := Confirmation{Lead: lead, Received: primary.Received, Confirmed: quorum}
 	c.Later, _ = leadsLater(lead, members)
-	if synchronous && sentAt-g.recordsRead < coverLimit {
+	if synchronous && sentAt-g.recordsRead.Earliest < coverLimit {
 		c.Covered, c.Covers = takeover.Cover(members, groupSize(len(members)))
 		// A member that restarted without its log behind a cut has not said so.
 		c.Covers = c.Covers && c.Covered.AtLeast(g.acknowledged)
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -71,6 +71,7 @@
 	giveUp := min(n.Deadline, g.cfg.Clock()+g.evidenceWait(n))
 	for {
 		g.mu.Lock()
+		g.usedAt = n.Arrival
 		c, ok := g.choose(n, excluded)
 		if ok {
 			g.mu.Unlock()
@@ -233,7 +234,7 @@
 // mayCover reports whether the members may show what a read needs without the
 // lead. g.mu is held.
 func (g *Group) mayCover(n Need) bool {
-	return !n.Writes && g.service.AcknowledgedBy > 0 && g.tracker.Lead().Member != "" && g.cfg.Clock()-g.recordsRead < coverLimit
+	return !n.Writes && g.service.AcknowledgedBy > 0 && g.tracker.Lead().Member != "" && g.cfg.Clock()-g.recordsRead.Earliest < coverLimit
 }
 
 // refusal returns why a request should not wait, or nil. g.mu is held.
@@ -268,8 +269,7 @@
 	now := g.cfg.Clock()
 	switch r := g.tracker.Record(); {
 	case r.Claim != nil && g.tracker.Changing():
-		storeNow := g.storeNow + now - g.recordsRead
-		return max(r.Claim.Since+takeoverTime-storeNow, soon)
+		return max(r.Claim.Since+takeoverTime-g.storeTime(), soon)
 	case g.suspicion.confirmed:
 		return max(g.suspicion.since+takeoverTime-now, soon)
 	case g.tracker.Lead().Member == "":
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/statement"
 	"github.com/papayarail/papayarail/proxy/steady"
@@ -87,8 +88,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delay := rand.N(claimSpread)
-	if why.registered && g.instances > turnsFrom {
-		delay += time.Duration(min(g.turn, maxTurns)) * claimTurn
+	if why.registered && g.fleet.Size() > turnsFrom {
+		turn, _ := g.fleet.Turn(g.cfg.Service)
+		delay += time.Duration(min(turn, maxTurns)) * claimTurn
 	}
 	return delay
 }
@@ -125,7 +127,7 @@
 	g.mu.Lock()
 	r := c.record
 	now := g.cfg.Clock()
-	since := g.storeNow + now - g.recordsAnswered
+	since := g.storeTime()
 	moved := g.tracker.Record().Version > r.Version
 	g.mu.Unlock()
 	if moved {
@@ -145,11 +147,17 @@
 	}
 	r.Version = version
 	c.record, c.stored = r, g.cfg.Clock()
-	g.UpdateRecord(r, storeNow, c.claimed)
+	g.UpdateRecord(r, g.stamp(storeNow, c.claimed))
 	c.log.WithFields(logrus.Fields{"event": "claimed", "reason": c.why.text, "token": version}).Info("replacing the primary")
 	return true
 }
 
+// stamp returns the moment of a call to the store that was sent at sentAt and has
+// just been answered.
+func (g *Group) stamp(storeNow, sentAt time.Duration) storetime.Stamp {
+	return storetime.Stamp{Store: storeNow, Earliest: sentAt, Latest: g.cfg.Clock()}
+}
+
 // put stores a record. If the answer is lost, it reads the record back.
 func (c *change) put(ctx context.Context, r primacy.Record) (uint64, time.Duration, error) {
 	call, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -160,13 +168,13 @@
 	}
 	call, cancel = context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	records, now, readErr := c.g.cfg.Register.Records(call)
+	records, readErr := c.g.cfg.Register.Records(call)
 	if readErr != nil {
 		return 0, 0, errors.Join(err, readErr)
 	}
-	stored := records[r.Service]
+	stored := records.Rows[r.Service]
 	if stored.Version > r.Version && sameRecord(stored, r) {
-		return stored.Version, now, nil
+		return stored.Version, records.StoreNow, nil
 	}
 	return 0, 0, err
 }
@@ -220,8 +228,7 @@
 func (g *Group) untilSettled(claim primacy.Claim) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	storeNow := g.storeNow + g.cfg.Clock() - g.recordsAnswered
-	return claim.Renewed + sendWindow + promoteTimeout + promoteEffect - storeNow
+	return claim.Renewed + sendWindow + promoteTimeout + promoteEffect - g.storeTime()
 }
 
 // groupSize is the number of members of a whole group. While members are
@@ -300,7 +307,7 @@
 		version, storeNow, err := c.put(ctx, r)
 		if err == nil {
 			r.Version = version
-			g.UpdateRecord(r, storeNow, sentAt)
+			g.UpdateRecord(r, g.stamp(storeNow, sentAt))
 			c.log.WithFields(logrus.Fields{"event": "change_done", "lead": lead.Member, "term": lead.Term, "took_ms": (g.cfg.Clock() - c.started).Milliseconds()}).Info("primary replaced")
 			return
 		}
@@ -337,6 +344,6 @@
 		return
 	}
 	r.Version = version
-	c.g.UpdateRecord(r, storeNow, sentAt)
+	c.g.UpdateRecord(r, c.g.stamp(storeNow, sentAt))
 	c.log.WithFields(logrus.Fields{"event": "withdrawn", "reason": fmt.Sprint(c.why.text)}).Info("primary stays")
 }
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/steady"
 )
 
@@ -28,13 +29,36 @@
 	closing  atomic.Bool
 }
 
+const (
+	// maxWitnesses is the number of groups by which an instance judges whether it is
+	// cut off: without the store, each of them costs a question five times a second.
+	maxWitnesses = 6
+	// usedWithin is how long ago a request makes a group a preferred one.
+	usedWithin = 5 * time.Second
+)
+
+// witnesses returns the groups by which this instance judges whether it is cut
+// off: those that its callers use, or others if these are too few.
+func (n *Node) witnesses(now time.Duration) []*group.Group {
+	var used, others []*group.Group
+	for _, g := range n.allGroups() {
+		if g.UsedSince(now - usedWithin) {
+			used = append(used, g)
+		} else {
+			others = append(others, g)
+		}
+	}
+	all := append(used, others...)
+	return all[:min(len(all), maxWitnesses)]
+}
+
 func (n *Node) watchIsolation(ctx context.Context) {
 	var since time.Duration
 	for ctx.Err() == nil {
 		steady.Sleep(ctx, isolationCheck)
 		now := n.cfg.Clock()
 		proven, any := time.Duration(0), false
-		for _, g := range n.allGroups() {
+		for _, g := range n.witnesses(now) {
 			any = true
 			proven = max(proven, g.ProvenUntil())
 		}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarail/papayarail/core/gateway"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/figures"
@@ -30,12 +31,12 @@
 	// nil and the cursor to go on from if there is none. A cursor of zero reads
 	// the configuration as it is.
 	Config(ctx context.Context, cursor uint64, wait time.Duration) (*catalog.Config, uint64, error)
-	// Members reads the registered members.
-	Members(ctx context.Context) (catalog.Members, error)
-	// Instances reads the announced instances.
-	Instances(ctx context.Context) ([]source.Candidate, error)
-	// Announce stores how other instances reach this one, Withdraw removes it.
-	Announce(ctx context.Context, self source.Candidate) error
+	// Members reads the registered members, by ID.
+	Members(ctx context.Context) (catalog.Reading[catalog.Member], error)
+	// Instances reads the announced instances, by name.
+	Instances(ctx context.Context) (catalog.Reading[source.Candidate], error)
+	// Announce stores how instances reach each other, Withdraw removes one.
+	Announce(ctx context.Context, all []source.Candidate) error
 	Withdraw(ctx context.Context, name string) error
 }
 
@@ -48,6 +49,8 @@
 	RelayAddress string
 	// Weight is its capacity for that.
 	Weight float64
+	// FirstStart means that all instances start for the first time.
+	FirstStart bool
 	// Grace is the time between the order to stop and the end of the process.
 	Grace time.Duration
 }
@@ -70,8 +73,13 @@
 	cfg    Config
 	config atomic.Pointer[catalog.Config]
 
+	// lastMembers are the members of each service as last given to its group; used
+	// by one reading at a time.
+	lastMembers map[string]catalog.Members
+
 	mu         sync.Mutex
 	groups     map[string]*group.Group
+	fleet      *gateway.Fleet
 	sessions   map[*served]struct{}
 	membersOK  bool
 	loops      sync.WaitGroup
@@ -88,6 +96,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, groups: make(map[string]*group.Group), sessions: make(map[*served]struct{})}
 	n.reader = newReader(n)
+	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
 	cfg.Figures.Sessions(func() float64 { return float64(n.openSessions()) })
 	return n
@@ -99,9 +108,8 @@
 	n.running, n.stopGroups = context.WithCancel(ctx)
 	ctx = n.running
 	n.mu.Unlock()
-	n.loops.Go(func() { n.announce(ctx) })
 	n.loops.Go(func() { n.reader.followConfig(ctx) })
-	n.loops.Go(func() { n.follow(ctx) })
+	n.loops.Go(func() { n.reader.follow(ctx) })
 	n.loops.Go(func() { n.watchIsolation(ctx) })
 	n.loops.Wait()
 	n.router.Close()
@@ -182,11 +190,20 @@
 		Dialer: n.cfg.Dialer, Gateways: n.router, Register: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
 		Log: n.cfg.Log.WithField("service", s.Name),
 	}, s)
+	g.SetFleet(n.fleet)
 	n.groups[s.Name] = g
 	ctx := n.running
 	n.loops.Go(func() { g.Run(ctx) })
 }
 
+// fleetOf returns the fleet of the announced instances.
+func (n *Node) fleetOf(all []source.Candidate) *gateway.Fleet {
+	if n.cfg.Settings.RelayAddress == "" {
+		return gateway.Alone(n.cfg.Settings.Instance)
+	}
+	return gateway.NewFleet(n.cfg.Settings.Instance, all)
+}
+
 func (n *Node) allGroups() []*group.Group {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/papayarail/papayarail/core/gateway"
-	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/relay"
@@ -17,332 +16,456 @@
 )
 
 const (
-	// readInterval separates two readings of the records. A reading proves the
-	// lead from the moment it was asked for, which may be an interval before it
-	// begins; two intervals and a failed try fit into the read lease of 1 s.
+	// readInterval separates two readings of the records by the instance that
+	// reads for all. Two intervals and a failed try fit into the read lease of 1 s.
 	readInterval = 300 * time.Millisecond
-	// urgentInterval is the interval while a primary is being replaced.
+	// urgentInterval is the interval while a primary is being replaced, until
+	// urgentFor after the last word of it.
 	urgentInterval = 100 * time.Millisecond
+	urgentFor      = time.Second
 	// readTimeout bounds a reading of the records. A store that is slower than
 	// this is taken as away.
 	readTimeout = 450 * time.Millisecond
-	// askTimeout bounds a reading by another instance: an interval and a call.
+	// askTimeout bounds a reading by another instance, which answers within 0.35 s
+	// if it is alive.
 	askTimeout = 450 * time.Millisecond
+	// staleAfter is the age of the newest reading from which an instance that has
+	// nothing newer is passed over, and does not count as a source itself.
+	staleAfter = 600 * time.Millisecond
 	// membersInterval is how often the members are read. They must be out of
 	// use within 7 s after they announce that they leave.
 	membersInterval = time.Second
 	// instancesInterval is how often the announced instances are read; their
-	// loss is noticed when they do not answer.
+	// loss is noticed when they do not answer. While instances come and go, they
+	// are read as often as the members, until settledAfter the last change.
 	instancesInterval = 5 * time.Second
+	settledAfter      = 5 * time.Second
 	// configWait is how long one call waits for a new configuration; a silent
 	// connection is noticed configSlack later. Both fit into the 3 s in which
 	// a configuration must be in force, with one more try.
 	configWait  = 2 * time.Second
 	configSlack = 400 * time.Millisecond
 	// readingFor is how long an instance follows the configuration in the store
-	// after its last reading of the records for itself or others.
+	// after its last reading of the records.
 	readingFor = time.Second
 	// retryInterval separates failed calls to the store.
 	retryInterval = 100 * time.Millisecond
 	// slowTimeout is given to calls that are not urgent: a slow store takes
 	// 0.4 s for an answer.
 	slowTimeout = 1500 * time.Millisecond
+	// startSpread is the time over which instances that start for the first time
+	// begin to read. The first ones are announced by then, and the others ask them.
+	startSpread = time.Second
 )
 
-// follow keeps the groups up to date with readings of this or another instance.
-func (n *Node) follow(ctx context.Context) {
-	picker := source.New(n.cfg.Settings.Instance)
-	client := relay.NewClient(n.cfg.DialPeer, n.cfg.Log)
-	var known relay.Known
-	latest := relay.Reading{}
-	link := n.dependency("store")
-	from := ""
-	defer client.Close()
+// reader keeps the readings of the store up to date, from the store or another
+// instance, and passes them on to others.
+type reader struct {
+	n      *Node
+	state  *relay.State
+	client *relay.Client
+	link   *dependency
+	self   source.Candidate
+	wake   chan struct{} // a reading is wanted sooner, or the configuration is to be followed
+
+	mu        sync.Mutex
+	picker    *source.Picker
+	from      string        // the last source; empty: the store
+	started   time.Duration // of the last own reading
+	ended     time.Duration // of the last own reading that succeeded
+	urgent    time.Duration // readings are urgent until then
+	hurried   time.Duration // when others were last told
+	members   schedule
+	instances schedule
+	moved     time.Duration // last change of the instances
+	// announce are instances that want to be announced.
+	announce map[string]source.Candidate
+	taking   sync.Mutex // held while a reading is applied
+}
+
+// schedule is when a part of the store was last read.
+type schedule struct {
+	at      time.Duration
+	read    bool
+	running bool
+}
+
+// begin reports whether the part is due, and then takes it as being read.
+func (s *schedule) begin(now, interval time.Duration) bool {
+	if s.running || s.read && now-s.at < interval {
+		return false
+	}
+	s.running, s.at = true, now
+	return true
+}
+
+func (s *schedule) end(ok bool) {
+	s.running = false
+	s.read = ok
+}
+
+func newReader(n *Node) *reader {
+	s := n.cfg.Settings
+	return &reader{n: n, state: relay.NewState(n.cfg.Clock), client: relay.NewClient(s.Instance, n.cfg.DialPeer, n.cfg.Log),
+		link: n.dependency("store"), wake: make(chan struct{}, 1), picker: source.New(s.Instance, s.FailureDomain),
+		self:     source.Candidate{Name: s.Instance, Address: s.RelayAddress, FailureDomain: s.FailureDomain, Weight: s.Weight},
+		announce: make(map[string]source.Candidate)}
+}
+
+// follow keeps the node up to date with readings of this or another instance.
+func (r *reader) follow(ctx context.Context) {
+	defer r.client.Close()
+	r.findOthers(ctx)
 	for ctx.Err() == nil {
-		choice := picker.Next(n.cfg.Clock())
-		steady.Sleep(ctx, choice.Wait)
-		known.Urgent = n.changing()
-		known.Config = n.configVersion()
-		sentAt := n.cfg.Clock()
-		reading, err := n.obtain(ctx, choice, client, known, picker)
-		if choice.Own || err == nil {
-			link.note(err)
+		if r.n.changing() {
+			r.Hurry()
 		}
-		if err != nil {
-			known = relay.Known{}
-			if choice.Own {
-				steady.Sleep(ctx, retryInterval)
-			}
-			continue
-		}
-		if name := choice.From.Name; name != from {
-			n.cfg.Log.WithFields(logrus.Fields{"event": "source", "from": name, "before": from}).Info("store readings come from another instance")
-			from = name
-		}
-		known = reading.Digests
-		if reading.Instances != nil {
-			picker.SetCandidates(reading.Instances)
-			n.router.SetInstances(reading.Instances)
+		r.mu.Lock()
+		choice := r.picker.Next(r.n.cfg.Clock())
+		r.mu.Unlock()
+		if choice.Own {
+			r.readOwn(ctx, choice.Wait)
+		} else {
+			r.ask(ctx, choice.From)
 		}
-		latest = latest.Updated(reading)
-		n.takeIn(ctx, latest, sentAt)
 	}
 }
 
-// obtain makes a reading or asks for one.
-func (n *Node) obtain(ctx context.Context, choice source.Choice, client *relay.Client, known relay.Known, picker *source.Picker) (relay.Reading, error) {
-	if choice.Own {
-		reading, err := n.reader.ReadFor(ctx, known.Urgent)
-		picker.Read(err == nil, n.cfg.Clock())
-		return reading, err
+// findOthers reads the announced instances, so that one of them can be asked for
+// everything else.
+func (r *reader) findOthers(ctx context.Context) {
+	if !r.announces() {
+		return
 	}
-	call, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	started := n.cfg.Clock()
-	reading, err := client.Ask(call, choice.From, known)
-	n.cfg.Figures.StoreCall("relayed", err, n.cfg.Clock()-started)
+	if r.n.cfg.Settings.FirstStart {
+		steady.Sleep(ctx, rand.N(startSpread))
+	}
+	for ctx.Err() == nil && !r.readInstances(ctx) {
+		steady.Sleep(ctx, retryInterval)
+	}
+}
+
+// announces reports whether this instance reads for others.
+func (r *reader) announces() bool { return r.self.Address != "" }
+
+// readOwn reads the records, and the parts that are due beside them.
+func (r *reader) readOwn(ctx context.Context, wait time.Duration) {
+	n := r.n
+	r.await(ctx, wait)
+	if ctx.Err() != nil {
+		return
+	}
+	r.noteSource("")
+	now := n.cfg.Clock()
+	r.mu.Lock()
+	r.started = now
+	members := r.members.begin(now, membersInterval)
+	interval := instancesInterval
+	if now-r.moved < settledAfter {
+		interval = membersInterval
+	}
+	instances := r.announces() && r.instances.begin(now, interval)
+	r.mu.Unlock()
+	var parts sync.WaitGroup
+	if !n.Configured() {
+		parts.Go(func() { r.readConfig(ctx) })
+	}
+	if members {
+		parts.Go(func() { r.readMembers(ctx) })
+	}
+	if instances {
+		parts.Go(func() { r.readInstances(ctx) })
+	}
+	if waiting := r.unannounced(); len(waiting) > 0 {
+		parts.Go(func() { r.write(ctx, waiting) })
+	}
+	// A slow part does not delay the evidence; it is read again when it is due.
+	if !n.Ready() {
+		defer parts.Wait()
+	}
+	records, sentAt, err := timed(ctx, n, "records", n.cfg.Store.Records)
+	answeredAt := n.cfg.Clock()
+	r.mu.Lock()
+	r.picker.Read(err == nil, answeredAt)
 	if err == nil {
-		picker.Answered(choice.From.Name)
-		return reading, nil
+		r.ended = answeredAt
 	}
-	why := source.Silent
-	if errors.Is(err, relay.ErrStoreAway) {
-		why = source.StoreAway
+	r.mu.Unlock()
+	r.link.note(err)
+	if err != nil {
+		steady.Sleep(ctx, retryInterval)
+		return
 	}
-	picker.Failed(choice.From.Name, why, n.cfg.Clock())
-	n.cfg.Log.WithFields(logrus.Fields{"event": "source_failed", "from": choice.From.Name, "error": err.Error()}).Info("instance gave no reading of the store")
-	return reading, err
+	r.takeIn(r.state.ReadRecords(records, sentAt, answeredAt))
+	r.poke()
 }
 
-// takeIn applies a reading that was asked for at sentAt.
-func (n *Node) takeIn(ctx context.Context, r relay.Reading, sentAt time.Duration) {
-	switch {
-	case r.Config != nil:
-		n.apply(r.Config)
-	case r.Digests.Config > n.configVersion():
-		n.fetchConfig(ctx)
+// await waits for the next own reading: for the interval, or until somebody is in
+// a hurry, but at least for a time.
+func (r *reader) await(ctx context.Context, least time.Duration) {
+	steady.Sleep(ctx, least)
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		now := r.n.cfg.Clock()
+		interval := readInterval
+		if now < r.urgent {
+			interval = urgentInterval
+		}
+		wait := r.started + interval - now
+		r.mu.Unlock()
+		if wait <= 0 {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
-	groups := n.allGroups()
-	for _, g := range groups {
-		g.SetInstances(len(r.Instances), gateway.Turn(n.cfg.Settings.Instance, g.Service(), r.Instances))
-		g.UpdateMembers(r.Members, sentAt)
-		record := r.Records[g.Service()]
-		record.Service = g.Service()
-		g.UpdateRecord(record, r.StoreNow, sentAt)
+}
+
+// readMembers reads the members.
+func (r *reader) readMembers(ctx context.Context) {
+	members, sentAt, err := timed(ctx, r.n, "members", r.n.cfg.Store.Members)
+	r.mu.Lock()
+	r.members.end(err == nil)
+	r.mu.Unlock()
+	if err == nil {
+		r.takeIn(r.state.ReadMembers(members, sentAt, r.n.cfg.Clock()))
 	}
-	n.mu.Lock()
-	n.membersOK = n.membersOK || len(groups) > 0
-	n.mu.Unlock()
 }
 
-// fetchConfig reads a configuration that is too large to be relayed.
-func (n *Node) fetchConfig(ctx context.Context) {
+// readInstances reads the announced instances and reports whether it could.
+func (r *reader) readInstances(ctx context.Context) bool {
+	instances, _, err := timed(ctx, r.n, "instances", r.n.cfg.Store.Instances)
+	r.mu.Lock()
+	r.instances.end(err == nil)
+	r.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	r.takeIn(r.state.ReadInstances(instances))
+	return true
+}
+
+// readConfig reads the configuration as it is.
+func (r *reader) readConfig(ctx context.Context) {
+	n := r.n
 	call, cancel := context.WithTimeout(ctx, slowTimeout)
 	defer cancel()
 	started := n.cfg.Clock()
 	c, _, err := n.cfg.Store.Config(call, 0, 0)
 	n.cfg.Figures.StoreCall("config", err, n.cfg.Clock()-started)
 	if err != nil {
-		n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Warn("new configuration could not be read")
+		n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Warn("configuration could not be read")
 		return
 	}
 	if c != nil {
-		n.apply(c)
+		r.takeIn(r.state.ReadConfig(c))
 	}
 }
 
-func (n *Node) configVersion() int64 {
-	if c := n.config.Load(); c != nil {
-		return c.Version
+// unannounced returns the instances that want to be announced and are not.
+func (r *reader) unannounced() []source.Candidate {
+	if r.announces() && !r.n.stop.ordered() && !r.state.Announced(r.self) {
+		r.Announce([]source.Candidate{r.self})
 	}
-	return 0
-}
-
-func (n *Node) changing() bool {
-	for _, g := range n.allGroups() {
-		if g.Changing() {
-			return true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []source.Candidate
+	for name, c := range r.announce {
+		if r.state.Announced(c) {
+			delete(r.announce, name)
+			continue
 		}
+		all = append(all, c)
 	}
-	return false
+	return all
 }
 
-// announce stores how other instances reach this one.
-func (n *Node) announce(ctx context.Context) {
-	s := n.cfg.Settings
-	if s.RelayAddress == "" {
+// write announces instances in the store.
+func (r *reader) write(ctx context.Context, all []source.Candidate) {
+	n := r.n
+	call, cancel := context.WithTimeout(ctx, slowTimeout)
+	defer cancel()
+	started := n.cfg.Clock()
+	err := n.cfg.Store.Announce(call, all)
+	n.cfg.Figures.StoreCall("announce", err, n.cfg.Clock()-started)
+	if err != nil {
+		n.cfg.Log.WithFields(logrus.Fields{"event": "announce_failed", "instances": len(all), "error": err.Error()}).Info("instances could not be announced")
 		return
 	}
-	self := source.Candidate{Name: s.Instance, Address: s.RelayAddress, FailureDomain: s.FailureDomain, Weight: s.Weight}
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, slowTimeout)
-		started := n.cfg.Clock()
-		err := n.cfg.Store.Announce(call, self)
-		cancel()
-		n.cfg.Figures.StoreCall("announce", err, n.cfg.Clock()-started)
-		if err == nil {
-			return
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range all {
+		if r.announce[c.Name] == c {
+			delete(r.announce, c.Name)
 		}
-		n.cfg.Log.WithFields(logrus.Fields{"event": "announce_failed", "error": err.Error()}).Info("instance could not announce itself")
-		steady.Sleep(ctx, membersInterval)
 	}
+	r.instances.read = false // read them again at once
+	r.moved = n.cfg.Clock()
 }
 
-func (n *Node) withdraw() {
-	if n.cfg.Settings.RelayAddress == "" {
-		return
-	}
-	call, cancel := context.WithTimeout(context.Background(), slowTimeout)
+// ask gets a reading from another instance.
+func (r *reader) ask(ctx context.Context, from source.Candidate) {
+	n := r.n
+	announce := r.unannounced()
+	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if err := n.cfg.Store.Withdraw(call, n.cfg.Settings.Instance); err != nil {
-		n.cfg.Log.WithFields(logrus.Fields{"event": "withdraw_failed", "error": err.Error()}).Info("instance could not withdraw its announcement")
+	sentAt := n.cfg.Clock()
+	answer, err := r.client.Ask(call, from, r.state.Known(), announce)
+	answeredAt := n.cfg.Clock()
+	n.cfg.Figures.StoreCall("relayed", err, answeredAt-sentAt)
+	var changes relay.Changes
+	if err == nil {
+		changes = r.state.Apply(answer, sentAt, answeredAt)
+		if !changes.Records && r.stale() {
+			err = relay.ErrStoreAway
+		}
+	}
+	r.mu.Lock()
+	switch {
+	case err == nil:
+		r.picker.Answered(from.Name)
+	case errors.Is(err, relay.ErrStoreAway):
+		r.picker.Failed(from.Name, source.StoreAway, answeredAt)
+	default:
+		r.picker.Failed(from.Name, source.Silent, answeredAt)
 	}
+	r.mu.Unlock()
+	if err != nil {
+		n.cfg.Log.WithFields(logrus.Fields{"event": "source_failed", "from": from.Name, "error": err.Error()}).Info("instance gave no reading of the store")
+	} else {
+		r.link.note(nil)
+		r.noteSource(from.Name)
+	}
+	r.takeIn(changes)
 }
 
-// reader reads the store for this instance and for those that ask it. Requests
-// that arrive while a reading runs wait for the next one.
-type reader struct {
-	n *Node
-
-	mu       sync.Mutex
-	waiting  []chan struct{} // closed when the next reading has ended
-	running  bool
-	last     relay.Reading
-	err      error
-	started  time.Duration // of the last reading
-	ended    time.Duration
-	urgent   bool
-	members  part[catalog.Members]
-	others   part[[]source.Candidate]
-	wakeConf chan struct{}
+// stale reports whether the newest reading is too old to be passed on.
+func (r *reader) stale() bool {
+	age, ok := r.state.Age()
+	return !ok || age > staleAfter
 }
 
-// part is a part of the store that is read less often than the records.
-type part[T any] struct {
-	value T
-	at    time.Duration
-	read  bool
+func (r *reader) noteSource(name string) {
+	r.mu.Lock()
+	before := r.from
+	r.from = name
+	r.mu.Unlock()
+	if name != before {
+		r.n.cfg.Log.WithFields(logrus.Fields{"event": "source", "from": name, "before": before}).Info("readings of the store have another source")
+	}
 }
 
-func (p *part[T]) due(now, interval time.Duration) bool { return !p.read || now-p.at >= interval }
+// State implements relay.Source.
+func (r *reader) State() *relay.State { return r.state }
 
-func newReader(n *Node) *reader { return &reader{n: n, wakeConf: make(chan struct{}, 1)} }
-
-// ReadFor implements relay.Reader.
-func (r *reader) ReadFor(ctx context.Context, urgent bool) (relay.Reading, error) {
-	done := make(chan struct{})
+// Away implements relay.Source. The asker may be this instance's own source, when
+// the store turns away the one that comes first.
+func (r *reader) Away(asker string) bool {
 	r.mu.Lock()
-	r.waiting = append(r.waiting, done)
-	r.urgent = r.urgent || urgent
-	if !r.running {
-		r.running = true
-		go r.run()
-	}
+	from := r.from
 	r.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return relay.Reading{}, ctx.Err()
-	case <-done:
+	if from == asker {
+		return true
 	}
+	_, any := r.state.Age()
+	return any && r.stale()
+}
+
+// Announce implements relay.Source.
+func (r *reader) Announce(all []source.Candidate) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.last, r.err
+	for _, c := range all {
+		if c.Name != "" && c.Address != "" && len(r.announce) < maxAnnounced {
+			r.announce[c.Name] = c
+		}
+	}
 }
 
-// run makes readings as long as somebody waits for one.
-func (r *reader) run() {
-	for {
-		r.mu.Lock()
-		interval := readInterval
-		if r.urgent {
-			interval = urgentInterval
-		}
-		wait := max(r.started+interval-r.n.cfg.Clock(), 0)
-		r.mu.Unlock()
-		time.Sleep(wait)
-		r.mu.Lock()
-		waiting := r.waiting
-		r.waiting, r.urgent = nil, false
-		r.started = r.n.cfg.Clock()
-		if len(waiting) == 0 {
-			r.running = false
-			r.mu.Unlock()
-			return
-		}
-		r.mu.Unlock()
-		reading, err := r.read()
-		r.mu.Lock()
-		r.last, r.err, r.ended = reading, err, r.n.cfg.Clock()
-		r.mu.Unlock()
-		for _, done := range waiting {
-			close(done)
-		}
-		select {
-		case r.wakeConf <- struct{}{}:
-		default:
+// maxAnnounced bounds the instances that wait for their announcement.
+const maxAnnounced = 4096
+
+// Hurry implements relay.Source: a primary is being replaced.
+func (r *reader) Hurry() {
+	r.mu.Lock()
+	now := r.n.cfg.Clock()
+	r.urgent = now + urgentFor
+	again := now-r.hurried >= readInterval
+	if again {
+		r.hurried = now
+	}
+	relayed := r.from != ""
+	r.mu.Unlock()
+	if !again {
+		return
+	}
+	r.poke()
+	if !relayed {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		if err := r.client.Hurry(ctx); err != nil {
+			r.n.cfg.Log.WithFields(logrus.Fields{"event": "hurry_failed", "error": err.Error()}).Debug("source was not told of a change of primary")
 		}
+	}()
+}
+
+func (r *reader) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
 	}
 }
 
-// read reads the records and the parts that are due.
-func (r *reader) read() (relay.Reading, error) {
-	n := r.n
-	ctx := context.Background()
-	now := n.cfg.Clock()
-	if n.config.Load() == nil {
-		// Without it there are no groups that could take in the rest.
-		n.fetchConfig(ctx)
-	}
-	var storeNow time.Duration
-	records, err := timed(n, ctx, "records", func(ctx context.Context) (map[string]primacy.Record, error) {
-		records, at, err := n.cfg.Store.Records(ctx)
-		storeNow = at
-		return records, err
-	})
-	if err != nil {
-		return relay.Reading{}, err
-	}
-	if r.members.due(now, membersInterval) {
-		value, err := timed(n, ctx, "members", n.cfg.Store.Members)
-		if err == nil {
-			r.members = part[catalog.Members]{value, now, true}
-		} else if !r.members.read {
-			return relay.Reading{}, err
+// takeIn applies what a reading has changed.
+func (r *reader) takeIn(c relay.Changes) {
+	if c == (relay.Changes{}) {
+		return
+	}
+	r.taking.Lock()
+	defer r.taking.Unlock()
+	if c.InstancesChanged {
+		all := r.state.Instances()
+		r.mu.Lock()
+		r.moved = r.n.cfg.Clock()
+		r.picker.SetCandidates(all)
+		r.mu.Unlock()
+		r.n.setInstances(all)
+	}
+	if c.Config {
+		r.n.apply(r.state.Config())
+	}
+	if c.Members || c.Config || c.InstancesChanged {
+		if members, at := r.state.Members(); r.state.HasMembers() {
+			r.n.setMembers(members, at.Earliest, c.Config || c.InstancesChanged)
 		}
 	}
-	if r.others.due(now, instancesInterval) {
-		if value, err := timed(n, ctx, "instances", n.cfg.Store.Instances); err == nil {
-			r.others = part[[]source.Candidate]{value, now, true}
+	if c.Records || c.Config {
+		records, at := r.state.Records()
+		for _, g := range r.n.allGroups() {
+			record := records[g.Service()]
+			record.Service = g.Service()
+			g.UpdateRecord(record, at)
 		}
 	}
-	reading := relay.Reading{StoreNow: storeNow, Records: records, Members: r.members.value, Instances: r.others.value, Config: n.config.Load()}
-	reading.Complete()
-	return reading, nil
 }
 
-// timed makes one call to the store, bounded and counted.
-func timed[T any](n *Node, ctx context.Context, name string, call func(context.Context) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	started := n.cfg.Clock()
-	value, err := call(ctx)
-	n.cfg.Figures.StoreCall(name, err, n.cfg.Clock()-started)
-	return value, err
-}
-
-// followConfig applies each new configuration from the store while this
-// instance reads for itself or others. A version below the one in force is
-// never applied.
+// followConfig takes in each new configuration from the store while this
+// instance reads for itself or others.
 func (r *reader) followConfig(ctx context.Context) {
 	n := r.n
 	var cursor uint64
 	for ctx.Err() == nil {
 		if !r.active() {
 			cursor = 0
-			select {
-			case <-ctx.Done():
-			case <-r.wakeConf:
-			}
+			steady.Sleep(ctx, readInterval)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, configWait+configSlack)
@@ -357,14 +480,83 @@
 		}
 		cursor = next
 		if c != nil {
-			n.apply(c)
+			r.takeIn(r.state.ReadConfig(c))
 		}
 	}
 }
 
-// active reports whether this instance made a successful reading of late.
+// active reports whether this instance reads the store itself at present.
 func (r *reader) active() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.err == nil && r.ended > 0 && r.n.cfg.Clock()-r.ended < readingFor
+	return r.from == "" && r.ended > 0 && r.n.cfg.Clock()-r.ended < readingFor
+}
+
+// timed makes one call to the store, bounded and counted, and returns when it was
+// sent.
+func timed[T any](ctx context.Context, n *Node, name string, call func(context.Context) (T, error)) (value T, sentAt time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sentAt = n.cfg.Clock()
+	value, err = call(ctx)
+	n.cfg.Figures.StoreCall(name, err, n.cfg.Clock()-sentAt)
+	return value, sentAt, err
+}
+
+func (n *Node) withdraw() {
+	if !n.reader.announces() {
+		return
+	}
+	call, cancel := context.WithTimeout(context.Background(), slowTimeout)
+	defer cancel()
+	if err := n.cfg.Store.Withdraw(call, n.cfg.Settings.Instance); err != nil {
+		n.cfg.Log.WithFields(logrus.Fields{"event": "withdraw_failed", "error": err.Error()}).Info("instance could not withdraw its announcement")
+	}
+}
+
+// setInstances takes in the announced instances.
+func (n *Node) setInstances(all []source.Candidate) {
+	n.router.SetInstances(all)
+	fleet := n.fleetOf(all)
+	n.mu.Lock()
+	n.fleet = fleet
+	n.mu.Unlock()
+	for _, g := range n.allGroups() {
+		g.SetFleet(fleet)
+	}
 }
+
+// setMembers gives each group its members as they were read at readAt. Groups
+// whose members are the same and complete need no news, unless all is set.
+func (n *Node) setMembers(members catalog.Members, readAt time.Duration, all bool) {
+	byService := members.ByService()
+	groups := n.allGroups()
+	for _, g := range groups {
+		own := byService[g.Service()]
+		if all || g.Incomplete() || !own.Same(n.lastMembers[g.Service()]) {
+			g.UpdateMembers(own, readAt)
+		}
+	}
+	n.lastMembers = byService
+	n.mu.Lock()
+	n.membersOK = n.membersOK || len(groups) > 0
+	n.mu.Unlock()
+}
+
+func (n *Node) changing() bool {
+	for _, g := range n.allGroups() {
+		if g.Changing() {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) configVersion() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+var _ relay.Source = (*reader)(nil)
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,29 +16,42 @@
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/peer"
 	"github.com/papayarail/papayarail/proxy/relay"
+	"github.com/papayarail/papayarail/proxy/steady"
 )
 
-// fakeReader returns a fixed reading, an error, or nothing.
-type fakeReader struct {
-	reading relay.Reading
-	err     error
-	silent  bool
+// fakeSource is an instance whose readings are passed on.
+type fakeSource struct {
+	state    *relay.State
+	away     bool
+	announce chan source.Candidate
+	hurried  chan struct{}
 }
 
-func (f *fakeReader) ReadFor(ctx context.Context, _ bool) (relay.Reading, error) {
-	if f.silent {
-		<-ctx.Done()
+func newSource() *fakeSource {
+	return &fakeSource{state: relay.NewState(steady.Now), announce: make(chan source.Candidate, 10), hurried: make(chan struct{}, 1)}
+}
+
+func (f *fakeSource) State() *relay.State { return f.state }
+func (f *fakeSource) Away(string) bool    { return f.away }
+func (f *fakeSource) Hurry()              { f.hurried <- struct{}{} }
+func (f *fakeSource) Announce(all []source.Candidate) {
+	for _, c := range all {
+		f.announce <- c
 	}
-	f.reading.Complete()
-	return f.reading, f.err
 }
 
-func serve(t *testing.T, reader relay.Reader) source.Candidate {
+// read takes in a reading of the store whose clock is one hour ahead.
+func (f *fakeSource) read(version uint64, records map[string]primacy.Record) {
+	now := steady.Now()
+	f.state.ReadRecords(catalog.Reading[primacy.Record]{Rows: records, Version: version, StoreNow: now + time.Hour}, now, now)
+}
+
+func serve(t *testing.T, src relay.Source) source.Candidate {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	server := peer.NewServer(silentLog())
-	relay.Register(server, reader)
+	relay.Register(server, src)
 	go func() { _ = server.Serve(l) }() // ends with the listener
 	return source.Candidate{Name: "reader", Address: l.Addr().String()}
 }
@@ -50,65 +62,154 @@
 	return logrus.NewEntry(log)
 }
 
-func reading(routes int) relay.Reading {
-	config := &catalog.Config{Version: 7, Routes: make(map[string]catalog.Route)}
+// asker is an instance that asks another one.
+type asker struct {
+	t      *testing.T
+	state  *relay.State
+	client *relay.Client
+	from   source.Candidate
+}
+
+func newAsker(t *testing.T, from source.Candidate) *asker {
+	client := relay.NewClient("asker", nil, silentLog())
+	t.Cleanup(client.Close)
+	return &asker{t, relay.NewState(steady.Now), client, from}
+}
+
+func (a *asker) ask() (relay.Answer, relay.Changes) {
+	a.t.Helper()
+	sentAt := steady.Now()
+	answer, err := a.client.Ask(a.t.Context(), a.from, a.state.Known(), nil)
+	assert.NilError(a.t, err)
+	return answer, a.state.Apply(answer, sentAt, steady.Now())
+}
+
+func record(version uint64) map[string]primacy.Record {
+	return map[string]primacy.Record{"s": {Service: "s", Lead: primacy.Lead{Member: "a", Term: 2}, Version: version}}
+}
+
+func config(version int64, routes int) *catalog.Config {
+	c := &catalog.Config{Version: version, Routes: make(map[string]catalog.Route), Services: map[string]catalog.Service{"s": {Name: "s"}}, TransactionIdle: time.Second}
 	for i := range routes {
 		name := fmt.Sprint("d", i)
-		config.Routes[name] = catalog.Route{Database: name}
-	}
-	return relay.Reading{
-		StoreNow: 5 * time.Second, Config: config,
-		Records: map[string]primacy.Record{"s": {Service: "s", Lead: primacy.Lead{Member: "a", Term: 2}, Version: 12}},
-		Members: catalog.Members{"a": {ID: "a", Service: "s", Primary: true}},
+		c.Routes[name] = catalog.Route{Database: name, Service: "s"}
 	}
+	return c
 }
 
 // Guards what an asker learns: everything at first, then only what has changed;
 // the version of a record, which decides conditional writes, is kept.
 func TestAsk(t *testing.T) {
-	reader := &fakeReader{reading: reading(3)}
-	from := serve(t, reader)
-	client := relay.NewClient(nil, silentLog())
-	defer client.Close()
-	first, err := client.Ask(t.Context(), from, relay.Known{})
-	assert.NilError(t, err)
-	assert.DeepEqual(t, first.Records, reader.reading.Records)
-	assert.DeepEqual(t, first.Members, reader.reading.Members)
-	assert.Equal(t, len(first.Config.Routes), 3)
-	second, err := client.Ask(t.Context(), from, first.Digests)
-	assert.NilError(t, err)
-	assert.Assert(t, second.Records == nil && second.Members == nil && second.Config == nil)
-	assert.Equal(t, second.StoreNow, 5*time.Second)
-	assert.DeepEqual(t, first.Updated(second).Records, first.Records)
-	record := reader.reading.Records["s"]
-	record.Version++
-	reader.reading.Records = map[string]primacy.Record{"s": record}
-	third, err := client.Ask(t.Context(), from, second.Digests)
-	assert.NilError(t, err)
-	assert.Equal(t, third.Records["s"].Version, uint64(13))
+	src := newSource()
+	a := newAsker(t, serve(t, src))
+	src.state.ReadConfig(config(7, 3))
+	now := steady.Now()
+	src.state.ReadMembers(catalog.Reading[catalog.Member]{Rows: catalog.Members{"a": {ID: "a", Service: "s", Primary: true}}, Version: 11, StoreNow: now + time.Hour}, now, now)
+	src.read(12, record(12))
+	_, changes := a.ask()
+	assert.Equal(t, changes, relay.Changes{Records: true, Members: true, MembersChanged: true, Config: true})
+	records, _ := a.state.Records()
+	assert.DeepEqual(t, records, record(12))
+	assert.DeepEqual(t, a.state.Config(), config(7, 3))
+
+	src.read(13, record(12))
+	answer, changes := a.ask()
+	assert.Equal(t, changes, relay.Changes{Records: true})
+	assert.Equal(t, len(answer.Delta.Records.Set), 0)
+	assert.Assert(t, answer.Delta.Members == nil && answer.Delta.Config == nil)
+
+	src.read(14, record(14))
+	a.ask()
+	records, _ = a.state.Records()
+	assert.DeepEqual(t, records, record(14))
 }
 
-// A configuration of 1,400 routes for 85 instances would take a small link 14 s;
-// askers get its version and read it from the store.
-func TestLargeConfigIsNotRelayed(t *testing.T) {
-	from := serve(t, &fakeReader{reading: reading(1400)})
-	client := relay.NewClient(nil, silentLog())
-	defer client.Close()
-	r, err := client.Ask(t.Context(), from, relay.Known{})
-	assert.NilError(t, err)
-	assert.Assert(t, r.Config == nil)
-	assert.Equal(t, r.Digests.Config, int64(7))
+// Guards the read lease over a relay: a reading that was held back for a while is
+// taken as old, whenever it is asked for.
+func TestAgeIsThatOfTheReading(t *testing.T) {
+	src := newSource()
+	a := newAsker(t, serve(t, src))
+	readAt := steady.Now()
+	src.read(12, record(12))
+	const held = 60 * time.Millisecond
+	timer := time.NewTimer(held)
+	<-timer.C
+	a.ask()
+	_, at := a.state.Records()
+	assert.Assert(t, at.Earliest <= readAt, "%s later than the reading", at.Earliest-readAt)
+	assert.Assert(t, at.Latest >= readAt)
+	age, ok := a.state.Age()
+	assert.Assert(t, ok && age >= held, "age %s", age)
+}
+
+// Guards the calls of an instance that has all there is: it waits for the next
+// reading, and learns after a while that the asked one is alive.
+func TestAskWaitsForNews(t *testing.T) {
+	src := newSource()
+	a := newAsker(t, serve(t, src))
+	src.read(12, record(12))
+	a.ask()
+	_, changes := a.ask()
+	assert.Equal(t, changes, relay.Changes{}, "nothing is new")
+	time.AfterFunc(20*time.Millisecond, func() { src.read(13, record(12)) })
+	started := time.Now()
+	_, changes = a.ask()
+	assert.Assert(t, changes.Records)
+	assert.Assert(t, time.Since(started) < 300*time.Millisecond)
+}
+
+// Guards the spreading of a configuration of 1,400 routes: read from the store by
+// each instance, 256 KB each were the greatest price of 100 instances. It passes
+// in one answer, and a later one by the routes that changed.
+func TestLargeConfig(t *testing.T) {
+	src := newSource()
+	a := newAsker(t, serve(t, src))
+	src.state.ReadConfig(config(7, 1400))
+	src.read(12, record(12))
+	a.ask()
+	assert.DeepEqual(t, a.state.Config(), config(7, 1400))
+	changed := config(9, 1400)
+	changed.Routes["d5"] = catalog.Route{Database: "d5", Service: "s", Timeout: time.Second}
+	delete(changed.Routes, "d6")
+	src.state.ReadConfig(changed)
+	src.read(13, record(12))
+	answer, changes := a.ask()
+	assert.Assert(t, changes.Config)
+	assert.Equal(t, len(answer.Delta.Config.Routes.Set), 1)
+	assert.DeepEqual(t, a.state.Config(), changed)
+	old := relay.Answer{Delta: relay.Delta{Config: &relay.ConfigDelta{Routes: answer.Delta.Config.Routes, Services: answer.Delta.Config.Services}}}
+	old.Delta.Config.Routes.Version, old.Delta.Config.Services.Version = 8, 8
+	a.state.Apply(old, 0, steady.Now())
+	assert.DeepEqual(t, a.state.Config(), changed) // an older version is never put in force
 }
 
 // Guards the two kinds of failure, which lead to different choices of the next
 // source.
 func TestAskFailures(t *testing.T) {
-	client := relay.NewClient(nil, silentLog())
+	client := relay.NewClient("asker", nil, silentLog())
 	defer client.Close()
-	_, err := client.Ask(t.Context(), serve(t, &fakeReader{err: errors.New("no answer")}), relay.Known{})
+	away := newSource()
+	away.away = true
+	_, err := client.Ask(t.Context(), serve(t, away), relay.Known{}, nil)
 	assert.ErrorIs(t, err, relay.ErrStoreAway)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = client.Ask(ctx, serve(t, &fakeReader{silent: true}), relay.Known{})
-	assert.Assert(t, err != nil && !errors.Is(err, relay.ErrStoreAway))
+	_, err = client.Ask(ctx, serve(t, newSource()), relay.Known{Began: time.Hour}, nil)
+	assert.Assert(t, err != nil, "the call ends with its context")
+}
+
+// Guards the announcement of a starting instance through the one it asks, and the
+// word that a primary is being replaced.
+func TestAnnounceAndHurry(t *testing.T) {
+	src := newSource()
+	src.read(12, record(12))
+	client := relay.NewClient("asker", nil, silentLog())
+	defer client.Close()
+	assert.NilError(t, client.Hurry(t.Context()), "without a source there is nobody to tell")
+	self := source.Candidate{Name: "asker", Address: "10.1.0.9:1"}
+	_, err := client.Ask(t.Context(), serve(t, src), relay.Known{}, []source.Candidate{self})
+	assert.NilError(t, err)
+	assert.Equal(t, <-src.announce, self)
+	assert.NilError(t, client.Hurry(t.Context()))
+	<-src.hurried
 }
--- /dev/null
+++ b/proxy/relay/state.go
@@ -0,0 +1,323 @@
+// Package relay passes readings of the store from instance to instance: what one
+// instance has read, how old it is, and what changed since the asker's version.
+// core/source decides who asks whom.
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/papayarail/papayarail/core/mirror"
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storetime"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/steady"
+)
+
+// Class groups the errors of this package.
+var Class = errs.Class("relay")
+
+// Known is what the asking instance has; zero means nothing.
+type Known struct {
+	// Began is the store's time of its newest reading of the records.
+	Began     time.Duration `json:"began,omitempty"`
+	Records   uint64        `json:"records,omitempty"`
+	Members   uint64        `json:"members,omitempty"`
+	Instances uint64        `json:"instances,omitempty"`
+	Config    uint64        `json:"config,omitempty"`
+}
+
+// Delta is what changed since a Known; parts without change are nil.
+type Delta struct {
+	// Began is the store's time, at the latest, at which the records were read.
+	// They prove who leads from then on.
+	Began   time.Duration                 `json:"began"`
+	Records *mirror.Delta[primacy.Record] `json:"records,omitempty"`
+	// MembersBegan is the same for the members.
+	MembersBegan time.Duration                   `json:"members_began"`
+	Members      *mirror.Delta[catalog.Member]   `json:"members,omitempty"`
+	Instances    *mirror.Delta[source.Candidate] `json:"instances,omitempty"`
+	Config       *ConfigDelta                    `json:"config,omitempty"`
+}
+
+// ConfigDelta is what changed in the configuration.
+type ConfigDelta struct {
+	Routes          *mirror.Delta[catalog.Route]   `json:"routes"`
+	Services        *mirror.Delta[catalog.Service] `json:"services"`
+	TransactionIdle time.Duration                  `json:"transaction_idle"`
+}
+
+// Changes says which parts a reading has changed.
+type Changes struct {
+	// Records means that there is a newer reading of the records, Members one of
+	// the members, with or without changes.
+	Records, Members                         bool
+	MembersChanged, InstancesChanged, Config bool
+}
+
+// State is the newest reading of the store that an instance has, by itself or
+// from another one. It is safe for concurrent use.
+type State struct {
+	clock steady.Clock
+
+	mu     sync.Mutex
+	bounds storetime.Bounds
+	// readAt is when the newest reading came in, on the own clock.
+	readAt       time.Duration
+	began        time.Duration
+	membersBegan time.Duration
+	records      *mirror.Table[primacy.Record]
+	members      *mirror.Table[catalog.Member]
+	instances    *mirror.Table[source.Candidate]
+	routes       *mirror.Table[catalog.Route]
+	services     *mirror.Table[catalog.Service]
+	idle         time.Duration
+	changed      chan struct{}      // closed whenever there is a newer reading
+	encoded      map[Known]*message // answers made since then
+}
+
+func same[T comparable](a, b T) bool { return a == b }
+
+// NewState returns a State without a reading.
+func NewState(clock steady.Clock) *State {
+	return &State{clock: clock, changed: make(chan struct{}), encoded: make(map[Known]*message),
+		records:   mirror.New(func(a, b primacy.Record) bool { return a.Version == b.Version }),
+		members:   mirror.New(same[catalog.Member]),
+		instances: mirror.New(same[source.Candidate]),
+		routes:    mirror.New(same[catalog.Route]),
+		services:  mirror.New(same[catalog.Service]),
+	}
+}
+
+// Known returns the versions of the present reading.
+func (s *State) Known() Known {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known()
+}
+
+func (s *State) known() Known {
+	return Known{Began: s.began, Records: s.records.Version(), Members: s.members.Version(), Instances: s.instances.Version(), Config: s.routes.Version()}
+}
+
+// news lets those that wait for a newer reading look again. s.mu is held.
+func (s *State) news() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	clear(s.encoded)
+}
+
+// storeRounding is the unit of the store's time, which is rounded down.
+const storeRounding = time.Millisecond
+
+// reading takes in the times of an own call and returns the store's time, at the
+// earliest, when the call was sent. What it read is no older than that, also if
+// the store read it long before it put its time into the answer. s.mu is held.
+func (s *State) reading(now, sentAt, answeredAt time.Duration) time.Duration {
+	s.bounds.Exchange(now, now+storeRounding, sentAt, answeredAt)
+	earliest, _ := s.bounds.Now(sentAt)
+	return min(earliest, now)
+}
+
+// ReadRecords takes in an own reading of the records.
+func (s *State) ReadRecords(r catalog.Reading[primacy.Record], sentAt, answeredAt time.Duration) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	began := s.reading(r.StoreNow, sentAt, answeredAt)
+	if r.Version < s.records.Version() || began <= s.began {
+		return Changes{}
+	}
+	s.records.Read(r.Rows, r.Version)
+	s.began, s.readAt = began, answeredAt
+	s.news()
+	return Changes{Records: true}
+}
+
+// ReadMembers takes in an own reading of the members.
+func (s *State) ReadMembers(r catalog.Reading[catalog.Member], sentAt, answeredAt time.Duration) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	began := s.reading(r.StoreNow, sentAt, answeredAt)
+	if r.Version < s.members.Version() || began <= s.membersBegan {
+		return Changes{}
+	}
+	changed := s.members.Read(r.Rows, r.Version)
+	s.membersBegan = began
+	return Changes{Members: true, MembersChanged: changed}
+}
+
+// ReadInstances takes in an own reading of the announced instances.
+func (s *State) ReadInstances(r catalog.Reading[source.Candidate]) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Changes{InstancesChanged: s.instances.Read(r.Rows, r.Version)}
+}
+
+// ReadConfig takes in a configuration that was read from the store.
+func (s *State) ReadConfig(c *catalog.Config) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version := uint64(c.Version)
+	if version <= s.routes.Version() {
+		return Changes{}
+	}
+	s.routes.Read(c.Routes, version)
+	s.services.Read(c.Services, version)
+	s.idle = c.TransactionIdle
+	s.news()
+	return Changes{Config: true}
+}
+
+// Apply takes in another instance's answer to a call that was sent at sentAt and
+// answered at answeredAt.
+func (s *State) Apply(a Answer, sentAt, answeredAt time.Duration) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var c Changes
+	if a.Latest != 0 {
+		s.bounds.Exchange(a.Earliest, a.Latest, sentAt, answeredAt)
+	}
+	if d := a.Delta.Config; d != nil && d.Routes != nil && d.Services != nil && d.Routes.Version > s.routes.Version() {
+		s.routes.Apply(*d.Routes)
+		s.services.Apply(*d.Services)
+		s.idle = d.TransactionIdle
+		c.Config = true
+	}
+	if d := a.Delta.Instances; d != nil {
+		c.InstancesChanged = s.instances.Apply(*d)
+	}
+	if d := a.Delta.Members; d != nil {
+		c.MembersChanged = s.members.Apply(*d)
+	}
+	if a.Delta.MembersBegan > s.membersBegan {
+		s.membersBegan = a.Delta.MembersBegan
+		c.Members = true
+	}
+	if d := a.Delta.Records; d != nil {
+		s.records.Apply(*d)
+	}
+	if a.Delta.Began > s.began && s.bounds.Known() {
+		s.began, s.readAt = a.Delta.Began, answeredAt
+		c.Records = true
+	}
+	if c != (Changes{}) {
+		s.news()
+	}
+	return c
+}
+
+// Records returns the records, the moment at which they were read, and the
+// store's time at the earliest now.
+func (s *State) Records() (records map[string]primacy.Record, at storetime.Stamp) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records.All(), s.bounds.Stamp(s.began, s.clock())
+}
+
+// Age returns how old the newest reading of the records is at most; ok is false
+// if there is none.
+func (s *State) Age() (age time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.began == 0 {
+		return 0, false
+	}
+	now := s.clock()
+	return now - s.bounds.Stamp(s.began, now).Earliest, true
+}
+
+// Members returns the members and the moment at which they were read.
+func (s *State) Members() (members catalog.Members, at storetime.Stamp) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.All(), s.bounds.Stamp(s.membersBegan, s.clock())
+}
+
+// HasMembers reports whether the members were ever read.
+func (s *State) HasMembers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Version() > 0
+}
+
+// Instances returns the announced instances.
+func (s *State) Instances() []source.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]source.Candidate, 0, s.instances.Len())
+	for _, c := range s.instances.All() {
+		all = append(all, c)
+	}
+	return all
+}
+
+// Announced reports whether an instance is announced as given.
+func (s *State) Announced(c source.Candidate) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.instances.Get(c.Name)
+	return ok && known == c
+}
+
+// Config returns the newest configuration; nil if there is none.
+func (s *State) Config() *catalog.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.routes.Version() == 0 {
+		return nil
+	}
+	return &catalog.Config{Version: int64(s.routes.Version()), Routes: s.routes.All(), Services: s.services.All(), TransactionIdle: s.idle}
+}
+
+// await returns the answer for an instance that has less than this one. Without
+// a newer reading of the records it waits for one until ctx ends.
+func (s *State) await(ctx context.Context, k Known) (*message, error) {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		if s.began > k.Began {
+			defer s.mu.Unlock()
+			return s.encode(k)
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.encode(k)
+		}
+	}
+}
+
+// encode returns the encoded answer for an instance that has k. s.mu is held.
+func (s *State) encode(k Known) (*message, error) {
+	if m := s.encoded[k]; m != nil {
+		return m, nil
+	}
+	d := Delta{Began: s.began, MembersBegan: s.membersBegan, Records: s.records.Since(k.Records), Members: s.members.Since(k.Members),
+		Instances: s.instances.Since(k.Instances)}
+	if routes := s.routes.Since(k.Config); routes != nil {
+		d.Config = &ConfigDelta{Routes: routes, Services: s.services.Since(k.Config), TransactionIdle: s.idle}
+	}
+	m, err := pack(d)
+	if err != nil {
+		return nil, err
+	}
+	s.encoded[k] = m
+	return m, nil
+}
+
+// storeNow returns the bounds of the store's time; zeros if they are not known.
+func (s *State) storeNow() (earliest, latest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.bounds.Known() {
+		return 0, 0
+	}
+	return s.bounds.Now(s.clock())
+}
--- a/proxy/standin/standin.go
+++ b/proxy/standin/standin.go
@@ -420,6 +420,11 @@
 func (w *World) Members() catalog.Members {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.registered()
+}
+
+// registered returns the registered members. w.mu is held.
+func (w *World) registered() catalog.Members {
 	all := make(catalog.Members)
 	for _, m := range w.members {
 		if m.listed && !m.down {
--- a/proxy/standin/store.go
+++ b/proxy/standin/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/papayarail/papayarail/core/primacy"
@@ -27,6 +26,12 @@
 	calls int
 }
 
+// tick returns the version of a reading: others write to the store all the time.
+func (s *store) tick() uint64 {
+	s.version++
+	return s.version
+}
+
 var errStoreAway = errors.New("store does not answer")
 
 // StoreOf returns the store as an instance reaches it.
@@ -61,9 +66,9 @@
 }
 
 // Records implements group.Register.
-func (c *StoreClient) Records(ctx context.Context) (map[string]primacy.Record, time.Duration, error) {
+func (c *StoreClient) Records(ctx context.Context) (catalog.Reading[primacy.Record], error) {
 	if err := c.call(ctx); err != nil {
-		return nil, 0, err
+		return catalog.Reading[primacy.Record]{}, err
 	}
 	defer c.w.mu.Unlock()
 	all := make(map[string]primacy.Record)
@@ -74,7 +79,7 @@
 		}
 		all[name] = r
 	}
-	return all, time.Since(c.w.start), nil
+	return catalog.Reading[primacy.Record]{Rows: all, Version: c.w.store.tick(), StoreNow: time.Since(c.w.start)}, nil
 }
 
 // Put implements group.Register.
@@ -125,30 +130,32 @@
 }
 
 // Members implements node.Store.
-func (c *StoreClient) Members(ctx context.Context) (catalog.Members, error) {
+func (c *StoreClient) Members(ctx context.Context) (catalog.Reading[catalog.Member], error) {
 	if err := c.call(ctx); err != nil {
-		return nil, err
+		return catalog.Reading[catalog.Member]{}, err
 	}
-	c.w.mu.Unlock()
-	return c.w.Members(), nil
+	defer c.w.mu.Unlock()
+	return catalog.Reading[catalog.Member]{Rows: c.w.registered(), Version: c.w.store.tick(), StoreNow: time.Since(c.w.start)}, nil
 }
 
 // Instances implements node.Store.
-func (c *StoreClient) Instances(ctx context.Context) ([]source.Candidate, error) {
+func (c *StoreClient) Instances(ctx context.Context) (catalog.Reading[source.Candidate], error) {
 	if err := c.call(ctx); err != nil {
-		return nil, err
+		return catalog.Reading[source.Candidate]{}, err
 	}
 	defer c.w.mu.Unlock()
-	return slices.Collect(maps.Values(c.w.store.instances)), nil
+	return catalog.Reading[source.Candidate]{Rows: maps.Clone(c.w.store.instances), Version: c.w.store.tick()}, nil
 }
 
 // Announce implements node.Store.
-func (c *StoreClient) Announce(ctx context.Context, self source.Candidate) error {
+func (c *StoreClient) Announce(ctx context.Context, all []source.Candidate) error {
 	if err := c.call(ctx); err != nil {
 		return err
 	}
 	defer c.w.mu.Unlock()
-	c.w.store.instances[self.Name] = self
+	for _, one := range all {
+		c.w.store.instances[one.Name] = one
+	}
 	return nil
 }
 
