Do not execute reads that were given up; judge a missing primary by readings

Cause 1: the first attempt of a read was given up after 0.4 s at its entry, and its gateway executed it in vain. The attempt lasts as long as the route's objective, at least 0.3 s, instead of 0.3 s on every site.

A lead is gone once it has been missing in readings for 2.5 s; time without a reading does not count, also for other members (TestUnreadMembersAreNotGone).

--- a/proxy/group/claim_test.go
+++ b/proxy/group/claim_test.go
@@ -75,3 +75,34 @@
 	assert.Equal(t, first.Since, second.Since)
 	assert.Assert(t, second.Renewed > first.Renewed)
 }
+
+// An instance that had the record of a group before it had read the members took
+// the primary for gone and claimed the group: after a loss of power, 24 groups of
+// 60. An entry may also have lapsed while the store was away.
+func TestUnreadMembersAreNotGone(t *testing.T) {
+	now := 10 * time.Second
+	register := &fakeRegister{now: &now}
+	g := newTestGroup(register, func() time.Duration { return now })
+	g.UpdateRecord(primacy.Record{Service: "s", Lead: primacy.Lead{Member: "a", Term: 1}, Version: 7}, exactly(now))
+	lead, u := g.Lead()
+	assert.Assert(t, u == nil)
+	_, gone := g.reason(lead, u)
+	assert.Assert(t, !gone)
+	replica := catalog.Members{"b": {ID: "b", Service: "s", Address: "127.0.0.1:1"}}
+	for range 3 {
+		now += 700 * time.Millisecond
+		g.UpdateMembers(replica, now)
+		g.look(t.Context())
+	}
+	assert.Equal(t, len(register.puts), 0)
+	now += 3 * time.Second // without a reading
+	g.UpdateMembers(replica, now)
+	g.look(t.Context())
+	assert.Equal(t, len(register.puts), 0, "entries that lapsed meanwhile are back within 2 s")
+	for range 3 {
+		now += time.Second
+		g.UpdateMembers(replica, now)
+	}
+	why, gone := g.reason(lead, u)
+	assert.Assert(t, gone && why.text == "gone", "after 2.5 s of readings it is")
+}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -129,6 +129,7 @@
 
 	recordsRead storetime.Stamp // of the last reading of the records
 	membersRead time.Duration   // of the last reading of the members
+	leadMissing time.Duration   // since when the lead is missing in readings of the members; 0 if it is not
 	usedAt      time.Duration   // last request of a caller of this instance
 	roleHint    primacy.Lead    // primary by its own word, until the records confirm that no change is under way
 	roleSeen    time.Duration
@@ -218,11 +219,15 @@
 	return g.cfg.Gateways.Way(g.cfg.Service, c.Member().ID, c.Primary, limit)
 }
 
-// Incomplete reports whether a member that is known is missing from the register;
-// the group then needs each reading of the members, also one without changes.
+// Incomplete reports whether the lead or a member that is known is missing from
+// the register; the group then needs each reading of the members, also one without
+// changes.
 func (g *Group) Incomplete() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if lead := g.tracker.Lead().Member; lead != "" && g.members[lead] == nil {
+		return true
+	}
 	for _, m := range g.members {
 		if m.missing != 0 {
 			return true
@@ -246,10 +251,33 @@
 		}
 		g.updateMissing(id, m, readAt)
 	}
+	g.noteLeadEntry(all, readAt)
 	g.membersRead = readAt
 	g.broadcast()
 }
 
+// noteLeadEntry takes in whether a reading has an entry of the lead. g.mu is held.
+func (g *Group) noteLeadEntry(all catalog.Members, readAt time.Duration) {
+	lead := g.tracker.Lead().Member
+	switch _, present := all[lead]; {
+	case lead == "" || present:
+		g.leadMissing = 0
+	case g.leadMissing == 0 || readAt-g.membersRead > readingGap:
+		g.leadMissing = readAt
+	case readAt-g.leadMissing >= goneAfter:
+		g.poke()
+	}
+}
+
+// leadGone reports whether the lead has been missing in readings of the members
+// for so long that it is gone. An instance that has just started knows the record
+// before it has read the members, and entries may have lapsed.
+func (g *Group) leadGone() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leadMissing != 0 && g.membersRead-g.leadMissing >= goneAfter
+}
+
 // updateMissing judges a member whose entry is missing in a reading. g.mu is held.
 func (g *Group) updateMissing(id string, m *member, sentAt time.Duration) {
 	if m.missing == 0 || !m.departed && sentAt-g.membersRead > readingGap {
@@ -372,6 +400,7 @@
 // noteLead logs a new lead and forgets what was known of the former one.
 func (g *Group) noteLead(before primacy.Lead, source string) {
 	g.committed = 0 // it says nothing about another lead
+	g.leadMissing = 0
 	for _, m := range g.members {
 		m.longest = position.Position{} // replicas that were ahead are rolled back
 	}
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -286,8 +286,10 @@
 	switch {
 	case r.Claim != nil:
 		return reason{text: "unfinished_change", registered: true}, true
-	case u == nil:
+	case u == nil && g.leadGone():
 		return reason{text: "gone", confirms: true, registered: true}, true
+	case u == nil:
+		return reason{}, false
 	case u.Member().Draining:
 		return reason{text: "leaving", registered: true}, true
 	case !m.rebornFloor.IsZero():
--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -38,9 +38,6 @@
 	// pingTimeout is how long that may take: a round trip of 0.4 ms, on a machine
 	// that shares its processor.
 	pingTimeout = 100 * time.Millisecond
-	// readPatience is how long a read waits for a gateway that works: the queue
-	// there, and the limit of an attempt (300 ms).
-	readPatience = 400 * time.Millisecond
 	// loadFresh is the age up to which a gateway's word on its queue counts.
 	loadFresh = 300 * time.Millisecond
 	// abandonTimeout bounds the message that ends a transaction.
@@ -224,12 +221,8 @@
 
 func (w *way) wire(j upstream.Job) wireJob { return toWire(j, w.router.clock()+transit) }
 
-var (
-	// errSilent means that a gateway gave no sign of life.
-	errSilent = errors.New("gateway is silent")
-	// errSlow means that a gateway works and did not answer a read in time.
-	errSlow = errors.New("read took too long")
-)
+// errSilent means that a gateway gave no sign of life.
+var errSilent = errors.New("gateway is silent")
 
 // call makes a call for a job. It gives a read up when the gateway is silent;
 // the outcome of a write is worth the wait. After an error, answer must not be
@@ -255,8 +248,6 @@
 		}
 		heard := w.heardSince(sent)
 		switch silent := time.Since(heard); {
-		case !j.Keeps && time.Since(sent) >= readPatience:
-			return errSlow
 		case silent < silentAfter || !pinged.IsZero() && !heard.Before(pinged):
 			pinged = time.Time{}
 			watch.Reset(max(silentAfter-silent, silentAfter/2))
@@ -301,7 +292,7 @@
 		return upstream.NotSent(err), false
 	}
 	// A slow job does not speak against the gateway, and its silence was noted.
-	if !errors.Is(err, errSlow) && !errors.Is(err, errSilent) && !errors.Is(err, context.DeadlineExceeded) {
+	if !errors.Is(err, errSilent) && !errors.Is(err, context.DeadlineExceeded) {
 		w.router.failed(w.gateway, err)
 	}
 	return upstream.Result{Err: &statement.LinkError{Sent: true, Timeout: errors.Is(err, context.DeadlineExceeded), Err: Class.New("gateway %s: %v", w.gateway, err)}, Sent: true, Gateway: w.gateway}, true
--- a/proxy/hop/hop_test.go
+++ b/proxy/hop/hop_test.go
@@ -171,16 +171,19 @@
 }
 
 // Guards a read whose gateway waits for a member that does not answer: the read
-// goes elsewhere, and the gateway stays in use because it gives signs of life.
+// goes elsewhere at the end of its attempt, which the session sets (it was a limit
+// here, at which the gateway went on), and the gateway stays in use because it
+// gives signs of life.
 func TestSlowReadLeavesGatewayInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &fakeGroup{known: true, block: make(chan struct{})}
 		defer close(g.block)
 		r := start(t, g)
 		began := time.Now()
-		result, reached := r.must(t).Execute(r.job(statement.Read, 10*time.Second))
+		const attempt = 400 * time.Millisecond
+		result, reached := r.must(t).Execute(r.job(statement.Read, attempt))
 		assert.Assert(t, reached && result.Err != nil && result.Sent)
-		assert.Assert(t, time.Since(began) < 3*time.Second, "a read waited %s", time.Since(began))
+		assert.Assert(t, time.Since(began) <= attempt, "a read waited %s", time.Since(began))
 		r.must(t)
 	})
 }
--- a/proxy/node/gateway_test.go
+++ b/proxy/node/gateway_test.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,6 +151,45 @@
 	}
 }
 
+// A read that waited for more than 0.4 s in the queue of a gateway was given up and
+// sent to another member, and the gateway executed it in vain: under a burst of
+// reads of 28 ms and more, a third of what the members executed (derwent-press-grown,
+// scale-1).
+func TestReadsThatWereGivenUpAreNotExecuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(t)
+		c.world.SetReadTime(100 * time.Millisecond)
+		// The three members execute 12 of 80 reads at a time.
+		const sessions, callers = 8, manyInstances
+		var answered, refused atomic.Int32
+		var ended atomic.Bool
+		var work sync.WaitGroup
+		before := c.world.ReadsRun()
+		for i := range sessions * callers {
+			s := c.open(fmt.Sprint("i", i%callers), standin.Database+"_own")
+			work.Go(func() {
+				defer s.leave()
+				for !ended.Load() {
+					if err := c.read(s, 2500*time.Millisecond); err != nil {
+						refused.Add(1)
+						time.Sleep(50 * time.Millisecond)
+						continue
+					}
+					answered.Add(1)
+				}
+			})
+		}
+		time.Sleep(10 * time.Second)
+		ended.Store(true)
+		work.Wait()
+		run := c.world.ReadsRun() - before
+		t.Logf("%d reads executed, %d answered, %d refused", run, answered.Load(), refused.Load())
+		assert.Assert(t, refused.Load() > 0, "the load must be too great")
+		assert.Assert(t, float64(answered.Load()) >= 0.98*float64(run), "%d reads executed, %d answered", run, answered.Load())
+		c.closeSimulated()
+	})
+}
+
 // Plays series of overlapping faults of instances, members and the store with
 // fixed seeds against all promises.
 func TestRandomFaultsOfManyInstances(t *testing.T) {
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -18,8 +18,9 @@
 	// maxAttempts bounds the attempts of one statement. Three members and a
 	// second choice of the primary need four.
 	maxAttempts = 5
-	// readAttempt bounds one attempt of a read while another member may answer:
-	// the slowest read takes 110 ms, and 18 before it on two slots take 80 ms.
+	// readAttempt bounds the first attempt of a read, or the objective of its route
+	// if that is longer: another member may answer. It covers the wait in queues, so
+	// that nothing is executed that has been given up.
 	readAttempt = 300 * time.Millisecond
 )
 
@@ -177,7 +178,11 @@
 	j.Statement.After = c.After
 	j.Keeps = w.writes
 	if !w.writes && tried == 0 {
-		j.Limit = readAttempt
+		limit := max(readAttempt, need.Objective)
+		j.Limit = limit
+		if need.Consistency != catalog.Strict {
+			j.Deadline = min(j.Deadline, s.env.Clock()+limit)
+		}
 	}
 	r := g.Execute(c, j)
 	s.gateway = r.Gateway
--- a/proxy/standin/link.go
+++ b/proxy/standin/link.go
@@ -99,7 +99,7 @@
 			w.ship(r, m)
 		}
 	}
-	primary, at := m.primary, m.position()
+	primary, at, readTime := m.primary, m.position(), w.readTime
 	if !s.After.IsZero() && !at.AtLeast(s.After) && !w.ignorePositions {
 		w.mu.Unlock()
 		return statement.Reply{Err: &statement.UpstreamError{Reason: statement.Behind}, Position: at}, true
@@ -115,7 +115,7 @@
 	case statement.Rollback:
 		l.inTx, l.tx = false, nil
 	case statement.Read:
-		time.Sleep(workTime)
+		time.Sleep(readTime)
 		return l.read(), true
 	case statement.Write:
 		time.Sleep(workTime)
--- a/proxy/standin/standin.go
+++ b/proxy/standin/standin.go
@@ -73,13 +73,15 @@
 	closed  bool // no timer is set any more
 	// loseReplies is the number of writes whose answers are lost.
 	loseReplies int
+	// readTime is how long a member executes a read.
+	readTime time.Duration
 	// ignorePositions is a planted fault; see IgnorePositions.
 	ignorePositions bool
 }
 
 // NewWorld returns a group of members; the first leads term 1.
 func NewWorld(ids ...string) *World {
-	w := &World{start: time.Now(), cuts: make(map[[2]string]bool), reads: make(map[string][]entry)}
+	w := &World{start: time.Now(), readTime: workTime, cuts: make(map[[2]string]bool), reads: make(map[string][]entry)}
 	for i, id := range ids {
 		w.members = append(w.members, &Member{ID: id, primary: i == 0, term: 1, listed: true, life: 1, links: make(map[*link]bool)})
 	}
@@ -409,6 +411,20 @@
 	w.ignorePositions = true
 }
 
+// SetReadTime sets how long a member executes a read.
+func (w *World) SetReadTime(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.readTime = d
+}
+
+// ReadsRun returns the number of reads that the members have executed.
+func (w *World) ReadsRun() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.row
+}
+
 // Connections returns the number of open connections to a member.
 func (w *World) Connections(id string) int {
 	w.mu.Lock()
--- a/proxy/upstream/job.go
+++ b/proxy/upstream/job.go
@@ -18,7 +18,8 @@
 	Values map[string]string
 	// Prepared is the prepared statement that Statement executes, or nil.
 	Prepared *Prepared
-	// Deadline is the end of the statement's time, on the local clock.
+	// Deadline is the end of the statement's time, on the local clock. Whatever has
+	// not been sent to the member by then is not sent.
 	Deadline time.Duration
 	// Limit bounds the execution; 0: only Deadline does.
 	Limit time.Duration
