--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -26,6 +26,9 @@
 	// choices is the number of gateways of a member in a failure domain. The
 	// second one serves while the first one fails.
 	choices = 2
+	// spares are further instances that serve while all gateways fail: if 20
+	// instances connected themselves instead, they would exceed the limit.
+	spares = 2
 	// markTime is how long a gateway is passed over after a failure; it doubles
 	// with each further one up to maxMarkTime.
 	markTime    = 1500 * time.Millisecond
@@ -78,7 +81,8 @@
 
 // Serves reports whether this instance is a gateway of the member.
 func (p *Picker) Serves(member string) bool {
-	return slices.ContainsFunc(p.order(member), func(c source.Candidate) bool { return c.Name == p.self })
+	order := p.order(member)
+	return slices.ContainsFunc(order[:min(choices, len(order))], func(c source.Candidate) bool { return c.Name == p.self })
 }
 
 // Next returns the gateway for a member. ok is false if this instance connects
@@ -126,7 +130,7 @@
 	return true
 }
 
-// order returns the gateways of a member, best first.
+// order returns the gateways of a member and the spares, best first.
 func (p *Picker) order(member string) []source.Candidate {
 	if order, known := p.orders[member]; known {
 		return order
@@ -140,7 +144,7 @@
 	slices.SortFunc(order, func(a, b source.Candidate) int {
 		return cmp.Or(cmp.Compare(cost(member, a), cost(member, b)), cmp.Compare(a.Name, b.Name))
 	})
-	order = slices.Clone(order[:min(choices, len(order))])
+	order = slices.Clone(order[:min(choices+spares, len(order))])
 	p.orders[member] = order
 	return order
 }
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -81,6 +81,14 @@
 	second, remote := p.Next(member, time.Second)
 	assert.Assert(t, remote && second.Name != first.Name)
 	p.Leaving(second.Name, time.Second)
+	// With the gateways of a third of the members gone at a loss of power, all
+	// instances connected themselves and exceeded the limit (colle-avvisi-large,
+	// 2,471 connections reset): spares come first.
+	for range 2 {
+		spare, remote := p.Next(member, time.Second)
+		assert.Assert(t, remote && spare.Name != first.Name && spare.Name != second.Name)
+		assert.Assert(t, p.Failed(spare.Name, time.Second))
+	}
 	_, remote = p.Next(member, time.Second)
 	assert.Assert(t, !remote, "without a gateway the instance connects itself")
 	p.Answered(second.Name, 2*time.Second)
@@ -108,3 +116,22 @@
 	ratio := float64(got["i0"]) / mean
 	assert.Assert(t, ratio > 3.3 && ratio < 4.7, "ratio %.2f", ratio)
 }
+
+// Guards what instances do in turn: each has a place of its own, and one that is
+// not announced leaves it to the others.
+func TestTurns(t *testing.T) {
+	all := instances(30)
+	taken := make(map[int]bool)
+	for _, c := range all {
+		turn, ok := gateway.NewFleet(c.Name, all).Turn("s")
+		assert.Assert(t, ok && !taken[turn])
+		taken[turn] = true
+	}
+	assert.Equal(t, len(taken), len(all))
+	_, ok := gateway.NewFleet("starting", all).Turn("s")
+	assert.Assert(t, !ok)
+	_, ok = gateway.NewFleet("starting", nil).Turn("s")
+	assert.Assert(t, !ok, "it does not know yet whether there are others")
+	turn, ok := gateway.Alone("i0").Turn("s")
+	assert.Assert(t, ok && turn == 0)
+}
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -246,8 +249,18 @@
 
 type served struct{ caller Caller }
 
-// Serve serves one caller until it leaves or the instance stops.
-func (n *Node) Serve(caller Caller, name, database string) error {
+// errFault means that a fault of the program ended a session.
+var errFault = errors.New("session was ended by a fault of the program")
+
+// Serve serves one caller until it leaves or the instance stops. A fault of the
+// program ends that session alone.
+func (n *Node) Serve(caller Caller, name, database string) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			n.cfg.Log.WithFields(logrus.Fields{"event": "session_fault", "session": name, "database": database, "error": fmt.Sprint(fault), "stack": string(debug.Stack())}).Error("session was ended by a fault of the program")
+			err = errFault
+		}
+	}()
 	entry := &served{caller}
 	n.mu.Lock()
 	n.sessions[entry] = struct{}{}
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -394,3 +394,21 @@
 	time.Sleep(5 * time.Second)
 	c.closeSimulated()
 }
+
+// faultyCaller fails as a fault of the program would.
+type faultyCaller struct{ *callerStub }
+
+func (faultyCaller) Next(time.Duration) (statement.Statement, error) { panic("fault") }
+
+// Guards the process against a fault in one session: the session ends, others go on.
+func TestFaultEndsOneSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSimulated(t, "i1")
+		s := c.open("i1", standin.Database)
+		assert.Assert(t, c.nodes["i1"].Serve(faultyCaller{s}, "faulty", standin.Database) != nil)
+		assert.NilError(t, c.write(s))
+		assert.Equal(t, c.nodes["i1"].State().Sessions, 1)
+		s.leave()
+		c.closeSimulated()
+	})
+}
--- a/proxy/peer/peer.go
+++ b/proxy/peer/peer.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -92,7 +94,7 @@
 // Handle implements jsonrpc2.Handler. An answer that cannot be sent means that
 // the caller has gone.
 func (d dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	answer, err := d.server.answer(ctx, conn, req)
+	answer, err := d.server.guarded(ctx, conn, req)
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, req.ID, err)
 		return
@@ -100,6 +102,17 @@
 	_ = conn.Reply(ctx, req.ID, answer)
 }
 
+// guarded answers a call. A fault of the program ends that call alone.
+func (s *Server) guarded(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (answer any, err *Error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			s.log.WithFields(logrus.Fields{"event": "call_fault", "method": req.Method, "error": fmt.Sprint(fault), "stack": string(debug.Stack())}).Error("call was ended by a fault of the program")
+			answer, err = nil, &Error{Code: jsonrpc2.CodeInternalError, Message: "fault of the called instance"}
+		}
+	}()
+	return s.answer(ctx, conn, req)
+}
+
 func (s *Server) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, *Error) {
 	h := s.handlers[req.Method]
 	if h == nil || req.Params == nil {
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -213,3 +213,16 @@
 	assert.NilError(t, client.Hurry(t.Context()))
 	<-src.hurried
 }
+
+// Guards against an answer that claims to be from the future, as of another
+// version or with a broken clock: it kept out every later reading.
+func TestReadingFromTheFutureIsIgnored(t *testing.T) {
+	src := newSource()
+	a := newAsker(t, serve(t, src))
+	src.read(12, record(12))
+	a.ask()
+	a.state.Apply(relay.Answer{Delta: relay.Delta{Began: 1 << 60}}, 0, steady.Now())
+	src.read(13, record(13))
+	_, changes := a.ask()
+	assert.Assert(t, changes.Records)
+}
--- a/proxy/relay/state.go
+++ b/proxy/relay/state.go
@@ -181,6 +181,9 @@
 	if a.Latest != 0 {
 		s.bounds.Exchange(a.Earliest, a.Latest, sentAt, answeredAt)
 	}
+	if !s.bounds.Known() || !s.past(a.Delta.Began, answeredAt) || !s.past(a.Delta.MembersBegan, answeredAt) {
+		return c // nothing shows how old it is
+	}
 	if d := a.Delta.Config; d != nil && d.Routes != nil && d.Services != nil && d.Routes.Version > s.routes.Version() {
 		s.routes.Apply(*d.Routes)
 		s.services.Apply(*d.Services)
@@ -200,7 +203,7 @@
 	if d := a.Delta.Records; d != nil {
 		s.records.Apply(*d)
 	}
-	if a.Delta.Began > s.began && s.bounds.Known() {
+	if a.Delta.Began > s.began {
 		s.began, s.readAt = a.Delta.Began, answeredAt
 		c.Records = true
 	}
@@ -210,6 +213,13 @@
 	return c
 }
 
+// past reports whether the store's time at has passed. A reading from the future
+// would keep all later ones out. s.mu is held.
+func (s *State) past(at, now time.Duration) bool {
+	_, latest := s.bounds.Now(now)
+	return at <= latest
+}
+
 // Records returns the records, the moment at which they were read, and the
 // store's time at the earliest now.
 func (s *State) Records() (records map[string]primacy.Record, at storetime.Stamp) {
