Fetch large configurations on their own, in parts

Change: an answer carries a change of up to 16 KB; a longer one is fetched beside the readings, compressed, in parts of 24 KB.

--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -78,6 +78,7 @@
 	members   schedule
 	instances schedule
 	moved     time.Duration // last change of the instances
+	fetching  bool          // a large configuration is being fetched
 	// announce are instances that want to be announced.
 	announce map[string]source.Candidate
 	taking   sync.Mutex // held while a reading is applied
@@ -342,6 +343,36 @@
 		r.noteSource(from.Name)
 	}
 	r.takeIn(changes)
+	if err == nil && answer.Delta.ConfigVersion > r.state.Known().Config {
+		r.fetchConfig(ctx)
+	}
+}
+
+// fetchConfig fetches a configuration that is too large for an answer, beside the
+// readings. If that fails, it is read from the store.
+func (r *reader) fetchConfig(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fetching {
+		return
+	}
+	r.fetching = true
+	go func() {
+		defer func() {
+			r.mu.Lock()
+			r.fetching = false
+			r.mu.Unlock()
+		}()
+		started := r.n.cfg.Clock()
+		d, err := r.client.Config(ctx, r.state.Known().Config)
+		r.n.cfg.Figures.StoreCall("relayed_config", err, r.n.cfg.Clock()-started)
+		if err == nil {
+			r.takeIn(r.state.ApplyConfig(d))
+			return
+		}
+		r.n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Info("configuration was not fetched from another instance")
+		r.readConfig(ctx)
+	}()
 }
 
 // stale reports whether the newest reading is too old to be passed on.
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -22,6 +22,7 @@
 const (
 	methodReading = "reading"
 	methodHurry   = "hurry"
+	methodConfig  = "config"
 	// codeStoreAway is the JSON-RPC error code for ErrStoreAway; the range from
 	// -32000 is free for applications.
 	codeStoreAway = -32001
@@ -32,6 +33,15 @@
 	// packFrom is the length from which an answer is compressed. Whole lists at a
 	// start are 10 to 300 KB, on links of 10 Mbit/s and more; changes are short.
 	packFrom = 4096
+	// inlineConfig is the length up to which a change of the configuration is part of
+	// an answer. A longer one would hold up the evidence, and the answer to 24
+	// instances at a time would exceed the time for a write.
+	inlineConfig = 16 << 10
+	// configPartSize is the length of a part of such a configuration; on a link of
+	// 20 Mbit/s, 24 of them take 0.3 s.
+	configPartSize = 24 << 10
+	// configPartTimeout bounds the fetching of one part.
+	configPartTimeout = time.Second
 	// maxUnpacked bounds an answer: 10,000 routes of 200 bytes.
 	maxUnpacked = 4 << 20
 )
@@ -59,6 +69,14 @@
 	if len(raw) < packFrom {
 		return &message{Plain: raw}, nil
 	}
+	packed, err := deflate(raw)
+	if err != nil {
+		return nil, err
+	}
+	return &message{Packed: packed}, nil
+}
+
+func deflate(raw []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
@@ -70,20 +88,38 @@
 	if err := w.Close(); err != nil {
 		return nil, Class.Wrap(err)
 	}
-	return &message{Packed: b.Bytes()}, nil
+	return b.Bytes(), nil
+}
+
+func inflate(packed []byte) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked))
+	return raw, Class.Wrap(err)
 }
 
 func (m message) unpack() (d Delta, err error) {
 	raw := []byte(m.Plain)
 	if m.Packed != nil {
-		raw, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.Packed)), maxUnpacked))
-		if err != nil {
-			return d, Class.Wrap(err)
+		if raw, err = inflate(m.Packed); err != nil {
+			return d, err
 		}
 	}
 	return d, Class.Wrap(json.Unmarshal(raw, &d))
 }
 
+// configQuestion asks for a part of what leads from a version of the configuration
+// to the newest one.
+type configQuestion struct {
+	From   uint64 `json:"from,omitempty"`
+	Offset int    `json:"offset,omitempty"`
+}
+
+type configAnswer struct {
+	// Version is the one to which it leads; parts belong together if it is the same.
+	Version uint64 `json:"version"`
+	Length  int    `json:"length"`
+	Part    []byte `json:"part"`
+}
+
 // wireAnswer is an Answer on its way.
 type wireAnswer struct {
 	// Latest is the store's time at the latest when the call was handled, Earliest
@@ -139,6 +175,17 @@
 		}
 		return a, nil
 	})
+	server.Handle(methodConfig, func(_ context.Context, params json.RawMessage, _ <-chan struct{}) (any, *peer.Error) {
+		var q configQuestion
+		if err := peer.Decode(params, &q); err != nil {
+			return nil, err
+		}
+		a, err := src.State().configPart(q)
+		if err != nil {
+			return nil, peer.NewError(codeStoreAway, err.Error())
+		}
+		return a, nil
+	})
 	server.Handle(methodHurry, func(context.Context, json.RawMessage, <-chan struct{}) (any, *peer.Error) {
 		src.Hurry()
 		return struct{}{}, nil
@@ -188,6 +235,42 @@
 	return Answer{}, Class.Wrap(err)
 }
 
+// Config fetches what leads from a version of the configuration to the newest one
+// of the last asked instance, which was too large for its answer.
+func (c *Client) Config(ctx context.Context, from uint64) (*ConfigDelta, error) {
+	asked := c.asked()
+	if asked == nil {
+		return nil, Class.New("no instance was asked")
+	}
+	var packed []byte
+	var version uint64
+	for {
+		var a configAnswer
+		call, cancel := context.WithTimeout(ctx, configPartTimeout)
+		err := asked.Call(call, methodConfig, configQuestion{From: from, Offset: len(packed)}, &a)
+		cancel()
+		switch {
+		case err != nil:
+			return nil, Class.Wrap(err)
+		case version != 0 && a.Version != version:
+			return nil, Class.New("configuration changed from version %d to %d", version, a.Version)
+		case len(a.Part) == 0 || a.Length > maxUnpacked:
+			return nil, Class.New("part %d of %d is empty or too long", len(packed), a.Length)
+		}
+		version = a.Version
+		packed = append(packed, a.Part...)
+		if len(packed) >= a.Length {
+			break
+		}
+	}
+	raw, err := inflate(packed)
+	if err != nil {
+		return nil, err
+	}
+	var d ConfigDelta
+	return &d, Class.Wrap(json.Unmarshal(raw, &d))
+}
+
 // Hurry asks the last asked instance for readings in shorter intervals.
 func (c *Client) Hurry(ctx context.Context) error {
 	asked := c.asked()
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -159,21 +159,27 @@
 }
 
 // Guards the spreading of a configuration of 1,400 routes: read from the store by
-// each instance, 256 KB each were the greatest price of 100 instances. It passes
-// in one answer, and a later one by the routes that changed.
+// each instance, 256 KB each were the greatest price of 100 instances. It does not
+// hold up the evidence, and a later one passes by the routes that changed.
 func TestLargeConfig(t *testing.T) {
 	src := newSource()
 	a := newAsker(t, serve(t, src))
 	src.state.ReadConfig(config(7, 1400))
 	src.read(12, record(12))
-	a.ask()
+	answer, changes := a.ask()
+	assert.Assert(t, changes.Records && !changes.Config && answer.Delta.ConfigVersion == 7)
+	d, err := a.client.Config(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, a.state.ApplyConfig(d).Config)
 	assert.DeepEqual(t, a.state.Config(), config(7, 1400))
+	_, err = a.client.Config(t.Context(), 7)
+	assert.ErrorContains(t, err, "no newer")
 	changed := config(9, 1400)
 	changed.Routes["d5"] = catalog.Route{Database: "d5", Service: "s", Timeout: time.Second}
 	delete(changed.Routes, "d6")
 	src.state.ReadConfig(changed)
 	src.read(13, record(12))
-	answer, changes := a.ask()
+	answer, changes = a.ask()
 	assert.Assert(t, changes.Config)
 	assert.Equal(t, len(answer.Delta.Config.Routes.Set), 1)
 	assert.DeepEqual(t, a.state.Config(), changed)
@@ -226,3 +232,18 @@
 	_, changes := a.ask()
 	assert.Assert(t, changes.Records)
 }
+
+// Guards a configuration that takes several parts, on links that an answer of its
+// length would block for longer than the time for a write.
+func TestConfigInParts(t *testing.T) {
+	src := newSource()
+	a := newAsker(t, serve(t, src))
+	large := config(7, 20000)
+	src.state.ReadConfig(large)
+	src.read(12, record(12))
+	a.ask()
+	d, err := a.client.Config(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, a.state.ApplyConfig(d).Config)
+	assert.Equal(t, len(a.state.Config().Routes), len(large.Routes))
+}
--- a/proxy/relay/state.go
+++ b/proxy/relay/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -41,7 +42,10 @@
 	MembersBegan time.Duration                   `json:"members_began"`
 	Members      *mirror.Delta[catalog.Member]   `json:"members,omitempty"`
 	Instances    *mirror.Delta[source.Candidate] `json:"instances,omitempty"`
-	Config       *ConfigDelta                    `json:"config,omitempty"`
+	// ConfigVersion is the newest version of the configuration. Config leads to it,
+	// unless it is too large for an answer: it is then fetched on its own.
+	ConfigVersion uint64       `json:"config_version,omitempty"`
+	Config        *ConfigDelta `json:"config,omitempty"`
 }
 
 // ConfigDelta is what changed in the configuration.
@@ -78,13 +82,23 @@
 	idle         time.Duration
 	changed      chan struct{}      // closed whenever there is a newer reading
 	encoded      map[Known]*message // answers made since then
+	// configs are the encoded changes of the configuration from other versions.
+	configs map[uint64]*encodedConfig
+}
+
+// encodedConfig is what leads from one version of the configuration to another.
+type encodedConfig struct {
+	version uint64
+	delta   *ConfigDelta
+	// packed is set if the delta is too large for an answer.
+	packed []byte
 }
 
 func same[T comparable](a, b T) bool { return a == b }
 
 // NewState returns a State without a reading.
 func NewState(clock steady.Clock) *State {
-	return &State{clock: clock, changed: make(chan struct{}), encoded: make(map[Known]*message),
+	return &State{clock: clock, changed: make(chan struct{}), encoded: make(map[Known]*message), configs: make(map[uint64]*encodedConfig),
 		records:   mirror.New(func(a, b primacy.Record) bool { return a.Version == b.Version }),
 		members:   mirror.New(same[catalog.Member]),
 		instances: mirror.New(same[source.Candidate]),
@@ -168,6 +182,7 @@
 	s.routes.Read(c.Routes, version)
 	s.services.Read(c.Services, version)
 	s.idle = c.TransactionIdle
+	clear(s.configs)
 	s.news()
 	return Changes{Config: true}
 }
@@ -184,12 +199,7 @@
 	if !s.bounds.Known() || !s.past(a.Delta.Began, answeredAt) || !s.past(a.Delta.MembersBegan, answeredAt) {
 		return c // nothing shows how old it is
 	}
-	if d := a.Delta.Config; d != nil && d.Routes != nil && d.Services != nil && d.Routes.Version > s.routes.Version() {
-		s.routes.Apply(*d.Routes)
-		s.services.Apply(*d.Services)
-		s.idle = d.TransactionIdle
-		c.Config = true
-	}
+	c.Config = s.applyConfig(a.Delta.Config)
 	if d := a.Delta.Instances; d != nil {
 		c.InstancesChanged = s.instances.Apply(*d)
 	}
@@ -213,6 +223,33 @@
 	return c
 }
 
+// ApplyConfig takes in a change of the configuration that was fetched on its own.
+func (s *State) ApplyConfig(d *ConfigDelta) Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Changes{Config: s.applyConfig(d)}
+	if c.Config {
+		s.news()
+	}
+	return c
+}
+
+// applyConfig reports whether a change leads to a newer version. s.mu is held.
+func (s *State) applyConfig(d *ConfigDelta) bool {
+	if d == nil || d.Routes == nil || d.Services == nil || d.Routes.Version != d.Services.Version {
+		return false
+	}
+	before := s.routes.Version()
+	s.routes.Apply(*d.Routes)
+	if s.routes.Version() == before {
+		return false
+	}
+	s.services.Apply(*d.Services)
+	s.idle = d.TransactionIdle
+	clear(s.configs)
+	return true
+}
+
 // past reports whether the store's time at has passed. A reading from the future
 // would keep all later ones out. s.mu is held.
 func (s *State) past(at, now time.Duration) bool {
@@ -311,8 +348,15 @@
 	}
 	d := Delta{Began: s.began, MembersBegan: s.membersBegan, Records: s.records.Since(k.Records), Members: s.members.Since(k.Members),
 		Instances: s.instances.Since(k.Instances)}
-	if routes := s.routes.Since(k.Config); routes != nil {
-		d.Config = &ConfigDelta{Routes: routes, Services: s.services.Since(k.Config), TransactionIdle: s.idle}
+	d.ConfigVersion = s.routes.Version()
+	if d.ConfigVersion > k.Config {
+		c, err := s.encodeConfig(k.Config)
+		if err != nil {
+			return nil, err
+		}
+		if c.packed == nil {
+			d.Config = c.delta
+		}
 	}
 	m, err := pack(d)
 	if err != nil {
@@ -322,6 +366,44 @@
 	return m, nil
 }
 
+// encodeConfig returns what leads from a version of the configuration to the newest
+// one. s.mu is held.
+func (s *State) encodeConfig(from uint64) (*encodedConfig, error) {
+	if c := s.configs[from]; c != nil {
+		return c, nil
+	}
+	c := &encodedConfig{version: s.routes.Version(), delta: &ConfigDelta{Routes: s.routes.Since(from), Services: s.services.Since(from), TransactionIdle: s.idle}}
+	raw, err := json.Marshal(c.delta)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	if len(raw) > inlineConfig {
+		if c.packed, err = deflate(raw); err != nil {
+			return nil, err
+		}
+		c.delta = nil
+	}
+	s.configs[from] = c
+	return c, nil
+}
+
+// configPart returns a part of a configuration that is fetched on its own.
+func (s *State) configPart(q configQuestion) (configAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.routes.Version() <= q.From {
+		return configAnswer{}, Class.New("no newer configuration")
+	}
+	c, err := s.encodeConfig(q.From)
+	if err != nil {
+		return configAnswer{}, err
+	}
+	if c.packed == nil || q.Offset < 0 || q.Offset > len(c.packed) {
+		return configAnswer{}, Class.New("no part at %d", q.Offset)
+	}
+	return configAnswer{Version: c.version, Length: len(c.packed), Part: c.packed[q.Offset:min(q.Offset+configPartSize, len(c.packed))]}, nil
+}
+
 // storeNow returns the bounds of the store's time; zeros if they are not known.
 func (s *State) storeNow() (earliest, latest time.Duration) {
 	s.mu.Lock()
