--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -42,8 +42,8 @@
 	configPartSize = 24 << 10
 	// configPartTimeout bounds the fetching of one part.
 	configPartTimeout = time.Second
-	// maxUnpacked bounds an answer: 10,000 routes of 200 bytes.
-	maxUnpacked = 4 << 20
+	// maxUnpacked bounds an answer. The configuration of 1,796 instances has 40 MB.
+	maxUnpacked = 64 << 20
 )
 
 // question is a call for a reading.
