Wait for the configuration of another instance before reading it from the store

Cause, by reading: an instance without a configuration that had to read the records itself read the configuration too. With 7 MB that takes a small machine 2 s, in which it answers nobody, so that those below it did the same. Now one that comes first or is cut off from the others reads it, the rest after 4 to 6 s.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -124,6 +124,17 @@
 	return c
 }
 
+// First reports whether no usable candidate comes before this instance, so that
+// others rely on what it reads, or whether it is cut off from them.
+func (p *Picker) First(now time.Duration) bool {
+	if now < p.ownUntil {
+		return true
+	}
+	before, _ := p.split()
+	_, found := p.first(before, now)
+	return !found
+}
+
 // split returns the candidates before and after this instance. One that is not
 // announced comes last.
 func (p *Picker) split() (before, after []Candidate) {
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -164,6 +164,7 @@
 		p.Failed(c.From.Name, source.Silent, now)
 	}
 	assert.Assert(t, asked <= 4, "%d candidates asked in 6 s", asked)
+	assert.Assert(t, p.First(now), "it does not wait for the configuration of others")
 }
 
 // Guards the price of an outage: while others say that the store is away, an
@@ -200,6 +201,7 @@
 	p := source.New("i29", "d4")
 	p.SetCandidates(all)
 	assert.Assert(t, p.Next(0).Own, "it comes first")
+	assert.Assert(t, p.First(0))
 	p.Read(false, 0)
 	c := p.Next(0)
 	assert.Assert(t, !c.Own)
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -53,6 +53,12 @@
 	// slowTimeout is given to calls that are not urgent: a slow store takes
 	// 0.4 s for an answer.
 	slowTimeout = 1500 * time.Millisecond
+	// configPatience is how long an instance that starts waits for the configuration
+	// of another one before it reads it from the store, and configSpread the range of
+	// a random time beside it. One of 300 instances has 7 MB, which takes a small
+	// machine 2 s to read: when all did so, none answered the others in time.
+	configPatience = 4 * time.Second
+	configSpread   = 2 * time.Second
 	// startSpread is the time over which instances that start for the first time
 	// begin to read. The first ones are announced by then, and the others ask them.
 	startSpread = time.Second
@@ -79,6 +85,8 @@
 	instances schedule
 	moved     time.Duration // last change of the instances
 	fetching  bool          // a large configuration is being fetched
+	// patientUntil is when the configuration is read from the store at the latest.
+	patientUntil time.Duration
 	// announce are instances that want to be announced.
 	announce map[string]source.Candidate
 	taking   sync.Mutex // held while a reading is applied
@@ -116,6 +124,9 @@
 // follow keeps the node up to date with readings of this or another instance.
 func (r *reader) follow(ctx context.Context) {
 	defer r.client.Close()
+	r.mu.Lock()
+	r.patientUntil = r.n.cfg.Clock() + configPatience + rand.N(configSpread)
+	r.mu.Unlock()
 	r.findOthers(ctx)
 	for ctx.Err() == nil {
 		if r.n.changing() {
@@ -168,7 +179,7 @@
 	instances := r.announces() && r.instances.begin(now, interval)
 	r.mu.Unlock()
 	var parts sync.WaitGroup
-	if !n.Configured() {
+	if !n.Configured() && r.mayReadConfig(now) {
 		parts.Go(func() { r.readConfig(ctx) })
 	}
 	if members {
@@ -251,6 +262,14 @@
 	return true
 }
 
+// mayReadConfig reports whether this instance should read the configuration from
+// the store: others rely on it, or it has waited for them long enough.
+func (r *reader) mayReadConfig(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.picker.First(now) || now >= r.patientUntil
+}
+
 // readConfig reads the configuration as it is.
 func (r *reader) readConfig(ctx context.Context) {
 	n := r.n
@@ -349,7 +368,8 @@
 }
 
 // fetchConfig fetches a configuration that is too large for an answer, beside the
-// readings. If that fails, it is read from the store.
+// readings. If that fails, it is fetched again at the next answer, or read from the
+// store.
 func (r *reader) fetchConfig(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -371,7 +391,9 @@
 			return
 		}
 		r.n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Info("configuration was not fetched from another instance")
-		r.readConfig(ctx)
+		if r.mayReadConfig(r.n.cfg.Clock()) {
+			r.readConfig(ctx)
+		}
 	}()
 }
 
