Ask further instances while the store refuses this one

Cause: an instance that the store turns away asked two others between its own tries; if these were turned away too, it waited up to a second without evidence, again and again. It now asks up to four (TestStoreTurnsSomeAway plays all pairs of instances that are served, of six).

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -32,6 +32,9 @@
 	// be away before an instance reads for itself. After one that is silent it
 	// reads at once: its evidence is about to run out.
 	awayBeforeOwn = 2
+	// awayWhileRefused is the same number while the store has just refused this
+	// instance: it may turn away a third of all instances and serve the others.
+	awayWhileRefused = 4
 	// silentBeforeHold candidates that are silent in a row mean that this instance
 	// is cut off from them rather than that they are gone; asking further ones
 	// would use up the evidence. It then reads for itself during ownHold.
@@ -106,12 +109,17 @@
 // Next returns the source of the next reading.
 func (p *Picker) Next(now time.Duration) Choice {
 	before, after := p.split()
-	if p.failed < awayBeforeOwn && !p.silent && now >= p.ownUntil {
+	refused := p.refused && now < p.refusedAt+p.spacing()
+	limit := awayBeforeOwn
+	if refused {
+		limit = awayWhileRefused
+	}
+	if p.failed < limit && !p.silent && now >= p.ownUntil {
 		if c, ok := p.parent(before, now); ok {
 			return Choice{From: c}
 		}
 		// The store may turn only this instance away.
-		if p.refused && now < p.refusedAt+p.spacing() {
+		if refused {
 			if c, ok := p.first(after, now); ok {
 				return Choice{From: c}
 			}
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -209,3 +209,49 @@
 	assert.Assert(t, !p.Next(500*time.Millisecond).Own)
 	assert.Assert(t, p.Next(2*time.Second).Own, "it tries the store again")
 }
+
+// Guards instances that the store turns away while it serves others, whichever
+// these are: after two that are turned away too, an instance waited for its next
+// own try, and its evidence ran out again and again.
+func TestStoreTurnsSomeAway(t *testing.T) {
+	all := candidates(6)
+	for i := range all {
+		for j := range i {
+			served := map[string]bool{all[i].Name: true, all[j].Name: true}
+			for _, self := range all {
+				if without := longestWithout(self, all, served); !served[self.Name] {
+					assert.Assert(t, without <= time.Second, "%s was %s without a reading, served are %v", self.Name, without, served)
+				}
+			}
+		}
+	}
+}
+
+// longestWithout plays 30 s of an instance that the store turns away, and returns
+// its longest time without a reading after the first 8 s.
+func longestWithout(self source.Candidate, all []source.Candidate, served map[string]bool) (longest time.Duration) {
+	p := source.New(self.Name, self.FailureDomain)
+	p.SetCandidates(all)
+	const failedRead, settled, nextReading = 550 * time.Millisecond, 8 * time.Second, 100 * time.Millisecond
+	now, last := time.Duration(0), time.Duration(0)
+	for now < 30*time.Second {
+		c := p.Next(now)
+		now += c.Wait
+		switch {
+		case c.Own:
+			now += failedRead
+			p.Read(false, now)
+		case served[c.From.Name]:
+			now += nextReading
+			if now > settled {
+				longest = max(longest, now-max(last, settled))
+			}
+			last = now
+			p.Answered(c.From.Name)
+		default:
+			now += 5 * time.Millisecond
+			p.Failed(c.From.Name, source.StoreAway, now)
+		}
+	}
+	return longest
+}
