Give a connection back after the upstream has handled a cancellation

The order to cancel another caller's statement was on its way on a connection of its own when that statement ended, and the connection was given to the patient caller.

--- a/instance/owner/exchange.go
+++ b/instance/owner/exchange.go
@@ -341,38 +341,38 @@
 
 // execute runs the messages on the connection. When the caller gives up or the
 // deadline passes, the upstream is told to cancel. It then answers soon, so that
-// the outcome is known and the connection stays usable.
+// the outcome is known and the connection stays usable. The connection is not given
+// back before the upstream has handled the order: it would cancel the statement of
+// the next caller.
 func (u *Upstream) execute(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
 	if err := ctx.Err(); err != nil {
 		return upstream.Answer{}, verdict.New(verdict.DeadlineUnreachable, "the request ended before it was sent: %v", err)
 	}
 	work, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelWork()
+	handled := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() {
-		cancelCtx, cancel := context.WithTimeout(work, cancelGrace)
+		cancelCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelGrace)
 		defer cancel()
-		_ = c.Cancel(cancelCtx)
-		if pauseFor(cancelCtx, cancelGrace) {
+		handled <- c.Cancel(cancelCtx)
+		select {
+		case <-cancelCtx.Done():
 			cancelWork()
+		case <-work.Done():
 		}
 	})
-	defer stop()
-	if r.Key != "" {
-		return executeKeyed(work, c, r)
+	answer, err := exchange(work, c, r)
+	if !stop() && <-handled != nil {
+		_ = c.Close() // the order may still arrive
 	}
-	return c.Exchange(work, r.Need, r.Messages)
+	return answer, err
 }
 
-// pauseFor reports whether the time has passed; false if ctx was cancelled first.
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return errors.Is(ctx.Err(), context.DeadlineExceeded)
+func exchange(ctx context.Context, c *upstream.Conn, r *peer.ExchangeRequest) (upstream.Answer, error) {
+	if r.Key != "" {
+		return executeKeyed(ctx, c, r)
 	}
+	return c.Exchange(ctx, r.Need, r.Messages)
 }
 
 // prove establishes what the caller was promised before the answer leaves.
