--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -81,8 +81,8 @@
 	ended     time.Duration // of the last own reading that succeeded
 	urgent    time.Duration // readings are urgent until then
 	hurried   time.Duration // when others were last told
-	members   schedule
-	instances schedule
+	members   readSchedule
+	instances readSchedule
 	moved     time.Duration // last change of the instances
 	fetching  bool          // a large configuration is being fetched
 	// patientUntil is when the configuration is read from the store at the latest.
@@ -92,15 +92,15 @@
 	taking   sync.Mutex // held while a reading is applied
 }
 
-// schedule is when a part of the store was last read.
-type schedule struct {
+// readSchedule is when a part of the store was last read.
+type readSchedule struct {
 	at      time.Duration
 	read    bool
 	running bool
 }
 
 // begin reports whether the part is due, and then takes it as being read.
-func (s *schedule) begin(now, interval time.Duration) bool {
+func (s *readSchedule) begin(now, interval time.Duration) bool {
 	if s.running || s.read && now-s.at < interval {
 		return false
 	}
@@ -108,7 +108,7 @@
 	return true
 }
 
-func (s *schedule) end(ok bool) {
+func (s *readSchedule) end(ok bool) {
 	s.running = false
 	s.read = ok
 }
