--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/papayarail/papayarail/core/marks"
 	"github.com/papayarail/papayarail/core/source"
 )
 
@@ -29,20 +30,11 @@
 	// spares are further instances that serve while all gateways fail: if 20
 	// instances connected themselves instead, they would exceed the limit.
 	spares = 2
-	// markTime is how long a gateway is passed over after a failure; it doubles
-	// with each further one up to maxMarkTime.
-	markTime    = 1500 * time.Millisecond
-	maxMarkTime = 24 * time.Second
 	// leavingTime is how long a gateway that is leaving is passed over: it is no
 	// longer announced after that.
 	leavingTime = 10 * time.Second
 )
 
-type mark struct {
-	until time.Duration
-	times int
-}
-
 // Picker chooses the gateways for one instance.
 type Picker struct {
 	self    string
@@ -50,13 +42,13 @@
 	all     []source.Candidate
 	domains int
 	orders  map[string][]source.Candidate // by member
-	marks   map[string]mark               // by instance
+	marks   marks.Marks                   // by instance
 }
 
 // New returns a Picker of an instance in a failure domain. Without candidates
 // it connects to every member itself.
 func New(self, domain string) *Picker {
-	return &Picker{self: self, domain: domain, orders: make(map[string][]source.Candidate), marks: make(map[string]mark)}
+	return &Picker{self: self, domain: domain, orders: make(map[string][]source.Candidate)}
 }
 
 // SetCandidates replaces the announced instances.
@@ -92,7 +84,7 @@
 		if c.Name == p.self {
 			return source.Candidate{}, false
 		}
-		if now >= p.marks[c.Name].until {
+		if p.marks.Usable(c.Name, now) {
 			return c, true
 		}
 	}
@@ -102,31 +94,28 @@
 // Answered takes in an answer of a gateway.
 func (p *Picker) Answered(name string, now time.Duration) {
 	// The mark of a gateway that is leaving stays: it still answers.
-	if m, marked := p.marks[name]; marked && now >= m.until {
-		delete(p.marks, name)
+	if p.marks.Usable(name, now) {
+		p.marks.Clear(name)
 	}
 }
 
 // Failed takes in that a gateway could not be reached or is silent. It reports
 // whether that is new.
 func (p *Picker) Failed(name string, now time.Duration) bool {
-	m := p.marks[name]
-	if now < m.until {
+	if !p.marks.Usable(name, now) {
 		return false
 	}
-	m.until = now + min(markTime<<min(m.times, 8), maxMarkTime)
-	m.times++
-	p.marks[name] = m
+	p.marks.Failed(name, now)
 	return true
 }
 
 // Leaving takes in that a gateway is about to stop. It reports whether that is
 // new.
 func (p *Picker) Leaving(name string, now time.Duration) bool {
-	if now < p.marks[name].until {
+	if !p.marks.Usable(name, now) {
 		return false
 	}
-	p.marks[name] = mark{until: now + leavingTime}
+	p.marks.PassOver(name, now+leavingTime)
 	return true
 }
 
--- a/core/source/source.go
+++ b/core/source/source.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/papayarail/papayarail/core/marks"
 )
 
 const (
@@ -23,11 +25,6 @@
 	// passes readings. At 360 instances a domain, two levels below the first are
 	// enough; 24 answers every 0.3 s take 0.5% of a core.
 	Fanout = 24
-	// markTime is how long a candidate is passed over after a failure; it
-	// doubles with each further one up to maxMarkTime, so that an instance that
-	// is gone for good is hardly asked any more.
-	markTime    = 1500 * time.Millisecond
-	maxMarkTime = 24 * time.Second
 	// awayBeforeOwn is the number of candidates in a row to which the store must
 	// be away before an instance reads for itself. After one that is silent it
 	// reads at once: its evidence is about to run out.
@@ -66,17 +63,12 @@
 	StoreAway
 )
 
-type mark struct {
-	until time.Duration
-	times int
-}
-
 // Picker chooses the source for one instance.
 type Picker struct {
 	self      string
 	domain    string
 	order     []Candidate // best first
-	marks     map[string]mark
+	marks     marks.Marks
 	failed    int // candidates that failed in a row
 	silent    bool
 	silentRow int           // silent candidates since the last that answered
@@ -87,7 +79,7 @@
 
 // New returns a Picker without candidates: the instance reads for itself.
 func New(self, domain string) *Picker {
-	return &Picker{self: self, domain: domain, marks: make(map[string]mark)}
+	return &Picker{self: self, domain: domain}
 }
 
 // SetCandidates replaces the candidates, the instance itself included.
@@ -159,7 +151,7 @@
 func (p *Picker) parent(before []Candidate, now time.Duration) (c Candidate, ok bool) {
 	own := 0
 	for _, c := range before {
-		if c.FailureDomain == p.domain && p.usable(c, now) {
+		if c.FailureDomain == p.domain && p.marks.Usable(c.Name, now) {
 			own++
 		}
 	}
@@ -168,7 +160,7 @@
 	}
 	place := (own - 1) / Fanout
 	for _, c := range before {
-		if c.FailureDomain != p.domain || !p.usable(c, now) {
+		if c.FailureDomain != p.domain || !p.marks.Usable(c.Name, now) {
 			continue
 		}
 		if place == 0 {
@@ -180,31 +172,26 @@
 }
 
 func (p *Picker) first(cs []Candidate, now time.Duration) (c Candidate, ok bool) {
-	i := slices.IndexFunc(cs, func(c Candidate) bool { return p.usable(c, now) })
+	i := slices.IndexFunc(cs, func(c Candidate) bool { return p.marks.Usable(c.Name, now) })
 	if i < 0 {
 		return Candidate{}, false
 	}
 	return cs[i], true
 }
 
-func (p *Picker) usable(c Candidate, now time.Duration) bool { return now >= p.marks[c.Name].until }
-
 func (p *Picker) spacing() time.Duration {
 	return max(ownSpacing, time.Duration(len(p.order))*perInstance)
 }
 
 // Answered takes in a reading from a candidate.
 func (p *Picker) Answered(name string) {
-	delete(p.marks, name)
+	p.marks.Clear(name)
 	p.failed, p.silent, p.silentRow = 0, false, 0
 }
 
 // Failed takes in that a candidate gave no reading.
 func (p *Picker) Failed(name string, why Failure, now time.Duration) {
-	m := p.marks[name]
-	m.times++
-	m.until = now + min(markTime<<min(m.times-1, 8), maxMarkTime)
-	p.marks[name] = m
+	p.marks.Failed(name, now)
 	p.failed++
 	if why != Silent {
 		return
--- a/proxy/relay/state.go
+++ b/proxy/relay/state.go
@@ -68,10 +68,8 @@
 type State struct {
 	clock steady.Clock
 
-	mu     sync.Mutex
-	bounds storetime.Bounds
-	// readAt is when the newest reading came in, on the own clock.
-	readAt       time.Duration
+	mu           sync.Mutex
+	bounds       storetime.Bounds
 	began        time.Duration
 	membersBegan time.Duration
 	records      *mirror.Table[primacy.Record]
@@ -128,6 +126,17 @@
 // storeRounding is the unit of the store's time, which is rounded down.
 const storeRounding = time.Millisecond
 
+// read takes in an own reading of a table that was last read at last, in the store's
+// time. newer is false if the table has a newer one. s.mu is held.
+func read[T any](s *State, table *mirror.Table[T], last *time.Duration, r catalog.Reading[T], sentAt, answeredAt time.Duration) (changed, newer bool) {
+	began := s.reading(r.StoreNow, sentAt, answeredAt)
+	if r.Version < table.Version() || began <= *last {
+		return false, false
+	}
+	*last = began
+	return table.Read(r.Rows, r.Version), true
+}
+
 // reading takes in the times of an own call and returns the store's time, at the
 // earliest, when the call was sent. What it read is no older than that, also if
 // the store read it long before it put its time into the answer. s.mu is held.
@@ -141,12 +150,9 @@
 func (s *State) ReadRecords(r catalog.Reading[primacy.Record], sentAt, answeredAt time.Duration) Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	began := s.reading(r.StoreNow, sentAt, answeredAt)
-	if r.Version < s.records.Version() || began <= s.began {
+	if _, newer := read(s, s.records, &s.began, r, sentAt, answeredAt); !newer {
 		return Changes{}
 	}
-	s.records.Read(r.Rows, r.Version)
-	s.began, s.readAt = began, answeredAt
 	s.news()
 	return Changes{Records: true}
 }
@@ -155,13 +161,8 @@
 func (s *State) ReadMembers(r catalog.Reading[catalog.Member], sentAt, answeredAt time.Duration) Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	began := s.reading(r.StoreNow, sentAt, answeredAt)
-	if r.Version < s.members.Version() || began <= s.membersBegan {
-		return Changes{}
-	}
-	changed := s.members.Read(r.Rows, r.Version)
-	s.membersBegan = began
-	return Changes{Members: true, MembersChanged: changed}
+	changed, newer := read(s, s.members, &s.membersBegan, r, sentAt, answeredAt)
+	return Changes{Members: newer, MembersChanged: changed}
 }
 
 // ReadInstances takes in an own reading of the announced instances.
@@ -214,7 +215,7 @@
 		s.records.Apply(*d)
 	}
 	if a.Delta.Began > s.began {
-		s.began, s.readAt = a.Delta.Began, answeredAt
+		s.began = a.Delta.Began
 		c.Records = true
 	}
 	if c != (Changes{}) {
