--- a/proxy/node/gateway_test.go
+++ b/proxy/node/gateway_test.go
@@ -51,9 +51,7 @@
 // refused half of all attempts (colle-avvisi-grown, 85 instances on 46
 // connections), and the first lead was not known when callers came.
 func TestManyInstancesShareConnections(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCrowd(t)
-		stop := c.load(1)
+	underLoad(t, 1, newCrowd, func(t *testing.T, c *cluster) {
 		assert.Assert(t, c.connections(3*time.Second) <= 16)
 		s := c.open("i3", standin.Database)
 		assert.NilError(t, c.write(s))
@@ -65,8 +63,6 @@
 		c.world.Acknowledge("t1")
 		assert.NilError(t, c.read(s, 0))
 		s.leave()
-		stop()
-		c.closeSimulated()
 	})
 }
 
@@ -74,9 +70,7 @@
 // all others, these keep serving within the time that a gateway's silence takes
 // to notice.
 func TestGatewayCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCrowd(t)
-		stop := c.load(2)
+	underLoad(t, 2, newCrowd, func(t *testing.T, c *cluster) {
 		for i := range manyInstances / 4 {
 			lost := fmt.Sprint("i", i)
 			others := []string{"a", "b", "c", "store"}
@@ -96,17 +90,13 @@
 			}
 			time.Sleep(2 * time.Second)
 		}
-		stop()
-		c.closeSimulated()
 	})
 }
 
 // Guards reads and writes while the store is away: instances without a commit of
 // their own need the evidence of the gateway, which has all commits.
 func TestManyInstancesWithoutStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCrowd(t)
-		stop := c.load(3)
+	underLoad(t, 3, newCrowd, func(t *testing.T, c *cluster) {
 		c.world.Crash("c", true)
 		time.Sleep(500 * time.Millisecond)
 		c.cutStore()
@@ -121,8 +111,6 @@
 		}
 		assert.Assert(t, served >= 18, "%d of 20 reads served", served)
 		s.leave()
-		stop()
-		c.closeSimulated()
 	})
 }
 
@@ -131,9 +119,7 @@
 func TestManyInstancesChangePrimary(t *testing.T) {
 	for _, crash := range []bool{false, true} {
 		t.Run(fmt.Sprintf("crash=%t", crash), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCrowd(t)
-				stop := c.load(4)
+			underLoad(t, 4, newCrowd, func(t *testing.T, c *cluster) {
 				if crash {
 					c.world.Crash("a", true)
 				} else {
@@ -144,8 +130,6 @@
 				assert.Assert(t, gap < 3*time.Second, "gap %s, the target is 3 s", gap)
 				time.Sleep(3 * time.Second)
 				assert.Assert(t, c.world.Leader() != "a")
-				stop()
-				c.closeSimulated()
 			})
 		})
 	}
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -29,6 +29,24 @@
 	return c
 }
 
+// simulated is newSimulated with these instances.
+func simulated(instances ...string) func(*testing.T) *cluster {
+	return func(t *testing.T) *cluster { return newSimulated(t, instances...) }
+}
+
+// underLoad plays faults on a cluster, in the time of a synctest bubble, while
+// callers write and read on all instances, and checks the promises to them.
+func underLoad(t *testing.T, seed uint64, start func(*testing.T) *cluster, play func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t)
+		stop := c.load(seed)
+		play(t, c)
+		stop()
+		c.closeSimulated()
+	})
+}
+
 // closeSimulated ends a cluster; calls under way end by their own time-outs.
 func (c *cluster) closeSimulated() {
 	c.t.Helper()
@@ -63,9 +81,7 @@
 func TestPrimaryLost(t *testing.T) {
 	for _, dark := range []bool{false, true} {
 		t.Run(fmt.Sprintf("dark=%t", dark), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newSimulated(t, "i1", "i2", "i3")
-				stop := c.load(1)
+			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
 				time.Sleep(time.Second)
 				c.world.Crash("a", dark)
 				gap := c.writeGap("i1", 5*time.Second)
@@ -73,8 +89,6 @@
 				time.Sleep(time.Second)
 				c.world.Restart("a", false)
 				time.Sleep(time.Second)
-				stop()
-				c.closeSimulated()
 			})
 		})
 	}
@@ -87,9 +101,7 @@
 func TestReadsWithoutPrimary(t *testing.T) {
 	for _, store := range []bool{true, false} {
 		t.Run(fmt.Sprintf("store=%t", store), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newSimulated(t, "i1", "i2", "i3")
-				stop := c.load(1)
+			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
 				time.Sleep(time.Second)
 				if !store {
 					c.cutStore()
@@ -107,8 +119,6 @@
 					}
 					s.leave()
 				}
-				stop()
-				c.closeSimulated()
 			})
 		})
 	}
@@ -118,9 +128,7 @@
 // was cut off 7 s later: it might have had the latest commits (macaskill-tags,
 // scale-1, a primary released at 17 s and a cut at 33 s).
 func TestMemberThatLeftIsForgotten(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newSimulated(t, "i1", "i2", "i3")
-		stop := c.load(6)
+	underLoad(t, 6, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
 		c.world.Join("d")
 		time.Sleep(time.Second)
 		c.world.Drain("a")
@@ -131,8 +139,6 @@
 		c.world.Crash(c.world.Leader(), true)
 		gap := c.writeGap("i1", 8*time.Second)
 		assert.Assert(t, gap < 3*time.Second, "gap %s, the target is 3 s", gap)
-		stop()
-		c.closeSimulated()
 	})
 }
 
@@ -140,9 +146,7 @@
 // term. Its holder tried to hold it as a replica, which it refused, until the end
 // of the day (deploy/days/promotion-without-store, macaskill-tags, seed 2).
 func TestPrimaryReplacedUnderAnotherName(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newSimulated(t, "i1", "i2", "i3")
-		stop := c.load(5)
+	underLoad(t, 5, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
 		time.Sleep(time.Second)
 		c.cutStore()
 		c.world.Crash("a", true)
@@ -152,8 +156,6 @@
 		c.healStore()
 		gap := c.writeGap("i1", 8*time.Second)
 		assert.Assert(t, gap < 5*time.Second, "gap %s", gap)
-		stop()
-		c.closeSimulated()
 	})
 }
 
@@ -214,16 +216,12 @@
 // when it judged (colle-avvisi, hunt-faf4-3).
 func TestSimultaneousClaims(t *testing.T) {
 	for seed := range uint64(8) {
-		synctest.Test(t, func(t *testing.T) {
-			c := newSimulated(t, "i1", "i2", "i3", "i4", "i5")
-			stop := c.load(seed)
+		underLoad(t, seed, simulated("i1", "i2", "i3", "i4", "i5"), func(t *testing.T, c *cluster) {
 			time.Sleep(time.Second)
 			c.world.LoseAnswers(int(seed % 3))
 			c.world.Crash("a", seed%2 == 0)
 			time.Sleep(6 * time.Second)
 			assert.Assert(t, c.world.Leader() != "a")
-			stop()
-			c.closeSimulated()
 		})
 	}
 }
@@ -299,17 +297,13 @@
 // Guards the replacement of a primary that answers but reaches no replica: its
 // commits are never acknowledged.
 func TestPrimaryCutFromReplicas(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newSimulated(t, "i1", "i2")
-		stop := c.load(8)
+	underLoad(t, 8, simulated("i1", "i2"), func(t *testing.T, c *cluster) {
 		time.Sleep(4 * time.Second)
 		c.world.Cut("a", "b")
 		c.world.Cut("a", "c")
 		gap := c.writeGap("i1", 8*time.Second)
 		assert.Assert(t, gap < 5*time.Second, "gap %s", gap)
 		assert.Assert(t, c.world.Leader() != "a")
-		stop()
-		c.closeSimulated()
 	})
 }
 
