--- /dev/null
+++ b/deploy/compare/compare_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards the judgement of a change: differences are paired, so that what days have
+// in common does not hide it.
+func TestDifference(t *testing.T) {
+	var s sample
+	for i := range 4 {
+		s.add(float64(10*i), float64(10*i)+1+float64(i%2))
+	}
+	mean, standardError := s.difference()
+	assert.Equal(t, mean, 1.5)
+	assert.Assert(t, math.Abs(standardError-math.Sqrt(1.0/12)) < 1e-9, "%g", standardError)
+	var one sample
+	one.add(1, 3)
+	mean, standardError = one.difference()
+	assert.Assert(t, mean == 2 && standardError == 0)
+}
+
+// Guards against seeds that are read as others than those named in the journal.
+func TestParseSeeds(t *testing.T) {
+	seeds, err := parseSeeds("3,5-7")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, seeds, []uint64{3, 5, 6, 7})
+	for _, text := range []string{"", "a", "3-", "7-5", "-4"} {
+		_, err = parseSeeds(text)
+		assert.ErrorContains(t, err, "seed", "%q", text)
+	}
+}
+
+// Guards the worst part against days without refusals.
+func TestWorstPart(t *testing.T) {
+	r := report{Zones: []tally{{Refused: 3}, {Refused: 1}}}
+	assert.Equal(t, r.worstPart(), 0.75)
+	assert.Equal(t, report{}.worstPart(), 0.0)
+}
