Divide a member among instances by the callers that reach them

Cause: every instance had an equal part of a member, and callers reach the instances of their own failure domain. Change: the part is 1/(failure domains x instances of the own one). The refusals that are left are shared; they need more capacity.

--- a/core/gateway/fleet.go
+++ b/core/gateway/fleet.go
@@ -23,6 +23,24 @@
 // Size returns the number of announced instances.
 func (f *Fleet) Size() int { return len(f.all) }
 
+// Part returns the part of all callers that this instance is expected to serve:
+// callers reach the instances of their own failure domain, and failure domains
+// are taken to have equally many callers.
+func (f *Fleet) Part() float64 {
+	domains := make(map[string]int)
+	own := ""
+	for _, c := range f.all {
+		domains[c.FailureDomain]++
+		if c.Name == f.self {
+			own = c.FailureDomain
+		}
+	}
+	if domains[own] == 0 {
+		return 1 / float64(max(len(f.all), 1))
+	}
+	return 1 / float64(len(domains)*domains[own])
+}
+
 // Turn returns the place of this instance among all in acting on what one of them
 // should do for a subject, from 0. ok is false while it is not announced: others
 // do not count on it, and it does not know them.
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -135,3 +136,20 @@
 	turn, ok := gateway.Alone("i0").Turn("s")
 	assert.Assert(t, ok && turn == 0)
 }
+
+// Guards the parts of instances in failure domains of different size: callers reach
+// the instances of their own failure domain.
+func TestPart(t *testing.T) {
+	var all []source.Candidate
+	for i, domain := range []string{"a", "a", "a", "b", "c", "c"} {
+		all = append(all, source.Candidate{Name: fmt.Sprintf("i%d", i), FailureDomain: domain})
+	}
+	sum := 0.0
+	for _, c := range all {
+		sum += gateway.NewFleet(c.Name, all).Part()
+	}
+	assert.Assert(t, math.Abs(sum-1) < 1e-9, "%g", sum)
+	assert.Assert(t, math.Abs(gateway.NewFleet("i3", all).Part()-1.0/3) < 1e-9)
+	assert.Assert(t, math.Abs(gateway.NewFleet("unannounced", all).Part()-1.0/6) < 1e-9)
+	assert.Equal(t, gateway.Alone("i0").Part(), 1.0)
+}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -5,6 +5,7 @@
 package share
 
 import (
+	"math"
 	"time"
 
 	"github.com/papayarail/papayarail/core/schedule"
@@ -56,12 +57,13 @@
 	gatewayQueue = 3
 )
 
-// For returns the policy for an upstream with a limit, shared by a number of
-// instances.
-func For(limit, slots, instances int) Policy {
-	part := limit / max(instances, 1)
-	p := Policy{Open: min(max(part, minOpen), max(limit, 1)), Idle: idle, Run: run, Limit: limits(run, slots, instances)}
-	if part >= 1 {
+// For returns the policy of an instance for an upstream with a limit that it
+// shares with others. part is the part of the demand that is its own, from 0 to 1.
+func For(limit, slots int, part float64) Policy {
+	own := int(part*float64(limit) + 1e-9)
+	p := Policy{Open: min(max(own, minOpen), max(limit, 1)), Idle: idle}
+	p.Run, p.Limit = limits(run, slots, part)
+	if own >= 1 {
 		p.Keep = 1
 	}
 	return p
@@ -70,21 +72,20 @@
 // ForGateway returns the policy of one of the gateways of a member: the instances
 // that connect to it for all others.
 func ForGateway(limit, slots, gateways int) Policy {
-	part := (limit - limit/gatewayReserve) / max(gateways, 1)
-	return Policy{
-		Open: min(max(part, minOpen), max(limit, 1)), Keep: gatewayKeep, Idle: idle,
-		Run: max(run, slots/max(gateways, 1)+gatewayQueue), Limit: limits(max(run, slots/max(gateways, 1)+gatewayQueue), slots, gateways),
-	}
+	part := 1 / float64(max(gateways, 1))
+	own := int(part*float64(limit-limit/gatewayReserve) + 1e-9)
+	p := Policy{Open: min(max(own, minOpen), max(limit, 1)), Keep: gatewayKeep, Idle: idle}
+	p.Run, p.Limit = limits(max(run, slots/max(gateways, 1)+gatewayQueue), slots, part)
+	return p
 }
 
 // limits divides the slots of a member, with half as many more waiting, among
-// instances for the least urgent rank, and twice as many for the middle one.
-func limits(run, slots, instances int) [schedule.Ranks]int {
-	part := func(of int) int { return (of + max(instances, 1) - 1) / max(instances, 1) }
-	least := min(max(part(slots+slots/2), 1), run-1)
-	return [schedule.Ranks]int{
-		schedule.Urgent: run,
-		schedule.Middle: min(max(part(2*slots), least+1), run),
-		schedule.Least:  least,
-	}
+// instances for the least urgent rank, and twice as many for the middle one. It
+// returns the greatest number that runs, at least run, and that of each rank.
+func limits(run, slots int, part float64) (int, [schedule.Ranks]int) {
+	of := func(n float64) int { return int(math.Ceil(n*part - 1e-9)) }
+	least := max(of(1.5*float64(slots)), 1)
+	run = max(run, least+1)
+	middle := min(max(of(2*float64(slots)), least+1), run)
+	return run, [schedule.Ranks]int{schedule.Urgent: run, schedule.Middle: middle, schedule.Least: least}
 }
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -49,7 +49,7 @@
 	if sharers := g.cfg.Gateways.Sharers(m.ID, limit); sharers > 0 {
 		return share.ForGateway(limit, m.Slots, sharers)
 	}
-	return share.For(limit, m.Slots, g.fleet.Size())
+	return share.For(limit, m.Slots, g.fleet.Part())
 }
 
 // Incomplete reports whether the lead or a member that is known is missing from
