Compare several trees with the same plays of a first one

Cause: an ablation compares many trees with one; its plays were repeated for each. Change: one table for each tree after the first.

--- a/deploy/compare/main.go
+++ b/deploy/compare/main.go
@@ -2,10 +2,10 @@
 // prints the mean difference of each measure with its standard error. It is not
 // part of CI, which has no bench.
 //
-//	compare -bench BENCH -site SITE -days trouble-1,scale-1 -seeds 11-18 BASE NEW
+//	compare -bench BENCH -site SITE -days trouble-1,scale-1 -seeds 11-18 BASE NEW...
 //
-// BASE and NEW are checkouts of this repository. With one tree only, its figures
-// are printed.
+// BASE and each NEW are checkouts of this repository; the plays of BASE serve all
+// comparisons. With one tree only, its figures are printed.
 package main
 
 import (
@@ -64,8 +64,8 @@
 		return o, Class.Wrap(err)
 	}
 	o.trees = flags.Args()
-	if o.bench == "" || o.site == "" || len(o.trees) < 1 || len(o.trees) > 2 || o.jobs < 1 {
-		return o, Class.New("usage: compare -bench BENCH -site SITE [-days A,B] [-seeds 1-4] [-jobs N] [-why TEXT] BASE [NEW]")
+	if o.bench == "" || o.site == "" || len(o.trees) < 1 || o.jobs < 1 {
+		return o, Class.New("usage: compare -bench BENCH -site SITE [-days A,B] [-seeds 1-4] [-jobs N] [-why TEXT] BASE [NEW...]")
 	}
 	o.days = strings.Split(*days, ",")
 	if *extra != "" {
@@ -108,6 +108,11 @@
 	err error
 }
 
+// broken reports whether a rule was broken or the day counts for nothing.
+func (p *play) broken() bool {
+	return len(p.Breaks) > 0 || len(p.Fault) > 0 && string(p.Fault) != "null"
+}
+
 func run(o options, out io.Writer) error {
 	for _, tree := range o.trees {
 		build := exec.Command(o.bench, "build")
@@ -160,51 +165,30 @@
 	return strings.Join(lines[max(len(lines)-3, 0):], "; ")
 }
 
-// byDay are the measures that are also printed for each day.
-var byDay = []string{"worth", "refused", "late"}
-
+// print prints a table for each tree after the first, against the first; for one
+// tree, its figures.
 func (o options) print(out io.Writer, plays []*play) error {
-	var order []string
-	samples := make(map[string]*sample)
-	pairs, failed := 0, 0
-	for group := range slices.Chunk(plays, len(o.trees)) {
-		complete := true
-		for _, p := range group {
-			if p.err != nil {
-				fmt.Fprintf(out, "not played: %v\n", p.err)
-				complete = false
-			} else if len(p.Breaks) > 0 || len(p.Fault) > 0 && string(p.Fault) != "null" {
-				fmt.Fprintf(out, "RULE BROKEN on %s: %s seed %d: %v %s\n", o.trees[p.tree], p.day, p.seed, p.Breaks, p.Fault)
-			}
-		}
-		if !complete {
+	failed := 0
+	for _, p := range plays {
+		if p.err != nil {
 			failed++
-			continue
+			fmt.Fprintf(out, "not played: %v\n", p.err)
+		} else if p.broken() {
+			fmt.Fprintf(out, "RULE BROKEN on %s: %s seed %d: %v %s\n", o.trees[p.tree], p.day, p.seed, p.Breaks, p.Fault)
 		}
-		pairs++
-		before, after := group[0].figures(), group[len(group)-1].figures()
-		for i, f := range after {
-			keys := []string{f.name}
-			if slices.Contains(byDay, f.name) {
-				keys = append(keys, group[0].day+" "+f.name)
-			}
-			for _, key := range keys {
-				if samples[key] == nil {
-					samples[key] = &sample{}
-					order = append(order, key)
-				}
-				samples[key].add(before[i].value, f.value)
+	}
+	for tree := min(1, len(o.trees)-1); tree < len(o.trees); tree++ {
+		t := newTable()
+		for group := range slices.Chunk(plays, len(o.trees)) {
+			if group[0].err == nil && group[tree].err == nil {
+				t.add(group[0], group[tree])
 			}
 		}
-	}
-	fmt.Fprintf(out, "%d pairs, %d without figures\n%-34s %10s %10s %10s %10s\n", pairs, failed, "measure", "before", "after", "difference", "std error")
-	for _, key := range order {
-		s := samples[key]
-		mean, standardError := s.difference()
-		fmt.Fprintf(out, "%-34s %10.4f %10.4f %+10.4f %10.4f\n", key, average(s.before), average(s.after), mean, standardError)
+		fmt.Fprintf(out, "%s against %s: ", o.trees[tree], o.trees[0])
+		t.print(out)
 	}
 	if failed > 0 {
-		return Class.New("%d of %d pairs were not played", failed, pairs+failed)
+		return Class.New("%d of %d plays have no figures", failed, len(plays))
 	}
 	return nil
 }
--- /dev/null
+++ b/deploy/compare/table.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// byDay are the measures that are also printed for each day.
+var byDay = []string{"worth", "refused", "late"}
+
+// table collects the measures of pairs of plays.
+type table struct {
+	pairs   int
+	order   []string
+	samples map[string]*sample
+}
+
+func newTable() *table { return &table{samples: make(map[string]*sample)} }
+
+func (t *table) add(before, after *play) {
+	t.pairs++
+	was := before.figures()
+	for i, f := range after.figures() {
+		t.sample(f.name).add(was[i].value, f.value)
+		if slices.Contains(byDay, f.name) {
+			t.sample(after.day+" "+f.name).add(was[i].value, f.value)
+		}
+	}
+}
+
+func (t *table) sample(name string) *sample {
+	s := t.samples[name]
+	if s == nil {
+		s = &sample{}
+		t.samples[name] = s
+		t.order = append(t.order, name)
+	}
+	return s
+}
+
+func (t *table) print(out io.Writer) {
+	fmt.Fprintf(out, "%d pairs\n%-34s %10s %10s %10s %10s\n", t.pairs, "measure", "before", "after", "difference", "std error")
+	for _, name := range t.order {
+		s := t.samples[name]
+		mean, standardError := s.difference()
+		fmt.Fprintf(out, "%-34s %10.4f %10.4f %+10.4f %10.4f\n", name, average(s.before), average(s.after), mean, standardError)
+	}
+}
