Notice a cut by the silence of all members outside; close sessions once probes were missed

Cause: around the cut of a failure domain, its instances said that they were ready until leases had run out (0.9 to 1.1 s after the cut) and closed sessions 2.2 s later. Change: core/contact judges an instance out of touch if two members outside of its failure domain are silent for 0.4 s and nothing else outside answers. It closes sessions once two probes were told that it is not ready, over 0.3 s. The test under load fails with either part off (ready for 1.1 s; a session open for 1.2 s).

--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -27,6 +27,7 @@
 // Execute runs a job on the chosen member, outside of a transaction.
 func (g *Group) Execute(c Choice, j upstream.Job) upstream.Result {
 	sentAt := g.cfg.Clock()
+	g.asked(c.Upstream)
 	r := g.executeSomewhere(c, j)
 	g.learn(c.Upstream, j, r, sentAt)
 	return r
@@ -48,7 +49,11 @@
 // The transaction is nil unless it was begun.
 func (g *Group) Open(c Choice, begin statement.Statement, j upstream.Job) (upstream.Tx, upstream.Opened) {
 	sentAt := g.cfg.Clock()
+	g.asked(c.Upstream)
 	tx, o := g.openSomewhere(c, begin, j)
+	if o.Begin.Err == nil {
+		g.answered(c.Upstream)
+	}
 	if tx == nil {
 		return nil, o
 	}
@@ -68,12 +73,27 @@
 	}
 }
 
+// asked takes in that a request to a member begins.
+func (g *Group) asked(u *upstream.Upstream) {
+	if m := u.Member(); m.FailureDomain != g.cfg.FailureDomain {
+		g.cfg.Contact.Asked(m.ID)
+	}
+}
+
+// answered takes in that a member has answered.
+func (g *Group) answered(u *upstream.Upstream) {
+	if u.Member().FailureDomain != g.cfg.FailureDomain {
+		g.cfg.Contact.Answered()
+	}
+}
+
 // learn takes in what an answer shows of the member and its log.
 func (g *Group) learn(u *upstream.Upstream, j upstream.Job, r upstream.Result, sentAt time.Duration) {
 	if r.Err != nil {
 		g.learnFailure(u, r.Err)
 		return
 	}
+	g.answered(u)
 	if _, failed := statement.ReasonOf(r.Reply.Err); failed {
 		return
 	}
@@ -263,6 +283,7 @@
 // Run implements upstream.Tx.
 func (t *observedTx) Run(j upstream.Job) upstream.Result {
 	sentAt := t.g.cfg.Clock()
+	t.g.asked(t.upstream)
 	r := t.Tx.Run(j)
 	t.g.learn(t.upstream, j, r, sentAt)
 	return r
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -76,6 +76,22 @@
 	Sharers(member string, limit int) int
 }
 
+// Contact hears what a group asks of members outside of the instance's failure
+// domain, and what they answer.
+type Contact interface {
+	Asked(member string)
+	Answered()
+}
+
+// noContact is Contact of an instance that does not watch it.
+type noContact struct{}
+
+// Asked implements Contact.
+func (noContact) Asked(string) {}
+
+// Answered implements Contact.
+func (noContact) Answered() {}
+
 // direct is Gateways of an instance that connects to all members itself.
 type direct struct{}
 
@@ -86,13 +102,14 @@
 func (direct) Sharers(string, int) int { return 0 }
 
 // Config is what a Group needs. Without Gateways, the instance connects to all
-// members itself.
+// members itself; without Contact, nobody watches whether members answer.
 type Config struct {
 	Service       string
 	Instance      string
 	FailureDomain string
 	Dialer        statement.Dialer
 	Gateways      Gateways
+	Contact       Contact
 	Register      Register
 	Promoter      Promoter
 	Clock         steady.Clock
@@ -136,6 +153,9 @@
 	if cfg.Gateways == nil {
 		cfg.Gateways = direct{}
 	}
+	if cfg.Contact == nil {
+		cfg.Contact = noContact{}
+	}
 	return &Group{
 		cfg: cfg, service: service,
 		members: make(map[string]*member), fleet: gateway.Alone(cfg.Instance),
--- a/proxy/group/round.go
+++ b/proxy/group/round.go
@@ -327,6 +327,7 @@
 	for _, fresh := range []bool{fresh, true} {
 		reply, err := u.Control(fresh, order, statusTimeout)
 		if err == nil {
+			g.answered(u)
 			u.NotePosition(reply.Received)
 			return &reply.Status, false
 		}
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -2,22 +2,32 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarail/papayarail/core/contact"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/steady"
 )
 
 const (
 	// isolationCheck is how often an instance judges whether it is cut off.
-	isolationCheck = 200 * time.Millisecond
+	isolationCheck = 100 * time.Millisecond
 	// isolationAfter is how long the evidence of all primaries may have run out
 	// until the instance is cut off: three rounds of questions to the members
 	// and one reading of the store have failed then.
 	isolationAfter = 400 * time.Millisecond
+	// isolatedSpread is the time over which an instance that is cut off closes its
+	// idle sessions. It refuses nearly all of their requests meanwhile.
+	isolatedSpread = 300 * time.Millisecond
+	// missedProbes is the number of probes in a row after whose failure the load
+	// balancer sends an instance no new connections, and probeSettle the time that
+	// the answer to the last one takes.
+	missedProbes = 2
+	probeSettle  = 50 * time.Millisecond
 )
 
 // isolation is what an instance does that is cut off from the store and from
@@ -27,6 +37,66 @@
 type isolation struct {
 	isolated atomic.Bool
 	closing  atomic.Bool
+
+	mu      sync.Mutex
+	contact contact.Watch
+	missed  int           // probes in a row that were told that it is not ready
+	last    time.Duration // the last of them
+}
+
+// outside tells groups' requests to members of other failure domains to an
+// isolation.
+type outside struct {
+	i     *isolation
+	clock steady.Clock
+}
+
+// Asked implements group.Contact.
+func (o outside) Asked(member string) {
+	o.i.mu.Lock()
+	defer o.i.mu.Unlock()
+	o.i.contact.Asked(member, o.clock())
+}
+
+// Answered implements group.Contact.
+func (o outside) Answered() {
+	o.i.mu.Lock()
+	defer o.i.mu.Unlock()
+	o.i.contact.Answered()
+}
+
+// lost reports whether nothing outside of the failure domain answers.
+func (i *isolation) lost(now time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.contact.Lost(now)
+}
+
+// probed takes in what a probe of the load balancer was told.
+func (i *isolation) probed(ready bool, now time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if ready {
+		i.missed = 0
+		return
+	}
+	i.missed++
+	i.last = now
+}
+
+// unlisted reports whether the load balancer has missed enough probes.
+func (i *isolation) unlisted(now time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.missed > missedProbes || i.missed == missedProbes && now-i.last >= probeSettle
+}
+
+// Probed is Ready for a probe of the load balancer, which sends new connections
+// elsewhere after two in a row were told that the instance is not ready.
+func (n *Node) Probed() bool {
+	ready := n.Ready()
+	n.isolation.probed(ready, n.cfg.Clock())
+	return ready
 }
 
 const (
@@ -52,30 +122,36 @@
 	return all[:min(len(all), maxWitnesses)]
 }
 
+// cutOff reports whether this instance is cut off: nothing outside answers, or
+// nothing has proven any primary for a while.
+func (n *Node) cutOff(now time.Duration) (cut bool, provenAge time.Duration) {
+	proven, any := time.Duration(0), false
+	for _, g := range n.witnesses(now) {
+		any = true
+		proven = max(proven, g.ProvenUntil())
+	}
+	return any && proven > 0 && now-proven > isolationAfter || n.isolation.lost(now), now - proven
+}
+
 func (n *Node) watchIsolation(ctx context.Context) {
 	var since time.Duration
 	for ctx.Err() == nil {
 		steady.Sleep(ctx, isolationCheck)
 		now := n.cfg.Clock()
-		proven, any := time.Duration(0), false
-		for _, g := range n.witnesses(now) {
-			any = true
-			proven = max(proven, g.ProvenUntil())
-		}
-		cut := any && proven > 0 && now-proven > isolationAfter
+		cut, provenAge := n.cutOff(now)
 		switch {
 		case cut && since == 0:
 			since = now
 			n.isolation.isolated.Store(true)
-			n.cfg.Log.WithFields(logrus.Fields{"event": "cut_off", "proven_age_ms": (now - proven).Milliseconds()}).Warn("instance is cut off and not ready")
+			n.cfg.Log.WithFields(logrus.Fields{"event": "cut_off", "proven_age_ms": provenAge.Milliseconds()}).Warn("instance is cut off and not ready")
 		case !cut && since != 0:
 			n.cfg.Log.WithFields(logrus.Fields{"event": "cut_off_ended", "lasted_ms": (now - since).Milliseconds()}).Info("instance is ready again")
 			since = 0
 			n.isolation.isolated.Store(false)
 			n.isolation.closing.Store(false)
-		case cut && now-since >= unlistTime && !n.isolation.closing.Load():
+		case cut && (now-since >= unlistTime || n.isolation.unlisted(now)) && !n.isolation.closing.Load():
 			n.isolation.closing.Store(true)
-			go n.wakeSpread(closeSpread)
+			go n.wakeSpread(isolatedSpread)
 		}
 	}
 }
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -188,6 +188,9 @@
 	} else {
 		r.link.note(nil)
 		r.noteSource(from.Name)
+		if from.FailureDomain != n.cfg.Settings.FailureDomain {
+			outside{&n.isolation, n.cfg.Clock}.Answered()
+		}
 	}
 	r.takeIn(changes)
 	if err == nil && answer.Delta.ConfigVersion > r.state.Known().Config {
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -462,3 +462,36 @@
 		c.closeSimulated()
 	})
 }
+
+// Guards the callers of a failure domain that is cut off: its instances said that they
+// were ready for another second, until all leases had run out, and kept their sessions
+// for 2.2 s more although the load balancer had missed two probes long before.
+func TestCutOffUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSimulated(t, "i1", "i2")
+		stop := c.load(1)
+		time.Sleep(2 * time.Second)
+		idle := c.open("i1", standin.Database)
+		n := c.nodes["i1"]
+		assert.Assert(t, n.Probed())
+		outside := []string{"b", "c", "i2", "store"}
+		for _, name := range outside {
+			c.world.Cut("i1", name)
+		}
+		cut := time.Now()
+		c.await(time.Second, "an instance that is not ready", func() bool { return !n.Ready() })
+		assert.Assert(t, time.Since(cut) < 600*time.Millisecond, "ready for %s after the cut", time.Since(cut))
+		n.Probed()
+		time.Sleep(time.Second)
+		n.Probed()
+		missed := time.Now()
+		<-idle.ended
+		assert.Assert(t, time.Since(missed) < 600*time.Millisecond, "a session stayed open for %s after the second probe", time.Since(missed))
+		for _, name := range outside {
+			c.world.Heal("i1", name)
+		}
+		c.await(3*time.Second, "an instance that is ready", n.Ready)
+		stop()
+		c.closeSimulated()
+	})
+}
