Do not doubt a new primary for what a probe showed of the former one

Cause: a probe of a primary that does not answer takes up to 0.5 s. If the lead changed meanwhile, as by the members' own word while the store is away, the result was held against the new lead, which then refused reads and writes for a second. Change: a reason counts only for the lead that it was found for. TestStoreAway passes 3 of 3, the package's other tests pass.

--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -188,6 +188,12 @@
 		return g.suspects()
 	}
 	g.mu.Lock()
+	// A probe takes up to 0.5 s: what it shows of a former lead is no reason to doubt
+	// or to replace its successor.
+	if now, _ := g.leadLocked(); now != lead {
+		g.mu.Unlock()
+		return true
+	}
 	blocked := g.blockedLocked()
 	if why.confirms && !g.suspicion.confirmed {
 		g.suspicion.confirmed = true
