Explain each failed request in the heaviest seconds, in bounded volume

Change: one line for a failed statement holds its attempts; statements beyond 50 lines a second share a line with others of the same cause, with all ids; a statement that was answered after further attempts has one debug line. Debug lines are dropped first, warnings never, and drops are counted by event, once a second.

--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -331,7 +331,7 @@
 		return
 	}
 	g.cfg.Log.WithFields(logrus.Fields{"event": "gateway_job_failed", "request": j.Statement.ID, "session": j.Caller, "upstream": member,
-		"rank": j.Rank.String(), "sent": r.Sent, "error": r.Err.Error()}).Info("statement of another instance was not answered")
+		"rank": j.Rank.String(), "sent": r.Sent, "error": r.Err.Error()}).Debug("statement of another instance was not answered")
 }
 
 // forPeer returns the upstream for work of another instance, or why there is none.
--- a/proxy/logsink/logsink.go
+++ b/proxy/logsink/logsink.go
@@ -1,10 +1,12 @@
 // Package logsink writes log lines without ever blocking the code that logs:
 // lines wait in a bounded queue for a goroutine that writes them. What does not
-// fit, or exceeds the rate, is dropped and counted.
+// fit, or exceeds the rate, is dropped and counted by its kind: debug lines first,
+// so that they leave room to what says why a request failed, and warnings last.
 package logsink
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
@@ -22,6 +24,12 @@
 	linesPerSecond = 100
 	// burstLines may be written at once, as at a change of primary.
 	burstLines = 300
+	// debugReserve is the part of the burst that debug lines leave to others.
+	debugReserve = burstLines / 2
+	// dropInterval separates two lines about dropped ones.
+	dropInterval = time.Second
+	// maxKinds bounds the kinds of dropped lines that are counted apart.
+	maxKinds = 32
 )
 
 // Sink is an io.Writer for one logger.
@@ -33,13 +41,14 @@
 	mu      sync.Mutex
 	tokens  float64
 	last    time.Time
-	dropped uint64
+	dropped map[string]uint64 // by event
+	said    time.Time         // last line about drops
 	closed  bool
 }
 
 // New returns a Sink that writes to out.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{}), tokens: burstLines, last: time.Now()}
+	s := &Sink{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{}), dropped: make(map[string]uint64), tokens: burstLines, last: time.Now()}
 	go s.run()
 	return s
 }
@@ -49,6 +58,7 @@
 	sink := New(out)
 	logger := logrus.New()
 	logger.SetOutput(sink)
+	logger.SetLevel(logrus.DebugLevel)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	return logger, sink
 }
@@ -60,25 +70,56 @@
 	now := time.Now()
 	s.tokens = min(s.tokens+now.Sub(s.last).Seconds()*linesPerSecond, burstLines)
 	s.last = now
-	if s.closed || s.tokens < 1 && !bytes.Contains(line, []byte(`"level":"warning"`)) {
-		s.dropped++
+	if s.closed || s.tokens < needed(line) {
+		s.drop(line)
 		return len(line), nil
 	}
 	select {
 	case s.lines <- s.withDrops(line):
 		s.tokens = max(s.tokens-1, 0)
 	default:
-		s.dropped++
+		s.drop(line)
 	}
 	return len(line), nil
 }
 
+// needed returns the tokens that must be left for a line.
+func needed(line []byte) float64 {
+	switch {
+	case bytes.Contains(line, []byte(`"level":"warning"`)), bytes.Contains(line, []byte(`"level":"error"`)):
+		return 0
+	case bytes.Contains(line, []byte(`"level":"debug"`)):
+		return debugReserve
+	default:
+		return 1
+	}
+}
+
+// drop counts a line that is not written. s.mu is held.
+func (s *Sink) drop(line []byte) {
+	event := "other"
+	if _, rest, found := bytes.Cut(line, []byte(`"event":"`)); found {
+		if name, _, ends := bytes.Cut(rest, []byte(`"`)); ends {
+			event = string(name)
+		}
+	}
+	if _, known := s.dropped[event]; !known && len(s.dropped) >= maxKinds {
+		event = "other"
+	}
+	s.dropped[event]++
+}
+
 // withDrops returns a copy of the line, after a line that counts the drops.
 func (s *Sink) withDrops(line []byte) []byte {
 	var out []byte
-	if s.dropped > 0 {
-		out = fmt.Appendf(out, `{"event":"log_lines_dropped","level":"warning","count":%d,"time":%q}`+"\n", s.dropped, s.last.Format(time.RFC3339Nano))
-		s.dropped = 0
+	if len(s.dropped) > 0 && s.last.Sub(s.said) >= dropInterval {
+		s.said = s.last
+		kinds, err := json.Marshal(s.dropped)
+		if err != nil {
+			kinds = []byte("{}") // a map of numbers is always encoded
+		}
+		out = fmt.Appendf(out, `{"event":"log_lines_dropped","level":"warning","count":%s,"time":%q}`+"\n", kinds, s.last.Format(time.RFC3339Nano))
+		clear(s.dropped)
 	}
 	return append(out, line...)
 }
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/papayarail/papayarail/core/gateway"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/failurelog"
 	"github.com/papayarail/papayarail/proxy/figures"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/hop"
@@ -91,6 +92,7 @@
 
 	reader    *reader
 	router    *hop.Router
+	failures  *failurelog.Log
 	isolation isolation
 	stop      stopState
 }
@@ -98,6 +100,7 @@
 // New returns a Node that does nothing until Run.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, groups: make(map[string]*group.Group), sessions: make(map[*served]struct{})}
+	n.failures = failurelog.New(cfg.Log)
 	n.reader = newReader(n)
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
@@ -270,7 +273,7 @@
 		delete(n.sessions, entry)
 		n.mu.Unlock()
 	}()
-	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, Metrics: n.cfg.Figures}
+	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, Failures: n.failures, Metrics: n.cfg.Figures}
 	return session.New(env, caller, name, database).Serve(n)
 }
 
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -4,8 +4,6 @@
 	"errors"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
@@ -63,6 +61,7 @@
 // tryMembers runs an attempt on one member after the other until it has a final
 // answer. tried is the number of members that are not tried again.
 func (s *Session) tryMembers(g *group.Group, w work, need group.Need, attempt func(c group.Choice, tried int) (statement.Reply, outcome)) statement.Reply {
+	s.tried = s.tried[:0]
 	excluded := make(map[*upstream.Upstream]bool)
 	var last error
 	for n := 1; n <= maxAttempts; n++ {
@@ -72,6 +71,9 @@
 		}
 		reply, result := attempt(choice, len(excluded))
 		if result == answered {
+			if reply.Err == nil && len(s.tried) > 0 {
+				s.logRetried(w, choice)
+			}
 			return reply
 		}
 		last = reply.Err
@@ -81,7 +83,7 @@
 		if s.env.Clock() >= need.Deadline {
 			break
 		}
-		s.logRetry(w, choice, n, reply.Err)
+		s.noteAttempt(choice, reply.Err)
 		reason, failed := statement.ReasonOf(reply.Err)
 		switch {
 		case failed && reason == statement.ReadOnly && choice.Primary:
@@ -218,21 +220,6 @@
 	}
 }
 
-func (s *Session) logRetry(w work, c group.Choice, attempt int, err error) {
-	s.env.Metrics.Retried(outcomeName(err))
-	s.env.Log.WithFields(logrus.Fields{"event": "retry", "request": w.ID, "session": s.name, "upstream": c.Member().ID, "primary": c.Primary,
-		"after": c.After.String(), "evidence_age_ms": c.Evidence.Milliseconds(), "attempt": attempt, "gateway": s.gateway, "error": err.Error()}).Info("statement is tried again")
-}
-
-func (s *Session) logFailure(g *group.Group, w work, r catalog.Route, need group.Need, err error) {
-	e := g.Evidence()
-	s.env.Log.WithFields(logrus.Fields{"event": "failed", "request": w.ID, "session": s.name, "database": s.database, "service": r.Service,
-		"consistency": r.Consistency.String(), "rank": need.Rank.String(), "writes": w.writes, "outcome": outcomeName(err), "gateway": s.gateway,
-		"took_ms": (s.env.Clock() - need.Arrival).Milliseconds(), "timeout_ms": r.Timeout.Milliseconds(),
-		"lead": e.Lead.Member, "term": e.Lead.Term, "record_version": e.RecordVersion, "proven_for_ms": e.ProvenFor.Milliseconds(),
-		"claim_holder": e.ClaimHolder, "lead_doubted": e.Doubted, "error": err.Error()}).Info("statement was not served")
-}
-
 // outcomeName names the outcome of a statement in logs and metrics.
 func outcomeName(err error) string {
 	if err == nil {
--- a/proxy/session/session.go
+++ b/proxy/session/session.go
@@ -42,6 +42,7 @@
 	Directory Directory
 	Clock     steady.Clock
 	Log       *logrus.Entry
+	Failures  Failures
 	Metrics   Metrics
 }
 
@@ -58,6 +59,8 @@
 	tx       *transaction
 	state    statement.State
 	gateway  string // that ran the last attempt, if it was another instance
+	// tried are the attempts of the present statement without a final answer.
+	tried []triedMember
 }
 
 // ownWrite is the position and the time of a session's last write to a service.
