Count reads without room where their queue is, also at gateways

Cause: with 62 instances, each saw a few of the reads that no member could execute, and the gateways, whose queues refuse them, did not know that all replicas were behind. The hand-over of a lead was not due anywhere. Change: a job says that all other members are behind; the instance whose queue refuses it counts it.

--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -146,6 +146,9 @@
 // error nothing is held and nothing has run.
 func (g *Group) connect(u *upstream.Upstream, j upstream.Job) (ticket uint64, conn *upstream.Conn, err error) {
 	if ticket, err = u.Acquire(j.Caller, j.Rank, j.Deadline); err != nil {
+		if j.Last {
+			g.noRoom(u)
+		}
 		return 0, nil, err
 	}
 	left := j.Deadline - g.cfg.Clock() - answerSlack
@@ -166,6 +169,20 @@
 	return ticket, conn, nil
 }
 
+// noRoom takes in that a member refused a read for which all others are behind.
+func (g *Group) noRoom(u *upstream.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, lead := g.leadLocked(); lead != u {
+		return
+	}
+	now := g.cfg.Clock()
+	g.relief.Refused(now)
+	if g.relief.Due(now, g.suspicion.changedAt) {
+		g.poke()
+	}
+}
+
 // exec runs a statement on a connection, watching the silence of a primary.
 func (g *Group) exec(primary bool, conn *upstream.Conn, st statement.Statement, timeout time.Duration) (statement.Reply, error) {
 	if !primary {
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -110,6 +110,13 @@
 	return max(n.Objective/4, minEvidenceWait)
 }
 
+// Last reports whether a member is the only one that is not excluded.
+func (g *Group) Last(c Choice, excluded map[*upstream.Upstream]bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.members) > 1 && len(excluded) == len(g.members)-1 && !excluded[c.Upstream]
+}
+
 // choose decides without waiting. g.mu is held.
 func (g *Group) choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
 	if n.Writes {
@@ -246,12 +253,6 @@
 		return nil
 	}
 	if _, u := g.leadLocked(); u != nil && excluded[u] && !g.tracker.Changing() && !g.suspicion.confirmed {
-		if !n.Writes && len(excluded) == len(g.members) && len(g.members) > 1 {
-			g.relief.Refused(g.cfg.Clock())
-			if g.relief.Due(g.cfg.Clock(), g.suspicion.changedAt) {
-				g.poke()
-			}
-		}
 		return verdict.New(verdict.ReplicaBehind, "no member of service %s could execute the request", g.cfg.Service).After(g.comeBackLocked())
 	}
 	if failedRounds >= roundsBeforeCutOff {
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -49,19 +49,27 @@
 }
 
 func (s *Session) attempts(g *group.Group, w work, need group.Need) statement.Reply {
-	return s.tryMembers(g, w, need, func(c group.Choice, tried int) (statement.Reply, outcome) {
-		reply, result := s.attempt(g, c, w, need, tried)
+	return s.tryMembers(g, w, need, func(at attemptAt) (statement.Reply, outcome) {
+		reply, result := s.attempt(g, at, w, need)
 		if result == unanswered && w.writes {
-			return refused(verdict.New(verdict.OutcomeUnknown, "upstream %s did not answer the write: %v", c.Member().ID, reply.Err)), answered
+			return refused(verdict.New(verdict.OutcomeUnknown, "upstream %s did not answer the write: %v", at.Member().ID, reply.Err)), answered
 		}
 		return reply, result
 	})
 }
 
+// attemptAt is an attempt on a chosen member.
+type attemptAt struct {
+	group.Choice
+	tried int  // members that are not tried again
+	last  bool // all other members are behind what the statement reads
+}
+
 // tryMembers runs an attempt on one member after the other until it has a final
-// answer. tried is the number of members that are not tried again.
-func (s *Session) tryMembers(g *group.Group, w work, need group.Need, attempt func(c group.Choice, tried int) (statement.Reply, outcome)) statement.Reply {
+// answer.
+func (s *Session) tryMembers(g *group.Group, w work, need group.Need, attempt func(attemptAt) (statement.Reply, outcome)) statement.Reply {
 	s.tried = s.tried[:0]
+	behind := 0 // members that are behind what the statement reads
 	excluded := make(map[*upstream.Upstream]bool)
 	var last error
 	for n := 1; n <= maxAttempts; n++ {
@@ -69,7 +77,8 @@
 		if err != nil {
 			return refused(preferFirst(last, err))
 		}
-		reply, result := attempt(choice, len(excluded))
+		try := attemptAt{Choice: choice, tried: len(excluded), last: behind == len(excluded) && g.Last(choice, excluded)}
+		reply, result := attempt(try)
 		if result == answered {
 			if reply.Err == nil && len(s.tried) > 0 {
 				s.logRetried(w, choice)
@@ -92,6 +101,9 @@
 			s.pause(need, demotedPause)
 		case !choice.Primary || !need.Writes:
 			excluded[choice.Upstream] = true
+			if failed && reason == statement.Behind {
+				behind++
+			}
 		case overloaded(reply.Err) || withoutPrimary(reply.Err):
 			return reply
 		default:
@@ -175,22 +187,22 @@
 }
 
 // attempt runs a statement once.
-func (s *Session) attempt(g *group.Group, c group.Choice, w work, need group.Need, tried int) (statement.Reply, outcome) {
+func (s *Session) attempt(g *group.Group, at attemptAt, w work, need group.Need) (statement.Reply, outcome) {
 	j := s.job(w, need.Rank, need.Deadline)
-	j.Statement.After = c.After
-	j.Keeps = w.writes
-	if !w.writes && tried == 0 {
+	j.Statement.After = at.After
+	j.Keeps, j.Last = w.writes, at.last && !w.writes
+	if !w.writes && at.tried == 0 {
 		limit := max(readAttempt, need.Objective)
 		j.Limit = limit
 		if need.Consistency != catalog.Strict {
 			j.Deadline = min(j.Deadline, s.env.Clock()+limit)
 		}
 	}
-	r := g.Execute(c, j)
+	r := g.Execute(at.Choice, j)
 	s.gateway = r.Gateway
 	switch {
 	case r.Err == nil:
-		return s.judge(c, w, r.Reply)
+		return s.judge(at.Choice, w, r.Reply)
 	case r.Sent:
 		return refused(r.Err), unanswered
 	default:
