Learn how far a replica is behind, and ask it in vain ten times a second at most

Cause: an instance assumed a lag of 2 s at most, less than the 2.5 s that callers accept, so that each read asked both lagging replicas before the primary, and again after the primary had refused it. Change: core/lag takes any lag from what the replica lacked and had, and core/choose puts a replica that was just asked in vain behind every queue. A read for which all other members are behind is refused at once by the primary's queue.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -14,6 +14,9 @@
 	// BehindCost is the cost of asking a replica that probably has not reached
 	// the position: a round trip, after which the read starts again elsewhere.
 	BehindCost = 12 * time.Millisecond
+	// UntimelyCost is added for such a replica that was asked in vain just before: it
+	// comes after every member whose queue accepts the read.
+	UntimelyCost = 5 * time.Second
 )
 
 // ColdCost is the time to open a connection (12 ms of a slot and a round trip).
@@ -29,6 +32,8 @@
 	Primary bool
 	// Behind means that the member has probably not reached the position.
 	Behind bool
+	// Untimely means that a read has just asked it in vain.
+	Untimely bool
 	// Cold means that a connection must be opened first.
 	Cold bool
 	// Suspect means that the last request to the member failed.
@@ -51,6 +56,9 @@
 	if c.Behind {
 		cost += BehindCost
 	}
+	if c.Untimely {
+		cost += UntimelyCost
+	}
 	if c.Cold {
 		cost += ColdCost
 	}
@@ -70,3 +78,13 @@
 	}
 	return best
 }
+
+// Alone reports whether all candidates but the one at index i are behind.
+func Alone(cs []Candidate, i int) bool {
+	for k, c := range cs {
+		if k != i && !c.Behind {
+			return false
+		}
+	}
+	return true
+}
--- a/core/choose/choose_test.go
+++ b/core/choose/choose_test.go
@@ -26,3 +26,26 @@
 	assert.Equal(t, choose.Best([]choose.Candidate{primary, far, near}), 2)
 	assert.Equal(t, choose.Best(nil), -1)
 }
+
+// Guards the primary's callers and the replicas' ways: a replica that was just asked in
+// vain is not asked again while another member takes the read, and is rather asked than
+// one that does not answer.
+func TestUntimely(t *testing.T) {
+	behind := choose.Candidate{Service: 9 * ms, Behind: true, Untimely: true}
+	busy := choose.Candidate{Service: 9 * ms, Primary: true, Wait: time.Second}
+	dead := choose.Candidate{Suspect: true}
+	assert.Equal(t, choose.Best([]choose.Candidate{behind, busy}), 1)
+	assert.Equal(t, choose.Best([]choose.Candidate{dead, behind}), 1)
+	behind.Untimely = false
+	assert.Equal(t, choose.Best([]choose.Candidate{behind, busy}), 0, "it may have caught up")
+}
+
+// Guards the refusal at once of a read for which the other members lag: they were each
+// asked in vain first.
+func TestAlone(t *testing.T) {
+	primary, behind := choose.Candidate{Primary: true}, choose.Candidate{Behind: true}
+	assert.Assert(t, choose.Alone([]choose.Candidate{behind, primary, behind}, 1))
+	assert.Assert(t, !choose.Alone([]choose.Candidate{behind, primary, {}}, 1))
+	assert.Assert(t, !choose.Alone([]choose.Candidate{{}, {}}, 0), "equal candidates are two")
+	assert.Assert(t, choose.Alone([]choose.Candidate{primary}, 0))
+}
--- /dev/null
+++ b/core/lag/lag.go
@@ -0,0 +1,53 @@
+// Package lag learns how far a replica is behind its primary from the reads that it
+// could and could not execute, and decides when to ask it again. It answers replicas
+// that fall behind by many seconds: every read asked each of them in vain before it
+// went to the primary, a fifth to a quarter of what arrived at the members. It is a
+// pure state machine.
+package lag
+
+import "time"
+
+const (
+	// initial is assumed until answers show the lag.
+	initial = 30 * time.Millisecond
+	// limit bounds what is assumed.
+	limit = time.Minute
+	// askInterval separates two reads that ask a replica which is probably behind:
+	// one that has caught up is used again after that time. A round trip is lost
+	// each time it has not.
+	askInterval = 100 * time.Millisecond
+)
+
+// Estimate is what is known of one replica. The zero value is ready.
+type Estimate struct {
+	lag   time.Duration // 0: nothing is known
+	asked time.Duration // when a read last asked although the replica was probably behind
+}
+
+func (e *Estimate) assumed() time.Duration {
+	if e.lag == 0 {
+		return initial
+	}
+	return e.lag
+}
+
+// Behind reports whether the replica probably lacks a position that its primary
+// reached this long ago.
+func (e *Estimate) Behind(age time.Duration) bool { return age < e.assumed() }
+
+// Due reports whether a read may ask the replica although it is probably behind.
+func (e *Estimate) Due(now time.Duration) bool { return e.asked == 0 || now-e.asked >= askInterval }
+
+// Asked takes in that such a read is sent.
+func (e *Estimate) Asked(now time.Duration) { e.asked = now }
+
+// Lacked takes in that the replica lacked a position of this age. A young position
+// says nothing about older ones.
+func (e *Estimate) Lacked(age time.Duration) {
+	e.lag = max(e.assumed(), min(2*age, limit))
+}
+
+// Had takes in that the replica had a position of this age.
+func (e *Estimate) Had(age time.Duration) {
+	e.lag = min(e.assumed(), max(age, 1))
+}
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -62,6 +62,8 @@
 	At    time.Duration
 	// Evidence is the age of what the choice rests on, for the log.
 	Evidence time.Duration
+	// Alone means that no other member probably has what a read needs.
+	Alone bool
 }
 
 // Choose returns the member to execute a request, waiting for a primary or for
@@ -110,13 +112,6 @@
 	return max(n.Objective/4, minEvidenceWait)
 }
 
-// Last reports whether a member is the only one that is not excluded.
-func (g *Group) Last(c Choice, excluded map[*upstream.Upstream]bool) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.members) > 1 && len(excluded) == len(g.members)-1 && !excluded[c.Upstream]
-}
-
 // choose decides without waiting. g.mu is held.
 func (g *Group) choose(n Need, excluded map[*upstream.Upstream]bool) (Choice, bool) {
 	if n.Writes {
@@ -181,7 +176,8 @@
 		case !marked || info.Draining:
 			continue
 		default:
-			c.Behind = m.Behind(after, at)
+			behind, due := m.Behind(after, at)
+			c.Behind, c.Untimely = behind, behind && !due
 		}
 		choices = append(choices, choice)
 		candidates = append(candidates, c)
@@ -190,6 +186,10 @@
 	if best < 0 {
 		return Choice{}, false
 	}
+	if candidates[best].Behind {
+		choices[best].AskBehind()
+	}
+	choices[best].Alone = choose.Alone(candidates, best)
 	return choices[best], true
 }
 
--- a/proxy/hop/wire.go
+++ b/proxy/hop/wire.go
@@ -36,16 +36,16 @@
 	Left  time.Duration `json:"left"`
 	Limit time.Duration `json:"limit,omitempty"`
 	Keeps bool          `json:"keeps,omitempty"`
-	Last  bool          `json:"last,omitempty"`
+	Alone bool          `json:"alone,omitempty"`
 }
 
 func toWire(j upstream.Job, now time.Duration) wireJob {
-	return wireJob{j.Statement, j.Caller, j.Rank, j.Values, j.Prepared, j.Deadline - now, j.Limit, j.Keeps, j.Last}
+	return wireJob{j.Statement, j.Caller, j.Rank, j.Values, j.Prepared, j.Deadline - now, j.Limit, j.Keeps, j.Alone}
 }
 
 func (w wireJob) job(clock steady.Clock) upstream.Job {
 	return upstream.Job{Statement: w.Statement, Caller: w.Caller, Rank: w.Rank, Values: w.Values, Prepared: w.Prepared,
-		Deadline: clock() + w.Left, Limit: w.Limit, Keeps: w.Keeps, Last: w.Last}
+		Deadline: clock() + w.Left, Limit: w.Limit, Keeps: w.Keeps, Alone: w.Alone}
 }
 
 // target is a member as the calling instance sees it.
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -49,27 +49,19 @@
 }
 
 func (s *Session) attempts(g *group.Group, w work, need group.Need) statement.Reply {
-	return s.tryMembers(g, w, need, func(at attemptAt) (statement.Reply, outcome) {
-		reply, result := s.attempt(g, at, w, need)
+	return s.tryMembers(g, w, need, func(c group.Choice, tried int) (statement.Reply, outcome) {
+		reply, result := s.attempt(g, c, w, need, tried)
 		if result == unanswered && w.writes {
-			return refused(verdict.New(verdict.OutcomeUnknown, "upstream %s did not answer the write: %v", at.Member().ID, reply.Err)), answered
+			return refused(verdict.New(verdict.OutcomeUnknown, "upstream %s did not answer the write: %v", c.Member().ID, reply.Err)), answered
 		}
 		return reply, result
 	})
 }
 
-// attemptAt is an attempt on a chosen member.
-type attemptAt struct {
-	group.Choice
-	tried int  // members that are not tried again
-	last  bool // all other members are behind what the statement reads
-}
-
 // tryMembers runs an attempt on one member after the other until it has a final
-// answer.
-func (s *Session) tryMembers(g *group.Group, w work, need group.Need, attempt func(attemptAt) (statement.Reply, outcome)) statement.Reply {
+// answer. tried is the number of members that are not tried again.
+func (s *Session) tryMembers(g *group.Group, w work, need group.Need, attempt func(c group.Choice, tried int) (statement.Reply, outcome)) statement.Reply {
 	s.tried = s.tried[:0]
-	behind := 0 // members that are behind what the statement reads
 	excluded := make(map[*upstream.Upstream]bool)
 	var last error
 	for n := 1; n <= maxAttempts; n++ {
@@ -77,8 +69,7 @@
 		if err != nil {
 			return refused(preferFirst(last, err))
 		}
-		try := attemptAt{Choice: choice, tried: len(excluded), last: behind == len(excluded) && g.Last(choice, excluded)}
-		reply, result := attempt(try)
+		reply, result := attempt(choice, len(excluded))
 		if result == answered {
 			if reply.Err == nil && len(s.tried) > 0 {
 				s.logRetried(w, choice)
@@ -101,8 +92,8 @@
 			s.pause(need, demotedPause)
 		case !choice.Primary || !need.Writes:
 			excluded[choice.Upstream] = true
-			if failed && reason == statement.Behind {
-				behind++
+			if choice.Primary && choice.Alone && overloaded(reply.Err) {
+				return reply // the others would be asked in vain
 			}
 		case overloaded(reply.Err) || withoutPrimary(reply.Err):
 			return reply
@@ -187,22 +178,22 @@
 }
 
 // attempt runs a statement once.
-func (s *Session) attempt(g *group.Group, at attemptAt, w work, need group.Need) (statement.Reply, outcome) {
+func (s *Session) attempt(g *group.Group, c group.Choice, w work, need group.Need, tried int) (statement.Reply, outcome) {
 	j := s.job(w, need.Rank, need.Deadline)
-	j.Statement.After = at.After
-	j.Keeps, j.Last = w.writes, at.last && !w.writes
-	if !w.writes && at.tried == 0 {
+	j.Statement.After = c.After
+	j.Keeps, j.Alone = w.writes, c.Alone
+	if !w.writes && tried == 0 {
 		limit := max(readAttempt, need.Objective)
 		j.Limit = limit
 		if need.Consistency != catalog.Strict {
 			j.Deadline = min(j.Deadline, s.env.Clock()+limit)
 		}
 	}
-	r := g.Execute(at.Choice, j)
+	r := g.Execute(c, j)
 	s.gateway = r.Gateway
 	switch {
 	case r.Err == nil:
-		return s.judge(at.Choice, w, r.Reply)
+		return s.judge(c, w, r.Reply)
 	case r.Sent:
 		return refused(r.Err), unanswered
 	default:
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -122,9 +122,9 @@
 	t := s.tx
 	need := s.need(t.route, t.arrival, !t.readOnly, true)
 	need.Deadline = arrival + t.route.Timeout
-	return s.tryMembers(t.group, w, need, func(at attemptAt) (statement.Reply, outcome) {
-		t.choice = at.Choice
-		reply, result := s.open(w, need, at.last)
+	return s.tryMembers(t.group, w, need, func(c group.Choice, _ int) (statement.Reply, outcome) {
+		t.choice = c
+		reply, result := s.open(w, need)
 		if result != answered {
 			t.abandon()
 		}
@@ -133,8 +133,8 @@
 }
 
 // open begins the transaction on the chosen upstream and runs its first
-// statement. last means that all other members are behind.
-func (s *Session) open(w work, need group.Need, last bool) (statement.Reply, outcome) {
+// statement.
+func (s *Session) open(w work, need group.Need) (statement.Reply, outcome) {
 	t := s.tx
 	begin := statement.Statement{Kind: statement.Begin, After: t.choice.After}
 	if t.readOnly {
@@ -142,7 +142,7 @@
 	}
 	t.wrote = t.wrote || w.writes
 	j := s.job(w, need.Rank, need.Deadline)
-	j.Last = last && !need.Writes
+	j.Alone = t.choice.Alone
 	tx, o := t.group.Open(t.choice, begin, j)
 	s.gateway = cmp.Or(o.First.Gateway, o.Begin.Gateway)
 	if !o.Begun() {
@@ -229,7 +229,7 @@
 	}
 	t.choice = choice
 	s.tx = t
-	reply, result := s.open(work{Statement: st}, need, false)
+	reply, result := s.open(work{Statement: st}, need)
 	s.tx = nil
 	t.abandon() // unless the commit has ended it
 	if result != answered {
--- a/proxy/upstream/job.go
+++ b/proxy/upstream/job.go
@@ -26,8 +26,8 @@
 	// Keeps means that a member which executes the statement may keep a write:
 	// it is a write on its own, or the commit of writes.
 	Keeps bool
-	// Last means that all other members said that they are behind what it reads.
-	Last bool
+	// Alone means that no other member probably has what it reads.
+	Alone bool
 }
 
 // Result is what is known after a Job.
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/papayarail/papayarail/core/lag"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/share"
@@ -38,9 +39,6 @@
 	// DialTimeout bounds the opening of a connection: 12 ms at a calm member,
 	// and 18 queued statements of 9 ms on two slots before it.
 	DialTimeout = 400 * time.Millisecond
-	// initialLag is assumed until answers of the replica show its lag.
-	initialLag = 30 * time.Millisecond
-	maxLag     = 2 * time.Second
 )
 
 // Conn is a connection of the pool with what is set on it.
@@ -75,13 +73,13 @@
 
 	suspect time.Duration // last choice until then
 	known   position.Position
-	lag     time.Duration
+	lag     lag.Estimate
 }
 
 // New returns an Upstream without connections.
 func New(m catalog.Member, policy share.Policy, dialer statement.Dialer, clock steady.Clock) *Upstream {
 	return &Upstream{
-		dialer: dialer, clock: clock, member: m, policy: policy, lag: initialLag,
+		dialer: dialer, clock: clock, member: m, policy: policy,
 		waiting: make(map[uint64]chan error),
 		sched: schedule.New(schedule.Config{
 			Slots: policy.Run, Limit: policy.Limit, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
@@ -106,7 +104,7 @@
 	if m.Started != u.member.Started || m.Address != u.member.Address {
 		drop, u.idle = u.idle, nil
 		u.open -= len(drop)
-		u.known = position.Position{}
+		u.known, u.lag = position.Position{}, lag.Estimate{}
 	}
 	if policy.Run != u.policy.Run || policy.Limit != u.policy.Limit {
 		u.dispatch(u.sched.SetLimits(policy.Run, policy.Limit, u.clock()))
@@ -184,11 +182,22 @@
 }
 
 // Behind reports whether the member has probably not reached p, which some
-// primary reached at the time at.
-func (u *Upstream) Behind(p position.Position, at time.Duration) bool {
+// primary reached at the time at. due says that a read may ask it all the same.
+func (u *Upstream) Behind(p position.Position, at time.Duration) (behind, due bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.known.AtLeast(p) && u.clock()-at < u.lag
+	if u.known.AtLeast(p) {
+		return false, true
+	}
+	now := u.clock()
+	return u.lag.Behind(now - at), u.lag.Due(now)
+}
+
+// AskBehind takes in that a read asks the member although it is probably behind.
+func (u *Upstream) AskBehind() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lag.Asked(u.clock())
 }
 
 // NoteBehind takes in that the member had not reached a position of the time
@@ -196,12 +205,10 @@
 func (u *Upstream) NoteBehind(at time.Duration, reached bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	age := u.clock() - at
-	switch {
-	case !reached:
-		u.lag = min(max(u.lag, age)*2, maxLag)
-	case age < u.lag:
-		u.lag -= (u.lag - age) / 8
+	if age := u.clock() - at; reached {
+		u.lag.Had(age)
+	} else {
+		u.lag.Lacked(age)
 	}
 }
 
