Hand a lead over after half a second without room for reads

Cause: reads were refused for a second, and by ten at one instance, before a hand-over was due. Change: half a second, and five.

--- a/core/relief/relief.go
+++ b/core/relief/relief.go
@@ -10,12 +10,12 @@
 
 const (
 	// sustained is how long reads must have been refused. A change of primary costs
-	// the group about as much as one second of refusals.
-	sustained = time.Second
+	// the group some refused writes; a second of refusals costs more.
+	sustained = 500 * time.Millisecond
 	// gap ends a run of refusals.
 	gap = 500 * time.Millisecond
 	// minRefused keeps a few callers that come back from counting as overload.
-	minRefused = 10
+	minRefused = 5
 	// settle separates two attempts, and an attempt from any change of primary:
 	// replicas that still lag after a change are not helped by a second one.
 	settle = 15 * time.Second
