Keep marks as far back as the configuration's routes accept

Cause: marks reached back for 1.3 to 2.5 s, the bound of the first site files, by a ring of 128 that was halved when it was full. A route that accepts older data was served as if it accepted that, and one that accepts 2.5 s as if 1.3 s at times. Change: marks reach back as far as the greatest staleness of a service's routes, with a spacing that follows it; those that are older are dropped one by one.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -17,6 +17,8 @@
 package primacy
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/papayarail/papayarail/core/position"
@@ -30,11 +32,14 @@
 	// LeaseMargin covers the difference in rate between two steady clocks over
 	// a lease and the rounding of the store's time to milliseconds.
 	LeaseMargin = 20 * time.Millisecond
-	// markSpacing thins out the stored marks; the bounds are 1.5 s and more.
+	// markSpacing thins out the stored marks; a read that accepts old data may be
+	// given data that is younger by as much.
 	markSpacing = 20 * time.Millisecond
-	// markLimit bounds the memory of a tracker; at the spacing above, it
-	// covers 2.5 s, the largest staleness bound of the site files.
+	// markLimit bounds the memory of a tracker: a greater staleness than its part of
+	// the spacing has marks further apart.
 	markLimit = 128
+	// firstWindow is how far marks reach back until the configuration says so.
+	firstWindow = 2500 * time.Millisecond
 )
 
 // Lead names a primary and the term in which it leads.
@@ -86,6 +91,7 @@
 	record  Record
 	proven  time.Duration
 	marks   []Mark
+	window  time.Duration     // how far marks reach back; 0: firstWindow
 	cover   Mark              // latest position that covers all acknowledged writes, without the lead's word
 	first   position.Position // first known position of the lead
 	lastPos position.Position // highest known position of the lead
@@ -181,15 +187,20 @@
 		t.first = p
 	}
 	t.lastPos = position.Max(t.lastPos, p)
-	if n := len(t.marks); n > 0 && sentAt < t.marks[n-1].At+markSpacing {
+	window := cmp.Or(t.window, firstWindow)
+	if n := len(t.marks); n > 0 && sentAt < t.marks[n-1].At+max(markSpacing, window/markLimit) {
 		return
 	}
-	if len(t.marks) == markLimit {
-		t.marks = append(t.marks[:0], t.marks[markLimit/2:]...)
+	if i := slices.IndexFunc(t.marks, func(m Mark) bool { return m.At >= sentAt-window }); i > 0 {
+		t.marks = slices.Delete(t.marks, 0, i)
 	}
 	t.marks = append(t.marks, Mark{Position: p, At: sentAt})
 }
 
+// Accept sets the greatest age of data that a read of the service accepts, which
+// marks must reach back to.
+func (t *Tracker) Accept(staleness time.Duration) { t.window = max(staleness, 0) }
+
 // OldestMark returns the earliest mark taken at or after since: the position
 // that a replica must have reached so that it lacks no write acknowledged
 // before since. ok is false if there is no such mark.
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -92,3 +92,24 @@
 	assert.Assert(t, tr.ObserveRecord(primacy.Record{Lead: leadB, Version: 1}, 1, 1))
 	assert.Assert(t, !tr.ObserveRole(primacy.Lead{Member: "c", Term: 9}))
 }
+
+// Guards reads that accept old data: marks reached back for half of the greatest bound
+// of one deployment at times, so that replicas which had what callers accept were
+// passed over, and never further than 2.5 s.
+func TestMarksReachBack(t *testing.T) {
+	for _, staleness := range []time.Duration{500 * time.Millisecond, 2500 * time.Millisecond, 10 * time.Second, time.Minute} {
+		var tr primacy.Tracker
+		tr.Accept(staleness)
+		l := primacy.Lead{Member: "a", Term: 1}
+		tr.ObserveRole(l)
+		spacing := max(20*time.Millisecond, staleness/100)
+		for now := time.Second; now < 3*staleness+time.Second; now += 5 * time.Millisecond {
+			tr.ObserveQuorum(l, position.Position{Term: 1, Offset: uint64(now)}, now)
+			if now < time.Second+staleness {
+				continue
+			}
+			m, ok := tr.OldestMark(now - staleness)
+			assert.Assert(t, ok && m.At <= now-staleness+spacing, "%s: the oldest mark at %s is of %s", staleness, now, m.At)
+		}
+	}
+}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -186,6 +186,13 @@
 	g.service = s
 }
 
+// Accept takes in the greatest age of data that a route to the service accepts.
+func (g *Group) Accept(staleness time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.Accept(staleness)
+}
+
 // SetFleet takes in the announced instances.
 func (g *Group) SetFleet(f *gateway.Fleet) {
 	g.mu.Lock()
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -176,6 +176,10 @@
 	if old != nil && c.Version <= old.Version {
 		return
 	}
+	staleness := make(map[string]time.Duration)
+	for _, r := range c.Routes {
+		staleness[r.Service] = max(staleness[r.Service], r.Staleness)
+	}
 	n.mu.Lock()
 	for name, s := range c.Services {
 		if g := n.groups[name]; g != nil {
@@ -183,6 +187,7 @@
 		} else {
 			n.addGroup(s)
 		}
+		n.groups[name].Accept(staleness[name])
 	}
 	n.mu.Unlock()
 	n.config.Store(c)
