Remove the settle time between changes of primary for unacknowledged commits

A second change for that reason needs two writes that were not answered since the first one, and a comparison of the logs, anyway. The tests of proxy pass.

--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -45,9 +45,6 @@
 	// unannouncedWait is how long an instance that is not announced leaves that to
 	// others: announcements take up to 2 s.
 	unannouncedWait = 4 * time.Second
-	// settleTime keeps a group from replacing its primary again at once, unless
-	// the primary is leaving or does not answer.
-	settleTime = 3 * time.Second
 )
 
 // suspicion is what speaks against the lead.
@@ -314,7 +311,6 @@
 	g.mu.Lock()
 	r := g.tracker.Record()
 	t := g.suspicion
-	settled := g.cfg.Clock()-t.changedAt > settleTime
 	m := g.members[lead.Member]
 	g.mu.Unlock()
 	switch {
@@ -341,7 +337,7 @@
 	case probeUnknown:
 		return reason{}, false
 	}
-	if t.unanswered >= unansweredWrites && settled && g.replicationStuck(lead) {
+	if t.unanswered >= unansweredWrites && g.replicationStuck(lead) {
 		return reason{text: "commits_unacknowledged", stepDown: true}, true
 	}
 	g.mu.Lock()
