--- a/core/share/share.go
+++ b/core/share/share.go
@@ -1,7 +1,7 @@
 // Package share decides how many connections to one upstream an instance opens
-// and keeps. The upstream's limit holds for all instances together, and no
-// instance sees what the others have open, so each keeps to its part. It is a
-// pure function of the limit and the number of instances.
+// and keeps, and how many statements it runs there. The upstream's limits hold for
+// all instances together, and no instance sees what the others have open, so each
+// keeps to its part of the demand. It is a pure function of limits and part.
 package share
 
 import (
@@ -55,12 +55,14 @@
 	// gatewayQueue is the number of statements that each gateway may have waiting
 	// at the member.
 	gatewayQueue = 3
+	// rounding keeps sums of parts such as 1/9 from missing a whole number.
+	rounding = 1e-9
 )
 
 // For returns the policy of an instance for an upstream with a limit that it
 // shares with others. part is the part of the demand that is its own, from 0 to 1.
 func For(limit, slots int, part float64) Policy {
-	own := int(part*float64(limit) + 1e-9)
+	own := int(part*float64(limit) + rounding)
 	p := Policy{Open: min(max(own, minOpen), max(limit, 1)), Idle: idle}
 	p.Run, p.Limit = limits(run, slots, part)
 	if own >= 1 {
@@ -73,7 +75,7 @@
 // that connect to it for all others.
 func ForGateway(limit, slots, gateways int) Policy {
 	part := 1 / float64(max(gateways, 1))
-	own := int(part*float64(limit-limit/gatewayReserve) + 1e-9)
+	own := int(part*float64(limit-limit/gatewayReserve) + rounding)
 	p := Policy{Open: min(max(own, minOpen), max(limit, 1)), Keep: gatewayKeep, Idle: idle}
 	p.Run, p.Limit = limits(max(run, slots/max(gateways, 1)+gatewayQueue), slots, part)
 	return p
@@ -83,7 +85,7 @@
 // instances for the least urgent rank, and twice as many for the middle one. It
 // returns the greatest number that runs, at least run, and that of each rank.
 func limits(run, slots int, part float64) (int, [schedule.Ranks]int) {
-	of := func(n float64) int { return int(math.Ceil(n*part - 1e-9)) }
+	of := func(n float64) int { return int(math.Ceil(n*part - rounding)) }
 	least := max(of(1.5*float64(slots)), 1)
 	run = max(run, least+1)
 	middle := min(max(of(2*float64(slots)), least+1), run)
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -146,7 +146,7 @@
 // error nothing is held and nothing has run.
 func (g *Group) connect(u *upstream.Upstream, j upstream.Job) (ticket uint64, conn *upstream.Conn, err error) {
 	if ticket, err = u.Acquire(j.Caller, j.Rank, j.Deadline); err != nil {
-		if j.Alone {
+		if j.Alone && verdict.As(err).Overload() {
 			g.noRoom(u)
 		}
 		return 0, nil, err
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -44,25 +44,25 @@
 	last    time.Duration // the last of them
 }
 
-// outside tells groups' requests to members of other failure domains to an
-// isolation.
-type outside struct {
-	i     *isolation
-	clock steady.Clock
-}
+// outside is the group.Contact of a node.
+type outside struct{ n *Node }
 
 // Asked implements group.Contact.
 func (o outside) Asked(member string) {
-	o.i.mu.Lock()
-	defer o.i.mu.Unlock()
-	o.i.contact.Asked(member, o.clock())
+	i := &o.n.isolation
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.contact.Asked(member, o.n.cfg.Clock())
 }
 
 // Answered implements group.Contact.
-func (o outside) Answered() {
-	o.i.mu.Lock()
-	defer o.i.mu.Unlock()
-	o.i.contact.Answered()
+func (o outside) Answered() { o.n.isolation.answered() }
+
+// answered takes in an answer of anything outside of the failure domain.
+func (i *isolation) answered() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.contact.Answered()
 }
 
 // lost reports whether nothing outside of the failure domain answers.
--- a/proxy/node/readings.go
+++ b/proxy/node/readings.go
@@ -189,7 +189,7 @@
 		r.link.note(nil)
 		r.noteSource(from.Name)
 		if from.FailureDomain != n.cfg.Settings.FailureDomain {
-			outside{&n.isolation, n.cfg.Clock}.Answered()
+			n.isolation.answered()
 		}
 	}
 	r.takeIn(changes)
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -80,7 +80,7 @@
 		steady.Sleep(ctx, retryInterval)
 		return
 	}
-	outside{&n.isolation, n.cfg.Clock}.Answered()
+	n.isolation.answered()
 	r.takeIn(r.state.ReadRecords(records, sentAt, answeredAt))
 	r.poke()
 }
