--- a/core/relief/relief.go
+++ b/core/handover/handover.go
@@ -1,10 +1,10 @@
-// Package relief decides when a primary that serves should hand its lead over to
+// Package handover decides when a primary that serves should hand its lead over to
 // a replica. It answers one load: all replicas of a group apply entries so late
 // that reads cannot use them, and the primary alone has fewer slots than callers
 // ask for. A replica that leads has whatever it received, applied or not, and the
 // former primary, which keeps up, becomes a replica that reads can use: two
 // members then share the work of one. It is a pure state machine.
-package relief
+package handover
 
 import "time"
 
--- a/core/relief/relief_test.go
+++ b/core/handover/handover_test.go
@@ -1,4 +1,4 @@
-package relief_test
+package handover_test
 
 import (
 	"math/rand/v2"
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/papayarail/papayarail/core/relief"
+	"github.com/papayarail/papayarail/core/handover"
 )
 
 // load is what callers ask of one group whose replicas have all fallen behind.
@@ -27,7 +27,7 @@
 func play(l load, seed uint64, handOver bool) (served float64, changes int) {
 	r := rand.New(rand.NewPCG(seed, 1))
 	free := make([]time.Duration, l.slots)
-	var w relief.Watch
+	var w handover.Watch
 	var changed, due time.Duration
 	asked, ok := 0, 0
 	for now := time.Duration(0); now < l.duration; now += time.Duration(r.ExpFloat64() / l.perSecond * float64(time.Second)) {
@@ -87,7 +87,7 @@
 func TestNoChangeWithoutNeed(t *testing.T) {
 	_, changes := play(load{perSecond: 100, work: 30 * time.Millisecond, slots: 5, queue: 400 * time.Millisecond, duration: 60 * time.Second}, 1, true)
 	assert.Equal(t, changes, 0, "0.6 of the slots are asked for")
-	var w relief.Watch
+	var w handover.Watch
 	for i := range 500 {
 		w.Refused(time.Duration(i) * time.Millisecond)
 	}
@@ -101,7 +101,7 @@
 // Guards against changes in a row: replicas that lag after one are not helped by
 // another, and each costs writes a second.
 func TestOneChangeAWhile(t *testing.T) {
-	var w relief.Watch
+	var w handover.Watch
 	last, changes := time.Duration(0), 0
 	for now := time.Second; now < 60*time.Second; now += 10 * time.Millisecond {
 		w.Refused(now)
--- a/core/contact/contact.go
+++ b/core/reachability/reachability.go
@@ -1,10 +1,10 @@
-// Package contact decides whether an instance is out of touch with everything
+// Package reachability decides whether an instance is out of touch with everything
 // outside of its failure domain. It answers a cut of a failure domain or of a single
 // instance: leases on a primary run out a second later, and the load balancer needs
 // two probes more, while callers of the instance are served next to nothing. An
 // instance under load can tell much earlier, because members that answered some
 // hundred requests a second all fall silent together. It is a pure state machine.
-package contact
+package reachability
 
 import "time"
 
--- a/core/contact/contact_test.go
+++ b/core/reachability/reachability_test.go
@@ -1,4 +1,4 @@
-package contact_test
+package reachability_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/papayarail/papayarail/core/contact"
+	"github.com/papayarail/papayarail/core/reachability"
 )
 
 const ms = time.Millisecond
@@ -14,7 +14,7 @@
 // Guards the callers of a cut failure domain: their instances were ready for a
 // second after the cut, until the leases had run out.
 func TestCutUnderLoad(t *testing.T) {
-	var w contact.Watch
+	var w reachability.Watch
 	for now := time.Duration(0); now < time.Second; now += 5 * ms {
 		w.Asked([]string{"a", "b", "c"}[now/(5*ms)%3], now)
 		w.Answered()
@@ -36,7 +36,7 @@
 // Guards an instance without load, and one whose only member in use has died: they
 // are not out of touch.
 func TestSilenceOfFew(t *testing.T) {
-	var w contact.Watch
+	var w reachability.Watch
 	assert.Assert(t, !w.Lost(time.Hour))
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
 		w.Asked("dead", now)
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -76,14 +76,14 @@
 // asked takes in that a request to a member begins.
 func (g *Group) asked(u *upstream.Upstream) {
 	if m := u.Member(); m.FailureDomain != g.cfg.FailureDomain {
-		g.cfg.Contact.Asked(m.ID)
+		g.cfg.Reachability.Asked(m.ID)
 	}
 }
 
 // answered takes in that a member has answered.
 func (g *Group) answered(u *upstream.Upstream) {
 	if u.Member().FailureDomain != g.cfg.FailureDomain {
-		g.cfg.Contact.Answered()
+		g.cfg.Reachability.Answered()
 	}
 }
 
@@ -177,8 +177,8 @@
 		return
 	}
 	now := g.cfg.Clock()
-	g.relief.Refused(now)
-	if g.relief.Due(now, g.suspicion.changedAt) {
+	g.handover.Refused(now)
+	if g.handover.Due(now, g.suspicion.changedAt) {
 		g.poke()
 	}
 }
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -13,9 +13,9 @@
 	"github.com/zeebo/errs"
 
 	"github.com/papayarail/papayarail/core/gateway"
+	"github.com/papayarail/papayarail/core/handover"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
-	"github.com/papayarail/papayarail/core/relief"
 	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -76,21 +76,21 @@
 	Sharers(member string, limit int) int
 }
 
-// Contact hears what a group asks of members outside of the instance's failure
+// Reachability hears what a group asks of members outside of the instance's failure
 // domain, and what they answer.
-type Contact interface {
+type Reachability interface {
 	Asked(member string)
 	Answered()
 }
 
-// noContact is Contact of an instance that does not watch it.
-type noContact struct{}
+// notWatched is Reachability of an instance that does not watch it.
+type notWatched struct{}
 
-// Asked implements Contact.
-func (noContact) Asked(string) {}
+// Asked implements Reachability.
+func (notWatched) Asked(string) {}
 
-// Answered implements Contact.
-func (noContact) Answered() {}
+// Answered implements Reachability.
+func (notWatched) Answered() {}
 
 // direct is Gateways of an instance that connects to all members itself.
 type direct struct{}
@@ -102,14 +102,14 @@
 func (direct) Sharers(string, int) int { return 0 }
 
 // Config is what a Group needs. Without Gateways, the instance connects to all
-// members itself; without Contact, nobody watches whether members answer.
+// members itself; without Reachability, nobody watches whether members answer.
 type Config struct {
 	Service       string
 	Instance      string
 	FailureDomain string
 	Dialer        statement.Dialer
 	Gateways      Gateways
-	Contact       Contact
+	Reachability  Reachability
 	Register      Register
 	Promoter      Promoter
 	Clock         steady.Clock
@@ -142,7 +142,7 @@
 	unrecorded   bool              // the first lead is to be recorded
 	suspicion    suspicion
 	silence      silence
-	relief       relief.Watch
+	handover     handover.Watch
 	rounds       rounds
 	wake         chan struct{}
 	finished     chan struct{}
@@ -153,8 +153,8 @@
 	if cfg.Gateways == nil {
 		cfg.Gateways = direct{}
 	}
-	if cfg.Contact == nil {
-		cfg.Contact = noContact{}
+	if cfg.Reachability == nil {
+		cfg.Reachability = notWatched{}
 	}
 	return &Group{
 		cfg: cfg, service: service,
@@ -262,7 +262,7 @@
 func (g *Group) noteLead(before primacy.Lead, source string) {
 	g.committed = 0 // it says nothing about another lead
 	g.leadMissing = 0
-	g.relief.Clear()
+	g.handover.Clear()
 	for _, m := range g.members {
 		m.longest = position.Position{} // replicas that were ahead are rolled back
 	}
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -210,22 +210,22 @@
 	return true
 }
 
-// reliefDue reports whether the lead should be handed over because no replica can
+// handOverDue reports whether the lead should be handed over because no replica can
 // execute reads and the primary has no room for them. It says so once a while.
-func (g *Group) reliefDue() bool {
+func (g *Group) handOverDue() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Clock()
 	// Without a replica's confirmation, an acknowledged commit may be on the primary
 	// alone, and a successor could lack it.
-	if g.service.AcknowledgedBy == 0 || !g.relief.Due(now, g.suspicion.changedAt) {
+	if g.service.AcknowledgedBy == 0 || !g.handover.Due(now, g.suspicion.changedAt) {
 		return false
 	}
 	// Without the store no change can begin; it is due when the store is back.
 	if g.blockedLocked() != "" {
 		return false
 	}
-	g.relief.Tried(now)
+	g.handover.Tried(now)
 	return true
 }
 
@@ -328,7 +328,7 @@
 		return reason{text: "leaving", registered: true}, true
 	case !m.rebornFloor.IsZero():
 		return reason{text: "restarted", confirms: true, registered: true}, true
-	case g.reliefDue():
+	case g.handOverDue():
 		return reason{text: "replicas_behind", handOver: true}, g.mayHandOver(lead)
 	case t.failures == 0 && !t.confirmed:
 		return reason{}, false
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/papayarail/papayarail/core/contact"
+	"github.com/papayarail/papayarail/core/reachability"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/steady"
 )
@@ -38,38 +38,38 @@
 	isolated atomic.Bool
 	closing  atomic.Bool
 
-	mu      sync.Mutex
-	contact contact.Watch
-	missed  int           // probes in a row that were told that it is not ready
-	last    time.Duration // the last of them
+	mu           sync.Mutex
+	reachability reachability.Watch
+	missed       int           // probes in a row that were told that it is not ready
+	last         time.Duration // the last of them
 }
 
-// outside is the group.Contact of a node.
+// outside is the group.Reachability of a node.
 type outside struct{ n *Node }
 
-// Asked implements group.Contact.
+// Asked implements group.Reachability.
 func (o outside) Asked(member string) {
 	i := &o.n.isolation
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.contact.Asked(member, o.n.cfg.Clock())
+	i.reachability.Asked(member, o.n.cfg.Clock())
 }
 
-// Answered implements group.Contact.
+// Answered implements group.Reachability.
 func (o outside) Answered() { o.n.isolation.answered() }
 
 // answered takes in an answer of anything outside of the failure domain.
 func (i *isolation) answered() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.contact.Answered()
+	i.reachability.Answered()
 }
 
 // lost reports whether nothing outside of the failure domain answers.
 func (i *isolation) lost(now time.Duration) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.contact.Lost(now)
+	return i.reachability.Lost(now)
 }
 
 // probed takes in what a probe of the load balancer was told.
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -198,7 +198,7 @@
 func (n *Node) addGroup(s catalog.Service) {
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
-		Dialer: n.cfg.Dialer, Gateways: n.router, Contact: outside{n}, Register: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
+		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: outside{n}, Register: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
 		Log: n.cfg.Log.WithField("service", s.Name),
 	}, s)
 	g.SetFleet(n.fleet)
