Try a hand-over again that could not begin; play random faults while replicas lag

Cause: when the store stopped answering just before a hand-over was due, its claim was not stored, and the attempt counted for 15 s all the same. Change: an attempt whose claim was not stored may be made again after 1 s. New test: series of overlapping faults with fixed seeds while all replicas lag and leads are handed over. Its first runs reported stale reads: the stand-in let a former primary forget what it had applied, while a read ran on it.

--- a/core/handover/handover.go
+++ b/core/handover/handover.go
@@ -19,6 +19,9 @@
 	// settle separates two attempts, and an attempt from any change of primary:
 	// replicas that still lag after a change are not helped by a second one.
 	settle = 15 * time.Second
+	// again is the time after an attempt that could not begin, because the store did
+	// not take the claim.
+	again = time.Second
 )
 
 // Watch sees the refusals of one group at one instance. The zero value is ready.
@@ -50,5 +53,8 @@
 // Tried takes in that the lead is being handed over, or cannot be.
 func (w *Watch) Tried(now time.Duration) { w.tried = now }
 
+// NotBegun takes in that the attempt could not begin.
+func (w *Watch) NotBegun(now time.Duration) { w.tried = now - settle + again }
+
 // Clear forgets the refusals, as after a change of primary.
 func (w *Watch) Clear() { w.refused = 0 }
--- a/core/handover/handover_test.go
+++ b/core/handover/handover_test.go
@@ -114,3 +114,19 @@
 	}
 	assert.Assert(t, changes >= 3 && changes <= 4, "%d changes in a minute", changes)
 }
+
+// Guards a hand-over that is due while the store does not take claims: it is tried
+// again soon, and not at once.
+func TestAttemptThatCouldNotBegin(t *testing.T) {
+	var w handover.Watch
+	attempts := 0
+	for now := time.Second; now < 11*time.Second; now += 10 * time.Millisecond {
+		w.Refused(now)
+		if w.Due(now, 0) {
+			attempts++
+			w.Tried(now)
+			w.NotBegun(now)
+		}
+	}
+	assert.Assert(t, attempts >= 9 && attempts <= 10, "%d attempts in 10 s", attempts)
+}
--- a/proxy/group/takeover.go
+++ b/proxy/group/takeover.go
@@ -120,8 +120,13 @@
 		c.pending = c.started + effectLimit
 		c.settled = c.started + g.untilSettled(*base.Claim)
 	}
-	if c.claim(ctx) {
+	switch {
+	case c.claim(ctx):
 		c.run(ctx)
+	case why.handOver:
+		g.mu.Lock()
+		g.handover.NotBegun(g.cfg.Clock())
+		g.mu.Unlock()
 	}
 }
 
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -239,6 +239,33 @@
 	return func() { ended.Store(true); work.Wait() }
 }
 
+// readers lets callers on all instances read their own writes twice a second each,
+// until they are stopped, and counts the answers and refusals.
+func (c *cluster) readers(n int) (answered, refused *atomic.Int32, stop func()) {
+	answered, refused = new(atomic.Int32), new(atomic.Int32)
+	var ended atomic.Bool
+	var work sync.WaitGroup
+	for i := range n {
+		instance := fmt.Sprint("i", 1+i%len(c.nodes))
+		s := c.open(instance, standin.Database+"_own")
+		work.Go(func() {
+			defer func() { s.leave() }()
+			for !ended.Load() {
+				switch err := c.read(s, 2500*time.Millisecond); {
+				case err == nil:
+					answered.Add(1)
+				case errors.Is(err, errEnded):
+					s = c.open(instance, standin.Database+"_own")
+				default:
+					refused.Add(1)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		})
+	}
+	return answered, refused, func() { ended.Store(true); work.Wait() }
+}
+
 // cutStore cuts all instances off from the store; healStore ends that.
 func (c *cluster) cutStore() {
 	for name := range c.nodes {
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -10,8 +10,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -337,14 +335,33 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playFaults(t, seed) })
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, 0) })
 		})
 	}
 }
 
-func playFaults(t *testing.T, seed uint64) {
+// Plays the same faults while all replicas apply entries late and more reads are asked
+// for than a primary has room for, so that leads are handed over among them.
+func TestRandomFaultsWhileReplicasLag(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, time.Minute) })
+		})
+	}
+}
+
+func playFaults(t *testing.T, seed uint64, applyLag time.Duration) {
 	c := newSimulated(t, "i1", "i2", "i3")
 	stop := c.load(seed)
+	if applyLag > 0 {
+		c.world.SetReadTime(100 * time.Millisecond)
+		for _, id := range []string{"a", "b", "c"} {
+			c.world.SetApplyLag(id, applyLag)
+		}
+		stopOthers := stop
+		_, _, stopReaders := c.readers(75)
+		stop = func() { stopReaders(); stopOthers() }
+	}
 	random := rand.New(rand.NewPCG(seed, 99))
 	names := []string{"a", "b", "c", "i1", "i2", "i3", "store"}
 	down := ""
@@ -434,40 +451,15 @@
 		for _, id := range []string{"b", "c"} {
 			c.world.SetApplyLag(id, time.Minute)
 		}
-		var answered, refused atomic.Int32
-		var ended atomic.Bool
-		var work sync.WaitGroup
-		writer := c.open("i1", standin.Database)
-		work.Go(func() {
-			defer writer.leave()
-			for !ended.Load() {
-				// Writes are refused for moments of a change; the checks of the world see
-				// those that are acknowledged.
-				_ = c.write(writer)
-				time.Sleep(20 * time.Millisecond)
-			}
-		})
-		for i := range 60 {
-			s := c.open(fmt.Sprint("i", 1+i%2), standin.Database+"_own")
-			work.Go(func() {
-				defer s.leave()
-				for !ended.Load() {
-					if err := c.read(s, 2500*time.Millisecond); err != nil {
-						refused.Add(1)
-					} else {
-						answered.Add(1)
-					}
-					time.Sleep(500 * time.Millisecond)
-				}
-			})
-		}
+		writing := c.load(1)
+		answered, refused, stopReaders := c.readers(60)
 		time.Sleep(storeAway + 8*time.Second) // marks are older than the staleness, and the lead has changed
 		assert.Assert(t, c.world.Leader() != "a", "the lead was not handed over")
 		before, lost := answered.Load(), refused.Load()
 		time.Sleep(10 * time.Second)
 		leader := c.world.Leader()
-		ended.Store(true)
-		work.Wait()
+		stopReaders()
+		writing()
 		rate, refusedLater := float64(answered.Load()-before)/10, refused.Load()-lost
 		t.Logf("%.1f reads a second answered, %d refused later, %d before", rate, refusedLater, lost)
 		assert.Assert(t, lost > 0, "the load must be too great for the primary")
--- a/proxy/standin/link.go
+++ b/proxy/standin/link.go
@@ -194,7 +194,7 @@
 	case c.Kind == statement.ReleaseReplica:
 		m.held = 0
 	case c.Kind == statement.GiveUpLead && m.primary && m.term < c.Term:
-		m.primary = false
+		m.giveUp()
 	}
 	status := m.status()
 	l.w.mu.Unlock()
--- a/proxy/standin/standin.go
+++ b/proxy/standin/standin.go
@@ -53,7 +53,10 @@
 	// applyLag is how long after their commit this member lets reads see entries
 	// while it is a replica.
 	applyLag time.Duration
-	links    map[*link]bool
+	// appliedAsPrimary is the number of entries that it had applied when it last gave
+	// up its lead.
+	appliedAsPrimary int
+	links            map[*link]bool
 }
 
 // Acknowledged is a commit that a caller was told of.
@@ -152,7 +155,7 @@
 	m.down, m.dark = false, false
 	for _, other := range w.members {
 		if other.primary && other.term > m.term {
-			m.primary = false
+			m.giveUp()
 		}
 	}
 	if empty {
@@ -380,7 +383,7 @@
 		time.AfterFunc(promoteTime, func() { w.demote(p, old) })
 		return
 	}
-	old.primary = false
+	old.giveUp()
 	w.ship(p, old)
 }
 
@@ -397,7 +400,7 @@
 	if m.primary || m.applyLag == 0 {
 		return m.log, m.position()
 	}
-	n := 0
+	n := min(m.appliedAsPrimary, len(m.log))
 	for n < len(m.log) && m.log[n].at+m.applyLag <= now {
 		n++
 	}
@@ -407,6 +410,11 @@
 	return m.log[:n], m.log[n-1].position
 }
 
+// giveUp makes a primary a replica, which has applied all of its log.
+func (m *Member) giveUp() {
+	m.primary, m.appliedAsPrimary = false, len(m.log)
+}
+
 func (m *Member) status() takeover.Status {
 	return takeover.Status{Primary: m.primary, Term: m.term, Received: m.position(), Held: m.held}
 }
