--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -14,9 +14,9 @@
 	// BehindCost is the cost of asking a replica that probably has not reached
 	// the position: a round trip, after which the read starts again elsewhere.
 	BehindCost = 12 * time.Millisecond
-	// UntimelyCost is added for such a replica that was asked in vain just before: it
+	// RecentlyBehindCost is added for such a replica that was asked in vain just before: it
 	// comes after every member whose queue accepts the read.
-	UntimelyCost = 5 * time.Second
+	RecentlyBehindCost = 5 * time.Second
 )
 
 // ColdCost is the time to open a connection (12 ms of a slot and a round trip).
@@ -32,8 +32,8 @@
 	Primary bool
 	// Behind means that the member has probably not reached the position.
 	Behind bool
-	// Untimely means that a read has just asked it in vain.
-	Untimely bool
+	// RecentlyBehind means that a read has just asked it in vain.
+	RecentlyBehind bool
 	// Cold means that a connection must be opened first.
 	Cold bool
 	// Suspect means that the last request to the member failed.
@@ -56,8 +56,8 @@
 	if c.Behind {
 		cost += BehindCost
 	}
-	if c.Untimely {
-		cost += UntimelyCost
+	if c.RecentlyBehind {
+		cost += RecentlyBehindCost
 	}
 	if c.Cold {
 		cost += ColdCost
--- a/core/choose/choose_test.go
+++ b/core/choose/choose_test.go
@@ -27,16 +27,15 @@
 	assert.Equal(t, choose.Best(nil), -1)
 }
 
-// Guards the primary's callers and the replicas' ways: a replica that was just asked in
-// vain is not asked again while another member takes the read, and is rather asked than
-// one that does not answer.
-func TestUntimely(t *testing.T) {
-	behind := choose.Candidate{Service: 9 * ms, Behind: true, Untimely: true}
+// Guards against questions in vain: a replica that was just found behind is not asked
+// again while another member takes the read, but before one that does not answer.
+func TestRecentlyBehind(t *testing.T) {
+	behind := choose.Candidate{Service: 9 * ms, Behind: true, RecentlyBehind: true}
 	busy := choose.Candidate{Service: 9 * ms, Primary: true, Wait: time.Second}
 	dead := choose.Candidate{Suspect: true}
 	assert.Equal(t, choose.Best([]choose.Candidate{behind, busy}), 1)
 	assert.Equal(t, choose.Best([]choose.Candidate{dead, behind}), 1)
-	behind.Untimely = false
+	behind.RecentlyBehind = false
 	assert.Equal(t, choose.Best([]choose.Candidate{behind, busy}), 0, "it may have caught up")
 }
 
--- a/proxy/group/route.go
+++ b/proxy/group/route.go
@@ -177,7 +177,7 @@
 			continue
 		default:
 			behind, due := m.Behind(after, at)
-			c.Behind, c.Untimely = behind, behind && !due
+			c.Behind, c.RecentlyBehind = behind, behind && !due
 		}
 		choices = append(choices, choice)
 		candidates = append(candidates, c)
