--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -270,6 +270,9 @@
 	if r.Claim != nil {
 		fields["claim_holder"], fields["claim_old"] = r.Claim.Holder, r.Claim.OldPrimary.Member
 	}
+	if known := g.tracker.Primary(); r.Primary.Term < known.Term {
+		fields["known_lead"], fields["known_term"] = known.Member, known.Term
+	}
 	g.cfg.Log.WithFields(fields).Info("record of the group changed")
 }
 
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -43,6 +43,18 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`papayarail_store_call_seconds{call=%q}`, call)).Update(took.Seconds())
 }
 
+// CountIgnoredSnapshot counts a snapshot of a table of the store that was not used
+// because a newer one is known.
+func (m *Metrics) CountIgnoredSnapshot(table string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_store_snapshots_ignored_total{table=%q}`, table)).Inc()
+}
+
+// RegisterEraGauge registers the gauge of the store's era, which grows when the store is
+// restored from an older copy.
+func (m *Metrics) RegisterEraGauge(era func() float64) {
+	m.set.GetOrCreateGauge("papayarail_store_era", era)
+}
+
 // RegisterSessionGauge registers the gauge of open sessions.
 func (m *Metrics) RegisterSessionGauge(open func() float64) {
 	m.set.GetOrCreateGauge("papayarail_sessions_open", open)
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -83,7 +83,11 @@
 		return
 	}
 	n.isolation.recordAnswer()
-	r.applyChanges(r.cache.SetRecords(records, sentAt, answeredAt))
+	changes := r.cache.SetRecords(records, sentAt, answeredAt)
+	if !changes.RecordsRead {
+		n.cfg.Metrics.CountIgnoredSnapshot("records")
+	}
+	r.applyChanges(changes)
 	r.wakeReader()
 }
 
@@ -119,7 +123,11 @@
 	r.membersSchedule.end(err == nil)
 	r.mu.Unlock()
 	if err == nil {
-		r.applyChanges(r.cache.SetMembers(members, sentAt, r.node.cfg.Clock()))
+		changes := r.cache.SetMembers(members, sentAt, r.node.cfg.Clock())
+		if !changes.MembersRead {
+			r.node.cfg.Metrics.CountIgnoredSnapshot("members")
+		}
+		r.applyChanges(changes)
 	}
 }
 
