--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -29,6 +29,9 @@
 	listeners []net.Listener
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
+	ctx       context.Context
+	network   *simulator.Network
+	peers     bool // instances discover and call each other
 	nextID    atomic.Uint64
 	// pace waits between the statements of the load; nil means no wait.
 	pace func(time.Duration)
@@ -40,33 +43,11 @@
 
 // startCluster starts instances; with peers they discover and call each other.
 func startCluster(t *testing.T, peers bool, instances []string) *cluster {
-	c := &cluster{t: t, sim: simulator.NewCluster("a", "b", "c"), nodes: make(map[string]*node.Node)}
-	ctx, cancel := context.WithCancel(t.Context())
-	c.cancel = cancel
-	network := c.sim.NewNetwork()
+	c := &cluster{t: t, sim: simulator.NewCluster("a", "b", "c"), nodes: make(map[string]*node.Node), peers: peers}
+	c.ctx, c.cancel = context.WithCancel(t.Context())
+	c.network = c.sim.NewNetwork()
 	for _, name := range instances {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		if testing.Verbose() {
-			log.SetOutput(t.Output())
-		}
-		settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second}
-		if peers {
-			settings.PeerAddress = name
-		}
-		n := node.New(node.Config{
-			Settings: settings,
-			DialPeer: func(ctx context.Context, to string) (net.Conn, error) { return network.Dial(ctx, name, to) },
-			Store:    c.sim.Store(name), Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
-			Clock: c.sim.Clock, Log: log.WithField("instance", name), Metrics: metrics.New(),
-		})
-		c.nodes[name] = n
-		if peers {
-			l := network.Listen(name)
-			c.listeners = append(c.listeners, l)
-			c.wait.Go(func() { _ = n.PeerServer().Serve(l) }) // ends with the listener
-		}
-		c.wait.Go(func() { n.Run(ctx) })
+		c.start(node.Settings{Instance: name, FirstStart: true})
 	}
 	c.await(5*time.Second, "a primary on all instances", func() bool {
 		for _, n := range c.nodes {
@@ -79,6 +60,34 @@
 	return c
 }
 
+// start starts one instance. Settings that do not differ between instances are filled
+// in.
+func (c *cluster) start(settings node.Settings) {
+	name := settings.Instance
+	settings.FailureDomain, settings.GracePeriod = "a", 6*time.Second
+	if c.peers {
+		settings.PeerAddress = name
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if testing.Verbose() {
+		log.SetOutput(c.t.Output())
+	}
+	n := node.New(node.Config{
+		Settings: settings,
+		DialPeer: func(ctx context.Context, to string) (net.Conn, error) { return c.network.Dial(ctx, name, to) },
+		Store:    c.sim.Store(name), Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
+		Clock: c.sim.Clock, Log: log.WithField("instance", name), Metrics: metrics.New(),
+	})
+	c.nodes[name] = n
+	if c.peers {
+		l := c.network.Listen(name)
+		c.listeners = append(c.listeners, l)
+		c.wait.Go(func() { _ = n.PeerServer().Serve(l) }) // ends with the listener
+	}
+	c.wait.Go(func() { n.Run(c.ctx) })
+}
+
 // await polls until a condition holds.
 func (c *cluster) await(limit time.Duration, what string, holds func() bool) {
 	c.t.Helper()
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -21,6 +21,7 @@
 	rows    map[string]storedRecord
 	// instances are the announced instances, by name.
 	instances map[string]source.Candidate
+	copy      storeCopy // the last one taken by CopyStore
 	// repliesToDrop is the number of further writes that are executed but not answered.
 	repliesToDrop int
 	// calls counts the calls that reached the store.
@@ -39,6 +40,28 @@
 // Store returns the client of the store for an instance.
 func (c *Cluster) Store(instance string) *StoreClient { return &StoreClient{c, instance} }
 
+// storeCopy is a copy of what the instances have written to the store.
+type storeCopy struct {
+	version   uint64
+	rows      map[string]storedRecord
+	instances map[string]source.Candidate
+}
+
+// CopyStore takes a copy of the store for RestoreStore.
+func (c *Cluster) CopyStore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.copy = storeCopy{c.store.version, maps.Clone(c.store.rows), maps.Clone(c.store.instances)}
+}
+
+// RestoreStore replaces the store by the last copy. What was written since is gone, and
+// versions are given out again. Members register themselves again at once.
+func (c *Cluster) RestoreStore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.version, c.store.rows, c.store.instances = c.store.copy.version, maps.Clone(c.store.copy.rows), maps.Clone(c.store.copy.instances)
+}
+
 // DropStoreReplies loses the replies to the next n writes to the store. The writes take
 // effect.
 func (c *Cluster) DropStoreReplies(n int) {
