--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -1,7 +1,7 @@
 // Package mirror replicates tables of the platform's store to many instances by deltas.
-// A version is the store's counter of changes to all its tables, so copies of the same
-// version are equal whichever instance they came from, and an instance can switch to
-// another source at any version. The package does no I/O.
+// A version names one state of all tables of the store (see storeversion), so copies of
+// the same version are equal whichever instance they came from, and an instance can
+// switch to another source at any version. The package does no I/O.
 package mirror
 
 import "slices"
--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/storeversion"
 )
 
 const (
@@ -76,8 +77,8 @@
 	Primary Primary `json:"lead"`
 	Claim   *Claim  `json:"claim,omitempty"`
 	// Version is assigned by the store and increases with each write. It serves as
-	// the fencing token of the claim. Zero means that there is no record yet.
-	Version uint64 `json:"version,omitempty"`
+	// the fencing token of the claim. Its counter is 0 if there is no record yet.
+	Version storeversion.Version `json:"version,omitempty"`
 }
 
 // Watermark states that the primary's log had reached Position at the local time At, so
--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -6,6 +6,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/papayarail/papayarail/core/storeversion"
 )
 
 // Consistency is the guarantee on which writes the reads of a route see.
@@ -84,9 +86,8 @@
 // Snapshot is one consistent read of a table of the platform's store.
 type Snapshot[T any] struct {
 	Rows map[string]T
-	// Version is the store's counter of all its changes, and StoreNow its clock at the
-	// time of the read.
-	Version  uint64
+	// Version is that of the whole store, and StoreNow its clock at the time of the read.
+	Version  storeversion.Version
 	StoreNow time.Duration
 }
 
--- a/proxy/group/claim_test.go
+++ b/proxy/group/claim_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/storetime"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/catalog"
 )
 
@@ -24,7 +25,7 @@
 	return catalog.Snapshot[primacy.Record]{}, nil
 }
 
-func (f *fakeRecordStore) Put(_ context.Context, r primacy.Record) (uint64, time.Duration, error) {
+func (f *fakeRecordStore) Put(_ context.Context, r primacy.Record) (storeversion.Version, time.Duration, error) {
 	f.puts = append(f.puts, r)
 	return r.Version + 1, *f.now, nil
 }
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -12,6 +12,7 @@
 
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/storetime"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -171,11 +172,11 @@
 
 // put stores a record and returns its version and the store's time. If the call fails
 // without an answer, it reads the records to find out whether the record was stored.
-func (f *failover) put(ctx context.Context, r primacy.Record) (uint64, time.Duration, error) {
+func (f *failover) put(ctx context.Context, r primacy.Record) (storeversion.Version, time.Duration, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	version, now, err := f.g.cfg.RecordStore.Put(callCtx, r)
 	cancel()
-	if err == nil || errors.Is(err, ErrConflict) {
+	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrRestored) {
 		return version, now, err
 	}
 	callCtx, cancel = context.WithTimeout(ctx, storeCallTimeout)
@@ -185,6 +186,9 @@
 		return 0, 0, errors.Join(err, readErr)
 	}
 	stored := records.Rows[r.Service]
+	if stored.Version.Era() != r.Version.Era() {
+		return 0, 0, errors.Join(err, ErrRestored)
+	}
 	if stored.Version > r.Version && sameRecord(stored, r) {
 		return stored.Version, records.StoreNow, nil
 	}
@@ -332,7 +336,7 @@
 			return
 		}
 		f.log.WithFields(logrus.Fields{"event": "publish_failed", "error": err.Error()}).Warn("new primary was not recorded")
-		if errors.Is(err, ErrConflict) {
+		if errors.Is(err, ErrConflict) || errors.Is(err, ErrRestored) {
 			return
 		}
 		f.adoptWithoutStore(primary)
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -18,6 +18,7 @@
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/storetime"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -30,6 +31,10 @@
 // ErrConflict means that a record was not written because another version is stored.
 var ErrConflict = errs.New("record was changed by another instance")
 
+// ErrRestored means that the store was restored from an older copy since the record was
+// read. The record may have been written over another one that has the same version.
+var ErrRestored = errs.New("store was restored from an older copy")
+
 // RecordStore keeps the primacy records of all groups in the platform's store. The record
 // of a group names its primary and, while an instance is replacing it, that instance's
 // claim.
@@ -38,9 +43,10 @@
 	Records(ctx context.Context) (catalog.Snapshot[primacy.Record], error)
 	// Put stores a record if the stored version is r.Version, and returns the
 	// new version and the store's time. It returns ErrConflict if another version
-	// is stored. After any other error the record may have been stored, or may
+	// is stored, and ErrRestored if the store answers in another era than that of
+	// r.Version. After any other error the record may have been stored, or may
 	// still be stored later if the stored version is r.Version then.
-	Put(ctx context.Context, r primacy.Record) (version uint64, storeNow time.Duration, err error)
+	Put(ctx context.Context, r primacy.Record) (version storeversion.Version, storeNow time.Duration, err error)
 }
 
 // Promotion is a request to the platform to make a member the primary.
@@ -49,9 +55,9 @@
 	Member  string
 	// Holder is the instance that holds the claim.
 	Holder string
-	// FencingToken increases with each claim, so that the platform can reject a
-	// promotion by an earlier holder.
-	FencingToken uint64
+	// FencingToken increases with each claim, also over restores of the store, so that
+	// the platform can reject a promotion by an earlier holder.
+	FencingToken storeversion.Version
 }
 
 // Promoter sends promotions to the platform.
@@ -245,7 +251,7 @@
 	if r.Claim == nil && g.selfReported.Term > 0 && sentAt > g.selfReportedAt && g.tracker.ObserveRole(g.selfReported) {
 		g.observePrimaryChange(previous, "own_word")
 		// With a record, instances that start later need not ask the members.
-		g.firstPrimaryUnrecorded = r.Version == 0
+		g.firstPrimaryUnrecorded = r.Version.Counter() == 0
 		g.signalRun()
 		// The first call of ObserveRecord granted no lease because no primary was known then. The read
 		// was sent after the member had reported itself, so it counts for the lease.
@@ -329,8 +335,8 @@
 // PrimaryState is what the group knows of its primary, for the log and the diagnostic
 // dump of the instance (node.State).
 type PrimaryState struct {
-	Primary       primacy.Primary `json:"lead"`
-	RecordVersion uint64          `json:"record_version"`
+	Primary       primacy.Primary      `json:"lead"`
+	RecordVersion storeversion.Version `json:"record_version"`
 	// ConfirmedFor is the time until the confirmation of the primary expires;
 	// negative if it has expired.
 	ConfirmedFor time.Duration `json:"proven_for_ns"`
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -283,14 +283,15 @@
 // recordFirstPrimary stores a record of the primary if there is none.
 func (g *Group) recordFirstPrimary(ctx context.Context, primary primacy.Primary) {
 	g.mu.Lock()
-	due := g.firstPrimaryUnrecorded && g.tracker.Record().Version == 0
+	version := g.tracker.Record().Version
+	due := g.firstPrimaryUnrecorded && version.Counter() == 0
 	g.mu.Unlock()
 	if !due {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	_, _, err := g.cfg.RecordStore.Put(callCtx, primacy.Record{Service: g.cfg.Service, Primary: primary})
+	_, _, err := g.cfg.RecordStore.Put(callCtx, primacy.Record{Service: g.cfg.Service, Primary: primary, Version: version})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.firstPrimaryUnrecorded = false
--- a/proxy/node/apply.go
+++ b/proxy/node/apply.go
@@ -32,9 +32,12 @@
 		}
 	}
 	if c.RecordsRead || c.ConfigChanged {
-		records, at := r.cache.Records()
+		records, version, at := r.cache.Records()
 		for _, g := range r.node.allGroups() {
-			record := records[g.Service()]
+			record, stored := records[g.Service()]
+			if !stored {
+				record.Version = version.EraStart()
+			}
 			record.Service = g.Service()
 			g.UpdateRecord(record, at)
 		}
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -47,7 +47,7 @@
 	c.ctx, c.cancel = context.WithCancel(t.Context())
 	c.network = c.sim.NewNetwork()
 	for _, name := range instances {
-		c.start(node.Settings{Instance: name, FirstStart: true})
+		c.start(name, c.sim.Store(name))
 	}
 	c.await(5*time.Second, "a primary on all instances", func() bool {
 		for _, n := range c.nodes {
@@ -60,11 +60,9 @@
 	return c
 }
 
-// start starts one instance. Settings that do not differ between instances are filled
-// in.
-func (c *cluster) start(settings node.Settings) {
-	name := settings.Instance
-	settings.FailureDomain, settings.GracePeriod = "a", 6*time.Second
+// start starts one instance with the given client of the store.
+func (c *cluster) start(name string, store node.Store) {
+	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second}
 	if c.peers {
 		settings.PeerAddress = name
 	}
@@ -76,7 +74,7 @@
 	n := node.New(node.Config{
 		Settings: settings,
 		DialPeer: func(ctx context.Context, to string) (net.Conn, error) { return c.network.Dial(ctx, name, to) },
-		Store:    c.sim.Store(name), Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
+		Store:    store, Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
 		Clock: c.sim.Clock, Log: log.WithField("instance", name), Metrics: metrics.New(),
 	})
 	c.nodes[name] = n
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/papayarail/papayarail/core/gateway"
 	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/failurelog"
@@ -31,10 +32,10 @@
 // Store is an instance's view of the platform's store.
 type Store interface {
 	group.RecordStore
-	// Config waits up to wait for a configuration newer than the cursor and
-	// returns it with the cursor for the next call; the configuration is nil if
-	// there is none. Cursor 0 returns the current configuration at once.
-	Config(ctx context.Context, cursor uint64, wait time.Duration) (*catalog.Config, uint64, error)
+	// Config waits up to wait for a configuration newer than the cursor; the
+	// configuration is nil if there is none. It returns the cursor for the next call,
+	// also with an error. Cursor 0 returns the current configuration at once.
+	Config(ctx context.Context, cursor storeversion.Version, wait time.Duration) (*catalog.Config, storeversion.Version, error)
 	// Members reads the registered members, keyed by ID.
 	Members(ctx context.Context) (catalog.Snapshot[catalog.Member], error)
 	// Instances reads the announced instances, keyed by name.
--- a/proxy/node/restore_test.go
+++ b/proxy/node/restore_test.go
@@ -9,7 +9,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/papayarail/papayarail/proxy/node"
 	"github.com/papayarail/papayarail/proxy/simulator"
 )
 
@@ -30,7 +29,7 @@
 		c.sim.CopyStore()
 		c.replacePrimary()
 		c.sim.RestoreStore()
-		c.start(node.Settings{Instance: "i3"})
+		c.start("i3", c.sim.Store("i3"))
 		c.await(5*time.Second, "i3 to be ready", c.nodes["i3"].Ready)
 		writer, reader := c.open("i1", simulator.Database), c.open("i3", simulator.Database)
 		for range 50 {
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 )
 
@@ -196,7 +197,7 @@
 // reads the store itself.
 func (r *reader) followConfig(ctx context.Context) {
 	n := r.node
-	var cursor uint64
+	var cursor storeversion.Version
 	for ctx.Err() == nil {
 		if !r.readsStoreItself() {
 			cursor = 0
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -15,6 +15,7 @@
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/storetime"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 )
@@ -22,7 +23,9 @@
 // Class groups the errors of this package.
 var Class = errs.Class("relay")
 
-// Known holds the versions of the polling instance's snapshot; zero means none.
+// Known holds the versions of the polling instance's snapshot; zero means none. Those of
+// Records, Members and Instances are of type storeversion.Version, that of Config is the
+// operators'.
 type Known struct {
 	// RecordsAsOf is the store's time of its newest read of the primacy records.
 	RecordsAsOf time.Duration `json:"began,omitempty"`
@@ -134,11 +137,11 @@
 // already has a newer read. cache.mu is held.
 func setTable[T any](cache *Cache, table *mirror.Table[T], prevAsOf *time.Duration, snapshot catalog.Snapshot[T], sentAt, answeredAt time.Duration) (changed, newer bool) {
 	asOf := cache.asOf(snapshot.StoreNow, sentAt, answeredAt)
-	if snapshot.Version < table.Version() || asOf <= *prevAsOf {
+	if uint64(snapshot.Version) < table.Version() || asOf <= *prevAsOf {
 		return false, false
 	}
 	*prevAsOf = asOf
-	return table.ApplySnapshot(snapshot.Rows, snapshot.Version), true
+	return table.ApplySnapshot(snapshot.Rows, uint64(snapshot.Version)), true
 }
 
 // asOf tightens the bounds of the store's clock with a call of this instance, which the
@@ -176,7 +179,7 @@
 func (cache *Cache) SetInstances(snapshot catalog.Snapshot[source.Candidate]) Changes {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
-	return Changes{InstancesChanged: cache.instances.ApplySnapshot(snapshot.Rows, snapshot.Version)}
+	return Changes{InstancesChanged: cache.instances.ApplySnapshot(snapshot.Rows, uint64(snapshot.Version))}
 }
 
 // SetConfig stores a configuration that this instance read from the store, unless it
@@ -268,12 +271,13 @@
 	return at <= latest
 }
 
-// Records returns the records and the time at which they were read: a lower bound in
-// the store's time, and its bounds on the local clock.
-func (cache *Cache) Records() (records map[string]primacy.Record, at storetime.Timestamp) {
+// Records returns the records, the store's version as of which they are, and the time at
+// which they were read: a lower bound in the store's time, and its bounds on the local
+// clock.
+func (cache *Cache) Records() (records map[string]primacy.Record, version storeversion.Version, at storetime.Timestamp) {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
-	return cache.records.All(), cache.clockOffset.LocalTime(cache.recordsAsOf, cache.clock())
+	return cache.records.All(), storeversion.Version(cache.records.Version()), cache.clockOffset.LocalTime(cache.recordsAsOf, cache.clock())
 }
 
 // Age returns an upper bound of the age of the records; ok is false if there are none.
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/peer"
@@ -41,7 +42,7 @@
 }
 
 // read stores a read from a store whose clock is one hour ahead.
-func (f *fakeSource) read(version uint64, records map[string]primacy.Record) {
+func (f *fakeSource) read(version storeversion.Version, records map[string]primacy.Record) {
 	now := boottime.Now()
 	f.cache.SetRecords(catalog.Snapshot[primacy.Record]{Rows: records, Version: version, StoreNow: now + time.Hour}, now, now)
 }
@@ -84,7 +85,7 @@
 	return answer, f.cache.Apply(answer, sentAt, boottime.Now())
 }
 
-func record(version uint64) map[string]primacy.Record {
+func record(version storeversion.Version) map[string]primacy.Record {
 	return map[string]primacy.Record{"s": {Service: "s", Primary: primacy.Primary{Member: "a", Term: 2}, Version: version}}
 }
 
@@ -108,7 +109,7 @@
 	src.read(12, record(12))
 	_, changes := f.poll()
 	assert.Equal(t, changes, relay.Changes{RecordsRead: true, MembersRead: true, MembersChanged: true, ConfigChanged: true})
-	records, _ := f.cache.Records()
+	records, _, _ := f.cache.Records()
 	assert.DeepEqual(t, records, record(12))
 	assert.DeepEqual(t, f.cache.Config(), config(7, 3))
 
@@ -120,7 +121,7 @@
 
 	src.read(14, record(14))
 	f.poll()
-	records, _ = f.cache.Records()
+	records, _, _ = f.cache.Records()
 	assert.DeepEqual(t, records, record(14))
 }
 
@@ -135,7 +136,7 @@
 	timer := time.NewTimer(held)
 	<-timer.C
 	f.poll()
-	_, at := f.cache.Records()
+	_, _, at := f.cache.Records()
 	assert.Assert(t, at.Earliest <= readAt, "%s later than the read", at.Earliest-readAt)
 	assert.Assert(t, at.Latest >= readAt)
 	age, ok := f.cache.Age()
@@ -248,3 +249,26 @@
 	assert.Assert(t, f.cache.ApplyConfig(d).ConfigChanged)
 	assert.Equal(t, len(f.cache.Config().Routes), len(large.Routes))
 }
+
+// Guards against an instance that keeps its snapshot of the store after a restore until
+// the store's counter has caught up, and against one that takes an older one back from a
+// peer which has not seen the restore.
+func TestSnapshotOfLaterEraReplacesHigherCounter(t *testing.T) {
+	src, behind := newSource(), newSource()
+	f, g := newFollower(t, serve(t, src)), newFollower(t, serve(t, behind))
+	src.read(900, record(900))
+	behind.read(900, record(900))
+	f.poll()
+	restored, err := storeversion.New(1, 3)
+	assert.NilError(t, err)
+	src.read(restored, record(restored))
+	f.poll()
+	records, version, _ := f.cache.Records()
+	assert.Equal(t, version, restored)
+	assert.DeepEqual(t, records, record(restored))
+	g.cache = f.cache
+	behind.read(901, record(901))
+	g.poll()
+	records, _, _ = f.cache.Records()
+	assert.DeepEqual(t, records, record(restored))
+}
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -14,6 +14,7 @@
 
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/group"
@@ -74,10 +75,10 @@
 	members    []*Member
 	partitions map[[2]string]bool
 	acked      []AckedWrite
-	readLogs   map[string][]entry // the log that each read saw, by the row that it returned
-	violations []string           // violated guarantees
-	maxToken   uint64             // highest fencing token of a promotion
-	lastRow    int                // number of reads executed
+	readLogs   map[string][]entry   // the log that each read saw, by the row that it returned
+	violations []string             // violated guarantees
+	maxToken   storeversion.Version // highest fencing token of a promotion
+	lastRow    int                  // number of reads executed
 	store      store
 	closed     bool // no more timers are set
 	// repliesToDrop is the number of further writes whose replies are lost.
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/group"
 )
@@ -17,7 +18,7 @@
 
 // store is the state of the platform's store.
 type store struct {
-	version uint64
+	version storeversion.Version
 	rows    map[string]storedRecord
 	// instances are the announced instances, by name.
 	instances map[string]source.Candidate
@@ -30,7 +31,7 @@
 
 // nextVersion returns the version of a read. It is incremented with each call, as if
 // other clients wrote to the store all the time.
-func (s *store) nextVersion() uint64 {
+func (s *store) nextVersion() storeversion.Version {
 	s.version++
 	return s.version
 }
@@ -42,7 +43,7 @@
 
 // storeCopy is a copy of what the instances have written to the store.
 type storeCopy struct {
-	version   uint64
+	counter   uint64
 	rows      map[string]storedRecord
 	instances map[string]source.Candidate
 }
@@ -51,7 +52,7 @@
 func (c *Cluster) CopyStore() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.store.copy = storeCopy{c.store.version, maps.Clone(c.store.rows), maps.Clone(c.store.instances)}
+	c.store.copy = storeCopy{c.store.version.Counter(), maps.Clone(c.store.rows), maps.Clone(c.store.instances)}
 }
 
 // RestoreStore replaces the store by the last copy. What was written since is gone, and
@@ -59,7 +60,9 @@
 func (c *Cluster) RestoreStore() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.store.version, c.store.rows, c.store.instances = c.store.copy.version, maps.Clone(c.store.copy.rows), maps.Clone(c.store.copy.instances)
+	// All numbers of a test are small enough for a version.
+	c.store.version, _ = storeversion.New(c.store.version.Era()+1, c.store.copy.counter)
+	c.store.rows, c.store.instances = maps.Clone(c.store.copy.rows), maps.Clone(c.store.copy.instances)
 }
 
 // DropStoreReplies loses the replies to the next n writes to the store. The writes take
@@ -104,21 +107,23 @@
 			claim := *r.Claim
 			r.Claim = &claim
 		}
+		r.Version, _ = storeversion.New(c.cluster.store.version.Era(), r.Version.Counter())
 		all[name] = r
 	}
 	return catalog.Snapshot[primacy.Record]{Rows: all, Version: c.cluster.store.nextVersion(), StoreNow: time.Since(c.cluster.start)}, nil
 }
 
 // Put implements group.RecordStore.
-func (c *StoreClient) Put(ctx context.Context, r primacy.Record) (uint64, time.Duration, error) {
+func (c *StoreClient) Put(ctx context.Context, r primacy.Record) (storeversion.Version, time.Duration, error) {
 	if err := c.call(ctx); err != nil {
 		return 0, 0, err
 	}
 	s := &c.cluster.store
-	if s.rows[r.Service].Version != r.Version {
+	if s.rows[r.Service].Version.Counter() != r.Version.Counter() {
 		c.cluster.mu.Unlock()
 		return 0, 0, group.ErrConflict
 	}
+	restored := s.version.Era() != r.Version.Era()
 	s.version++
 	r.Version = s.version
 	s.rows[r.Service] = r
@@ -130,11 +135,14 @@
 		<-ctx.Done()
 		return 0, 0, errStoreUnavailable
 	}
+	if restored {
+		return 0, 0, group.ErrRestored
+	}
 	return r.Version, now, nil
 }
 
 // Config implements node.Store. It returns one route of each consistency to the group.
-func (c *StoreClient) Config(ctx context.Context, cursor uint64, wait time.Duration) (*catalog.Config, uint64, error) {
+func (c *StoreClient) Config(ctx context.Context, cursor storeversion.Version, wait time.Duration) (*catalog.Config, storeversion.Version, error) {
 	if err := c.call(ctx); err != nil {
 		return nil, cursor, err
 	}
