--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -209,12 +209,12 @@
 		c, next, err := n.cfg.Store.Config(callCtx, cursor, configWait)
 		cancel()
 		n.cfg.Metrics.StoreCall("config", err, n.cfg.Clock()-started)
+		cursor = next
 		if err != nil {
 			n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "cursor": cursor, "error": err.Error()}).Info("long poll of the store for a new configuration failed")
 			boottime.Sleep(ctx, retryInterval)
 			continue
 		}
-		cursor = next
 		if c != nil {
 			r.applyChanges(r.cache.SetConfig(c))
 		}
