--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -16,6 +16,13 @@
 //
 // So no write is acknowledged by a new primary while an instance still reads
 // from the old one.
+//
+// Both rules rest on the store keeping the record. After a restore of the store from an
+// older copy (a new era, see storeversion), claims and primaries may be missing from it.
+// A record is therefore evidence only in the era in which it was written. In a new era,
+// the members prove the primary until an instance has confirmed the record; nobody claims
+// or confirms it before every promotion under a claim of an earlier era has taken effect
+// or failed.
 package primacy
 
 import (
@@ -76,11 +83,18 @@
 	// change.
 	Primary Primary `json:"lead"`
 	Claim   *Claim  `json:"claim,omitempty"`
+	// Era is the era of the store in which Primary was last proven to be the primary: by
+	// a completed change or by the members. A claim keeps it.
+	Era uint64 `json:"era,omitempty"`
 	// Version is assigned by the store and increases with each write. It serves as
 	// the fencing token of the claim. Its counter is 0 if there is no record yet.
 	Version storeversion.Version `json:"version,omitempty"`
 }
 
+// Confirmed reports whether Primary was proven in the store's present era. A missing
+// record is confirmed only if the store was never restored.
+func (r Record) Confirmed() bool { return r.Era == r.Version.Era() }
+
 // Watermark states that the primary's log had reached Position at the local time At, so
 // that Position covers every write acknowledged before At.
 type Watermark struct {
@@ -125,17 +139,24 @@
 	return t.record.Claim != nil && t.record.Claim.OldPrimary.Term >= t.primary.Term
 }
 
+// RecordOutdated reports whether the record is no evidence of the primary and is to be
+// written again: it is of an earlier era of the store, or it names a primary of an earlier
+// term and no claim.
+func (t *Tracker) RecordOutdated() bool {
+	return !t.record.Confirmed() || t.record.Claim == nil && t.record.Primary.Term < t.primary.Term && t.record.Primary.Member != ""
+}
+
 // ObserveRecord handles the answer to a read of the record. sentAt is the local
 // time before the read was sent, storeNow the store's time in the answer. It
 // reports whether the primary changed. A record older than the newest one seen is
-// ignored.
+// ignored. A record of an earlier era grants no lease.
 func (t *Tracker) ObserveRecord(r Record, storeNow, sentAt time.Duration) bool {
 	if r.Version < t.record.Version {
 		return false
 	}
 	t.record = r
 	changed := r.Primary.Member != "" && t.adopt(r.Primary)
-	if t.primary.Member == "" {
+	if t.primary.Member == "" || !r.Confirmed() {
 		return changed
 	}
 	until := sentAt + ReadLease
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/storeversion"
 )
 
 const ms = time.Millisecond
@@ -51,6 +52,32 @@
 	assert.Assert(t, !tr.Proven(13*time.Second+500*ms))
 }
 
+// Guards against reads on a former primary that a restored record names: a record of an
+// earlier era grants no lease and does not replace a primary of a later term.
+func TestRecordOfEarlierEraIsNoEvidence(t *testing.T) {
+	restored, err := storeversion.New(1, 3)
+	assert.NilError(t, err)
+	started := &primacy.Tracker{}
+	started.ObserveRecord(primacy.Record{Primary: primaryA, Version: restored}, 100*time.Second, 10*time.Second)
+	assert.Assert(t, !started.Proven(10*time.Second))
+	assert.Assert(t, started.RecordOutdated())
+
+	running := &primacy.Tracker{}
+	running.ObserveRecord(primacy.Record{Primary: primaryB, Version: 900}, 100*time.Second, 10*time.Second)
+	running.ObserveRecord(primacy.Record{Primary: primaryA, Version: restored}, 101*time.Second, 11*time.Second)
+	assert.Equal(t, running.Primary(), primaryB)
+	assert.Assert(t, !running.Proven(11*time.Second+500*ms))
+	assert.Assert(t, running.RecordOutdated())
+
+	confirmed := primacy.Record{Primary: primaryB, Era: 1, Version: restored + 1}
+	for _, tr := range []*primacy.Tracker{started, running} {
+		tr.ObserveRecord(confirmed, 102*time.Second, 12*time.Second)
+		assert.Equal(t, tr.Primary(), primaryB)
+		assert.Assert(t, tr.Proven(12*time.Second+500*ms))
+		assert.Assert(t, !tr.RecordOutdated())
+	}
+}
+
 // Guards against watermarks from other answers than those of the proven primary: a
 // replica that has reached them could lack acknowledged writes.
 func TestWatermarksOnlyFromProvenPrimary(t *testing.T) {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -69,6 +69,9 @@
 	// not leaving. It is done only if all members answer and the log of a replica is
 	// close to the primary's; otherwise the old primary stays the primary.
 	HandOver bool
+	// Unconfirmed means that the record naming OldPrimary is of an earlier era of the
+	// store, so that another member may have been promoted without a trace there.
+	Unconfirmed bool
 }
 
 // Action is the kind of a step.
@@ -122,6 +125,10 @@
 		return Step{Action: StepDown, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "a member that does not answer is the primary of a later term"}
 	case in.StepDown:
 		return Step{Action: StepDown, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "the primary's commits are not acknowledged and a replica does not answer"}
+	case in.Unconfirmed && len(r.answered) < len(r.replicas)-1:
+		// Each write acknowledged by a primary of a later term is on one of its replicas
+		// too, so one of two members knows that term.
+		return Step{Action: Wait, Reason: "two members that may follow a later primary do not answer"}
 	case !r.old.Draining && !r.old.Deregistered && !r.canHandOver():
 		return Step{Action: Abort, Targets: r.pausedIDs(), Reason: "the primary serves again"}
 	default:
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -103,3 +103,15 @@
 		})
 	}
 }
+
+// Guards against a former primary that is kept although a restored store no longer knows
+// that another member was promoted: both members that would know do not answer.
+func TestUnconfirmedPrimaryNeedsAnotherMember(t *testing.T) {
+	members := []takeover.Member{{ID: "a", Status: primary(3, 9)}, {ID: "b"}, {ID: "c"}}
+	in := takeover.Input{OldPrimary: oldPrimary, Members: members, GroupSize: 3, Unconfirmed: true}
+	assert.Equal(t, takeover.Decide(in).Action, takeover.Wait)
+	members[1].Status = replica(9, 0)
+	assert.Equal(t, takeover.Decide(in).Action, takeover.Abort)
+	members[1].Status.Term = 4
+	assert.Equal(t, takeover.Decide(in).Action, takeover.StepDown)
+}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -79,6 +79,7 @@
 	startedAt     time.Duration
 	promotedAt    time.Duration // when the last accepted promotion was sent; 0 if none
 	candidate     string        // member that it promotes
+	unconfirmed   bool          // the record before the claim was of an earlier era of the store
 	// promotionPendingUntil is the time until which a promotion sent by this or an
 	// earlier holder may still take effect; earlierPromotionUntil is the same for
 	// earlier holders only.
@@ -107,7 +108,7 @@
 	oldPrimary := g.tracker.Primary()
 	record := g.tracker.Record()
 	g.mu.Unlock()
-	if record.Claim != nil {
+	if record.Claim != nil && (record.Confirmed() || record.Claim.OldPrimary.Term > oldPrimary.Term) {
 		oldPrimary = record.Claim.OldPrimary
 	}
 	boottime.Sleep(ctx, g.claimDelay(reason))
@@ -117,7 +118,7 @@
 	g.lastAttemptAt = g.cfg.Clock()
 	// The claim is conditional on the record that the decision is based on: it fails
 	// if another instance has claimed the group meanwhile.
-	f := &failover{g: g, reason: reason, oldPrimary: oldPrimary, nonce: rand.Uint64(), startedAt: g.cfg.Clock(), record: record,
+	f := &failover{g: g, reason: reason, oldPrimary: oldPrimary, nonce: rand.Uint64(), startedAt: g.cfg.Clock(), record: record, unconfirmed: !record.Confirmed(),
 		log: g.cfg.Log.WithFields(logrus.Fields{"change_of": oldPrimary.Member, "old_term": oldPrimary.Term})}
 	if record.Claim != nil {
 		f.promotionPendingUntil = f.startedAt + promotionResendDelay
@@ -152,7 +153,7 @@
 	}
 	r.Claim = claim
 	f.claimSentAt = now
-	version, storeNow, err := f.put(ctx, r)
+	version, storeNow, err := g.putRecord(ctx, r)
 	if err != nil {
 		f.log.WithFields(logrus.Fields{"event": "claim_failed", "expected_version": r.Version, "error": err.Error()}).Info("claim was not stored")
 		return false
@@ -170,18 +171,18 @@
 	return storetime.Timestamp{Store: storeNow, Earliest: sentAt, Latest: g.cfg.Clock()}
 }
 
-// put stores a record and returns its version and the store's time. If the call fails
-// without an answer, it reads the records to find out whether the record was stored.
-func (f *failover) put(ctx context.Context, r primacy.Record) (storeversion.Version, time.Duration, error) {
+// putRecord stores a record and returns its new version and the store's time. If the call
+// fails without an answer, it reads the records to find out whether the record was stored.
+func (g *Group) putRecord(ctx context.Context, r primacy.Record) (storeversion.Version, time.Duration, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	version, now, err := f.g.cfg.RecordStore.Put(callCtx, r)
+	version, now, err := g.cfg.RecordStore.Put(callCtx, r)
 	cancel()
 	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrRestored) {
 		return version, now, err
 	}
 	callCtx, cancel = context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	records, readErr := f.g.cfg.RecordStore.Records(callCtx)
+	records, readErr := g.cfg.RecordStore.Records(callCtx)
 	if readErr != nil {
 		return 0, 0, errors.Join(err, readErr)
 	}
@@ -197,7 +198,7 @@
 
 // sameRecord reports whether stored is the record that this instance wrote as r.
 func sameRecord(stored, r primacy.Record) bool {
-	if stored.Primary != r.Primary || (stored.Claim == nil) != (r.Claim == nil) {
+	if stored.Primary != r.Primary || stored.Era != r.Era || (stored.Claim == nil) != (r.Claim == nil) {
 		return false
 	}
 	return r.Claim == nil || *stored.Claim == *r.Claim
@@ -211,7 +212,7 @@
 			return
 		}
 		members := f.g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
-		step := takeover.Decide(takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed()})
+		step := takeover.Decide(takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed(), Unconfirmed: f.unconfirmed})
 		fields := logrus.Fields{"event": "change_step", "action": step.Action.String(), "targets": step.Targets, "term": step.Term, "why": step.Reason, "members": describeMembers(members)}
 		if f.promotionPending(step) {
 			time.Sleep(pollInterval)
@@ -325,10 +326,10 @@
 	seenAt := g.cfg.Clock()
 	time.Sleep(max(f.claimStoredAt+primacy.ReadLease-seenAt, 0))
 	r := f.record
-	r.Primary, r.Claim = primary, nil
+	r.Primary, r.Claim, r.Era = primary, nil, r.Version.Era()
 	for g.cfg.Clock()-seenAt < publishTimeout && ctx.Err() == nil && !f.superseded() {
 		sentAt := g.cfg.Clock()
-		version, storeNow, err := f.put(ctx, r)
+		version, storeNow, err := g.putRecord(ctx, r)
 		if err == nil {
 			r.Version = version
 			g.UpdateRecord(r, g.timestamp(storeNow, sentAt))
@@ -360,9 +361,9 @@
 // withdraw removes the claim; the old primary stays.
 func (f *failover) withdraw(ctx context.Context) {
 	r := f.record
-	r.Claim = nil
+	r.Primary, r.Claim, r.Era = f.oldPrimary, nil, r.Version.Era()
 	sentAt := f.g.cfg.Clock()
-	version, storeNow, err := f.put(ctx, r)
+	version, storeNow, err := f.g.putRecord(ctx, r)
 	if err != nil {
 		f.log.WithFields(logrus.Fields{"event": "withdraw_failed", "error": err.Error()}).Warn("claim was not withdrawn; it expires after its TTL")
 		return
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -147,6 +147,7 @@
 	gatewayDoubtUntil time.Duration
 
 	lastRecordsRead     storetime.Timestamp // when the records were last read
+	eraSeenAt           time.Duration       // when the records were first read in the store's present era
 	lastMembersRead     time.Duration       // when the members were last read
 	primaryMissingSince time.Duration       // first read of the members without the primary; 0 if it is registered
 	lastRequestAt       time.Duration       // arrival of the last request of a caller of this instance
@@ -237,6 +238,9 @@
 	if at.Store > g.lastRecordsRead.Store {
 		g.lastRecordsRead = at
 	}
+	if r.Version.Era() != oldRecord.Version.Era() {
+		g.eraSeenAt = g.cfg.Clock()
+	}
 	changed := g.tracker.ObserveRecord(r, storeNow, sentAt)
 	if r.Version != oldRecord.Version {
 		g.logRecord(r)
@@ -250,8 +254,9 @@
 	}
 	if r.Claim == nil && g.selfReported.Term > 0 && sentAt > g.selfReportedAt && g.tracker.ObserveRole(g.selfReported) {
 		g.observePrimaryChange(previous, "own_word")
-		// With a record, instances that start later need not ask the members.
-		g.firstPrimaryUnrecorded = r.Version.Counter() == 0
+		// With a record, instances that start later need not ask the members. After a
+		// restore, another member may have been promoted; see confirmRecord.
+		g.firstPrimaryUnrecorded = r.Version.Counter() == 0 && r.Confirmed()
 		g.signalRun()
 		// The first call of ObserveRecord granted no lease because no primary was known then. The read
 		// was sent after the member had reported itself, so it counts for the lease.
@@ -272,7 +277,7 @@
 }
 
 func (g *Group) logRecord(r primacy.Record) {
-	fields := logrus.Fields{"event": "record", "version": r.Version, "lead": r.Primary.Member, "term": r.Primary.Term}
+	fields := logrus.Fields{"event": "record", "era": r.Version.Era(), "version": r.Version.Counter(), "confirmed": r.Confirmed(), "lead": r.Primary.Member, "term": r.Primary.Term}
 	if r.Claim != nil {
 		fields["claim_holder"], fields["claim_old"] = r.Claim.Holder, r.Claim.OldPrimary.Member
 	}
@@ -337,6 +342,9 @@
 type PrimaryState struct {
 	Primary       primacy.Primary      `json:"lead"`
 	RecordVersion storeversion.Version `json:"record_version"`
+	// RecordOutdated means that the record is no evidence of the primary; see
+	// primacy.Tracker.RecordOutdated.
+	RecordOutdated bool `json:"record_outdated,omitempty"`
 	// ConfirmedFor is the time until the confirmation of the primary expires;
 	// negative if it has expired.
 	ConfirmedFor time.Duration `json:"proven_for_ns"`
@@ -351,7 +359,7 @@
 func (g *Group) PrimaryState() PrimaryState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	state := PrimaryState{Primary: g.tracker.Primary(), RecordVersion: g.tracker.Record().Version, ConfirmedFor: g.tracker.ProvenUntil() - g.cfg.Clock(), Down: g.suspicion.confirmed}
+	state := PrimaryState{Primary: g.tracker.Primary(), RecordVersion: g.tracker.Record().Version, RecordOutdated: g.tracker.RecordOutdated(), ConfirmedFor: g.tracker.ProvenUntil() - g.cfg.Clock(), Down: g.suspicion.confirmed}
 	if g.tracker.ReplacementClaimed() {
 		state.ClaimHolder = g.tracker.Record().Claim.Holder
 	}
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -185,6 +185,11 @@
 	}
 	g.recordFirstPrimary(ctx, primary)
 	reason, ok := g.failoverReason(primary, u)
+	if !ok && g.recordOutdated() {
+		if reason, ok = g.confirmRecord(ctx, primary); !ok {
+			return true
+		}
+	}
 	if !ok {
 		return g.primarySuspected()
 	}
@@ -291,7 +296,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	_, _, err := g.cfg.RecordStore.Put(callCtx, primacy.Record{Service: g.cfg.Service, Primary: primary, Version: version})
+	_, _, err := g.cfg.RecordStore.Put(callCtx, primacy.Record{Service: g.cfg.Service, Primary: primary, Era: version.Era(), Version: version})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.firstPrimaryUnrecorded = false
@@ -436,10 +441,12 @@
 	if now-g.lastRecordsRead.Earliest > maxStoreReadAge {
 		return "store_unreachable"
 	}
-	if r := g.tracker.Record(); r.Claim != nil {
-		if g.lastRecordsRead.Store-r.Claim.RenewedAt < claimTTL {
-			return "claimed_by_" + r.Claim.Holder
-		}
+	r := g.tracker.Record()
+	if !r.Confirmed() && now < g.eraSeenAt+restoreSettleTime {
+		return "store_restored"
+	}
+	if r.Claim != nil && g.lastRecordsRead.Store-r.Claim.RenewedAt < claimTTL {
+		return "claimed_by_" + r.Claim.Holder
 	}
 	return ""
 }
--- /dev/null
+++ b/proxy/group/restore.go
@@ -0,0 +1,67 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/proxy/boottime"
+)
+
+const (
+	// restoreSettleTime is the time after the first answer of a restored store during
+	// which nobody claims a group or confirms its record. A claim that the restore took
+	// back was stored before that answer, and its holder may still send a promotion.
+	restoreSettleTime = promotionSendWindow + promoteTimeout + promotionTime
+	// confirmationTimeout bounds the quorum round that confirms a record.
+	confirmationTimeout = time.Second
+	// confirmationPatience is the time after restoreSettleTime for which the members may
+	// fail to confirm the primary before the group is claimed. The holder of the claim
+	// replaces the primary, or finds that it serves, without the member that does not
+	// answer.
+	confirmationPatience = 2 * time.Second
+)
+
+// recordOutdated reports whether the record of the group is no evidence of the primary.
+func (g *Group) recordOutdated() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.RecordOutdated()
+}
+
+// confirmRecord writes a record of the primary in the present era of the store, if a
+// quorum of the members confirms the primary. If it does not for too long, ok is true and
+// the group is to be claimed for the returned reason.
+func (g *Group) confirmRecord(ctx context.Context, primary primacy.Primary) (reason failoverReason, ok bool) {
+	reason = failoverReason{text: "record_unconfirmed", visibleToAll: true}
+	g.mu.Lock()
+	record, blocked := g.tracker.Record(), g.failoverBlockedLocked() != ""
+	overdue := g.cfg.Clock()-g.eraSeenAt > restoreSettleTime+confirmationPatience
+	g.mu.Unlock()
+	if blocked {
+		return reason, false
+	}
+	boottime.Sleep(ctx, g.claimDelay(reason))
+	if !g.recordOutdated() {
+		return reason, false
+	}
+	roundCtx, cancel := context.WithTimeout(ctx, confirmationTimeout)
+	round, err := g.Confirm(roundCtx)
+	cancel()
+	if err != nil || !round.Confirmed || round.Primary != primary {
+		return reason, overdue
+	}
+	record.Service, record.Primary, record.Claim, record.Era = g.cfg.Service, primary, nil, record.Version.Era()
+	sentAt := g.cfg.Clock()
+	version, storeNow, err := g.putRecord(ctx, record)
+	if err != nil {
+		g.cfg.Log.WithFields(logrus.Fields{"event": "confirmation_failed", "error": err.Error()}).Info("record of the group was not confirmed")
+		return reason, false
+	}
+	record.Version = version
+	g.UpdateRecord(record, g.timestamp(storeNow, sentAt))
+	g.cfg.Log.WithFields(logrus.Fields{"event": "record_confirmed", "member": primary.Member, "term": primary.Term, "era": version.Era()}).Info("members confirmed the primary; record written again")
+	return reason, false
+}
--- /dev/null
+++ b/proxy/group/restore_test.go
@@ -0,0 +1,53 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/storeversion"
+)
+
+// restoredRecord returns the record of member a as read from a restored store.
+func restoredRecord(t *testing.T, counter uint64) primacy.Record {
+	version, err := storeversion.New(1, counter)
+	assert.NilError(t, err)
+	return primacy.Record{Service: "s", Primary: primacy.Primary{Member: "a", Term: 1}, Version: version}
+}
+
+// Guards against a claim while the holder of a claim that a restore has taken back may
+// still promote: two holders would act at the same time.
+func TestNoClaimBeforeLostClaimsHaveEnded(t *testing.T) {
+	now := 10 * time.Second
+	store := &fakeRecordStore{now: &now}
+	f := newTestFailover(store, &now)
+	now += time.Second
+	restoredAt := now
+	for ; now < restoredAt+promotionSendWindow+promoteTimeout+promotionTime; now += 100 * time.Millisecond {
+		f.g.UpdateRecord(restoredRecord(t, 3), exactTimestamp(now))
+		f.g.mu.Lock()
+		assert.Equal(t, f.g.failoverBlockedLocked(), "store_restored")
+		f.g.mu.Unlock()
+	}
+	f.g.UpdateRecord(restoredRecord(t, 3), exactTimestamp(now))
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	assert.Equal(t, f.g.failoverBlockedLocked(), "")
+}
+
+// Guards against a holder that goes on after a restore has taken back its claim, and
+// against a claim that makes a record of an earlier era evidence.
+func TestClaimEndsWithItsEra(t *testing.T) {
+	now := 10 * time.Second
+	store := &fakeRecordStore{now: &now}
+	f := newTestFailover(store, &now)
+	assert.Assert(t, f.claim(t.Context()))
+	f.g.UpdateRecord(restoredRecord(t, 3), exactTimestamp(now+time.Second))
+	assert.Assert(t, f.superseded())
+	f.record = restoredRecord(t, 3)
+	assert.Assert(t, f.claim(t.Context()))
+	assert.Assert(t, !f.g.tracker.Record().Confirmed())
+	assert.Assert(t, !f.g.tracker.Proven(now+2*time.Second))
+}
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -216,9 +218,14 @@
 
 // load writes and reads on all instances until it is stopped.
 func (c *cluster) load(seed uint64) (stop func()) {
+	return c.loadOn(seed, slices.Collect(maps.Keys(c.nodes))...)
+}
+
+// loadOn writes and reads on the named instances until it is stopped.
+func (c *cluster) loadOn(seed uint64, instances ...string) (stop func()) {
 	var ended atomic.Bool
 	var work sync.WaitGroup
-	for name := range c.nodes {
+	for _, name := range instances {
 		for _, kind := range []struct {
 			database  string
 			staleness time.Duration
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/reachability"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/group"
@@ -126,13 +127,18 @@
 
 // checkIsolated reports whether this instance is isolated: nothing outside its
 // failure domain answers, or the last confirmation of any primary expired more
-// than isolationAfter ago. expiredFor is the time since that confirmation expired.
+// than isolationAfter ago. expiredFor is the time since that confirmation expired. A
+// fresh read of the records counts as a confirmation also if a restored store shows
+// no primary in them.
 func (n *Node) checkIsolated(now time.Duration) (isolated bool, expiredFor time.Duration) {
 	confirmedUntil, sampled := time.Duration(0), false
 	for _, g := range n.sampledGroups(now) {
 		sampled = true
 		confirmedUntil = max(confirmedUntil, g.ConfirmedUntil())
 	}
+	if age, ok := n.reader.cache.Age(); ok && confirmedUntil > 0 {
+		confirmedUntil = max(confirmedUntil, now-age+primacy.ReadLease)
+	}
 	return sampled && confirmedUntil > 0 && now-confirmedUntil > isolationAfter || n.isolation.unreachable(now), now - confirmedUntil
 }
 
--- a/proxy/node/restore_test.go
+++ b/proxy/node/restore_test.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +52,148 @@
 	})
 }
 
+// Guards against a long interruption when the primary is lost right after a restore: a
+// failover begins once a claim that the restore took back has ended, after 3 s, and then
+// takes 2.5 s at most.
+func TestPrimaryLostAfterRestore(t *testing.T) {
+	underLoad(t, 3, simulated("i1", "i2"), func(t *testing.T, c *cluster) {
+		c.sim.CopyStore()
+		time.Sleep(time.Second)
+		c.sim.RestoreStore()
+		c.sim.Crash("a", true)
+		gap := c.writeGap("i1", 10*time.Second)
+		assert.Assert(t, gap < 5500*time.Millisecond, "gap %s", gap)
+	})
+}
+
+// Guards against a holder whose claim was taken back by a restore and another one that
+// act at the same time.
+func TestRestoreDuringFailover(t *testing.T) {
+	for _, after := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond, 1400 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			underLoad(t, 4, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				c.sim.CopyStore()
+				c.sim.Crash("a", true)
+				time.Sleep(after)
+				c.sim.RestoreStore()
+				c.sim.Partition("i1", "store")
+				time.Sleep(time.Second)
+				c.sim.Restart("a", false)
+				time.Sleep(2 * time.Second)
+				c.sim.Heal("i1", "store")
+				c.writeGap("i2", 8*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against evidence of an earlier era that counts again after a second restore.
+func TestTwoRestoresWithinOneLease(t *testing.T) {
+	underLoad(t, 5, simulated("i1", "i2"), func(t *testing.T, c *cluster) {
+		c.sim.CopyStore()
+		c.replacePrimary()
+		c.sim.RestoreStore()
+		time.Sleep(400 * time.Millisecond)
+		c.sim.RestoreStore()
+		c.start("i3", c.sim.Store("i3"))
+		stop := c.readStrictly("i3")
+		time.Sleep(6 * time.Second)
+		stop()
+		for name, n := range c.nodes {
+			assert.Check(t, !n.State().Groups[simulator.Service].RecordOutdated, "record was not confirmed on %s", name)
+		}
+	})
+}
+
+// Injects restores of the store among overlapping faults and starts of instances, with
+// fixed seeds, and checks all guarantees.
+func TestRandomFaultsAndRestores(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { injectRestores(t, seed) })
+		})
+	}
+}
+
+// restartMember starts a member again that is down, if id is not empty, and returns the
+// member that is down then.
+func (c *cluster) restartMember(id string) string {
+	if id != "" {
+		c.sim.Restart(id, false)
+	}
+	return ""
+}
+
+// readStrictly reads with strict consistency on one instance until it is stopped.
+func (c *cluster) readStrictly(instance string) (stop func()) {
+	var ended atomic.Bool
+	var work sync.WaitGroup
+	s := c.open(instance, simulator.Database)
+	work.Go(func() {
+		defer func() { s.leave() }()
+		for !ended.Load() {
+			time.Sleep(20 * time.Millisecond)
+			// Refused reads are expected under faults.
+			if errors.Is(c.read(s, 0), errEnded) {
+				s = c.open(instance, simulator.Database)
+			}
+		}
+	})
+	return func() { ended.Store(true); work.Wait() }
+}
+
+func injectRestores(t *testing.T, seed uint64) {
+	const maxInstances = 7
+	c := newSimulated(t, "i1", "i2", "i3")
+	stops := []func(){c.load(seed)}
+	c.sim.CopyStore()
+	for _, id := range []string{"a", "b", "c"} {
+		c.sim.SetApplyLag(id, 300*time.Millisecond)
+	}
+	random := rand.New(rand.NewPCG(seed, 29))
+	names := []string{"a", "b", "c", "i1", "i2", "i3", "store"}
+	down := ""
+	for range 30 {
+		time.Sleep(time.Duration(50+random.IntN(1000)) * time.Millisecond)
+		x, y := names[random.IntN(len(names))], names[random.IntN(len(names))]
+		switch random.IntN(7) {
+		case 0:
+			if down == "" {
+				down = c.sim.Primary()
+				c.sim.Crash(down, random.IntN(2) == 0)
+			}
+		case 1:
+			down = c.restartMember(down)
+		case 2:
+			c.sim.Partition(x, y)
+			time.AfterFunc(time.Duration(random.IntN(4000))*time.Millisecond, func() { c.sim.Heal(x, y) })
+		case 3:
+			c.sim.DropStoreReplies(random.IntN(3))
+		case 4:
+			c.sim.CopyStore()
+		case 5:
+			c.cutStore()
+			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+			c.sim.RestoreStore()
+			c.healStore()
+			if len(c.nodes) < maxInstances {
+				name := fmt.Sprint("i", 1+len(c.nodes))
+				c.start(name, c.sim.Store(name))
+				stops = append(stops, c.readStrictly(name))
+			}
+		case 6:
+			down = c.restartMember(down)
+		}
+	}
+	c.restartMember(down)
+	time.Sleep(6 * time.Second)
+	c.endFaults(func() {
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
+
 // forgetfulStore is a store that loses its change history: the second call of Config
 // fails and returns no cursor.
 type forgetfulStore struct {
