--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -167,6 +167,9 @@
 	}
 	old := known.Member()
 	known.missingSince, known.departed = 0, false
+	// A restored store shows registrations that have been replaced since. A member does
+	// not stop leaving.
+	m.Draining = m.Draining || old.Draining && old.Started == m.Started
 	if old.Started != m.Started && old.Started != 0 {
 		known.catchUpFloor = g.tracker.LastPosition()
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
--- a/proxy/group/restore_test.go
+++ b/proxy/group/restore_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/storeversion"
+	"github.com/papayarail/papayarail/proxy/catalog"
 )
 
 // restoredRecord returns the record of member a as read from a restored store.
@@ -51,3 +52,19 @@
 	assert.Assert(t, !f.g.tracker.Record().Confirmed())
 	assert.Assert(t, !f.g.tracker.Proven(now+2*time.Second))
 }
+
+// Guards against a member that is used again although it is leaving, because a restored
+// store shows its registration from before.
+func TestLeavingMemberStaysLeavingAfterRestore(t *testing.T) {
+	now := 10 * time.Second
+	g := newTestGroup(&fakeRecordStore{now: &now}, func() time.Duration { return now })
+	ready := catalog.Member{ID: "a", Service: "s", Address: "127.0.0.1:1", Started: 7}
+	leaving, restarted := ready, ready
+	leaving.Draining, restarted.Started = true, 8
+	for _, m := range []catalog.Member{ready, leaving, ready} {
+		g.UpdateMembers(catalog.Members{"a": m}, now)
+	}
+	assert.Assert(t, g.members["a"].Member().Draining)
+	g.UpdateMembers(catalog.Members{"a": restarted}, now)
+	assert.Assert(t, !g.members["a"].Member().Draining, "it was started again")
+}
