--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,6 +42,8 @@
 	// catchUpFloor is the position that it must reach after a restart without its log
 	// before its log counts again; zero if none.
 	catchUpFloor position.Position
+	// formerStarts are the values of catalog.Member.Started of its former incarnations.
+	formerStarts []int64
 	// maxPosition is its highest position under the present primary.
 	maxPosition position.Position
 }
@@ -168,9 +171,13 @@
 	old := known.Member()
 	known.missingSince, known.departed = 0, false
 	// A restored store shows registrations that have been replaced since. A member does
-	// not stop leaving.
+	// not become an earlier incarnation again, nor does it stop leaving.
+	if slices.Contains(known.formerStarts, m.Started) {
+		return
+	}
 	m.Draining = m.Draining || old.Draining && old.Started == m.Started
 	if old.Started != m.Started && old.Started != 0 {
+		known.formerStarts = append(known.formerStarts, old.Started)
 		known.catchUpFloor = g.tracker.LastPosition()
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
 		g.signalRun()
--- a/proxy/group/restore_test.go
+++ b/proxy/group/restore_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/catalog"
@@ -68,3 +69,20 @@
 	g.UpdateMembers(catalog.Members{"a": restarted}, now)
 	assert.Assert(t, !g.members["a"].Member().Draining, "it was started again")
 }
+
+// Guards against a second restart of a member that is inferred from the registration of
+// its former incarnation in a restored store: a primary would be replaced for it.
+func TestRegistrationOfFormerIncarnationIsIgnored(t *testing.T) {
+	now := 10 * time.Second
+	g := newTestGroup(&fakeRecordStore{now: &now}, func() time.Duration { return now })
+	for _, started := range []int64{7, 8} {
+		g.UpdateMembers(catalog.Members{"a": {ID: "a", Service: "s", Address: "127.0.0.1:1", Started: started}}, now)
+	}
+	present := g.members["a"].Member()
+	g.members["a"].catchUpFloor = position.Position{} // it has caught up since
+	g.tracker.ObserveRecord(primacy.Record{Primary: primacy.Primary{Member: "a", Term: 1}, Version: 1}, now, now)
+	g.tracker.ObservePosition("a", position.Position{Term: 1, Offset: 5}, now)
+	g.UpdateMembers(catalog.Members{"a": {ID: "a", Service: "s", Address: "127.0.0.1:2", Started: 7}}, now)
+	assert.Equal(t, g.members["a"].Member(), present)
+	assert.Assert(t, g.members["a"].catchUpFloor.IsZero())
+}
