--- a/proxy/node/restore_test.go
+++ b/proxy/node/restore_test.go
@@ -194,6 +194,25 @@
 	})
 }
 
+// Guards against instances that a restore has taken out of the list of instances and that
+// are not announced again: others would not use them as gateways.
+func TestInstancesAreAnnouncedAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newLargeCluster(t)
+		c.sim.CopyStore()
+		c.start("later", c.sim.Store("later"))
+		announced := func() bool { return c.sim.IsAnnounced("later") }
+		c.await(5*time.Second, "the announcement", announced)
+		time.Sleep(10 * time.Second) // until the list is read rarely
+		c.sim.RestoreStore()
+		assert.Check(t, !announced())
+		c.await(2*time.Second, "the announcement after the restore", announced)
+		stop := c.load(9)
+		time.Sleep(5 * time.Second)
+		c.endFaults(stop)
+	})
+}
+
 // forgetfulStore is a store that loses its change history: the second call of Config
 // fails and returns no cursor.
 type forgetfulStore struct {
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -88,10 +88,22 @@
 	if !changes.RecordsRead {
 		n.cfg.Metrics.CountIgnoredSnapshot("records")
 	}
+	if changes.Restored {
+		r.readTablesAgain()
+	}
 	r.applyChanges(changes)
 	r.wakeReader()
 }
 
+// readTablesAgain makes the members and the announced instances due at once. In a new era
+// of the store, the list of instances may lack running ones.
+func (r *reader) readTablesAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.membersSchedule.succeeded, r.instancesSchedule.succeeded = false, false
+	r.instancesChangedAt = r.node.cfg.Clock()
+}
+
 // awaitNextRead waits for the next store read of this instance: at least for atLeast,
 // and then until the interval has passed, which a failover shortens.
 func (r *reader) awaitNextRead(ctx context.Context, atLeast time.Duration) {
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -66,6 +66,8 @@
 	// the members, whether or not their rows changed.
 	RecordsRead, MembersRead                        bool
 	MembersChanged, InstancesChanged, ConfigChanged bool
+	// Restored means that the records are of a later era of the store than before.
+	Restored bool
 }
 
 // Cache holds an instance's newest snapshot of the store, read by itself or received
@@ -160,11 +162,12 @@
 func (cache *Cache) SetRecords(snapshot catalog.Snapshot[primacy.Record], sentAt, answeredAt time.Duration) Changes {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
+	before := storeversion.Version(cache.records.Version())
 	if _, newer := setTable(cache, cache.records, &cache.recordsAsOf, snapshot, sentAt, answeredAt); !newer {
 		return Changes{}
 	}
 	cache.notify()
-	return Changes{RecordsRead: true}
+	return Changes{RecordsRead: true, Restored: before > 0 && snapshot.Version.Era() > before.Era()}
 }
 
 // SetMembers does for the members what SetRecords does for the records.
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -65,6 +65,14 @@
 	c.store.rows, c.store.instances = maps.Clone(c.store.copy.rows), maps.Clone(c.store.copy.instances)
 }
 
+// IsAnnounced reports whether the store has an announcement of the instance.
+func (c *Cluster) IsAnnounced(instance string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.store.instances[instance]
+	return ok
+}
+
 // DropStoreReplies loses the replies to the next n writes to the store. The writes take
 // effect.
 func (c *Cluster) DropStoreReplies(n int) {
