--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -147,7 +147,8 @@
 	gatewayDoubtUntil time.Duration
 
 	lastRecordsRead     storetime.Timestamp // when the records were last read
-	eraSeenAt           time.Duration       // when the records were first read in the store's present era
+	era                 uint64              // latest era of the store
+	eraSeenAt           time.Duration       // store's time of the earliest known answer in that era
 	lastMembersRead     time.Duration       // when the members were last read
 	primaryMissingSince time.Duration       // first read of the members without the primary; 0 if it is registered
 	lastRequestAt       time.Duration       // arrival of the last request of a caller of this instance
@@ -238,9 +239,6 @@
 	if at.Store > g.lastRecordsRead.Store {
 		g.lastRecordsRead = at
 	}
-	if r.Version.Era() != oldRecord.Version.Era() {
-		g.eraSeenAt = g.cfg.Clock()
-	}
 	changed := g.tracker.ObserveRecord(r, storeNow, sentAt)
 	if r.Version != oldRecord.Version {
 		g.logRecord(r)
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -442,7 +442,7 @@
 		return "store_unreachable"
 	}
 	r := g.tracker.Record()
-	if !r.Confirmed() && now < g.eraSeenAt+restoreSettleTime {
+	if !r.Confirmed() && !g.eraSettled() {
 		return "store_restored"
 	}
 	if r.Claim != nil && g.lastRecordsRead.Store-r.Claim.RenewedAt < claimTTL {
--- a/proxy/group/restore.go
+++ b/proxy/group/restore.go
@@ -24,6 +24,25 @@
 	confirmationPatience = 2 * time.Second
 )
 
+// ObserveEra handles the store's time of an answer in an era, seen by any instance: the
+// store was restored before it. It is called before UpdateRecord with a record of the era.
+func (g *Group) ObserveEra(era uint64, seenAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case era > g.era:
+		g.era, g.eraSeenAt = era, seenAt
+	case era == g.era:
+		g.eraSeenAt = min(g.eraSeenAt, seenAt)
+	}
+}
+
+// eraSettled reports whether no claim of an earlier era can have an effect any more. g.mu
+// is held.
+func (g *Group) eraSettled() bool {
+	return g.tracker.Record().Version.Era() == g.era && g.storeTime() >= g.eraSeenAt+restoreSettleTime
+}
+
 // recordOutdated reports whether the record of the group is no evidence of the primary.
 func (g *Group) recordOutdated() bool {
 	g.mu.Lock()
@@ -38,7 +57,7 @@
 	reason = failoverReason{text: "record_unconfirmed", visibleToAll: true}
 	g.mu.Lock()
 	record, blocked := g.tracker.Record(), g.failoverBlockedLocked() != ""
-	overdue := g.cfg.Clock()-g.eraSeenAt > restoreSettleTime+confirmationPatience
+	overdue := g.storeTime()-g.eraSeenAt > restoreSettleTime+confirmationPatience
 	g.mu.Unlock()
 	if blocked {
 		return reason, false
--- a/proxy/group/restore_test.go
+++ b/proxy/group/restore_test.go
@@ -27,6 +27,7 @@
 	f := newTestFailover(store, &now)
 	now += time.Second
 	restoredAt := now
+	f.g.ObserveEra(1, restoredAt)
 	for ; now < restoredAt+promotionSendWindow+promoteTimeout+promotionTime; now += 100 * time.Millisecond {
 		f.g.UpdateRecord(restoredRecord(t, 3), exactTimestamp(now))
 		f.g.mu.Lock()
--- a/proxy/node/apply.go
+++ b/proxy/node/apply.go
@@ -32,14 +32,15 @@
 		}
 	}
 	if c.RecordsRead || c.ConfigChanged {
-		records, version, at := r.cache.Records()
+		snapshot := r.cache.Records()
 		for _, g := range r.node.allGroups() {
-			record, stored := records[g.Service()]
+			record, stored := snapshot.Records[g.Service()]
 			if !stored {
-				record.Version = version.EraStart()
+				record.Version = snapshot.Version.EraStart()
 			}
 			record.Service = g.Service()
-			g.UpdateRecord(record, at)
+			g.ObserveEra(snapshot.Version.Era(), snapshot.EraSeenAt)
+			g.UpdateRecord(record, snapshot.ReadAt)
 		}
 	}
 }
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -39,8 +39,12 @@
 type Delta struct {
 	// RecordsAsOf is a lower bound of the store's time at which the records were
 	// read. The lease that they grant begins then.
-	RecordsAsOf time.Duration                 `json:"began"`
-	Records     *mirror.Delta[primacy.Record] `json:"records,omitempty"`
+	RecordsAsOf time.Duration `json:"began"`
+	// Era is the store's era of the records, and EraSeenAt the store's time of an answer
+	// in that era: the earliest one that the polled instance knows of.
+	Era       uint64                        `json:"era,omitempty"`
+	EraSeenAt time.Duration                 `json:"era_seen,omitempty"`
+	Records   *mirror.Delta[primacy.Record] `json:"records,omitempty"`
 	// MembersAsOf is the same bound for the read of the members.
 	MembersAsOf time.Duration                   `json:"members_began"`
 	Members     *mirror.Delta[catalog.Member]   `json:"members,omitempty"`
@@ -79,6 +83,7 @@
 	clockOffset     storetime.ClockOffset
 	recordsAsOf     time.Duration
 	membersAsOf     time.Duration
+	eraSeenAt       time.Duration // see RecordsSnapshot
 	records         *mirror.Table[primacy.Record]
 	members         *mirror.Table[catalog.Member]
 	instances       *mirror.Table[source.Candidate]
@@ -166,6 +171,9 @@
 	if _, newer := setTable(cache, cache.records, &cache.recordsAsOf, snapshot, sentAt, answeredAt); !newer {
 		return Changes{}
 	}
+	if before == 0 || snapshot.Version.Era() > before.Era() {
+		cache.eraSeenAt = snapshot.StoreNow
+	}
 	cache.notify()
 	return Changes{RecordsRead: true, Restored: before > 0 && snapshot.Version.Era() > before.Era()}
 }
@@ -226,9 +234,16 @@
 		cache.membersAsOf = a.Delta.MembersAsOf
 		c.MembersRead = true
 	}
+	before := cache.era()
 	if d := a.Delta.Records; d != nil {
 		cache.records.ApplyDelta(*d)
 	}
+	if cache.era() == a.Delta.Era {
+		if cache.eraSeenAt == 0 || cache.era() > before {
+			cache.eraSeenAt = a.Delta.EraSeenAt
+		}
+		cache.eraSeenAt = min(cache.eraSeenAt, a.Delta.EraSeenAt)
+	}
 	if a.Delta.RecordsAsOf > cache.recordsAsOf {
 		cache.recordsAsOf = a.Delta.RecordsAsOf
 		c.RecordsRead = true
@@ -274,15 +289,28 @@
 	return at <= latest
 }
 
-// Records returns the records, the store's version as of which they are, and the time at
-// which they were read: a lower bound in the store's time, and its bounds on the local
-// clock.
-func (cache *Cache) Records() (records map[string]primacy.Record, version storeversion.Version, at storetime.Timestamp) {
+// RecordsSnapshot is the newest read of the records.
+type RecordsSnapshot struct {
+	Records map[string]primacy.Record // by service
+	Version storeversion.Version      // of the whole store
+	// ReadAt is the time of the read: a lower bound in the store's time, and its bounds on
+	// the local clock.
+	ReadAt storetime.Timestamp
+	// EraSeenAt is the store's time of the earliest answer in the era of Version that this
+	// instance or those that it polled know of. The store was restored before it.
+	EraSeenAt time.Duration
+}
+
+// Records returns the newest read of the records.
+func (cache *Cache) Records() RecordsSnapshot {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
-	return cache.records.All(), storeversion.Version(cache.records.Version()), cache.clockOffset.LocalTime(cache.recordsAsOf, cache.clock())
+	return RecordsSnapshot{cache.records.All(), storeversion.Version(cache.records.Version()), cache.clockOffset.LocalTime(cache.recordsAsOf, cache.clock()), cache.eraSeenAt}
 }
 
+// era returns the era of the records. cache.mu is held.
+func (cache *Cache) era() uint64 { return storeversion.Version(cache.records.Version()).Era() }
+
 // Age returns an upper bound of the age of the records; ok is false if there are none.
 func (cache *Cache) Age() (age time.Duration, ok bool) {
 	cache.mu.Lock()
@@ -363,7 +391,7 @@
 	if encoded := cache.encodedDeltas[k]; encoded != nil {
 		return encoded, nil
 	}
-	d := Delta{RecordsAsOf: cache.recordsAsOf, MembersAsOf: cache.membersAsOf, Records: cache.records.DeltaSince(k.Records), Members: cache.members.DeltaSince(k.Members),
+	d := Delta{RecordsAsOf: cache.recordsAsOf, Era: cache.era(), EraSeenAt: cache.eraSeenAt, MembersAsOf: cache.membersAsOf, Records: cache.records.DeltaSince(k.Records), Members: cache.members.DeltaSince(k.Members),
 		Instances: cache.instances.DeltaSince(k.Instances)}
 	d.ConfigVersion = cache.routes.Version()
 	if d.ConfigVersion > k.Config {
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -109,8 +109,7 @@
 	src.read(12, record(12))
 	_, changes := f.poll()
 	assert.Equal(t, changes, relay.Changes{RecordsRead: true, MembersRead: true, MembersChanged: true, ConfigChanged: true})
-	records, _, _ := f.cache.Records()
-	assert.DeepEqual(t, records, record(12))
+	assert.DeepEqual(t, f.cache.Records().Records, record(12))
 	assert.DeepEqual(t, f.cache.Config(), config(7, 3))
 
 	src.read(13, record(12))
@@ -121,8 +120,7 @@
 
 	src.read(14, record(14))
 	f.poll()
-	records, _, _ = f.cache.Records()
-	assert.DeepEqual(t, records, record(14))
+	assert.DeepEqual(t, f.cache.Records().Records, record(14))
 }
 
 // Guards the read lease over a relay: the age of a snapshot counts from its read, however
@@ -136,7 +134,7 @@
 	timer := time.NewTimer(held)
 	<-timer.C
 	f.poll()
-	_, _, at := f.cache.Records()
+	at := f.cache.Records().ReadAt
 	assert.Assert(t, at.Earliest <= readAt, "%s later than the read", at.Earliest-readAt)
 	assert.Assert(t, at.Latest >= readAt)
 	age, ok := f.cache.Age()
@@ -263,12 +261,27 @@
 	assert.NilError(t, err)
 	src.read(restored, record(restored))
 	f.poll()
-	records, version, _ := f.cache.Records()
-	assert.Equal(t, version, restored)
-	assert.DeepEqual(t, records, record(restored))
+	assert.Equal(t, f.cache.Records().Version, restored)
+	assert.DeepEqual(t, f.cache.Records().Records, record(restored))
 	g.cache = f.cache
 	behind.read(901, record(901))
 	g.poll()
-	records, _, _ = f.cache.Records()
-	assert.DeepEqual(t, records, record(restored))
+	assert.DeepEqual(t, f.cache.Records().Records, record(restored))
+}
+
+// Guards against an instance that started after a restore and counts the wait for lost
+// claims from its own start.
+func TestEarliestAnswerOfEraIsRelayed(t *testing.T) {
+	src := newSource()
+	restored, err := storeversion.New(1, 3)
+	assert.NilError(t, err)
+	src.read(900, record(900))
+	beforeFirst := boottime.Now() + time.Hour
+	src.read(restored, record(restored))
+	seenAt := src.cache.Records().EraSeenAt
+	assert.Assert(t, seenAt >= beforeFirst)
+	src.read(restored+1, record(restored))
+	f := newFollower(t, serve(t, src))
+	f.poll()
+	assert.Equal(t, f.cache.Records().EraSeenAt, seenAt)
 }
