--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -19,10 +19,10 @@
 //
 // Both rules rest on the store keeping the record. After a restore of the store from an
 // older copy (a new era, see storeversion), claims and primaries may be missing from it.
-// A record is therefore evidence only in the era in which it was written. In a new era,
-// the members prove the primary until an instance has confirmed the record; nobody claims
-// or confirms it before every promotion under a claim of an earlier era has taken effect
-// or failed.
+// A record is therefore evidence only in the era in which its primary was proven. In a
+// new era, the members prove the primary until an instance has confirmed the record;
+// nobody claims or confirms it before every promotion under a claim of an earlier era has
+// taken effect or failed.
 package primacy
 
 import (
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -187,7 +187,7 @@
 		return 0, 0, errors.Join(err, readErr)
 	}
 	stored := records.Rows[r.Service]
-	if stored.Version.Era() != r.Version.Era() {
+	if records.Version.Era() != r.Version.Era() {
 		return 0, 0, errors.Join(err, ErrRestored)
 	}
 	if stored.Version > r.Version && sameRecord(stored, r) {
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -90,10 +90,7 @@
 // confirmByGateway lets the primary's gateway run a round, and runs it here if there
 // is no gateway or it does not answer.
 func (g *Group) confirmByGateway(primary primacy.Primary, sentAt time.Duration) {
-	g.mu.Lock()
-	limit := g.service.Connections
-	g.mu.Unlock()
-	if gw := g.cfg.Gateways.Gateway(g.cfg.Service, primary.Member, true, limit); gw != nil {
+	if gw := g.primaryGateway(primary); gw != nil {
 		if c, err := gw.Confirm(g.cfg.Service); err == nil {
 			g.finishRound(c, sentAt)
 			return
@@ -102,6 +99,15 @@
 	g.confirmByMembers(primary, sentAt)
 }
 
+// primaryGateway returns the gateway of the primary, or nil if this instance connects to
+// the primary directly.
+func (g *Group) primaryGateway(primary primacy.Primary) Gateway {
+	g.mu.Lock()
+	limit := g.service.Connections
+	g.mu.Unlock()
+	return g.cfg.Gateways.Gateway(g.cfg.Service, primary.Member, true, limit)
+}
+
 // Confirm returns the result of a quorum round of this instance that begins after
 // the call. The error is that of ctx.
 func (g *Group) Confirm(ctx context.Context) (Confirmation, error) {
--- a/proxy/group/restore.go
+++ b/proxy/group/restore.go
@@ -50,6 +50,17 @@
 	return g.tracker.RecordOutdated()
 }
 
+// confirmOnce returns the result of a quorum round that begins after the call, at the
+// primary's gateway if it has one.
+func (g *Group) confirmOnce(ctx context.Context, primary primacy.Primary) (Confirmation, error) {
+	if gw := g.primaryGateway(primary); gw != nil {
+		return gw.Confirm(g.cfg.Service)
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout)
+	defer cancel()
+	return g.Confirm(ctx)
+}
+
 // confirmRecord writes a record of the primary in the present era of the store, if a
 // quorum of the members confirms the primary. If it does not for too long, ok is true and
 // the group is to be claimed for the returned reason.
@@ -66,9 +77,7 @@
 	if !g.recordOutdated() {
 		return reason, false
 	}
-	roundCtx, cancel := context.WithTimeout(ctx, confirmationTimeout)
-	round, err := g.Confirm(roundCtx)
-	cancel()
+	round, err := g.confirmOnce(ctx, primary)
 	if err != nil || !round.Confirmed || round.Primary != primary {
 		return reason, overdue
 	}
