--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -107,6 +107,7 @@
 	g.mu.Lock()
 	oldPrimary := g.tracker.Primary()
 	record := g.tracker.Record()
+	claimEnded := g.claimOfEarlierEra(record)
 	g.mu.Unlock()
 	if record.Claim != nil && (record.Confirmed() || record.Claim.OldPrimary.Term > oldPrimary.Term) {
 		oldPrimary = record.Claim.OldPrimary
@@ -120,7 +121,7 @@
 	// if another instance has claimed the group meanwhile.
 	f := &failover{g: g, reason: reason, oldPrimary: oldPrimary, nonce: rand.Uint64(), startedAt: g.cfg.Clock(), record: record, unconfirmed: !record.Confirmed(),
 		log: g.cfg.Log.WithFields(logrus.Fields{"change_of": oldPrimary.Member, "old_term": oldPrimary.Term})}
-	if record.Claim != nil {
+	if record.Claim != nil && !claimEnded {
 		f.promotionPendingUntil = f.startedAt + promotionResendDelay
 		f.earlierPromotionUntil = f.startedAt + g.untilPromotionSettled(*record.Claim)
 	}
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -326,11 +326,12 @@
 func (g *Group) failoverReason(primary primacy.Primary, u *upstream.Upstream) (failoverReason, bool) {
 	g.mu.Lock()
 	record := g.tracker.Record()
+	unfinished := record.Claim != nil && !g.claimOfEarlierEra(record)
 	suspected := g.suspicion
 	m := g.members[primary.Member]
 	g.mu.Unlock()
 	switch {
-	case record.Claim != nil:
+	case unfinished:
 		return failoverReason{text: "unfinished_change", visibleToAll: true}, true
 	case u == nil && g.primaryGone():
 		return failoverReason{text: "gone", notServing: true, visibleToAll: true}, true
--- a/proxy/group/restore.go
+++ b/proxy/group/restore.go
@@ -43,6 +43,13 @@
 	return g.tracker.Record().Version.Era() == g.era && g.storeTime() >= g.eraSeenAt+restoreSettleTime
 }
 
+// claimOfEarlierEra reports whether the claim of a record was stored before the store was
+// restored. Its holder has lost it, and after restoreSettleTime it has no effect. g.mu is
+// held.
+func (g *Group) claimOfEarlierEra(r primacy.Record) bool {
+	return r.Claim != nil && !r.Confirmed() && r.Claim.RenewedAt < g.eraSeenAt
+}
+
 // recordOutdated reports whether the record of the group is no evidence of the primary.
 func (g *Group) recordOutdated() bool {
 	g.mu.Lock()
--- a/proxy/group/restore_test.go
+++ b/proxy/group/restore_test.go
@@ -55,6 +55,27 @@
 	assert.Assert(t, !f.g.tracker.Proven(now+2*time.Second))
 }
 
+// Guards against a change of primary for a claim that a restored store still shows: strict
+// reads were refused until its promotion could have ended.
+func TestClaimOfEarlierEraIsNotTakenOver(t *testing.T) {
+	now := 10 * time.Second
+	store := &fakeRecordStore{now: &now}
+	f := newTestFailover(store, &now)
+	record := restoredRecord(t, 3)
+	record.Claim = &primacy.Claim{Holder: "lost", RenewedAt: now, OldPrimary: record.Primary}
+	now += time.Second
+	f.g.ObserveEra(1, now)
+	now += restoreSettleTime
+	f.g.UpdateRecord(record, exactTimestamp(now))
+	primary, u := f.g.Primary()
+	_, due := f.g.failoverReason(primary, u)
+	assert.Assert(t, !due)
+	record.Claim.RenewedAt = now
+	f.g.UpdateRecord(record, exactTimestamp(now))
+	reason, due := f.g.failoverReason(primary, u)
+	assert.Assert(t, due && reason.text == "unfinished_change", "the claim is of the present era")
+}
+
 // Guards against a member that is used again although it is leaving, because a restored
 // store shows its registration from before.
 func TestLeavingMemberStaysLeavingAfterRestore(t *testing.T) {
