--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -78,6 +78,10 @@
 	InvalidParameter
 	// ReadUnanswered means that a read was sent and no upstream responded.
 	ReadUnanswered
+	// Denied means that the caller's key belongs to no workspace.
+	Denied
+	// RateLimited means that the caller's workspace has used up its limit of operations.
+	RateLimited
 )
 
 // codeProperties holds the external name, the SQLSTATE and the usual verdict of a Code.
@@ -105,6 +109,8 @@
 	ConnectionLimit:       {"connection_limit", "53300", NotRun},
 	InvalidParameter:      {"invalid_parameter", "22023", NotRun},
 	ReadUnanswered:        {"read_unanswered", "57014", MayHaveRun},
+	Denied:                {"denied", "28000", NotRun},
+	RateLimited:           {"rate_limited", "53400", NotRun},
 }
 
 // String returns the name of the code as it appears in logs and metrics.
--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -43,6 +43,8 @@
 	Objective time.Duration
 	// Priority is the scheduling rank of the route's statements; 0 goes first.
 	Priority int
+	// Open means that callers need no key; they belong to no workspace.
+	Open bool
 }
 
 // Service is one database group.
@@ -60,6 +62,8 @@
 	Version  int64
 	Routes   map[string]Route // by Database
 	Services map[string]Service
+	// Workspaces holds the workspaces by name; nil means that callers are not identified.
+	Workspaces map[string]Workspace
 	// TransactionIdle is the time after which an open transaction is rolled back if its
 	// caller sends nothing.
 	TransactionIdle time.Duration
--- a/proxy/hop/wire.go
+++ b/proxy/hop/wire.go
@@ -31,23 +31,38 @@
 type wireJob struct {
 	Statement statement.Statement `json:"statement"`
 	Caller    string              `json:"caller"`
+	Workspace string              `json:"workspace,omitempty"`
+	Weight    float64             `json:"weight,omitempty"`
 	Rank      schedule.Rank       `json:"rank,omitempty"`
 	Values    map[string]string   `json:"values,omitempty"`
 	Prepared  *upstream.Prepared  `json:"prepared,omitempty"`
 	// TimeLeft is the time until the deadline.
-	TimeLeft      time.Duration `json:"left"`
-	Limit         time.Duration `json:"limit,omitempty"`
-	CommitsWrites bool          `json:"keeps,omitempty"`
-	OnlyCandidate bool          `json:"alone,omitempty"`
+	TimeLeft time.Duration `json:"left"`
+	// TimeToDue is the time until the statement is due; nil if it has no such time.
+	TimeToDue     *time.Duration `json:"due,omitempty"`
+	Limit         time.Duration  `json:"limit,omitempty"`
+	CommitsWrites bool           `json:"keeps,omitempty"`
+	OnlyCandidate bool           `json:"alone,omitempty"`
 }
 
 func jobToWire(j upstream.Job, now time.Duration) wireJob {
-	return wireJob{j.Statement, j.Caller, j.Rank, j.Values, j.Prepared, j.Deadline - now, j.Limit, j.CommitsWrites, j.OnlyCandidate}
+	w := wireJob{Statement: j.Statement, Caller: j.Caller, Workspace: j.Workspace, Weight: j.Weight, Rank: j.Rank, Values: j.Values, Prepared: j.Prepared,
+		TimeLeft: j.Deadline - now, Limit: j.Limit, CommitsWrites: j.CommitsWrites, OnlyCandidate: j.OnlyCandidate}
+	if j.Due != 0 {
+		left := j.Due - now
+		w.TimeToDue = &left
+	}
+	return w
 }
 
 func (w wireJob) toJob(clock boottime.Clock) upstream.Job {
-	return upstream.Job{Statement: w.Statement, Caller: w.Caller, Rank: w.Rank, Values: w.Values, Prepared: w.Prepared,
-		Deadline: clock() + w.TimeLeft, Limit: w.Limit, CommitsWrites: w.CommitsWrites, OnlyCandidate: w.OnlyCandidate}
+	now := clock()
+	j := upstream.Job{Statement: w.Statement, Caller: w.Caller, Workspace: w.Workspace, Weight: w.Weight, Rank: w.Rank, Values: w.Values, Prepared: w.Prepared,
+		Deadline: now + w.TimeLeft, Limit: w.Limit, CommitsWrites: w.CommitsWrites, OnlyCandidate: w.OnlyCandidate}
+	if w.TimeToDue != nil {
+		j.Due = now + *w.TimeToDue
+	}
+	return j
 }
 
 // target is a member of a service. Primary means that the calling instance takes the
--- a/proxy/statement/statement.go
+++ b/proxy/statement/statement.go
@@ -225,6 +225,9 @@
 	Service string
 	ID      string
 	Address string
+	// Workspace is the workspace in whose name the connection is opened; empty for open
+	// routes and for papayarail's own commands.
+	Workspace string
 }
 
 // Dialer opens connections to members.
--- a/proxy/upstream/job.go
+++ b/proxy/upstream/job.go
@@ -13,6 +13,11 @@
 	Statement statement.Statement
 	// Caller is the name of the session, for fair queuing.
 	Caller string
+	// Workspace is the caller's workspace, empty if it has none. The statement runs on a
+	// connection that was opened in this name.
+	Workspace string
+	// Weight is the share of the workspace relative to others in fair queuing; 0 counts as 1.
+	Weight float64
 	Rank   schedule.Rank
 	// Values are the session's values. The map must not be changed.
 	Values map[string]string
@@ -21,6 +26,9 @@
 	// Deadline is the end of the statement's time, on the local clock. Nothing is sent
 	// to the member after it.
 	Deadline time.Duration
+	// Due is when the caller should have the answer: the arrival plus the objective of its
+	// route, on the local clock. 0 means that only Deadline applies.
+	Due time.Duration
 	// Limit is the time limit of the execution; 0 means that only Deadline applies.
 	Limit time.Duration
 	// CommitsWrites means that the statement commits writes if it is executed: it is a
