Decode tenants and decide a caller's access by the configuration

Cause: the configuration lists workspaces and their keys, and nothing read them.

Change: platform/client decodes Tenants entry by entry and digests each key while decoding, so that one invalid entry neither fails the configuration nor admits anybody, and no key is kept or logged. Without Tenants, or with null, callers are not identified; an empty or malformed list means that nobody has a valid key. proxy/catalog checks the list (CheckWorkspaces), indexes keys once for each configuration (WorkspaceOf) and decides access (Config.Access), without I/O. A key that two entries list identifies neither; of two entries with the same name, the first one stays in force.

Conclusion: the decision is a pure function that the entry and each operation of a session can use.

--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -63,10 +63,22 @@
 	Routes   map[string]Route // by Database
 	Services map[string]Service
 	// Workspaces holds the workspaces by name; nil means that callers are not identified.
+	// It must not be changed after the first call of WorkspaceOf.
 	Workspaces map[string]Workspace
 	// TransactionIdle is the time after which an open transaction is rolled back if its
 	// caller sends nothing.
 	TransactionIdle time.Duration
+
+	keyIndex keyIndex
+}
+
+// Equal reports whether two configurations have the same content.
+func (c *Config) Equal(other *Config) bool {
+	if c == nil || other == nil {
+		return c == other
+	}
+	return c.Version == other.Version && maps.Equal(c.Routes, other.Routes) && maps.Equal(c.Services, other.Services) &&
+		c.Identified() == other.Identified() && maps.EqualFunc(c.Workspaces, other.Workspaces, Workspace.Equal) && c.TransactionIdle == other.TransactionIdle
 }
 
 // Member is the registration of one database server.
