Relay workspaces with the configuration, and apply a change as a whole

Cause: instances that poll others would have had a configuration without workspaces. An instance of an earlier release relays none and does not say so, which a newer one must not take for a deployment that identifies nobody.

Change: the configuration's delta has a further table of workspaces with the version of the routes, and states whether callers are identified. A delta without that statement is incomplete and is not applied. All three tables must fit the cache, or none is applied: a full table of routes with a change of workspaces from a version that the cache had left would have raised the version and kept revoked keys. A change of any size can be fetched in parts.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -85,11 +85,17 @@
 	return t.ApplyDelta(Delta[T]{Version: version, Full: true, Set: all})
 }
 
+// Applies reports whether d leads from the version of the table, or from any version if
+// it is full, to a newer one.
+func (t *Table[T]) Applies(d Delta[T]) bool {
+	return d.Version > t.version && (d.Full || d.From == t.version)
+}
+
 // ApplyDelta applies d and reports whether a row changed. A delta that does not lead to
 // a newer version, or that starts from a version other than that of the table, is
 // ignored, so that the version never decreases and no change is missing.
 func (t *Table[T]) ApplyDelta(d Delta[T]) bool {
-	if d.Version <= t.version || !d.Full && d.From != t.version {
+	if !t.Applies(d) {
 		return false
 	}
 	changed := false
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -56,12 +56,24 @@
 	Config        *ConfigDelta `json:"config,omitempty"`
 }
 
-// ConfigDelta is a change of the configuration. Routes and Services have the same
-// version, that of the configuration.
+// ConfigDelta is a change of the configuration. Routes, Services and Workspaces have the
+// same version, that of the configuration.
 type ConfigDelta struct {
-	Routes          *mirror.Delta[catalog.Route]   `json:"routes"`
-	Services        *mirror.Delta[catalog.Service] `json:"services"`
-	TransactionIdle time.Duration                  `json:"transaction_idle"`
+	Routes   *mirror.Delta[catalog.Route]   `json:"routes"`
+	Services *mirror.Delta[catalog.Service] `json:"services"`
+	// Identified states whether the configuration identifies callers. It is nil in a
+	// change from an instance of an earlier release, which does not know workspaces; such
+	// a change is incomplete and is not applied.
+	Identified *bool `json:"identified,omitempty"`
+	// Workspaces is empty, but not nil, if callers are not identified.
+	Workspaces      *mirror.Delta[catalog.Workspace] `json:"workspaces,omitempty"`
+	TransactionIdle time.Duration                    `json:"transaction_idle"`
+}
+
+// Complete reports whether the change holds all parts of a configuration, at one version.
+func (d *ConfigDelta) Complete() bool {
+	return d != nil && d.Routes != nil && d.Services != nil && d.Workspaces != nil && d.Identified != nil &&
+		d.Routes.Version == d.Services.Version && d.Routes.Version == d.Workspaces.Version
 }
 
 // Changes says which parts of a Cache an update has changed.
@@ -89,6 +101,8 @@
 	instances       *mirror.Table[source.Candidate]
 	routes          *mirror.Table[catalog.Route]
 	services        *mirror.Table[catalog.Service]
+	workspaces      *mirror.Table[catalog.Workspace]
+	identified      bool // callers are identified; otherwise workspaces is empty
 	transactionIdle time.Duration
 	updated         chan struct{}           // closed and replaced when there is a newer read
 	encodedDeltas   map[Known]*encodedDelta // answers encoded since then
@@ -115,6 +129,8 @@
 		instances: mirror.New(same[source.Candidate]),
 		routes:    mirror.New(same[catalog.Route]),
 		services:  mirror.New(same[catalog.Service]),
+
+		workspaces: mirror.New(catalog.Workspace.Equal),
 	}
 }
 
@@ -204,6 +220,8 @@
 	}
 	cache.routes.ApplySnapshot(c.Routes, version)
 	cache.services.ApplySnapshot(c.Services, version)
+	cache.workspaces.ApplySnapshot(c.Workspaces, version)
+	cache.identified = c.Identified()
 	cache.transactionIdle = c.TransactionIdle
 	clear(cache.configDeltas)
 	cache.notify()
@@ -268,15 +286,18 @@
 // applyConfig applies a change and reports whether it led to a newer version. s.mu is
 // held.
 func (cache *Cache) applyConfig(d *ConfigDelta) bool {
-	if d == nil || d.Routes == nil || d.Services == nil || d.Routes.Version != d.Services.Version {
+	if !d.Complete() {
 		return false
 	}
-	before := cache.routes.Version()
-	cache.routes.ApplyDelta(*d.Routes)
-	if cache.routes.Version() == before {
+	// One table may be sent in full and another as a change from a version that this
+	// cache no longer has. Applied in part, keys could stay valid that the version revokes.
+	if !cache.routes.Applies(*d.Routes) || !cache.services.Applies(*d.Services) || !cache.workspaces.Applies(*d.Workspaces) {
 		return false
 	}
+	cache.routes.ApplyDelta(*d.Routes)
 	cache.services.ApplyDelta(*d.Services)
+	cache.workspaces.ApplyDelta(*d.Workspaces)
+	cache.identified = *d.Identified
 	cache.transactionIdle = d.TransactionIdle
 	clear(cache.configDeltas)
 	return true
@@ -362,7 +383,11 @@
 	if cache.routes.Version() == 0 {
 		return nil
 	}
-	return &catalog.Config{Version: int64(cache.routes.Version()), Routes: cache.routes.All(), Services: cache.services.All(), TransactionIdle: cache.transactionIdle}
+	c := &catalog.Config{Version: int64(cache.routes.Version()), Routes: cache.routes.All(), Services: cache.services.All(), TransactionIdle: cache.transactionIdle}
+	if cache.identified {
+		c.Workspaces = cache.workspaces.All()
+	}
+	return c
 }
 
 // awaitNewer returns the answer to the poll of an instance that has k. It waits until
@@ -417,7 +442,7 @@
 	if c := cache.configDeltas[from]; c != nil {
 		return c, nil
 	}
-	c := &encodedConfigDelta{version: cache.routes.Version(), delta: &ConfigDelta{Routes: cache.routes.DeltaSince(from), Services: cache.services.DeltaSince(from), TransactionIdle: cache.transactionIdle}}
+	c := &encodedConfigDelta{version: cache.routes.Version(), delta: cache.configSince(from)}
 	raw, err := json.Marshal(c.delta)
 	if err != nil {
 		return nil, Class.Wrap(err)
@@ -432,8 +457,15 @@
 	return c, nil
 }
 
-// configPart returns one part of a change of the configuration that is too large for
-// the answer to a poll. It fails if there is no newer version than req.From or the offset
+// configSince returns the change of the configuration from a version to the newest one.
+// cache.mu is held.
+func (cache *Cache) configSince(from uint64) *ConfigDelta {
+	identified := cache.identified
+	return &ConfigDelta{Routes: cache.routes.DeltaSince(from), Services: cache.services.DeltaSince(from), Workspaces: cache.workspaces.DeltaSince(from),
+		Identified: &identified, TransactionIdle: cache.transactionIdle}
+}
+
+// configPart returns one part of a change of the configuration. It fails if there is no newer version than req.From or the offset
 // is out of range.
 func (cache *Cache) configPart(req configRequest) (configAnswer, error) {
 	cache.mu.Lock()
@@ -445,10 +477,20 @@
 	if err != nil {
 		return configAnswer{}, err
 	}
-	if c.compressed == nil || req.Offset < 0 || req.Offset > len(c.compressed) {
+	compressed := c.compressed
+	if compressed == nil {
+		raw, err := json.Marshal(c.delta)
+		if err != nil {
+			return configAnswer{}, Class.Wrap(err)
+		}
+		if compressed, err = deflate(raw); err != nil {
+			return configAnswer{}, err
+		}
+	}
+	if req.Offset < 0 || req.Offset > len(compressed) {
 		return configAnswer{}, Class.New("no part at %d", req.Offset)
 	}
-	return configAnswer{Version: c.version, Length: len(c.compressed), Part: c.compressed[req.Offset:min(req.Offset+configPartSize, len(c.compressed))]}, nil
+	return configAnswer{Version: c.version, Length: len(compressed), Part: compressed[req.Offset:min(req.Offset+configPartSize, len(compressed))]}, nil
 }
 
 // storeNow returns the bounds of the store's present time; zeros if they are not known.
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -183,8 +183,8 @@
 	assert.Assert(t, changes.ConfigChanged)
 	assert.Equal(t, len(answer.Delta.Config.Routes.Set), 1)
 	assert.DeepEqual(t, f.cache.Config(), changed)
-	old := relay.Answer{Delta: relay.Delta{Config: &relay.ConfigDelta{Routes: answer.Delta.Config.Routes, Services: answer.Delta.Config.Services}}}
-	old.Delta.Config.Routes.Version, old.Delta.Config.Services.Version = 8, 8
+	old := relay.Answer{Delta: relay.Delta{Config: &relay.ConfigDelta{Routes: answer.Delta.Config.Routes, Services: answer.Delta.Config.Services, Workspaces: answer.Delta.Config.Workspaces, Identified: answer.Delta.Config.Identified}}}
+	old.Delta.Config.Routes.Version, old.Delta.Config.Services.Version, old.Delta.Config.Workspaces.Version = 8, 8, 8
 	f.cache.Apply(old, 0, boottime.Now())
 	assert.DeepEqual(t, f.cache.Config(), changed) // an older version must not replace it
 }
