Check the caller's key at start-up, at each single statement and at BEGIN

Cause: callers present a key that identifies their workspace, and keys are revoked while sessions are open.

An unknown key is answered with DENIED and the connection is closed. proxy/session asks for access by the configuration in force at each single statement and BEGIN, answers DENIED if the key is no longer valid, and sets the workspace and its rate on jobs; an open transaction is not checked. Sessions are named workspace@address in logs, or by the address alone; the second field appears only where callers are not identified. Statements are counted for the 20 workspaces with the highest limits, refusals by cause; /state shows whether callers are identified and the number of workspaces.

--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,13 +13,74 @@
 	"github.com/papayarail/papayarail/proxy/catalog"
 )
 
-// Metrics implements session.Metrics. The values of labels come from fixed sets only
-// (consistencies, outcomes, causes and store calls), which bounds the number of series.
-type Metrics struct{ set *metrics.Set }
+// Metrics implements session.Metrics. The values of labels come from bounded sets only:
+// consistencies, outcomes, causes, store calls, and the workspaces of SetWorkspaces.
+type Metrics struct {
+	set *metrics.Set
+
+	mu         sync.RWMutex
+	workspaces map[string]workspaceCounters // of SetWorkspaces
+}
 
 // New returns Metrics without any series.
 func New() *Metrics { return &Metrics{set: metrics.NewSet()} }
 
+// MaxWorkspaces is the number of workspaces that have series of their own.
+const MaxWorkspaces = 20
+
+// otherWorkspaces is the label of all other workspaces.
+const otherWorkspaces = "other"
+
+// workspaceCounters holds the names of the two series of a workspace.
+type workspaceCounters struct{ ok, failed string }
+
+func countersOf(workspace string) workspaceCounters {
+	name := func(outcome string) string {
+		return fmt.Sprintf(`papayarail_workspace_statements_total{workspace=%q,outcome=%q}`, workspace, outcome)
+	}
+	return workspaceCounters{name("ok"), name("failed")}
+}
+
+// SetWorkspaces sets the workspaces that have series of their own, at most MaxWorkspaces.
+// It removes the series of workspaces that are no longer among them, so that the number
+// of series stays bounded over any number of configurations.
+func (m *Metrics) SetWorkspaces(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.workspaces
+	m.workspaces = make(map[string]workspaceCounters)
+	for _, name := range names[:min(len(names), MaxWorkspaces)] {
+		m.workspaces[name] = countersOf(name)
+	}
+	for name, series := range before {
+		if _, kept := m.workspaces[name]; !kept && name != otherWorkspaces {
+			m.set.UnregisterMetric(series.ok)
+			m.set.UnregisterMetric(series.failed)
+		}
+	}
+}
+
+// WorkspaceStatement counts a statement by the workspace of its caller.
+func (m *Metrics) WorkspaceStatement(workspace string, ok bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock() // held until counted, so that SetWorkspaces leaves no series behind
+	series, found := m.workspaces[workspace]
+	if !found {
+		series = countersOf(otherWorkspaces)
+	}
+	name := series.failed
+	if ok {
+		name = series.ok
+	}
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
+// CountRefusal counts a refused caller, or a refused operation of an open session, by its
+// cause.
+func (m *Metrics) CountRefusal(cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_refusals_total{cause=%q}`, cause)).Inc()
+}
+
 // Statement counts a statement by consistency and outcome, and records its latency if
 // it succeeded.
 func (m *Metrics) Statement(c catalog.Consistency, outcome string, took time.Duration) {
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/papayarail/papayarail/proxy/metrics"
 	"github.com/papayarail/papayarail/proxy/node"
+	"github.com/papayarail/papayarail/proxy/session"
 	"github.com/papayarail/papayarail/proxy/simulator"
 	"github.com/papayarail/papayarail/proxy/statement"
 )
@@ -158,7 +159,7 @@
 	s := &callerStub{make(chan statement.Statement, 1), make(chan statement.Reply, 1), make(chan struct{}, 1), make(chan struct{})}
 	c.wait.Go(func() {
 		defer close(s.ended)
-		_ = c.nodes[instance].Serve(s, "caller", database) // ends with io.EOF, or because the instance is isolated
+		_ = c.nodes[instance].Serve(s, session.Client{Address: "caller"}, database) // ends with io.EOF, or because the instance is isolated
 	})
 	return s
 }
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -132,19 +132,15 @@
 	return n.config.Load() != nil && n.membersApplied && !n.stop.ordered() && !n.isolation.isolated.Load()
 }
 
-// Route implements session.Directory.
-func (n *Node) Route(database string) (catalog.Route, *group.Group, bool) {
-	c := n.config.Load()
-	if c == nil {
-		return catalog.Route{}, nil, false
-	}
-	r, ok := c.Routes[database]
-	if !ok {
-		return r, nil, false
+// Access implements session.Directory.
+func (n *Node) Access(database string, key catalog.KeyDigest) (catalog.Access, *group.Group) {
+	a := n.config.Load().Access(database, key)
+	if a.Decision != catalog.Granted {
+		return a, nil
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return r, n.groups[r.Service], true
+	return a, n.groups[a.Route.Service]
 }
 
 // PeerServer returns the RPC server for other instances: it passes on snapshots of
@@ -194,8 +190,13 @@
 		n.groups[name].SetMaxStaleness(staleness[name])
 	}
 	n.mu.Unlock()
+	n.cfg.Metrics.SetWorkspaces(catalog.HighestLimits(c.Workspaces, metrics.MaxWorkspaces))
 	n.config.Store(c)
-	n.cfg.Log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "routes": len(c.Routes), "services": len(c.Services)}).Info("configuration in force")
+	n.cfg.Log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "routes": len(c.Routes), "services": len(c.Services),
+		"callers_identified": c.Identified(), "workspaces": len(c.Workspaces)}).Info("configuration in force")
+	if old.Identified() && !c.Identified() {
+		n.cfg.Log.WithFields(logrus.Fields{"event": "identification_ended", "version": c.Version}).Warn("the configuration no longer lists workspaces; callers are served without a key")
+	}
 }
 
 // addGroup starts the group of a service. n.mu is held.
@@ -268,10 +269,10 @@
 
 // Serve serves one caller until it disconnects or the instance stops. A panic ends
 // only that session.
-func (n *Node) Serve(caller Caller, name, database string) (err error) {
+func (n *Node) Serve(caller Caller, client session.Client, database string) (err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
-			n.cfg.Log.WithFields(logrus.Fields{"event": "session_fault", "session": name, "database": database, "error": fmt.Sprint(fault), "stack": string(debug.Stack())}).Error("panic in a session; session ended")
+			n.cfg.Log.WithFields(logrus.Fields{"event": "session_fault", "caller": client.Address, "database": database, "error": fmt.Sprint(fault), "stack": string(debug.Stack())}).Error("panic in a session; session ended")
 			err = errSessionPanic
 		}
 	}()
@@ -285,7 +286,7 @@
 		n.mu.Unlock()
 	}()
 	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, FailureLog: n.failures, Metrics: n.cfg.Metrics}
-	return session.New(env, caller, name, database).Serve(n)
+	return session.New(env, caller, client, database).Serve(n)
 }
 
 // CloseIdle implements session.ShutdownState.
@@ -296,16 +297,23 @@
 
 // State is a diagnostic dump of an instance.
 type State struct {
-	Instance      string                        `json:"instance"`
-	Ready         bool                          `json:"ready"`
-	ConfigVersion int64                         `json:"config_version"`
-	Sessions      int                           `json:"sessions"`
-	Groups        map[string]group.PrimaryState `json:"groups"`
+	Instance      string `json:"instance"`
+	Ready         bool   `json:"ready"`
+	ConfigVersion int64  `json:"config_version"`
+	// CallersIdentified means that callers need a key, except on open routes, and Workspaces is the
+	// number of valid workspaces.
+	CallersIdentified bool                          `json:"callers_identified"`
+	Workspaces        int                           `json:"workspaces"`
+	Sessions          int                           `json:"sessions"`
+	Groups            map[string]group.PrimaryState `json:"groups"`
 }
 
 // State returns a diagnostic dump of the present state.
 func (n *Node) State() State {
 	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState)}
+	if c := n.config.Load(); c != nil {
+		state.CallersIdentified, state.Workspaces = c.Identified(), len(c.Workspaces)
+	}
 	for _, g := range n.allGroups() {
 		state.Groups[g.Service()] = g.PrimaryState()
 	}
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/proxy/session"
 	"github.com/papayarail/papayarail/proxy/simulator"
 	"github.com/papayarail/papayarail/proxy/statement"
 )
@@ -427,7 +428,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newSimulated(t, "i1")
 		s := c.open("i1", simulator.Database)
-		assert.Assert(t, c.nodes["i1"].Serve(faultyCaller{s}, "faulty", simulator.Database) != nil)
+		assert.Assert(t, c.nodes["i1"].Serve(faultyCaller{s}, session.Client{Address: "faulty"}, simulator.Database) != nil)
 		assert.NilError(t, c.write(s))
 		assert.Equal(t, c.nodes["i1"].State().Sessions, 1)
 		s.leave()
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -34,13 +34,13 @@
 
 // runSingle runs an operation outside of a transaction.
 func (s *Session) runSingle(op operation, arrival time.Duration) statement.Reply {
-	r, g, err := s.route()
+	r, g, err := s.authorize()
 	if err != nil {
 		return refused(err)
 	}
 	reqs := s.requirements(r, arrival, op.writes, !op.writes)
 	reply := s.runOnMembers(g, op, reqs)
-	s.env.Metrics.Statement(r.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
+	s.countStatement(r, reply.Err, s.env.Clock()-arrival)
 	if reply.Err != nil {
 		s.logFailure(g, op, r, reqs, reply.Err)
 	} else if op.writes {
@@ -179,7 +179,7 @@
 
 // job returns the job that runs an operation on a member.
 func (s *Session) job(op operation, rank schedule.Rank, deadline time.Duration) upstream.Job {
-	return upstream.Job{Statement: op.Statement, Caller: s.name, Rank: rank, Values: s.values, Prepared: op.prepared, Deadline: deadline}
+	return upstream.Job{Statement: op.Statement, Caller: s.name, Workspace: s.workspace.Name, Weight: s.workspace.Rate, Rank: rank, Values: s.values, Prepared: op.prepared, Deadline: deadline}
 }
 
 // attempt runs an operation once on a member.
--- a/proxy/session/session.go
+++ b/proxy/session/session.go
@@ -24,8 +24,9 @@
 
 // Directory resolves names of the configuration in force.
 type Directory interface {
-	// Route returns the route of a database name and the group that serves it.
-	Route(database string) (catalog.Route, *group.Group, bool)
+	// Access decides whether the caller with a key may use a database, and returns the
+	// group that serves it, or nil if that is not known.
+	Access(database string, key catalog.KeyDigest) (catalog.Access, *group.Group)
 	// TransactionIdle returns how long an open transaction may wait for its caller; 0
 	// means without limit.
 	TransactionIdle() time.Duration
@@ -36,8 +37,14 @@
 	// Statement counts a statement by the route's consistency, its outcome and its
 	// latency.
 	Statement(c catalog.Consistency, outcome string, took time.Duration)
+	// WorkspaceStatement counts a statement by the workspace of its caller and whether it
+	// was answered without an error.
+	WorkspaceStatement(workspace string, ok bool)
 	// CountRetry counts a retry of a statement by its cause.
 	CountRetry(cause string)
+	// CountRefusal counts a caller, or an operation of an open session, that was refused
+	// because of what the caller presented, by its cause.
+	CountRefusal(cause string)
 }
 
 // Env holds the dependencies of a session.
@@ -53,8 +60,15 @@
 type Session struct {
 	env      Env
 	caller   statement.Caller
-	name     string // identifies the session in logs and in the queues of upstreams
+	client   Client
 	database string // as named by the caller
+	// name identifies the session in logs and in the queues of upstreams. It follows the
+	// workspace.
+	name string
+	// workspace is that of the present or last operation: a single statement or a
+	// transaction.
+	workspace catalog.Workspace
+	refused   bool // the last operation was refused because of the caller's key
 
 	values      map[string]string            // set by the caller, by name
 	prepared    map[string]upstream.Prepared // by the caller's name
@@ -74,8 +88,8 @@
 }
 
 // New returns the session of a caller that is connected to a database.
-func New(env Env, caller statement.Caller, name, database string) *Session {
-	return &Session{env: env, caller: caller, name: name, database: database,
+func New(env Env, caller statement.Caller, client Client, database string) *Session {
+	return &Session{env: env, caller: caller, client: client, name: client.Address, database: database,
 		prepared: make(map[string]upstream.Prepared), ownWrites: make(map[string]ownWrite)}
 }
 
@@ -225,19 +239,6 @@
 	return op, nil
 }
 
-// route returns the route and the group of the session's database, or the error for
-// the caller.
-func (s *Session) route() (catalog.Route, *group.Group, error) {
-	r, g, ok := s.env.Directory.Route(s.database)
-	if !ok {
-		return r, nil, verdict.New(verdict.UnknownService, "database %q does not exist", s.database)
-	}
-	if g == nil {
-		return r, nil, verdict.New(verdict.CutOff, "service %q of database %q is not known", r.Service, s.database).WithRetryAfter(time.Second)
-	}
-	return r, g, nil
-}
-
 // requirements returns what an operation on a route requires of a member. reads is
 // false only for a single write.
 func (s *Session) requirements(r catalog.Route, arrival time.Duration, writes, reads bool) group.Requirements {
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -41,7 +41,7 @@
 	if s.state != statement.Idle {
 		return refused(&statement.UpstreamError{Reason: statement.Malformed, Text: "a transaction is open"})
 	}
-	r, g, err := s.route()
+	r, g, err := s.authorize()
 	if err != nil {
 		return refused(err)
 	}
@@ -60,7 +60,7 @@
 		return s.failTransaction(op, t.rollbackErr)
 	}
 	reply := s.runOnUpstream(op, arrival)
-	s.env.Metrics.Statement(t.route.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
+	s.countStatement(t.route, reply.Err, s.env.Clock()-arrival)
 	if reply.Err != nil {
 		return s.failTransaction(op, reply.Err)
 	}
@@ -192,7 +192,7 @@
 	}
 	arrival := s.env.Clock()
 	reply := s.commit(t, st, arrival)
-	s.env.Metrics.Statement(t.route.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
+	s.countStatement(t.route, reply.Err, s.env.Clock()-arrival)
 	if reply.Err != nil {
 		s.logFailure(t.group, operation{Statement: st, writes: t.wrote}, t.route, s.requirements(t.route, arrival, t.wrote, true), reply.Err)
 	}
