Keep revoked keys revoked over a restored store and a rolling upgrade

Cause: an instance that starts after the store was restored from an older copy took the older configuration, in which keys are valid that were revoked since. If it reads the store for the others, it polls nobody and kept that configuration. An incomplete configuration of an instance of an earlier release left a newer one without any for 4 to 6 s.

Change: while an instance has no configuration and the store was restored before (era above 0), it asks up to four announced instances for a newer version before it uses that of the store, and waits up to 1 s for others to be announced if the store lists none. A poll that shows a newer configuration at the polling instance makes the polled one fetch it. An incomplete change leads to a read of the store, at most every 2 s.

Conclusion: a revoked key becomes valid again only on an instance that starts after a restore and reaches no instance that knows the revocation.

--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/poll"
 
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/metrics"
 	"github.com/papayarail/papayarail/proxy/node"
 	"github.com/papayarail/papayarail/proxy/session"
@@ -64,8 +65,12 @@
 }
 
 // start starts one instance with the given client of the store.
-func (c *cluster) start(name string, store node.Store) {
-	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second}
+func (c *cluster) start(name string, store node.Store) { c.startWithWeight(name, store, 0) }
+
+// startWithWeight does what start does, for an instance of a weight. The one with the
+// greatest weight reads the store for the others.
+func (c *cluster) startWithWeight(name string, store node.Store, weight float64) {
+	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second, Weight: weight}
 	if c.peers {
 		settings.PeerAddress = name
 	}
@@ -156,10 +161,15 @@
 
 // open starts a session on an instance.
 func (c *cluster) open(instance, database string) *callerStub {
+	return c.openWithKey(instance, database, "caller")
+}
+
+// openWithKey starts a session of a caller that presents a key.
+func (c *cluster) openWithKey(instance, database, key string) *callerStub {
 	s := &callerStub{make(chan statement.Statement, 1), make(chan statement.Reply, 1), make(chan struct{}, 1), make(chan struct{})}
 	c.wait.Go(func() {
 		defer close(s.ended)
-		_ = c.nodes[instance].Serve(s, session.Client{Address: "caller"}, database) // ends with io.EOF, or because the instance is isolated
+		_ = c.nodes[instance].Serve(s, session.Client{Address: "caller", Credential: catalog.NewCredential([]byte(key))}, database) // ends with io.EOF, or because the instance is isolated
 	})
 	return s
 }
--- /dev/null
+++ b/proxy/node/config.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
+	"github.com/papayarail/papayarail/proxy/boottime"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/relay"
+)
+
+const (
+	// configRetryInterval is the least interval between attempts to get a newer
+	// configuration elsewhere than from the instance that this one polls. Two attempts
+	// fit into the 5 s in which a new version must be in force.
+	configRetryInterval = 2 * time.Second
+	// configCheckPeers is how many instances a starting one asks for a newer configuration
+	// than that of a restored store. Each running instance has the newest version within
+	// 5 s of its storage, so that one answer is enough.
+	configCheckPeers = 4
+	// configCheckTimeout bounds these questions. A caller that arrives meanwhile waits up
+	// to 1 s for a configuration.
+	configCheckTimeout = 500 * time.Millisecond
+	// restoredListWait is how long a starting instance waits for the others to be announced
+	// again in a restored store that lists none. They notice the restore at their next
+	// read, within 0.3 s, and write their entries at the one after it.
+	restoredListWait = time.Second
+)
+
+// fetchNewerConfig gets, in the background, a newer configuration that the polled instance
+// has. received is what its answer had of it: nil if it is too large for the answer. An
+// incomplete change comes from an instance of an earlier release; the configuration
+// is then read from the store. If that fails, it is tried again after a later poll.
+func (r *reader) fetchNewerConfig(ctx context.Context, received *relay.ConfigDelta) {
+	if received != nil && !received.Complete() {
+		r.inBackground(configRetryInterval, func() { r.readConfig(ctx) })
+		return
+	}
+	r.inBackground(0, func() {
+		started := r.node.cfg.Clock()
+		d, err := r.client.FetchConfig(ctx, r.cache.Known().Config)
+		r.node.cfg.Metrics.StoreCall("relayed_config", err, r.node.cfg.Clock()-started)
+		switch {
+		case err != nil:
+			r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Info("configuration could not be fetched from a peer")
+			if r.shouldReadConfig(r.node.cfg.Clock()) {
+				r.readConfig(ctx)
+			}
+		case !d.Complete():
+			r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_incomplete"}).Info("configuration of a peer has no workspaces; it is read from the store")
+			r.readConfig(ctx)
+		default:
+			r.applyChanges(r.cache.ApplyConfig(d))
+		}
+	})
+}
+
+// inBackground calls fetch, unless a call is running or the last one with an interval
+// began less than the interval ago.
+func (r *reader) inBackground(interval time.Duration, fetch func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.node.cfg.Clock()
+	if r.fetchingConfig || interval > 0 && r.fetchTriedAt > 0 && now-r.fetchTriedAt < interval {
+		return
+	}
+	if interval > 0 {
+		r.fetchTriedAt = now
+	}
+	r.fetchingConfig = true
+	go func() {
+		defer func() {
+			r.mu.Lock()
+			r.fetchingConfig = false
+			r.mu.Unlock()
+		}()
+		fetch()
+	}()
+}
+
+// ConfigOutdated implements relay.Source. An instance that reads the store, and polls
+// nobody, has an older configuration than others if it started after the store was
+// restored from an older copy; keys that a later version revoked would stay valid on it.
+func (r *reader) ConfigOutdated(requester string) {
+	r.mu.Lock()
+	ctx := r.ctx
+	r.mu.Unlock()
+	if ctx == nil {
+		return
+	}
+	for _, c := range r.cache.Instances() {
+		if c.Name != requester {
+			continue
+		}
+		r.inBackground(configRetryInterval, func() {
+			if err := r.fetchConfigFrom(ctx, c, r.cache.Known().Config); err != nil {
+				r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "from": c.Name, "error": err.Error()}).Info("newer configuration could not be fetched from the instance that has it")
+			}
+		})
+	}
+}
+
+// fetchConfigFrom applies the change of the configuration from a version to the newest one
+// of an instance.
+func (r *reader) fetchConfigFrom(ctx context.Context, from source.Candidate, version uint64) error {
+	started := r.node.cfg.Clock()
+	d, err := r.client.FetchConfigFrom(ctx, from, version)
+	r.node.cfg.Metrics.StoreCall("relayed_config", err, r.node.cfg.Clock()-started)
+	if err == nil {
+		r.applyChanges(r.cache.ApplyConfig(d))
+	}
+	return err
+}
+
+// setStoreConfig applies a configuration that this instance read from the store at a
+// version of the store.
+func (r *reader) setStoreConfig(ctx context.Context, c *catalog.Config, at storeversion.Version) {
+	if at.Era() > 0 && r.cache.Known().Config == 0 {
+		r.checkRestoredConfig(ctx, uint64(c.Version))
+	}
+	r.applyChanges(r.cache.SetConfig(c))
+}
+
+// checkRestoredConfig asks some instances for a newer configuration than the version that
+// a restored store has, and applies it. This instance has just started: it does not know
+// the versions after the copy from which the store was restored.
+func (r *reader) checkRestoredConfig(ctx context.Context, version uint64) {
+	others := r.awaitOthers(ctx)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	checkCtx, cancel := context.WithTimeout(ctx, configCheckTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var newer []source.Candidate
+	var questions sync.WaitGroup
+	for _, c := range others[:min(len(others), configCheckPeers)] {
+		questions.Go(func() {
+			if r.client.HasNewerConfig(checkCtx, c, version) {
+				mu.Lock()
+				newer = append(newer, c)
+				mu.Unlock()
+			}
+		})
+	}
+	questions.Wait()
+	for _, c := range newer {
+		r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_restored", "from": c.Name, "version": version}).Warn("the store was restored with an older configuration than that of other instances; theirs is used")
+		if err := r.fetchConfigFrom(ctx, c, 0); err == nil && r.cache.Known().Config > version {
+			return
+		}
+	}
+}
+
+// awaitOthers returns the other announced instances. If there are none, it waits for them
+// up to restoredListWait.
+func (r *reader) awaitOthers(ctx context.Context) []source.Candidate {
+	until := r.node.cfg.Clock() + restoredListWait
+	for {
+		others := slices.DeleteFunc(r.cache.Instances(), func(c source.Candidate) bool { return c.Name == r.self.Name })
+		if len(others) > 0 || !r.servesPeers() || r.node.cfg.Clock() >= until || ctx.Err() != nil {
+			return others
+		}
+		boottime.Sleep(ctx, retryInterval)
+		r.readInstances(ctx)
+	}
+}
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -76,6 +76,7 @@
 	wake            chan struct{} // of capacity 1; makes awaitNextRead recompute its wait
 
 	mu                 sync.Mutex
+	ctx                context.Context // of run; nil before it
 	picker             *source.Picker
 	sourceName         string        // instance that was last polled with success; empty: the store
 	readStartedAt      time.Duration // start of the last store read of this instance
@@ -85,7 +86,8 @@
 	membersSchedule    readSchedule
 	instancesSchedule  readSchedule
 	instancesChangedAt time.Duration // last change of the announced instances
-	fetchingConfig     bool          // a configuration is being fetched in parts
+	fetchingConfig     bool          // a configuration is being fetched from a peer
+	fetchTriedAt       time.Duration // last attempt that ConfigOutdated or an incomplete change caused
 	// peerConfigUntil is when the wait for a peer's configuration ends.
 	peerConfigUntil time.Duration
 	// pendingAnnouncements holds instances to be announced in the store, by name.
@@ -105,6 +107,7 @@
 func (r *reader) run(ctx context.Context) {
 	defer r.client.Close()
 	r.mu.Lock()
+	r.ctx = ctx
 	r.peerConfigUntil = r.node.cfg.Clock() + peerConfigWait + rand.N(peerConfigJitter)
 	r.mu.Unlock()
 	r.discoverInstances(ctx)
@@ -196,40 +199,10 @@
 	}
 	r.applyChanges(changes)
 	if err == nil && answer.Delta.ConfigVersion > r.cache.Known().Config {
-		r.fetchConfig(ctx)
+		r.fetchNewerConfig(ctx, answer.Delta.Config)
 	}
 }
 
-// fetchConfig fetches, in the background, a configuration that is too large for a
-// poll's answer. If that fails, it is fetched again after the next poll, or read
-// from the store once shouldReadConfig allows it.
-func (r *reader) fetchConfig(ctx context.Context) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.fetchingConfig {
-		return
-	}
-	r.fetchingConfig = true
-	go func() {
-		defer func() {
-			r.mu.Lock()
-			r.fetchingConfig = false
-			r.mu.Unlock()
-		}()
-		started := r.node.cfg.Clock()
-		d, err := r.client.FetchConfig(ctx, r.cache.Known().Config)
-		r.node.cfg.Metrics.StoreCall("relayed_config", err, r.node.cfg.Clock()-started)
-		if err == nil {
-			r.applyChanges(r.cache.ApplyConfig(d))
-			return
-		}
-		r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Info("configuration could not be fetched from a peer")
-		if r.shouldReadConfig(r.node.cfg.Clock()) {
-			r.readConfig(ctx)
-		}
-	}()
-}
-
 // setSource records where the newest snapshot came from: an instance, or the store if
 // name is empty.
 func (r *reader) setSource(name string) {
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -171,14 +171,14 @@
 	callCtx, cancel := context.WithTimeout(ctx, backgroundTimeout)
 	defer cancel()
 	started := n.cfg.Clock()
-	c, _, err := n.cfg.Store.Config(callCtx, 0, 0)
+	c, at, err := n.cfg.Store.Config(callCtx, 0, 0)
 	n.cfg.Metrics.StoreCall("config", err, n.cfg.Clock()-started)
 	if err != nil {
 		n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Warn("configuration could not be read from the store")
 		return
 	}
 	if c != nil {
-		r.applyChanges(r.cache.SetConfig(c))
+		r.setStoreConfig(ctx, c, at)
 	}
 }
 
@@ -228,7 +228,7 @@
 			continue
 		}
 		if c != nil {
-			r.applyChanges(r.cache.SetConfig(c))
+			r.setStoreConfig(ctx, c, next)
 		}
 	}
 }
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -150,6 +150,8 @@
 	Unavailable(requester string) bool
 	// Announce queues instances to be announced in the store.
 	Announce(all []source.Candidate)
+	// ConfigOutdated tells that the requester has a newer configuration than this instance.
+	ConfigOutdated(requester string)
 	// PollFaster requests shorter read intervals for a while, because of a failover.
 	PollFaster()
 }
@@ -167,6 +169,9 @@
 		if len(req.Announce) > 0 {
 			src.Announce(req.Announce)
 		}
+		if req.Config > src.Cache().Known().Config {
+			src.ConfigOutdated(req.Requester)
+		}
 		if src.Unavailable(req.Requester) {
 			return nil, peer.NewError(codeStale, ErrStale.Error())
 		}
@@ -254,12 +259,35 @@
 	if current == nil {
 		return nil, Class.New("no instance has been polled yet")
 	}
+	return fetchConfig(ctx, current, from)
+}
+
+// FetchConfigFrom does what FetchConfig does, from any instance and on a connection of its
+// own. Unlike FetchConfig, it also fetches a change that is small enough for the answer to
+// a poll.
+func (c *Client) FetchConfigFrom(ctx context.Context, instance source.Candidate, from uint64) (*ConfigDelta, error) {
+	connection := peer.NewClient(instance.Address, c.dial, c.log)
+	defer connection.Close()
+	return fetchConfig(ctx, connection, from)
+}
+
+// HasNewerConfig reports whether an instance answers that it has a newer configuration
+// than a version.
+func (c *Client) HasNewerConfig(ctx context.Context, instance source.Candidate, version uint64) bool {
+	connection := peer.NewClient(instance.Address, c.dial, c.log)
+	defer connection.Close()
+	var answer configAnswer
+	err := connection.Call(ctx, methodConfig, configRequest{From: version}, &answer)
+	return err == nil && answer.Version > version
+}
+
+func fetchConfig(ctx context.Context, instance *peer.Client, from uint64) (*ConfigDelta, error) {
 	var compressed []byte
 	var version uint64
 	for {
 		var answer configAnswer
 		callCtx, cancel := context.WithTimeout(ctx, configPartTimeout)
-		err := current.Call(callCtx, methodConfig, configRequest{From: from, Offset: len(compressed)}, &answer)
+		err := instance.Call(callCtx, methodConfig, configRequest{From: from, Offset: len(compressed)}, &answer)
 		cancel()
 		switch {
 		case err != nil:
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -26,15 +26,19 @@
 	unavailable bool
 	announce    chan source.Candidate
 	pollFaster  chan struct{}
+	outdated    chan string
 }
 
 func newSource() *fakeSource {
-	return &fakeSource{cache: relay.NewCache(boottime.Now), announce: make(chan source.Candidate, 10), pollFaster: make(chan struct{}, 1)}
+	return &fakeSource{cache: relay.NewCache(boottime.Now), announce: make(chan source.Candidate, 10), pollFaster: make(chan struct{}, 1), outdated: make(chan string, 10)}
 }
 
 func (f *fakeSource) Cache() *relay.Cache     { return f.cache }
 func (f *fakeSource) Unavailable(string) bool { return f.unavailable }
 func (f *fakeSource) PollFaster()             { f.pollFaster <- struct{}{} }
+func (f *fakeSource) ConfigOutdated(requester string) {
+	f.outdated <- requester
+}
 func (f *fakeSource) Announce(all []source.Candidate) {
 	for _, c := range all {
 		f.announce <- c
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -23,12 +23,21 @@
 	// instances are the announced instances, by name.
 	instances map[string]source.Candidate
 	copy      storeCopy // the last one taken by CopyStore
+	config    storedConfig
 	// repliesToDrop is the number of further writes that are executed but not answered.
 	repliesToDrop int
 	// calls counts the calls that reached the store.
 	calls int
 }
 
+// storedConfig is the variable part of the operators' configuration.
+type storedConfig struct {
+	version    int64                // the operators' version
+	writtenAt  storeversion.Version // version of the store at the last write
+	workspaces map[string]catalog.Workspace
+	open       bool // the route to Database+"_stale" needs no key
+}
+
 // nextVersion returns the version of a read. It is incremented with each call, as if
 // other clients wrote to the store all the time.
 func (s *store) nextVersion() storeversion.Version {
@@ -46,13 +55,22 @@
 	counter   uint64
 	rows      map[string]storedRecord
 	instances map[string]source.Candidate
+	config    storedConfig
+}
+
+// SetWorkspaces writes a new version of the configuration. A nil map means that callers are
+// not identified. If they are, the route to Database+"_stale" is open.
+func (c *Cluster) SetWorkspaces(all map[string]catalog.Workspace) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.config = storedConfig{c.store.config.version + 1, c.store.nextVersion(), all, all != nil}
 }
 
 // CopyStore takes a copy of the store for RestoreStore.
 func (c *Cluster) CopyStore() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.store.copy = storeCopy{c.store.version.Counter(), maps.Clone(c.store.rows), maps.Clone(c.store.instances)}
+	c.store.copy = storeCopy{c.store.version.Counter(), maps.Clone(c.store.rows), maps.Clone(c.store.instances), c.store.config}
 }
 
 // RestoreStore replaces the store by the last copy. What was written since is gone, and
@@ -63,6 +81,14 @@
 	// All numbers of a test are small enough for a version.
 	c.store.version, _ = storeversion.New(c.store.version.Era()+1, c.store.copy.counter)
 	c.store.rows, c.store.instances = maps.Clone(c.store.copy.rows), maps.Clone(c.store.copy.instances)
+	c.store.config = c.store.copy.config
+}
+
+// ForgetInstances removes all announcements of instances.
+func (c *Cluster) ForgetInstances() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.store.instances)
 }
 
 // IsAnnounced reports whether the store has an announcement of the instance.
@@ -149,27 +175,42 @@
 	return r.Version, now, nil
 }
 
+// configPollInterval is the interval at which a waiting call of Config checks for a newer
+// configuration.
+const configPollInterval = 250 * time.Millisecond
+
 // Config implements node.Store. It returns one route of each consistency to the group.
 func (c *StoreClient) Config(ctx context.Context, cursor storeversion.Version, wait time.Duration) (*catalog.Config, storeversion.Version, error) {
 	if err := c.call(ctx); err != nil {
 		return nil, cursor, err
 	}
 	c.cluster.mu.Unlock()
-	if cursor > 0 {
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+	for end := time.Now().Add(wait); ; time.Sleep(configPollInterval) {
+		c.cluster.mu.Lock()
+		cut, stored, now := c.cluster.partitioned(c.instance, "store"), c.cluster.store.config, c.cluster.store.version
+		c.cluster.mu.Unlock()
+		switch {
+		case ctx.Err() != nil || cut:
+			<-ctx.Done()
+			return nil, cursor, errStoreUnavailable
+		case cursor == 0 || cursor.Era() < now.Era() || stored.writtenAt > cursor:
+			return stored.config(), max(now, 1), nil
+		case !time.Now().Before(end):
+			return nil, cursor, nil
 		}
-		return nil, cursor, nil
 	}
+}
+
+func (s storedConfig) config() *catalog.Config {
 	route := catalog.Route{Database: Database, Service: Service, Timeout: 800 * time.Millisecond, Objective: 100 * time.Millisecond}
 	stale, own := route, route
-	stale.Database, stale.Consistency, stale.Staleness, stale.Priority = Database+"_stale", catalog.BoundedStaleness, 1500*time.Millisecond, 2
+	stale.Database, stale.Consistency, stale.Staleness, stale.Priority, stale.Open = Database+"_stale", catalog.BoundedStaleness, 1500*time.Millisecond, 2, s.open
 	own.Database, own.Consistency, own.Staleness, own.Priority = Database+"_own", catalog.ReadYourWrites, 2500*time.Millisecond, 1
 	return &catalog.Config{
-		Version: 1, Routes: map[string]catalog.Route{route.Database: route, stale.Database: stale, own.Database: own},
+		Version: 1 + s.version, Routes: map[string]catalog.Route{route.Database: route, stale.Database: stale, own.Database: own},
 		Services: map[string]catalog.Service{Service: {Name: Service, Connections: 16, AcknowledgedBy: 1}}, TransactionIdle: 3 * time.Second,
-	}, 1, nil
+		Workspaces: s.workspaces,
+	}
 }
 
 // Members implements node.Store.
