--- a/proxy/catalog/access.go
+++ b/proxy/catalog/access.go
@@ -69,6 +69,8 @@
 // Access is what a configuration grants to a caller.
 type Access struct {
 	Decision Decision
+	// Version is that of the configuration; 0 if there is none.
+	Version int64
 	// Route is the route to the database, if there is one.
 	Route Route
 	// Identified means that the configuration identifies callers.
@@ -85,7 +87,7 @@
 	if c == nil {
 		return Access{}
 	}
-	a := Access{Identified: c.Identified()}
+	a := Access{Version: c.Version, Identified: c.Identified()}
 	var found bool
 	a.Route, found = c.Routes[database]
 	if a.Identified && !a.Route.Open {
--- a/proxy/session/identity.go
+++ b/proxy/session/identity.go
@@ -64,7 +64,8 @@
 		s.env.Metrics.CountRefusal(keyRevoked)
 	}
 	if denied && !s.refused {
-		s.env.Log.WithFields(logrus.Fields{"event": "session_refused", "cause": keyRevoked, "session": s.name, "database": s.database}).Info("operation of an open session refused: the key is no longer valid")
+		s.env.Log.WithFields(logrus.Fields{"event": "session_refused", "cause": keyRevoked, "session": s.name, "database": s.database,
+			"credential": s.client.Credential.String(), "config_version": a.Version}).Info("operation of an open session refused: the key is no longer valid")
 	}
 	s.refused = denied
 	if err != nil {
