--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -74,16 +74,11 @@
 	if c.peers {
 		settings.PeerAddress = name
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	if testing.Verbose() {
-		log.SetOutput(c.t.Output())
-	}
 	n := node.New(node.Config{
 		Settings: settings,
 		DialPeer: func(ctx context.Context, to string) (net.Conn, error) { return c.network.Dial(ctx, name, to) },
 		Store:    store, Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
-		Clock: c.sim.Clock, Log: log.WithField("instance", name), Metrics: metrics.New(),
+		Clock: c.sim.Clock, Log: c.log(name), Metrics: metrics.New(),
 	})
 	c.nodes[name] = n
 	if c.peers {
@@ -94,6 +89,16 @@
 	c.wait.Go(func() { n.Run(c.ctx) })
 }
 
+// log returns the log of an instance.
+func (c *cluster) log(instance string) *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if testing.Verbose() {
+		log.SetOutput(c.t.Output())
+	}
+	return log.WithField("instance", instance)
+}
+
 // await polls until a condition holds.
 func (c *cluster) await(limit time.Duration, what string, holds func() bool) {
 	c.t.Helper()
--- a/proxy/node/config.go
+++ b/proxy/node/config.go
@@ -40,7 +40,7 @@
 // is then read from the store. If that fails, it is tried again after a later poll.
 func (r *reader) fetchNewerConfig(ctx context.Context, received *relay.ConfigDelta) {
 	if received != nil && !received.Complete() {
-		r.inBackground(configRetryInterval, func() { r.readConfig(ctx) })
+		r.inBackground(configRetryInterval, func() { r.replaceIncompleteConfig(ctx) })
 		return
 	}
 	r.inBackground(0, func() {
@@ -54,14 +54,20 @@
 				r.readConfig(ctx)
 			}
 		case !d.Complete():
-			r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_incomplete"}).Info("configuration of a peer has no workspaces; it is read from the store")
-			r.readConfig(ctx)
+			r.replaceIncompleteConfig(ctx)
 		default:
 			r.applyChanges(r.cache.ApplyConfig(d))
 		}
 	})
 }
 
+// replaceIncompleteConfig reads from the store the configuration of which an instance of an
+// earlier release has sent a part.
+func (r *reader) replaceIncompleteConfig(ctx context.Context) {
+	r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_incomplete"}).Info("a peer of an earlier release relays no workspaces; configuration is read from the store")
+	r.readConfig(ctx)
+}
+
 // inBackground calls fetch, unless a call is running or the last one with an interval
 // began less than the interval ago.
 func (r *reader) inBackground(interval time.Duration, fetch func()) {
--- a/proxy/relay/workspaces_test.go
+++ b/proxy/relay/workspaces_test.go
@@ -152,3 +152,37 @@
 	assert.Assert(t, f.cache.ApplyConfig(d).ConfigChanged)
 	assert.DeepEqual(t, f.cache.Config(), c)
 }
+
+// Guards against an instance that reads the store and never learns that the instances that
+// poll it have a newer configuration, in which keys are revoked that it still accepts.
+func TestSourceLearnsOfNewerConfig(t *testing.T) {
+	src := newSource()
+	src.cache.SetConfig(withKeys(7, "k1"))
+	src.read(12, record(12))
+	f := newFollower(t, serve(t, src))
+	f.poll()
+	src.read(13, record(12))
+	f.poll()
+	assert.Equal(t, len(src.outdated), 0)
+	f.cache.SetConfig(withKeys(8))
+	src.read(14, record(12))
+	f.poll()
+	assert.Equal(t, <-src.outdated, "asker")
+}
+
+// Guards the question of a starting instance, which must not transfer a configuration to
+// learn whether it is newer, and the transfer of a change that is small enough for the
+// answer to a poll.
+func TestNewerConfigOfAnotherInstance(t *testing.T) {
+	src := newSource()
+	src.cache.SetConfig(withKeys(8, "k2"))
+	from := serve(t, src)
+	f := newFollower(t, from)
+	assert.Assert(t, f.client.HasNewerConfig(t.Context(), from, 7))
+	assert.Assert(t, !f.client.HasNewerConfig(t.Context(), from, 8))
+	assert.Assert(t, !f.client.HasNewerConfig(t.Context(), source.Candidate{Address: "127.0.0.1:1"}, 7))
+	d, err := f.client.FetchConfigFrom(t.Context(), from, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, f.cache.ApplyConfig(d).ConfigChanged)
+	assert.DeepEqual(t, f.cache.Config(), withKeys(8, "k2"))
+}
