--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -17,8 +17,10 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/poll"
 
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/metrics"
 	"github.com/papayarail/papayarail/proxy/node"
+	"github.com/papayarail/papayarail/proxy/session"
 	"github.com/papayarail/papayarail/proxy/simulator"
 	"github.com/papayarail/papayarail/proxy/statement"
 )
@@ -63,21 +65,20 @@
 }
 
 // start starts one instance with the given client of the store.
-func (c *cluster) start(name string, store node.Store) {
-	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second}
+func (c *cluster) start(name string, store node.Store) { c.startWithWeight(name, store, 0) }
+
+// startWithWeight does what start does, for an instance of a weight. The one with the
+// greatest weight reads the store for the others.
+func (c *cluster) startWithWeight(name string, store node.Store, weight float64) {
+	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second, Weight: weight}
 	if c.peers {
 		settings.PeerAddress = name
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	if testing.Verbose() {
-		log.SetOutput(c.t.Output())
-	}
 	n := node.New(node.Config{
 		Settings: settings,
 		DialPeer: func(ctx context.Context, to string) (net.Conn, error) { return c.network.Dial(ctx, name, to) },
 		Store:    store, Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
-		Clock: c.sim.Clock, Log: log.WithField("instance", name), Metrics: metrics.New(),
+		Clock: c.sim.Clock, Log: c.log(name), Metrics: metrics.New(),
 	})
 	c.nodes[name] = n
 	if c.peers {
@@ -88,6 +89,16 @@
 	c.wait.Go(func() { n.Run(c.ctx) })
 }
 
+// log returns the log of an instance.
+func (c *cluster) log(instance string) *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if testing.Verbose() {
+		log.SetOutput(c.t.Output())
+	}
+	return log.WithField("instance", instance)
+}
+
 // await polls until a condition holds.
 func (c *cluster) await(limit time.Duration, what string, holds func() bool) {
 	c.t.Helper()
@@ -155,10 +166,15 @@
 
 // open starts a session on an instance.
 func (c *cluster) open(instance, database string) *callerStub {
+	return c.openWithKey(instance, database, "caller")
+}
+
+// openWithKey starts a session of a caller that presents a key.
+func (c *cluster) openWithKey(instance, database, key string) *callerStub {
 	s := &callerStub{make(chan statement.Statement, 1), make(chan statement.Reply, 1), make(chan struct{}, 1), make(chan struct{})}
 	c.wait.Go(func() {
 		defer close(s.ended)
-		_ = c.nodes[instance].Serve(s, "caller", database) // ends with io.EOF, or because the instance is isolated
+		_ = c.nodes[instance].Serve(s, session.Client{Address: "caller", Credential: catalog.NewCredential([]byte(key))}, database) // ends with io.EOF, or because the instance is isolated
 	})
 	return s
 }
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -26,15 +26,19 @@
 	unavailable bool
 	announce    chan source.Candidate
 	pollFaster  chan struct{}
+	outdated    chan string
 }
 
 func newSource() *fakeSource {
-	return &fakeSource{cache: relay.NewCache(boottime.Now), announce: make(chan source.Candidate, 10), pollFaster: make(chan struct{}, 1)}
+	return &fakeSource{cache: relay.NewCache(boottime.Now), announce: make(chan source.Candidate, 10), pollFaster: make(chan struct{}, 1), outdated: make(chan string, 10)}
 }
 
 func (f *fakeSource) Cache() *relay.Cache     { return f.cache }
 func (f *fakeSource) Unavailable(string) bool { return f.unavailable }
 func (f *fakeSource) PollFaster()             { f.pollFaster <- struct{}{} }
+func (f *fakeSource) ConfigOutdated(requester string) {
+	f.outdated <- requester
+}
 func (f *fakeSource) Announce(all []source.Candidate) {
 	for _, c := range all {
 		f.announce <- c
@@ -183,8 +187,8 @@
 	assert.Assert(t, changes.ConfigChanged)
 	assert.Equal(t, len(answer.Delta.Config.Routes.Set), 1)
 	assert.DeepEqual(t, f.cache.Config(), changed)
-	old := relay.Answer{Delta: relay.Delta{Config: &relay.ConfigDelta{Routes: answer.Delta.Config.Routes, Services: answer.Delta.Config.Services}}}
-	old.Delta.Config.Routes.Version, old.Delta.Config.Services.Version = 8, 8
+	old := relay.Answer{Delta: relay.Delta{Config: &relay.ConfigDelta{Routes: answer.Delta.Config.Routes, Services: answer.Delta.Config.Services, Workspaces: answer.Delta.Config.Workspaces, Identified: answer.Delta.Config.Identified}}}
+	old.Delta.Config.Routes.Version, old.Delta.Config.Services.Version, old.Delta.Config.Workspaces.Version = 8, 8, 8
 	f.cache.Apply(old, 0, boottime.Now())
 	assert.DeepEqual(t, f.cache.Config(), changed) // an older version must not replace it
 }
