--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -27,6 +27,20 @@
 	// less urgent statements short that a more urgent one has to wait for.
 	MaxRunning int
 	SlotLimit  [schedule.NumRanks]int
+	// ByWorkspace means that callers have workspaces: connections serve one workspace
+	// each, and idle ones are closed at once if they exceed MaxOpen.
+	ByWorkspace bool
+	// InitialMaxOpen replaces MaxOpen until the local time FullAt, if that is not zero.
+	InitialMaxOpen int
+	FullAt         time.Duration
+}
+
+// MaxOpenAt returns the maximum number of open connections at the local time now.
+func (l Limits) MaxOpenAt(now time.Duration) int {
+	if now < l.FullAt {
+		return l.InitialMaxOpen
+	}
+	return l.MaxOpen
 }
 
 const (
@@ -95,3 +109,63 @@
 	middle := min(max(shareOf(2*float64(slots)), least+1), maxRunning)
 	return maxRunning, [schedule.NumRanks]int{schedule.Urgent: maxRunning, schedule.Middle: middle, schedule.Least: least}
 }
+
+const (
+	// workspaceReserveDivisor divides the connection limit; the quotient is the number of
+	// connections that the two gateways of a member leave to others where connections
+	// belong to workspaces: one half to a gateway that replaces one of the two, one half to
+	// the instances that serve while both fail.
+	workspaceReserveDivisor = 4
+	// HandoverTime is how long a new gateway uses its part of the reserve only. The
+	// connections of an instance that lost power count at the member for 3 s, and
+	// instances learn of a change of the gateways within 1 s.
+	HandoverTime = 4 * time.Second
+	// gatewayExtraRunning is the number of statements beyond the slots that one gateway
+	// runs at a member that it serves alone, so that the next one is there when a slot
+	// becomes free: a round trip takes 1 ms, a statement 11 to 55 ms.
+	gatewayExtraRunning = 2
+)
+
+// ForWorkspaceGateway returns the quota of each of the two gateways that run all
+// statements of a member in the names of workspaces. The second one runs them only while
+// the first one does not, so each may use all slots. fullAt is when the handover to
+// this gateway ends; see HandoverTime.
+func ForWorkspaceGateway(limit, slots int, fullAt time.Duration) Limits {
+	reserve := limit / workspaceReserveDivisor
+	l := Limits{MaxOpen: max((limit-reserve)/2, 1), IdleTimeout: idleTimeout, ByWorkspace: true, InitialMaxOpen: max(reserve/2, 1), FullAt: fullAt}
+	l.MaxIdle = l.MaxOpen
+	least := max(slots, 1)
+	l.MaxRunning = least + gatewayExtraRunning
+	l.SlotLimit = [schedule.NumRanks]int{schedule.Urgent: l.MaxRunning, schedule.Middle: least + 1, schedule.Least: least}
+	return l
+}
+
+// ForSpareGateway returns the quota of an instance that runs statements of a member
+// only while its gateways fail; spares is the number of instances that do so at once.
+func ForSpareGateway(limit, slots, spares int) Limits {
+	spares = max(spares, 1)
+	reserve := limit / workspaceReserveDivisor
+	l := Limits{MaxOpen: max((reserve-reserve/2)/spares, 1), IdleTimeout: idleTimeout, ByWorkspace: true}
+	l.MaxRunning, l.SlotLimit = concurrencyLimits(minRunning, slots, 1/float64(spares))
+	return l
+}
+
+// ForDomainGateway returns the quota of one of two gateways in each of a number of failure
+// domains, where callers have workspaces and no instance of the member's domain is left.
+// fullAt is as in ForWorkspaceGateway.
+func ForDomainGateway(limit, slots, domains int, fullAt time.Duration) Limits {
+	l := ForSpareGateway(limit, slots, domains)
+	l.InitialMaxOpen, l.FullAt = l.MaxOpen, fullAt
+	l.MaxOpen = max((limit-limit/workspaceReserveDivisor)/2/max(domains, 1), 1)
+	l.MaxIdle = l.MaxOpen
+	return l
+}
+
+// WithWorkspaces returns the quota of an instance that connects to the member directly, like
+// all others, where callers have workspaces. Half of its connections stay open while they
+// are idle, so that they can serve their workspaces again.
+func (l Limits) WithWorkspaces() Limits {
+	l.ByWorkspace = true
+	l.MaxIdle = max(l.MaxIdle, l.MaxOpen/2)
+	return l
+}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -50,3 +50,23 @@
 	assert.Assert(t, many.MaxRunning > many.SlotLimit[schedule.Least], "the least urgent rank must leave room for others")
 	assert.Assert(t, 3*few.MaxOpen+2*quota.ForInstance(32, 5, 1.0/6).MaxOpen+many.MaxOpen <= 32, "all instances together must stay within the limit")
 }
+
+// Guards against more connections than the member accepts where connections belong to
+// workspaces: both gateways, a new gateway during its handover, and one spare gateway in
+// each failure domain must stay within the limit together. A gateway that lost power counts
+// for 3 s more, which the handover outlasts.
+func TestWorkspaceQuotasStayWithinLimit(t *testing.T) {
+	for _, test := range []struct{ limit, slots, domains int }{{72, 6, 3}, {46, 4, 3}, {46, 4, 6}, {120, 8, 3}, {1000, 30, 6}} {
+		gateway := quota.ForWorkspaceGateway(test.limit, test.slots, time.Hour)
+		spare := quota.ForSpareGateway(test.limit, test.slots, test.domains)
+		domain := quota.ForDomainGateway(test.limit, test.slots, test.domains, time.Hour)
+		assert.Assert(t, 2*gateway.MaxOpen+gateway.InitialMaxOpen+test.domains*spare.MaxOpen <= test.limit, "%+v", test)
+		assert.Assert(t, 2*test.domains*domain.MaxOpen+gateway.InitialMaxOpen <= test.limit, "%+v", test)
+		assert.Equal(t, gateway.MaxOpenAt(time.Hour-1), gateway.InitialMaxOpen)
+		assert.Equal(t, gateway.MaxOpenAt(time.Hour), gateway.MaxOpen)
+		assert.Equal(t, gateway.MaxIdle, gateway.MaxOpen, "the connection of a small workspace must stay open")
+		assert.Assert(t, gateway.SlotLimit[schedule.Least] >= test.slots && gateway.MaxRunning > test.slots, "one gateway must fill all slots")
+		assert.Assert(t, gateway.MaxRunning <= 2*test.slots, "the queue is here and not at the member")
+	}
+	assert.Assert(t, quota.HandoverTime > 3*time.Second)
+}
