--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -28,6 +28,18 @@
 	return p
 }
 
+// pick returns the gateway of a member without a failure domain; ok is false if the
+// instance connects directly.
+func pick(p *gateway.Picker, member string, now time.Duration) (c source.Candidate, ok bool) {
+	c, path := p.Pick(member, "", now)
+	return c, path == gateway.ViaGateway
+}
+
+func isGateway(p *gateway.Picker, member string) bool {
+	role, _ := p.Role(member, "", 0)
+	return role != gateway.NoGateway
+}
+
 // Guards against more connections to a member than its gateways open: all instances of a
 // failure domain must select the same gateway, and one in their own domain.
 func TestInstancesOfADomainAgree(t *testing.T) {
@@ -38,7 +50,7 @@
 		first := make(map[string]string)
 		for i := range n {
 			p := picker(i, n)
-			c, viaGateway := p.Pick(member, 0)
+			c, viaGateway := pick(p, member, 0)
 			if !viaGateway {
 				connecting++
 				c.Name, c.FailureDomain = fmt.Sprint("i", i), domains[i%3]
@@ -61,7 +73,7 @@
 	assert.Assert(t, !picker(0, 85).ConnectDirectly(46))
 	single := gateway.New("i0", "a")
 	assert.Assert(t, single.ConnectDirectly(1))
-	_, viaGateway := single.Pick("m", 0)
+	_, viaGateway := pick(single, "m", 0)
 	assert.Assert(t, !viaGateway)
 }
 
@@ -74,33 +86,33 @@
 	var first source.Candidate
 	for i := range n {
 		p = picker(i, n)
-		if p.IsGateway(member) {
+		if isGateway(p, member) {
 			continue
 		}
-		first, _ = p.Pick(member, 0)
+		first, _ = pick(p, member, 0)
 		break
 	}
 	assert.Assert(t, p.RecordFailure(first.Name, time.Second))
 	assert.Assert(t, !p.RecordFailure(first.Name, time.Second), "other requests that fail at the same time must not count as further failures")
-	second, viaGateway := p.Pick(member, time.Second)
+	second, viaGateway := pick(p, member, time.Second)
 	assert.Assert(t, viaGateway && second.Name != first.Name)
 	p.RecordLeaving(second.Name, time.Second)
 	// When a loss of power ended the gateways of a third of the members, all instances
 	// connected to these members directly and exceeded their connection limits
 	// (colle-avvisi-large, 2,471 connections reset). Spare gateways must come first.
 	for range 2 {
-		spare, viaGateway := p.Pick(member, time.Second)
+		spare, viaGateway := pick(p, member, time.Second)
 		assert.Assert(t, viaGateway && spare.Name != first.Name && spare.Name != second.Name)
 		assert.Assert(t, p.RecordFailure(spare.Name, time.Second))
 	}
-	_, viaGateway = p.Pick(member, time.Second)
+	_, viaGateway = pick(p, member, time.Second)
 	assert.Assert(t, !viaGateway, "without an available gateway, the instance must connect directly")
 	p.RecordAnswer(second.Name, 2*time.Second)
-	c, viaGateway := p.Pick(member, 3*time.Second)
+	c, viaGateway := pick(p, member, 3*time.Second)
 	assert.Assert(t, viaGateway && c.Name == first.Name, "a gateway that is leaving must stay excluded")
 	p.RecordAnswer(first.Name, 3*time.Second)
 	assert.Assert(t, p.RecordFailure(first.Name, 4*time.Second))
-	c, _ = p.Pick(member, 5500*time.Millisecond)
+	c, _ = pick(p, member, 5500*time.Millisecond)
 	assert.Equal(t, c.Name, first.Name, "after an answer, the exclusion must be short again")
 }
 
@@ -114,7 +126,7 @@
 	p.SetCandidates(all)
 	got := make(map[string]int)
 	for m := range 5000 {
-		c, _ := p.Pick(fmt.Sprint("m", m), 0)
+		c, _ := pick(p, fmt.Sprint("m", m), 0)
 		got[c.Name]++
 	}
 	mean := float64(5000-got["i0"]) / 9
@@ -157,3 +169,134 @@
 	assert.Assert(t, math.Abs(gateway.NewFleet("unannounced", all).LoadShare()-1.0/6) < 1e-9)
 	assert.Equal(t, gateway.NewStandalone("i0").LoadShare(), 1.0)
 }
+
+// workspacePicker returns the picker of instance i of n where callers have workspaces.
+func workspacePicker(i, n int) *gateway.Picker {
+	p := picker(i, n)
+	p.SetWorkspaces(true)
+	return p
+}
+
+// Guards against connections of one workspace in several places: all instances must select
+// the same gateway for a member, in the member's domain, and the others must not connect.
+func TestInstancesOfAllDomainsAgree(t *testing.T) {
+	const n = 88
+	for m := range 24 {
+		member, domain := fmt.Sprint("m", m), domains[m%3]
+		first, roles := "", make(map[gateway.Role]int)
+		for i := range n {
+			p := workspacePicker(i, n)
+			c, path := p.Pick(member, domain, 0)
+			if path == gateway.Direct {
+				c.Name, c.FailureDomain = fmt.Sprint("i", i), domains[i%3]
+			}
+			assert.Equal(t, c.FailureDomain, domain)
+			assert.Assert(t, first == "" || first == c.Name)
+			first = c.Name
+			role, _ := p.Role(member, domain, 0)
+			roles[role]++
+		}
+		assert.Equal(t, roles[gateway.MemberGateway], 2)
+		assert.Equal(t, roles[gateway.SpareGateway], 6, "two instances of each domain serve while both gateways fail")
+	}
+}
+
+// Guards against every instance connecting by itself when gateways fail: the two gateways
+// of the caller's own domain come next, then the request is refused.
+func TestWorkspaceGatewaysFail(t *testing.T) {
+	const n, member, domain = 88, "m1", "a"
+	for i := range n {
+		p := workspacePicker(i, n)
+		if role, _ := p.Role(member, domain, 0); role != gateway.NoGateway {
+			continue
+		}
+		for attempt := range 4 {
+			c, path := p.Pick(member, domain, time.Second)
+			assert.Equal(t, path, gateway.ViaGateway)
+			if attempt < 2 {
+				assert.Equal(t, c.FailureDomain, domain)
+			} else {
+				assert.Equal(t, c.FailureDomain, domains[i%3])
+			}
+			p.RecordFailure(c.Name, time.Second)
+		}
+		_, path := p.Pick(member, domain, time.Second)
+		assert.Equal(t, path, gateway.Unavailable)
+		assert.Equal(t, p.RetryAfter(member, domain, time.Second), 1500*time.Millisecond)
+		_, path = p.Pick(member, domain, 3*time.Second)
+		assert.Equal(t, path, gateway.ViaGateway)
+	}
+}
+
+// Guards against 200 ms of silence at each gateway of a failure domain that is cut off: two
+// silent instances must suspend the domain for all members, an answer from there in
+// between must not, and an answer must end the suspension.
+func TestSilentDomainIsSuspendedOnce(t *testing.T) {
+	p := workspacePicker(0, 88) // in domain "a"
+	at := time.Second
+	_, suspended := p.RecordSilence("i1", at)
+	assert.Assert(t, !suspended, "one instance may have lost power")
+	p.RecordAlive("b")
+	_, suspended = p.RecordSilence("i4", at)
+	assert.Assert(t, !suspended, "the domain has answered meanwhile")
+	_, suspended = p.RecordSilence("i7", at+5*time.Second)
+	assert.Assert(t, !suspended, "the silence of the other one is long past")
+	domain, suspended := p.RecordSilence("i1", at+5*time.Second)
+	assert.Assert(t, suspended && domain == "b")
+	_, suspended = p.RecordSilence("i4", at+5*time.Second)
+	assert.Assert(t, !suspended, "suspended twice")
+	for m := range 24 {
+		c, path := p.Pick(fmt.Sprint("m", m), "b", at+5*time.Second)
+		assert.Assert(t, path == gateway.Direct || c.FailureDomain == "a", "%+v", c)
+	}
+	assert.Assert(t, p.RecordAlive("b"))
+	c, _ := p.Pick("m5", "b", at+5*time.Second)
+	assert.Equal(t, c.FailureDomain, "b")
+	_, suspended = p.RecordSilence("i3", at)
+	assert.Assert(t, !suspended, "the own domain is never suspended")
+}
+
+// Guards against members without a gateway after the loss of all instances of their
+// failure domain.
+func TestMemberDomainWithoutInstances(t *testing.T) {
+	var left []source.Candidate
+	for _, c := range instances(88) {
+		if c.FailureDomain != "b" {
+			left = append(left, c)
+		}
+	}
+	connecting := 0
+	for _, self := range left {
+		p := gateway.New(self.Name, self.FailureDomain)
+		p.SetWorkspaces(true)
+		p.SetCandidates(left)
+		c, path := p.Pick("m1", "b", 0)
+		assert.Assert(t, path == gateway.Direct || path == gateway.ViaGateway && c.FailureDomain == self.FailureDomain)
+		if role, _ := p.Role("m1", "b", 0); role == gateway.DomainGateway {
+			connecting++
+		}
+	}
+	assert.Equal(t, connecting, 4, "two instances in each of the two domains")
+}
+
+// Guards against a restart of the handover with each change of the list, and against none
+// after an interruption.
+func TestRoleBeginsOnce(t *testing.T) {
+	const member, domain = "m1", "a"
+	all := instances(88)
+	var p *gateway.Picker
+	for i := range all {
+		p = workspacePicker(i, 88)
+		if role, _ := p.Role(member, domain, 0); role == gateway.MemberGateway {
+			break
+		}
+	}
+	p.SetCandidates(all[:87])
+	_, since := p.Role(member, domain, time.Second)
+	assert.Equal(t, since, time.Duration(0))
+	p.SetWorkspaces(false)
+	p.Role(member, domain, 2*time.Second)
+	p.SetWorkspaces(true)
+	_, since = p.Role(member, domain, 3*time.Second)
+	assert.Equal(t, since, 3*time.Second)
+}
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -168,7 +168,9 @@
 		entry := m.Member()
 		c := replicaselect.Candidate{Remote: entry.FailureDomain != g.cfg.FailureDomain, Suspect: m.Suspect()}
 		c.Wait, c.ServiceTime, c.NeedsConnection = m.Load(req.Rank)
-		if gw := g.cfg.Gateways.Gateway(g.cfg.Service, id, id == primary.Member, g.service.Connections); gw != nil {
+		if gw, err := g.cfg.Gateways.Gateway(g.cfg.Service, entry, id == primary.Member, g.service.Connections); err != nil {
+			c.Suspect = true // it can only be refused
+		} else if gw != nil {
 			c.Wait, c.NeedsConnection = gw.ExpectedWait(), false
 		}
 		choice := Choice{Upstream: m.Upstream, MinPosition: after, MinPositionAt: at, EvidenceAge: req.Arrival - at}
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -27,7 +27,6 @@
 // Execute runs a job on the chosen member, outside of a transaction.
 func (g *Group) Execute(c Choice, j upstream.Job) upstream.Result {
 	sentAt := g.cfg.Clock()
-	g.reportRequest(c.Upstream)
 	r := g.executeRouted(c, j)
 	g.observeResult(c.Upstream, j, r, sentAt)
 	return r
@@ -36,7 +35,11 @@
 // executeRouted runs a job at the member's gateway, or here if it has none.
 func (g *Group) executeRouted(c Choice, j upstream.Job) upstream.Result {
 	for {
-		gw := g.gatewayFor(c)
+		gw, err := g.gatewayFor(c)
+		if err != nil {
+			return upstream.NotSent(err)
+		}
+		g.reportRequest(c.Upstream, gw)
 		if gw == nil {
 			return g.executeLocal(c.Upstream, c.Primary, j)
 		}
@@ -50,8 +53,7 @@
 // The transaction is nil if it was not opened.
 func (g *Group) Open(c Choice, begin statement.Statement, j upstream.Job) (upstream.Tx, upstream.OpenResult) {
 	sentAt := g.cfg.Clock()
-	g.reportRequest(c.Upstream)
-	tx, o := g.openRouted(c, begin, j)
+	tx, gw, o := g.openRouted(c, begin, j)
 	if o.Begin.Err == nil {
 		g.reportAnswer(c.Upstream)
 	}
@@ -59,25 +61,35 @@
 		return nil, o
 	}
 	g.observeResult(c.Upstream, j, o.First, sentAt)
-	return &observedTx{g, c.Upstream, tx}, o
+	return &observedTx{g, c.Upstream, gw, tx}, o
 }
 
-// openRouted opens a transaction at the member's gateway, or here if it has none.
-func (g *Group) openRouted(c Choice, begin statement.Statement, j upstream.Job) (upstream.Tx, upstream.OpenResult) {
+// openRouted opens a transaction at the member's gateway, which it returns, or here if it
+// has none.
+func (g *Group) openRouted(c Choice, begin statement.Statement, j upstream.Job) (upstream.Tx, Gateway, upstream.OpenResult) {
 	for {
-		gw := g.gatewayFor(c)
+		gw, err := g.gatewayFor(c)
+		if err != nil {
+			return nil, nil, upstream.OpenResult{Begin: upstream.NotSent(err)}
+		}
+		g.reportRequest(c.Upstream, gw)
 		if gw == nil {
-			return g.openLocal(c.Upstream, c.Primary, begin, j)
+			tx, o := g.openLocal(c.Upstream, c.Primary, begin, j)
+			return tx, nil, o
 		}
 		if tx, o, reached := gw.Open(begin, j); reached {
-			return tx, o
+			return tx, gw, o
 		}
 	}
 }
 
 // reportRequest reports a request to Reachability if the member is in another failure
-// domain.
-func (g *Group) reportRequest(u *upstream.Upstream) {
+// domain, unless a gateway outside answers it, which does so itself: the silence of one
+// gateway must not count as that of all its members.
+func (g *Group) reportRequest(u *upstream.Upstream, gw Gateway) {
+	if gw != nil && gw.Outside() {
+		return
+	}
 	if m := u.Member(); m.FailureDomain != g.cfg.FailureDomain {
 		g.cfg.Reachability.RecordRequest(m.ID)
 	}
@@ -157,7 +169,7 @@
 		return 0, nil, err
 	}
 	left := j.Deadline - g.cfg.Clock() - answerMargin
-	if conn, err = u.Checkout(j.Values, left); err != nil {
+	if conn, err = u.Checkout(j.Workspace, j.Values, left); err != nil {
 		u.Release(ticket, false)
 		var connErr *statement.ConnError
 		if errors.As(err, &connErr) {
@@ -204,10 +216,15 @@
 func (g *Group) openLocal(u *upstream.Upstream, primary bool, begin statement.Statement, j upstream.Job) (upstream.Tx, upstream.OpenResult) {
 	first := j
 	first.Prepared = nil // prepared after BEGIN, with the session's values of that time
+	if err := u.BeginTransaction(j.Workspace, j.Deadline); err != nil {
+		return nil, upstream.OpenResult{Begin: upstream.NotSent(err)}
+	}
 	ticket, conn, err := g.connect(u, first)
 	if err != nil {
+		u.EndTransaction(j.Workspace)
 		return nil, upstream.OpenResult{Begin: upstream.NotSent(err)}
 	}
+	conn.KeepsTransaction()
 	reply, err := g.exec(primary, conn, begin, j.Deadline-g.cfg.Clock()-answerMargin)
 	if err != nil {
 		u.Release(ticket, false)
@@ -301,13 +318,14 @@
 type observedTx struct {
 	g        *Group
 	upstream *upstream.Upstream
+	gateway  Gateway // nil if the connection is here
 	upstream.Tx
 }
 
 // Run implements upstream.Tx.
 func (t *observedTx) Run(j upstream.Job) upstream.Result {
 	sentAt := t.g.cfg.Clock()
-	t.g.reportRequest(t.upstream)
+	t.g.reportRequest(t.upstream, t.gateway)
 	r := t.Tx.Run(j)
 	t.g.observeResult(t.upstream, j, r, sentAt)
 	return r
@@ -319,7 +337,9 @@
 }
 
 // ExecuteFor runs a job of another instance, for which this one is the gateway, on a
-// member. known is false if this instance does not know the member.
+// member. It never passes the job on to a gateway, even if another instance is the
+// gateway in the view of this one: jobs cannot circulate between instances whose lists
+// differ. known is false if this instance does not know the member.
 func (g *Group) ExecuteFor(member string, primary bool, j upstream.Job) (r upstream.Result, known bool) {
 	u, known, err := g.upstreamForPeer(member, primary)
 	if err != nil {
@@ -346,7 +366,7 @@
 	}
 	g.observeResult(u, j, o.First, sentAt)
 	g.logForPeer(member, j, o.First)
-	return &observedTx{g, u, tx}, o, true
+	return &observedTx{g, u, nil, tx}, o, true
 }
 
 // logForPeer logs a job of another instance that was not answered.
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -17,6 +17,7 @@
 	"github.com/papayarail/papayarail/core/handover"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/quota"
 	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
@@ -79,17 +80,21 @@
 	Confirm(service string) (Confirmation, error)
 	// ExpectedWait returns the expected queueing time at the gateway, as last reported.
 	ExpectedWait() time.Duration
+	// Outside reports whether the gateway is in another failure domain than this instance.
+	// It then reports its calls and their answers to Reachability itself.
+	Outside() bool
 }
 
-// Gateways determines which instances connect to a member. limit is the member's
+// Gateways determines which instances connect to a member. connections is the member's
 // connection limit over all instances.
 type Gateways interface {
 	// Gateway returns the gateway of a member, or nil if this instance connects to
-	// the member directly.
-	Gateway(service, member string, primary bool, limit int) Gateway
-	// ConnectingInstances returns the number of instances that connect to the member
-	// directly, or 0 if this instance is not one of them.
-	ConnectingInstances(member string, limit int) int
+	// the member directly. The error is a *verdict.Error: this instance must not connect to
+	// the member, and no gateway is available.
+	Gateway(service string, m catalog.Member, primary bool, connections int) (Gateway, error)
+	// Limits returns the quota of this instance at a member; share is its share of all
+	// callers.
+	Limits(m catalog.Member, connections int, share float64) quota.Limits
 }
 
 // Reachability detects that the instance is isolated. It is told of the requests that a
@@ -112,12 +117,14 @@
 type noGateways struct{}
 
 // Gateway implements Gateways.
-func (noGateways) Gateway(string, string, bool, int) Gateway { return nil }
+func (noGateways) Gateway(string, catalog.Member, bool, int) (Gateway, error) { return nil, nil }
 
-// ConnectingInstances implements Gateways.
-func (noGateways) ConnectingInstances(string, int) int { return 0 }
+// Limits implements Gateways.
+func (noGateways) Limits(m catalog.Member, connections int, share float64) quota.Limits {
+	return quota.ForInstance(connections, m.Slots, share)
+}
 
-// Config holds the dependencies of a Group. Gateways and Reachability are
+// Config holds the dependencies of a Group. Gateways, Reachability and PoolCounters are
 // optional: without Gateways, the instance connects to all members directly.
 type Config struct {
 	Service       string
@@ -126,6 +133,7 @@
 	Dialer        statement.Dialer
 	Gateways      Gateways
 	Reachability  Reachability
+	PoolCounters  upstream.PoolCounters
 	RecordStore   RecordStore
 	Promoter      Promoter
 	Clock         boottime.Clock
@@ -221,12 +229,12 @@
 }
 
 // gatewayFor returns the gateway of a chosen member, or nil if this instance
-// connects to it directly.
-func (g *Group) gatewayFor(c Choice) Gateway {
+// connects to it directly. The error is that of Gateways.
+func (g *Group) gatewayFor(c Choice) (Gateway, error) {
 	g.mu.Lock()
 	limit := g.service.Connections
 	g.mu.Unlock()
-	return g.cfg.Gateways.Gateway(g.cfg.Service, c.Member().ID, c.Primary, limit)
+	return g.cfg.Gateways.Gateway(g.cfg.Service, c.Member(), c.Primary, limit)
 }
 
 // UpdateRecord handles a read of the group's record, made at the given time. A
@@ -392,6 +400,17 @@
 	return g.lastRequestAt > at
 }
 
+// PoolStates returns the state of the connections to each member.
+func (g *Group) PoolStates() map[string]upstream.PoolState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make(map[string]upstream.PoolState, len(g.members))
+	for id, m := range g.members {
+		all[id] = m.PoolState()
+	}
+	return all
+}
+
 // Close ends idle connections of all members.
 func (g *Group) Close() {
 	g.mu.Lock()
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -51,11 +51,7 @@
 // connLimits returns this instance's quota of a member's connections and slots. g.mu is
 // held.
 func (g *Group) connLimits(m catalog.Member) quota.Limits {
-	limit := g.service.Connections
-	if sharers := g.cfg.Gateways.ConnectingInstances(m.ID, limit); sharers > 0 {
-		return quota.ForGateway(limit, m.Slots, sharers)
-	}
-	return quota.ForInstance(limit, m.Slots, g.fleet.LoadShare())
+	return g.cfg.Gateways.Limits(m, g.service.Connections, g.fleet.LoadShare())
 }
 
 // MembersMissing reports whether the primary or a known member is not registered. The
@@ -164,6 +160,7 @@
 	known := g.members[id]
 	if known == nil {
 		known = &member{Upstream: upstream.New(m, g.connLimits(m), g.cfg.Dialer, g.cfg.Clock)}
+		known.SetPoolCounters(g.cfg.PoolCounters)
 		g.members[id] = known
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_joined", "member": id, "address": m.Address, "failure_domain": m.FailureDomain, "primary": m.Primary}).Info("member joined")
 		g.signalRun()
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -11,6 +11,7 @@
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
 	"github.com/papayarail/papayarail/proxy/upstream"
 )
@@ -90,22 +91,40 @@
 // confirmByGateway lets the primary's gateway run a round, and runs it here if there
 // is no gateway or it does not answer.
 func (g *Group) confirmByGateway(primary primacy.Primary, sentAt time.Duration) {
-	if gw := g.primaryGateway(primary); gw != nil {
-		if c, err := gw.Confirm(g.cfg.Service); err == nil {
+	for {
+		gw := g.primaryGateway(primary)
+		if gw == nil {
+			break
+		}
+		c, err := gw.Confirm(g.cfg.Service)
+		if err == nil {
 			g.finishRound(c, sentAt)
 			return
 		}
+		// A gateway in the primary's failure domain is followed by those in this one.
+		if !gw.Outside() {
+			break
+		}
 	}
 	g.confirmByMembers(primary, sentAt)
 }
 
-// primaryGateway returns the gateway of the primary, or nil if this instance connects to
-// the primary directly.
+// primaryGateway returns the gateway of the primary, or nil if there is none or this
+// instance connects to the primary directly.
 func (g *Group) primaryGateway(primary primacy.Primary) Gateway {
 	g.mu.Lock()
 	limit := g.service.Connections
+	m := g.members[primary.Member]
 	g.mu.Unlock()
-	return g.cfg.Gateways.Gateway(g.cfg.Service, primary.Member, true, limit)
+	entry := catalog.Member{ID: primary.Member}
+	if m != nil {
+		entry = m.Member()
+	}
+	gw, err := g.cfg.Gateways.Gateway(g.cfg.Service, entry, true, limit)
+	if err != nil {
+		return nil // all gateways have failed, so this instance runs the round
+	}
+	return gw
 }
 
 // Confirm returns the result of a quorum round of this instance that begins after
--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,9 +18,11 @@
 	"github.com/zeebo/errs"
 
 	"github.com/papayarail/papayarail/core/gateway"
+	"github.com/papayarail/papayarail/core/quota"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/boottime"
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/peer"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -43,6 +46,9 @@
 	loadMaxAge = 300 * time.Millisecond
 	// abandonTimeout bounds the call that ends a transaction.
 	abandonTimeout = 500 * time.Millisecond
+	// domainCheckInterval is the time between two pings to a failure domain from which
+	// nothing answers.
+	domainCheckInterval = 500 * time.Millisecond
 )
 
 // Router chooses the gateway of each member for one instance and implements
@@ -52,11 +58,17 @@
 	log    *logrus.Entry
 	dial   peer.DialFunc
 	lastTx atomic.Uint64
+	domain string
+	// reachability is told of the calls to gateways in other failure domains.
+	reachability group.Reachability
+	closed       chan struct{}
+	closeOnce    sync.Once
 
 	mu         sync.Mutex
 	picker     *gateway.Picker
 	clients    map[string]*peer.Client // by instance
 	queueWaits map[target]queueWait
+	probing    map[string]bool // failure domains whose witness is being asked
 }
 
 // queueWait is a gateway's last report of its queue for a member.
@@ -68,8 +80,28 @@
 // NewRouter returns a Router for the instance self in the failure domain domain. It uses
 // no gateways before SetInstances. A nil dial connects over TCP.
 func NewRouter(self, domain string, dial peer.DialFunc, clock boottime.Clock, log *logrus.Entry) *Router {
-	return &Router{clock: clock, log: log, dial: dial, picker: gateway.New(self, domain),
-		clients: make(map[string]*peer.Client), queueWaits: make(map[target]queueWait)}
+	return &Router{clock: clock, log: log, dial: dial, domain: domain, reachability: noReachability{}, closed: make(chan struct{}),
+		picker: gateway.New(self, domain), clients: make(map[string]*peer.Client), queueWaits: make(map[target]queueWait), probing: make(map[string]bool)}
+}
+
+// noReachability is a group.Reachability that ignores all calls.
+type noReachability struct{}
+
+// RecordRequest implements group.Reachability.
+func (noReachability) RecordRequest(string) {}
+
+// RecordAnswer implements group.Reachability.
+func (noReachability) RecordAnswer() {}
+
+// SetReachability sets what is told of the calls to gateways in other failure domains and
+// of their answers. It must be called before the Router is used.
+func (r *Router) SetReachability(to group.Reachability) { r.reachability = to }
+
+// SetWorkspaces sets whether callers have workspaces; see gateway.Picker.
+func (r *Router) SetWorkspaces(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.picker.SetWorkspaces(on)
 }
 
 // SetInstances sets the announced instances and closes the connections to those that
@@ -94,37 +126,64 @@
 	}
 }
 
-// ConnectingInstances implements group.Gateways.
-func (r *Router) ConnectingInstances(member string, limit int) int {
+// Limits implements group.Gateways.
+func (r *Router) Limits(m catalog.Member, connections int, share float64) quota.Limits {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.picker.ConnectDirectly(limit) || !r.picker.IsGateway(member) {
-		return 0
+	if r.picker.ConnectDirectly(connections) {
+		l := quota.ForInstance(connections, m.Slots, share)
+		if r.picker.Workspaces() {
+			return l.WithWorkspaces()
+		}
+		return l
+	}
+	role, since := r.picker.Role(m.ID, m.FailureDomain, r.clock())
+	switch domains := r.picker.Domains(); {
+	case role == gateway.MemberGateway:
+		return quota.ForWorkspaceGateway(connections, m.Slots, since+quota.HandoverTime)
+	case role == gateway.SpareGateway:
+		return quota.ForSpareGateway(connections, m.Slots, domains)
+	case role == gateway.DomainGateway && r.picker.Workspaces():
+		return quota.ForDomainGateway(connections, m.Slots, domains, since+quota.HandoverTime)
+	case role == gateway.DomainGateway:
+		return quota.ForGateway(connections, m.Slots, domains)
 	}
-	return r.picker.Domains()
+	l := quota.ForInstance(connections, m.Slots, share)
+	l.ByWorkspace = r.picker.Workspaces()
+	return l
 }
 
 // Gateway implements group.Gateways.
-func (r *Router) Gateway(service, member string, primary bool, limit int) group.Gateway {
+func (r *Router) Gateway(service string, m catalog.Member, primary bool, connections int) (group.Gateway, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.picker.ConnectDirectly(limit) {
-		return nil
+	if r.picker.ConnectDirectly(connections) {
+		return nil, nil
 	}
-	c, ok := r.picker.Pick(member, r.clock())
-	if !ok {
-		return nil
+	now := r.clock()
+	c, way := r.picker.Pick(m.ID, m.FailureDomain, now)
+	switch way {
+	case gateway.Direct:
+		return nil, nil
+	case gateway.Unavailable:
+		return nil, verdict.New(verdict.CutOff, "no gateway of member %s answers", m.ID).WithRetryAfter(r.picker.RetryAfter(m.ID, m.FailureDomain, now))
 	}
+	return &path{router: r, gateway: c.Name, domain: c.FailureDomain, client: r.client(c), target: target{service, m.ID, primary}}, nil
+}
+
+// client returns the client of an instance. r.mu is held.
+func (r *Router) client(c source.Candidate) *peer.Client {
 	client := r.clients[c.Name]
 	if client == nil {
 		client = peer.NewClient(c.Address, r.dial, r.log)
 		r.clients[c.Name] = client
 	}
-	return &path{router: r, gateway: c.Name, client: client, target: target{service, member, primary}}
+	return client
 }
 
 // Close ends the connections to gateways.
 func (r *Router) Close() {
+	r.closeOnce.Do(func() { close(r.closed) })
 	r.mu.Lock()
 	clients := slices.Collect(maps.Values(r.clients))
 	r.mu.Unlock()
@@ -140,6 +199,108 @@
 	if first {
 		r.log.WithFields(logrus.Fields{"event": "gateway_failed", "gateway": name, "error": err.Error()}).Info("gateway does not answer")
 	}
+	if isSilence(err) {
+		r.recordSilence(name)
+	}
+}
+
+// isSilence reports whether an error of a call means that nothing answered, as opposed to
+// an error that the other machine reported.
+func isSilence(err error) bool {
+	var notSent *peer.NotSentError
+	var timeout net.Error
+	return errors.Is(err, errGatewaySilent) || errors.As(err, &notSent) && errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// recordSilence records that an instance is silent, and watches its failure domain if that
+// appears to be cut off.
+func (r *Router) recordSilence(name string) {
+	r.mu.Lock()
+	domain, suspended := r.picker.RecordSilence(name, r.clock())
+	r.mu.Unlock()
+	if suspended {
+		r.log.WithFields(logrus.Fields{"event": "domain_silent", "failure_domain": domain}).Info("no instance of a failure domain answers; its gateways are not used")
+		go r.watchDomain(domain)
+	}
+}
+
+// watchDomain pings the instances of a suspended failure domain in turn until one answers
+// or none is announced any more.
+func (r *Router) watchDomain(domain string) {
+	for attempt := 0; ; attempt++ {
+		select {
+		case <-r.closed:
+			return
+		case <-time.After(domainCheckInterval):
+		}
+		r.mu.Lock()
+		suspended := r.picker.Suspended(domain)
+		r.mu.Unlock()
+		if !suspended {
+			return
+		}
+		r.askWitness(domain, "", attempt)
+	}
+}
+
+// probeDomain asks another instance of the failure domain of a gateway that is silent for
+// an answer, unless one is being asked.
+func (r *Router) probeDomain(domain, silent string) {
+	r.mu.Lock()
+	busy := r.probing[domain]
+	r.probing[domain] = true
+	r.mu.Unlock()
+	if busy {
+		return
+	}
+	if name, answered := r.askWitness(domain, silent, 0); name != "" && !answered {
+		r.recordSilence(name)
+	}
+	r.mu.Lock()
+	delete(r.probing, domain)
+	r.mu.Unlock()
+}
+
+// askWitness pings an instance of a failure domain and records an answer; the name is
+// empty if there is no such instance.
+func (r *Router) askWitness(domain, except string, attempt int) (name string, answered bool) {
+	r.mu.Lock()
+	c, ok := r.picker.Witness(domain, except, attempt)
+	if !ok {
+		r.mu.Unlock()
+		return "", false
+	}
+	client := r.client(c)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	var answerErr *peer.Error
+	if err := client.Call(ctx, methodPing, struct{}{}, nil); err != nil && !errors.As(err, &answerErr) && isTimeout(err) {
+		return c.Name, false
+	}
+	// A refused connection shows as well that the domain can be reached.
+	r.domainAnswered(domain)
+	return c.Name, true
+}
+
+// isTimeout reports whether a call ended without any sign of the other machine.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// domainAnswered records an answer from a failure domain.
+func (r *Router) domainAnswered(domain string) {
+	if domain == r.domain {
+		return
+	}
+	r.reachability.RecordAnswer()
+	r.mu.Lock()
+	back := r.picker.RecordAlive(domain)
+	r.mu.Unlock()
+	if back {
+		r.log.WithFields(logrus.Fields{"event": "domain_back", "failure_domain": domain}).Info("a failure domain answers again")
+	}
 }
 
 func (r *Router) gatewayAnswered(name string, t target, l load) {
@@ -158,6 +319,7 @@
 type path struct {
 	router  *Router
 	gateway string
+	domain  string // failure domain of the gateway
 	client  *peer.Client
 	target
 }
@@ -173,6 +335,9 @@
 	return known.expected
 }
 
+// Outside implements group.Gateway.
+func (p *path) Outside() bool { return p.domain != p.router.domain }
+
 // Execute implements group.Gateway.
 func (p *path) Execute(j upstream.Job) (upstream.Result, bool) {
 	var answer executeAnswer
@@ -204,15 +369,28 @@
 
 // Confirm implements group.Gateway.
 func (p *path) Confirm(service string) (group.Confirmation, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-	defer cancel()
 	var c group.Confirmation
-	err := p.client.Call(ctx, methodConfirm, confirmRequest{service}, &c)
-	if err != nil {
-		p.router.gatewayFailed(p.gateway, err)
-		return c, Class.Wrap(err)
+	err := p.confirm(service, &c)
+	var answerErr *peer.Error
+	switch {
+	case err == nil:
+		return c, nil
+	case p.Outside() && errors.As(err, &answerErr) && answerErr.Code == codeNoRound:
+		// The gateway works, but the members do not answer. They would not answer this
+		// instance either.
+		return group.Confirmation{}, nil
 	}
-	return c, nil
+	p.router.gatewayFailed(p.gateway, err)
+	return group.Confirmation{}, Class.Wrap(err)
+}
+
+func (p *path) confirm(service string, c *group.Confirmation) error {
+	if p.Outside() {
+		return p.call(methodConfirm, confirmRequest{service}, c, upstream.Job{Deadline: p.router.clock() + confirmTimeout})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	return p.client.Call(ctx, methodConfirm, confirmRequest{service}, c)
 }
 
 // withGateway decodes a result and adds the name of the gateway.
@@ -231,6 +409,9 @@
 // a ping, call abandons a read, but keeps waiting for the outcome of a write. After an
 // error, answer must not be read: the call may still write to it.
 func (p *path) call(method string, params, answer any, j upstream.Job) error {
+	if p.Outside() {
+		p.router.reachability.RecordRequest(p.gateway)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sent := time.Now()
@@ -244,6 +425,10 @@
 	for {
 		select {
 		case err := <-done:
+			var answerErr *peer.Error
+			if err == nil || errors.As(err, &answerErr) {
+				p.router.domainAnswered(p.domain)
+			}
 			return err
 		case <-deadline.C:
 			return context.DeadlineExceeded
@@ -257,6 +442,9 @@
 		case pinged.IsZero():
 			pinged = time.Now()
 			go p.ping(ctx)
+			if p.Outside() {
+				go p.router.probeDomain(p.domain, p.gateway)
+			}
 			watch.Reset(pingTimeout)
 		default:
 			p.router.gatewayFailed(p.gateway, errGatewaySilent)
@@ -272,8 +460,10 @@
 func (p *path) ping(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	// call checks the client's LastAnswer, so the error does not matter.
-	_ = p.client.Call(ctx, methodPing, struct{}{}, nil)
+	// call checks the client's LastAnswer.
+	if p.client.Call(ctx, methodPing, struct{}{}, nil) == nil {
+		p.router.domainAnswered(p.domain)
+	}
 }
 
 // lastAnswerSince returns when the gateway last answered, or sent if that is later.
--- a/proxy/hop/hop_test.go
+++ b/proxy/hop/hop_test.go
@@ -23,6 +23,7 @@
 	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/peer"
 	"github.com/papayarail/papayarail/proxy/simulator"
@@ -130,7 +131,8 @@
 }
 
 func (r *Router) mustGateway(t *testing.T) group.Gateway {
-	gw := r.Gateway("s", "m", false, limit)
+	gw, err := r.Gateway("s", catalog.Member{ID: "m"}, false, limit)
+	assert.NilError(t, err)
 	assert.Assert(t, gw != nil, "no gateway")
 	return gw
 }
@@ -213,7 +215,9 @@
 		j.CommitsWrites = true
 		result, reached := r.mustGateway(t).Execute(j)
 		assert.Assert(t, !reached && !result.Sent)
-		assert.Assert(t, r.Gateway("s", "m", false, limit) == nil)
+		gw, err := r.Gateway("s", catalog.Member{ID: "m"}, false, limit)
+		assert.NilError(t, err)
+		assert.Assert(t, gw == nil)
 	})
 }
 
--- a/proxy/hop/server.go
+++ b/proxy/hop/server.go
@@ -204,7 +204,7 @@
 	defer cancel()
 	c, err := executor.Confirm(ctx)
 	if err != nil {
-		return nil, notAccepted(err.Error())
+		return nil, peer.NewError(codeNoRound, err.Error())
 	}
 	return c, nil
 }
--- a/proxy/hop/wire.go
+++ b/proxy/hop/wire.go
@@ -26,6 +26,10 @@
 // nothing was executed.
 const codeNotAccepted = -32002
 
+// codeNoRound is the JSON-RPC error code of a gateway whose quorum round did not end in
+// time.
+const codeNoRound = -32003
+
 // wireJob is the encoded form of an upstream.Job. It has the time left instead of the
 // deadline, as the clocks of instances differ.
 type wireJob struct {
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -49,6 +49,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_store_snapshots_ignored_total{table=%q}`, table)).Inc()
 }
 
+// CountConnections implements upstream.PoolCounters.
+func (m *Metrics) CountConnections(opened, replaced uint64) {
+	m.set.GetOrCreateCounter("papayarail_upstream_connections_opened_total").AddInt64(int64(opened))
+	m.set.GetOrCreateCounter("papayarail_upstream_connections_replaced_total").AddInt64(int64(replaced))
+}
+
+// CountConnectionWaits implements upstream.PoolCounters.
+func (m *Metrics) CountConnectionWaits(n uint64) {
+	m.set.GetOrCreateCounter("papayarail_upstream_connection_waits_total").AddInt64(int64(n))
+}
+
 // RegisterEraGauge registers the gauge of the store's era, which grows when the store is
 // restored from an older copy.
 func (m *Metrics) RegisterEraGauge(era func() float64) {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/papayarail/papayarail/proxy/relay"
 	"github.com/papayarail/papayarail/proxy/session"
 	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 // Store is an instance's view of the platform's store.
@@ -108,6 +109,7 @@
 	n.reader = newReader(n)
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
+	n.router.SetReachability(reachabilityObserver{n})
 	cfg.Metrics.RegisterSessionGauge(func() float64 { return float64(n.openSessions()) })
 	return n
 }
@@ -184,6 +186,7 @@
 	for _, r := range c.Routes {
 		staleness[r.Service] = max(staleness[r.Service], r.Staleness)
 	}
+	n.router.SetWorkspaces(c.Workspaces != nil)
 	n.mu.Lock()
 	for name, s := range c.Services {
 		if g := n.groups[name]; g != nil {
@@ -202,7 +205,7 @@
 func (n *Node) addGroup(s catalog.Service) {
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
-		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
+		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, PoolCounters: n.cfg.Metrics, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
 		Log: n.cfg.Log.WithField("service", s.Name),
 	}, s)
 	g.SetFleet(n.fleet)
@@ -301,13 +304,17 @@
 	ConfigVersion int64                         `json:"config_version"`
 	Sessions      int                           `json:"sessions"`
 	Groups        map[string]group.PrimaryState `json:"groups"`
+	// Pools holds the connections to each member, by service and member.
+	Pools map[string]map[string]upstream.PoolState `json:"pools"`
 }
 
 // State returns a diagnostic dump of the present state.
 func (n *Node) State() State {
-	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState)}
+	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState),
+		Pools: make(map[string]map[string]upstream.PoolState)}
 	for _, g := range n.allGroups() {
 		state.Groups[g.Service()] = g.PrimaryState()
+		state.Pools[g.Service()] = g.PoolStates()
 	}
 	return state
 }
--- a/proxy/upstream/control.go
+++ b/proxy/upstream/control.go
@@ -30,14 +30,18 @@
 	return StatusReply{Status: status, SentAt: sentAt}, nil
 }
 
-// controlConn returns the connection for a control command. A new one may exceed the
-// limit of open connections.
+// controlConn returns the connection for a control command, which may belong to any
+// workspace. A new one may exceed the limit of open connections.
 func (u *Upstream) controlConn(fresh bool, timeout time.Duration) (*Conn, error) {
+	r := connRequest{any: true}
 	if !fresh {
-		return u.Checkout(nil, timeout)
+		return u.checkout(r, timeout)
 	}
 	u.mu.Lock()
-	u.openConns++
+	u.lastConnRequest++
+	r.id = u.lastConnRequest
+	u.pool.ForceOpen(r.id)
+	u.countPoolEvents()
 	u.mu.Unlock()
-	return u.dial(timeout)
+	return u.dial(r, timeout)
 }
--- a/proxy/upstream/pool.go
+++ b/proxy/upstream/pool.go
@@ -1,35 +1,86 @@
 package upstream
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/papayarail/papayarail/core/connpool"
+	"github.com/papayarail/papayarail/core/quota"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/statement"
 )
 
-// Checkout returns an idle connection, or opens one. It prefers a connection on which
-// the session's values are already set. The error is a *verdict.Error, or the error of
-// the dialer.
-func (u *Upstream) Checkout(values map[string]string, timeout time.Duration) (*Conn, error) {
-	deadline := u.clock() + timeout
+const (
+	// maxTransactionWait bounds the wait of a transaction for one of the connections that
+	// transactions may use: callers that are idle inside transactions may hold them for
+	// seconds, and a refused caller can go on with other work.
+	maxTransactionWait = 400 * time.Millisecond
+	// maxListedWorkspaces bounds the diagnostic dump of a pool.
+	maxListedWorkspaces = 20
+)
+
+// PoolCounters counts the events of the connection pools of an instance. It is safe for
+// concurrent use.
+type PoolCounters interface {
+	// CountConnections adds connections that were opened, and those of them for which an
+	// idle connection of another workspace was closed.
+	CountConnections(opened, replaced uint64)
+	// CountConnectionWaits adds requests that had to wait for a connection.
+	CountConnectionWaits(n uint64)
+}
+
+// connRequest is a request for a connection of the pool.
+type connRequest struct {
+	id        uint64
+	workspace string
+	any       bool // a connection of any workspace serves
+	values    map[string]string
+	since     time.Duration
+}
+
+// grant lets a request use a connection: conn, or one that it opens after it has closed
+// replaced, if that is not nil.
+type grant struct {
+	conn     *Conn
+	replaced *Conn
+}
+
+// Checkout returns an idle connection of the workspace, or opens one. It prefers a
+// connection on which the session's values are already set. The error is a *verdict.Error,
+// or the error of the dialer.
+func (u *Upstream) Checkout(workspace string, values map[string]string, timeout time.Duration) (*Conn, error) {
+	return u.checkout(connRequest{workspace: workspace, values: values}, timeout)
+}
+
+func (u *Upstream) checkout(r connRequest, timeout time.Duration) (*Conn, error) {
+	r.since = u.clock()
+	deadline := r.since + timeout
 	for {
-		c, wait, pause, err := u.takeConn(values)
-		if err != nil || c != nil {
-			return c, err
+		g, wait, pause, err := u.request(&r)
+		if err != nil {
+			return nil, err
 		}
-		if wait == nil {
-			c, err = u.dial(min(deadline-u.clock(), DialTimeout))
+		if wait != nil {
+			g = u.awaitGrant(r.id, wait, min(pause, deadline-u.clock()))
+		}
+		switch {
+		case g == nil:
+			if u.clock() >= deadline {
+				return nil, verdict.New(verdict.Overloaded, "no connection to upstream %s came free", u.Member().ID).WithRetryAfter(maxDialBackoff)
+			}
+		case g.conn != nil:
+			return g.conn, nil
+		default:
+			if g.replaced != nil {
+				g.replaced.Close()
+			}
+			c, err := u.dial(r, min(deadline-u.clock(), DialTimeout))
 			if !connLimitReached(err) {
 				return c, err
 			}
-			continue
-		}
-		if c := u.awaitConn(wait, min(pause, deadline-u.clock())); c != nil {
-			return c, nil
-		}
-		if u.clock() >= deadline {
-			return nil, verdict.New(verdict.Overloaded, "no connection to upstream %s came free", u.Member().ID).WithRetryAfter(maxDialBackoff)
 		}
 	}
 }
@@ -40,126 +91,147 @@
 	return ok && reason == statement.TooManyConnections
 }
 
-// awaitConn waits for a connection that another request returns to the pool. It returns
-// nil after the limit, or when the request should try again.
-func (u *Upstream) awaitConn(wait chan *Conn, limit time.Duration) *Conn {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case c := <-wait:
-		return c
-	case <-timer.C:
-		return u.stopWaiting(wait)
-	}
-}
-
-// takeConn returns an idle connection; or a channel to wait on, for at most pause; or
-// neither, in which case Checkout must open a connection, which openConns already counts.
-func (u *Upstream) takeConn(values map[string]string) (c *Conn, wait chan *Conn, pause time.Duration, err error) {
+// request passes a request to the pool. It returns what the request may use, or a channel
+// that receives it, on which to wait for at most pause before asking again.
+func (u *Upstream) request(r *connRequest) (g *grant, wait chan grant, pause time.Duration, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.closed {
 		return nil, nil, 0, verdict.New(verdict.Draining, "upstream %s is gone", u.member.ID)
 	}
-	for len(u.idleConns) > 0 {
-		i := u.bestMatch(values)
-		c := u.idleConns[i]
-		u.idleConns = append(u.idleConns[:i], u.idleConns[i+1:]...)
-		if c.Alive() {
-			return c, nil, 0, nil
+	for {
+		now := u.clock()
+		u.lastConnRequest++
+		r.id = u.lastConnRequest
+		wait = make(chan grant, 1)
+		u.connWaiters[r.id] = wait
+		grants, retryAt := u.pool.Request(connpool.Request{ID: r.id, Workspace: r.workspace, AnyWorkspace: r.any, Since: r.since,
+			Match: func(id uint64) int { return u.conns[id].match(r.values) }}, now)
+		u.deliver(grants)
+		u.countPoolEvents()
+		select {
+		case granted := <-wait:
+			if granted.conn != nil && !granted.conn.Alive() {
+				u.discard(granted.conn)
+				granted.conn.Close()
+				continue
+			}
+			return &granted, nil, 0, nil
+		default:
 		}
-		u.openConns--
-		c.Close()
-	}
-	pause = u.noDialBefore - u.clock()
-	if u.openConns < u.limits.MaxOpen && pause <= 0 {
-		u.openConns++
-		return nil, nil, 0, nil
-	}
-	if u.openConns >= u.limits.MaxOpen {
 		pause = DialTimeout
+		if retryAt > now {
+			pause = min(pause, retryAt-now)
+		}
+		return nil, wait, pause, nil
 	}
-	wait = make(chan *Conn, 1)
-	u.connWaiters = append(u.connWaiters, wait)
-	return nil, wait, pause, nil
 }
 
-// bestMatch returns the index of the idle connection that needs the least setup for the
-// session's values; among equals, the most recently used one.
-func (u *Upstream) bestMatch(values map[string]string) int {
-	best, score := len(u.idleConns)-1, -1
-	for i := len(u.idleConns) - 1; i >= 0; i-- {
-		c := u.idleConns[i]
-		s := 0
-		switch {
-		case sameValues(c.values, values):
-			s = 2
-		case isSubset(c.values, values):
-			s = 1
-		}
-		if s > score {
-			best, score = i, s
-		}
+// match returns how little setup a session with the values needs on the connection.
+func (c *Conn) match(values map[string]string) int {
+	switch {
+	case sameValues(c.values, values):
+		return 2
+	case isSubset(c.values, values):
+		return 1
+	default:
+		return 0
 	}
-	return best
 }
 
-// stopWaiting removes a waiter, and returns a connection that was already handed to it.
-func (u *Upstream) stopWaiting(wait chan *Conn) *Conn {
+// awaitGrant waits for a connection that another request returns to the pool. It returns
+// nil after the limit; the request is then no longer waiting.
+func (u *Upstream) awaitGrant(id uint64, wait chan grant, limit time.Duration) *grant {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case g := <-wait:
+		return &g
+	case <-timer.C:
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for i, w := range u.connWaiters {
-		if w == wait {
-			u.connWaiters = append(u.connWaiters[:i], u.connWaiters[i+1:]...)
-			return nil
-		}
+	select {
+	case g := <-wait: // granted meanwhile
+		return &g
+	default:
 	}
-	return <-wait // a connection was handed off meanwhile
+	u.pool.Cancel(id)
+	delete(u.connWaiters, id)
+	return nil
 }
 
-// dial opens a connection that is already counted in openConns.
-func (u *Upstream) dial(timeout time.Duration) (*Conn, error) {
-	u.mu.Lock()
-	m := u.member
-	u.dialing++
-	u.mu.Unlock()
-	conn, err := u.dialer.Dial(statement.Target{Service: m.Service, ID: m.ID, Address: m.Address}, timeout)
+// deliver passes grants to the requests. u.mu is held.
+func (u *Upstream) deliver(grants []connpool.Grant) {
+	for _, g := range grants {
+		wait := u.connWaiters[g.Request]
+		delete(u.connWaiters, g.Request)
+		replaced := u.conns[g.Replaced]
+		delete(u.conns, g.Replaced)
+		wait <- grant{conn: u.conns[g.Conn], replaced: replaced}
+	}
+}
+
+// countPoolEvents passes what the pool has counted since the last call to the counters.
+// u.mu is held.
+func (u *Upstream) countPoolEvents() {
+	now, last := u.pool.Stats(), u.countedStats
+	if u.counters == nil || now == last {
+		return
+	}
+	u.counters.CountConnections(now.Opened-last.Opened, now.Replaced-last.Replaced)
+	u.counters.CountConnectionWaits(now.Waited - last.Waited)
+	u.countedStats = now
+}
+
+// dial opens the connection that the pool has granted to a request.
+func (u *Upstream) dial(r connRequest, timeout time.Duration) (*Conn, error) {
+	m := u.Member()
+	conn, err := u.dialer.Dial(statement.Target{Service: m.Service, ID: m.ID, Address: m.Address, Workspace: r.workspace}, timeout)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.dialing--
 	if err == nil {
 		u.refusals = 0
-		return &Conn{Conn: conn, prepared: make(map[string]bool)}, nil
+		u.lastConn++
+		c := &Conn{Conn: conn, id: u.lastConn, workspace: r.workspace, prepared: make(map[string]bool)}
+		u.conns[c.id] = c
+		u.pool.Opened(r.id, c.id)
+		return c, nil
 	}
-	u.openConns--
 	if connLimitReached(err) {
 		pause := min(dialBackoff<<min(u.refusals, 8), maxDialBackoff)
 		u.refusals++
-		u.noDialBefore = u.clock() + pause/2 + rand.N(pause)
+		u.pool.OpenRefused(r.id, u.clock()+pause/2+rand.N(pause), u.clock())
 		return nil, err
 	}
-	u.handOff(nil)
+	u.deliver(u.pool.OpenFailed(r.id, u.clock()))
+	u.countPoolEvents()
 	return nil, err
 }
 
 // Return puts a connection that is in a known state back into the pool.
 func (u *Upstream) Return(c *Conn) {
 	u.mu.Lock()
-	c.lastUsed = u.clock()
+	u.endTransaction(c)
+	surplus := false
 	if c.broken || u.closed {
-		u.openConns--
-		u.handOff(nil)
-		u.mu.Unlock()
-		c.Close()
-		return
-	}
-	if !u.handOff(c) {
-		u.idleConns = append(u.idleConns, c)
-		if len(u.idleConns) > u.limits.MaxIdle {
+		u.discard(c)
+		surplus = true
+	} else {
+		var grants []connpool.Grant
+		if grants, surplus = u.pool.Return(c.id, u.clock()); surplus {
+			delete(u.conns, c.id)
+		}
+		u.deliver(grants)
+		if u.pool.Idle() > u.limits.MaxIdle {
 			time.AfterFunc(u.limits.IdleTimeout+time.Millisecond, u.CloseIdle)
 		}
 	}
+	u.countPoolEvents()
 	u.mu.Unlock()
+	if surplus {
+		c.Close()
+	}
 }
 
 // Discard closes a connection whose state is unknown.
@@ -168,28 +240,149 @@
 	u.Return(c)
 }
 
-// handOff gives a connection to the first waiting request and reports whether there is
-// one. A nil connection makes that request try again. u.mu is held.
-func (u *Upstream) handOff(c *Conn) bool {
-	if len(u.connWaiters) == 0 {
-		return false
-	}
-	wait := u.connWaiters[0]
-	u.connWaiters = u.connWaiters[1:]
-	wait <- c
-	return true
+// discard removes a connection in use from the pool. u.mu is held.
+func (u *Upstream) discard(c *Conn) {
+	delete(u.conns, c.id)
+	u.deliver(u.pool.Discard(c.id, u.clock()))
 }
 
 // CloseIdle closes the idle connections above MaxIdle that were not used for IdleTimeout.
 func (u *Upstream) CloseIdle() {
 	u.mu.Lock()
-	now := u.clock()
-	var drop []*Conn
-	for len(u.idleConns) > u.limits.MaxIdle && now-u.idleConns[0].lastUsed > u.limits.IdleTimeout {
-		drop = append(drop, u.idleConns[0])
-		u.idleConns = u.idleConns[1:]
-		u.openConns--
+	closed := u.takeConns(u.pool.CloseIdle(u.clock()))
+	u.mu.Unlock()
+	closeAll(closed)
+}
+
+// takeConns removes connections that the pool no longer has. u.mu is held.
+func (u *Upstream) takeConns(ids []uint64) (all []*Conn) {
+	for _, id := range ids {
+		all = append(all, u.conns[id])
+		delete(u.conns, id)
+	}
+	return all
+}
+
+// BeginTransaction waits until a transaction of the workspace may use a connection. After
+// success, either EndTransaction must be called, or KeepsTransaction with the connection
+// of the transaction. The error is a *verdict.Error.
+func (u *Upstream) BeginTransaction(workspace string, deadline time.Duration) error {
+	u.mu.Lock()
+	if u.closed {
+		u.mu.Unlock()
+		return verdict.New(verdict.Draining, "upstream %s is gone", u.member.ID)
+	}
+	u.lastConnRequest++
+	id := u.lastConnRequest
+	if u.transactions.Begin(id, workspace, u.clock()) {
+		u.mu.Unlock()
+		return nil
+	}
+	begin := make(chan struct{})
+	u.txWaiters[id] = begin
+	left := min(deadline-u.clock(), maxTransactionWait)
+	if u.counters != nil {
+		u.counters.CountConnectionWaits(1)
 	}
 	u.mu.Unlock()
-	closeAll(drop)
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-begin:
+		return nil
+	case <-timer.C:
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.txWaiters[id] == nil {
+		return nil // admitted meanwhile
+	}
+	delete(u.txWaiters, id)
+	u.transactions.Cancel(id)
+	return verdict.New(verdict.Overloaded, "too many open transactions on upstream %s", u.member.ID).WithRetryAfter(maxTransactionWait/2 + rand.N(maxTransactionWait))
+}
+
+// EndTransaction ends a transaction that has no connection.
+func (u *Upstream) EndTransaction(workspace string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.admit(u.transactions.End(workspace))
+}
+
+// KeepsTransaction marks a connection as that of a transaction, which ends with the
+// connection's return to the pool.
+func (c *Conn) KeepsTransaction() { c.transaction = true }
+
+// endTransaction ends the transaction of a connection, if any. u.mu is held.
+func (u *Upstream) endTransaction(c *Conn) {
+	if c.transaction {
+		c.transaction = false
+		u.admit(u.transactions.End(c.workspace))
+	}
+}
+
+// admit wakes the requests whose transactions may begin. u.mu is held.
+func (u *Upstream) admit(ids []uint64) {
+	for _, id := range ids {
+		if begin := u.txWaiters[id]; begin != nil {
+			delete(u.txWaiters, id)
+			close(begin)
+		}
+	}
+}
+
+// applyLimits passes new limits to the pool and returns the connections to close. u.mu is
+// held.
+func (u *Upstream) applyLimits(l quota.Limits) []*Conn {
+	grants, closed := u.pool.SetLimits(l, u.clock())
+	u.deliver(grants)
+	u.admit(u.transactions.SetLimit(transactionLimit(l)))
+	u.countPoolEvents()
+	return u.takeConns(closed)
+}
+
+// transactionLimit returns the number of connections that limits transactions, or 0 where
+// callers have no workspaces.
+func transactionLimit(l quota.Limits) int {
+	if !l.ByWorkspace {
+		return 0
+	}
+	return l.MaxOpen
+}
+
+// PoolState describes the connections to one member, for the diagnostic dump.
+type PoolState struct {
+	Open         int `json:"open"`
+	Idle         int `json:"idle"`
+	Waiting      int `json:"waiting"`
+	Transactions int `json:"transactions"`
+	MaxOpen      int `json:"max_open"`
+	// Workspaces holds the open connections of the workspaces that have most, at most
+	// maxListedWorkspaces; OtherWorkspaces is the sum of the rest.
+	Workspaces      map[string]int `json:"workspaces,omitempty"`
+	OtherWorkspaces int            `json:"other_workspaces,omitempty"`
+}
+
+// PoolState returns the state of the connections.
+func (u *Upstream) PoolState() PoolState {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := PoolState{Open: u.pool.Open(), Idle: u.pool.Idle(), Waiting: u.pool.Waiting(), Transactions: u.transactions.Open(), MaxOpen: u.limits.MaxOpenAt(u.clock())}
+	s.Workspaces, s.OtherWorkspaces = mostConnections(u.pool.OpenByWorkspace())
+	return s
+}
+
+// mostConnections returns the named workspaces with most connections, and the number of
+// connections of the others.
+func mostConnections(open map[string]int) (most map[string]int, others int) {
+	delete(open, "")
+	names := slices.SortedFunc(maps.Keys(open), func(a, b string) int { return cmp.Or(cmp.Compare(open[b], open[a]), cmp.Compare(a, b)) })
+	if len(names) == 0 {
+		return nil, 0
+	}
+	for _, name := range names[min(len(names), maxListedWorkspaces):] {
+		others += open[name]
+		delete(open, name)
+	}
+	return open, others
 }
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/papayarail/papayarail/core/connpool"
 	"github.com/papayarail/papayarail/core/lag"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/quota"
@@ -45,10 +46,12 @@
 // Conn is a connection of the pool with the session state that is set on it.
 type Conn struct {
 	statement.Conn
-	values   map[string]string
-	prepared map[string]bool // prepared statements, by upstream name
-	lastUsed time.Duration
-	broken   bool
+	id          uint64
+	workspace   string // in whose name it was opened
+	values      map[string]string
+	prepared    map[string]bool // prepared statements, by upstream name
+	transaction bool            // it is counted in Upstream.transactions
+	broken      bool
 }
 
 // Upstream is the client of one member. It is safe for concurrent use.
@@ -64,13 +67,17 @@
 	ticking    bool                  // a call of checkDeadlines is scheduled
 	closed     bool
 
-	idleConns    []*Conn
-	openConns    int           // idle, in use and being opened
-	dialing      int           // of these, being opened
-	limits       quota.Limits  // quota of this instance at the member
-	noDialBefore time.Duration // end of the present dial backoff
-	refusals     int           // consecutive refused connections
-	connWaiters  []chan *Conn
+	pool            *connpool.Pool
+	transactions    connpool.Transactions
+	limits          quota.Limits             // quota of this instance at the member
+	conns           map[uint64]*Conn         // idle and in use, by ID
+	refusals        int                      // consecutive refused connections
+	connWaiters     map[uint64]chan grant    // by request
+	txWaiters       map[uint64]chan struct{} // by request; closed when the transaction may begin
+	lastConn        uint64                   // ID of the last connection
+	lastConnRequest uint64                   // ID of the last request for a connection or transaction
+	counters        PoolCounters             // nil if nothing counts
+	countedStats    connpool.Stats           // passed to counters so far
 
 	suspectUntil  time.Duration
 	knownPosition position.Position // highest position known of the member's log
@@ -79,15 +86,25 @@
 
 // New returns an Upstream without connections.
 func New(m catalog.Member, limits quota.Limits, dialer statement.Dialer, clock boottime.Clock) *Upstream {
-	return &Upstream{
+	u := &Upstream{
 		dialer: dialer, clock: clock, member: m, limits: limits,
 		waiting: make(map[uint64]chan error),
+		pool:    connpool.New(limits), conns: make(map[uint64]*Conn), connWaiters: make(map[uint64]chan grant), txWaiters: make(map[uint64]chan struct{}),
 		sched: schedule.New(schedule.Config{
 			Slots: limits.MaxRunning, SlotLimit: limits.SlotLimit, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
 			Floor: [schedule.NumRanks]float64{0, middleRankMinShare, lowestRankMinShare},
 			Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
 	}
+	u.transactions.SetLimit(transactionLimit(limits))
+	return u
+}
+
+// SetPoolCounters sets what counts the events of the connection pool.
+func (u *Upstream) SetPoolCounters(c PoolCounters) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.counters = c
 }
 
 // Member returns the member as last registered.
@@ -103,14 +120,14 @@
 	u.mu.Lock()
 	var drop []*Conn
 	if m.Started != u.member.Started || m.Address != u.member.Address {
-		drop, u.idleConns = u.idleConns, nil
-		u.openConns -= len(drop)
+		drop = u.takeConns(u.pool.CloseAllIdle())
 		u.knownPosition, u.lag = position.Position{}, lag.Estimator{}
 	}
 	if limits.MaxRunning != u.limits.MaxRunning || limits.SlotLimit != u.limits.SlotLimit {
 		u.dispatch(u.sched.SetLimits(limits.MaxRunning, limits.SlotLimit, u.clock()))
 	}
 	u.member, u.limits = m, limits
+	drop = append(drop, u.applyLimits(limits)...)
 	u.mu.Unlock()
 	closeAll(drop)
 }
@@ -119,9 +136,7 @@
 func (u *Upstream) Close() {
 	u.mu.Lock()
 	u.closed = true
-	idle := u.idleConns
-	u.idleConns = nil
-	u.openConns -= len(idle)
+	idle := u.takeConns(u.pool.CloseAllIdle())
 	u.dispatch(u.sched.Drain(u.clock()))
 	u.mu.Unlock()
 	closeAll(idle)
@@ -145,9 +160,9 @@
 	}
 	// The member executes as many statements in parallel as it has slots.
 	wait = time.Duration(ahead) * service / time.Duration(max(u.member.Slots, 1))
-	cold = len(u.idleConns) == 0
+	cold = u.pool.Idle() == 0
 	if cold {
-		wait += max(u.noDialBefore-u.clock(), 0)
+		wait += max(u.pool.NoOpenBefore()-u.clock(), 0)
 	}
 	return wait, service, cold
 }
@@ -165,7 +180,7 @@
 func (u *Upstream) Probing() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.dialing > 0 && u.clock() < u.suspectUntil
+	return u.pool.Opening() > 0 && u.clock() < u.suspectUntil
 }
 
 // RecordFailure marks the member as suspect for suspectDuration.
