--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -42,6 +42,10 @@
 	// pingTimeout bounds the wait for the answer to a ping: a round trip of 0.4 ms, plus
 	// scheduling delays on a machine that shares its processor.
 	pingTimeout = 100 * time.Millisecond
+	// witnessTimeout bounds the wait for another instance of the failure domain of a silent
+	// gateway, which is asked when the gateway is pinged. It ends first, so that the request
+	// that finds the gateway silent knows whether the domain is.
+	witnessTimeout = 90 * time.Millisecond
 	// loadMaxAge is the age up to which a gateway's reported queueing time is used.
 	loadMaxAge = 300 * time.Millisecond
 	// abandonTimeout bounds the call that ends a transaction.
@@ -272,7 +276,7 @@
 	}
 	client := r.client(c)
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
 	defer cancel()
 	var answerErr *peer.Error
 	if err := client.Call(ctx, methodPing, struct{}{}, nil); err != nil && !errors.As(err, &answerErr) && isTimeout(err) {
--- a/proxy/hop/hop_test.go
+++ b/proxy/hop/hop_test.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -257,3 +258,117 @@
 		<-g.txs[3].abandoned
 	})
 }
+
+// workspaceNetwork is a network with instances in two failure domains whose callers have
+// workspaces. "self" and three others are in domain "a", four far gateways in "b".
+func workspaceNetwork(t *testing.T, g *fakeGroup) (network, *Router) {
+	n := newNetwork()
+	all := []source.Candidate{{Name: "self", Address: "self", FailureDomain: "a"}}
+	for _, name := range []string{"near0", "near1", "near2"} {
+		all = append(all, source.Candidate{Name: name, Address: name, FailureDomain: "a"})
+	}
+	for _, name := range farGateways {
+		all = append(all, source.Candidate{Name: name, Address: name, FailureDomain: "b"})
+	}
+	for _, c := range all[1:] {
+		l := n.Listen(c.Name)
+		server := peer.NewServer(silentLog())
+		Register(server, g, n.Clock)
+		go func() { _ = server.Serve(l) }() // ends with the listener
+		t.Cleanup(func() { _ = l.Close() })
+	}
+	r := NewRouter("self", "a", n.dial, n.Clock, silentLog())
+	r.SetWorkspaces(true)
+	r.SetInstances(all)
+	t.Cleanup(r.Close)
+	return n, r
+}
+
+var farGateways = []string{"far0", "far1", "far2", "far3"}
+
+func farMember(i int) catalog.Member {
+	return catalog.Member{ID: fmt.Sprint("m", i), FailureDomain: "b", Slots: 2}
+}
+
+// Guards against 200 ms of silence at each gateway of a failure domain that is cut off: the
+// domain must be recognised once for all members, the caller's domain serves meanwhile, and
+// the gateways of the domain must be used again after the partition.
+func TestSilentDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := workspaceNetwork(t, &fakeGroup{known: true})
+		member := 0
+		for ; ; member++ { // a member that self does not serve
+			if gw, err := r.Gateway("s", farMember(member), false, limit); err == nil && gw != nil {
+				break
+			}
+		}
+		gw, err := r.Gateway("s", farMember(member), false, limit)
+		assert.NilError(t, err)
+		assert.Assert(t, gw.Outside())
+		_, reached := gw.Execute(r.job(statement.Read, time.Second))
+		assert.Assert(t, reached)
+		for _, name := range farGateways {
+			n.Partition("self", name)
+		}
+		began := time.Now()
+		gw.Execute(r.job(statement.Read, 5*time.Second))
+		for i := range 12 {
+			gw, err := r.Gateway("s", farMember(i), false, limit)
+			assert.NilError(t, err)
+			assert.Assert(t, gw == nil || !gw.Outside(), "a gateway of the silent domain is used for member %d", i)
+		}
+		assert.Assert(t, time.Since(began) <= 250*time.Millisecond, "recognised after %s", time.Since(began))
+		for _, name := range farGateways {
+			n.Heal("self", name)
+		}
+		time.Sleep(3 * time.Second)
+		gw, err = r.Gateway("s", farMember(member), false, limit)
+		assert.NilError(t, err)
+		assert.Assert(t, gw.Outside())
+	})
+}
+
+// Guards against a domain that is taken for silent because one of its gateways dies: the
+// second one must serve.
+func TestOneFarGatewayDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, r := workspaceNetwork(t, &fakeGroup{known: true})
+		gw, err := r.Gateway("s", farMember(0), false, limit)
+		assert.NilError(t, err)
+		first := gw.(*path).gateway
+		_, reached := gw.Execute(r.job(statement.Read, time.Second))
+		assert.Assert(t, reached)
+		n.Partition("self", first)
+		gw.Execute(r.job(statement.Read, 5*time.Second))
+		gw, err = r.Gateway("s", farMember(0), false, limit)
+		assert.NilError(t, err)
+		assert.Assert(t, gw.Outside() && gw.(*path).gateway != first)
+	})
+}
+
+// Guards against every instance connecting by itself while no gateway is available: the
+// job must be refused as cut off, with a time to come back.
+func TestNoGatewayAvailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, r := workspaceNetwork(t, &fakeGroup{known: false, result: upstream.NotSent(errors.New("not here"))})
+		refused := 0
+		for i := range 12 {
+			for range 6 {
+				gw, err := r.Gateway("s", farMember(i), false, limit)
+				if err != nil {
+					v := verdict.FromError(err)
+					assert.Equal(t, v.Code, verdict.CutOff)
+					assert.Assert(t, v.RetryAfter > 0)
+					refused++
+					break
+				}
+				if gw == nil {
+					break // self is a spare gateway
+				}
+				_, reached := gw.Execute(r.job(statement.Read, time.Second))
+				assert.Assert(t, !reached)
+			}
+		}
+		assert.Assert(t, refused > 0, "self must not connect to all members")
+	})
+}
