--- a/proxy/hop/hop_test.go
+++ b/proxy/hop/hop_test.go
@@ -372,3 +372,38 @@
 		assert.Assert(t, refused > 0, "self must not connect to all members")
 	})
 }
+
+// recorder is a group.Reachability that records what is reported.
+type recorder struct {
+	mu       sync.Mutex
+	requests []string
+	answers  int
+}
+
+func (r *recorder) RecordRequest(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, name)
+}
+
+func (r *recorder) RecordAnswer() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers++
+}
+
+// Guards against an instance that takes itself for isolated because members behind gateways
+// outside do not answer: an answer of the gateway shows that it is not.
+func TestGatewayOutsideIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, r := workspaceNetwork(t, &fakeGroup{known: true, result: upstream.NotSent(verdict.New(verdict.CutOff, "member is silent"))})
+		var reported recorder
+		r.SetReachability(&reported)
+		gw, err := r.Gateway("s", farMember(0), false, limit)
+		assert.NilError(t, err)
+		result, reached := gw.Execute(r.job(statement.Read, time.Second))
+		assert.Assert(t, reached && result.Err != nil)
+		assert.DeepEqual(t, reported.requests, []string{gw.(*path).gateway})
+		assert.Assert(t, reported.answers > 0)
+	})
+}
