Compress calls between failure domains

Change: peer reads and writes its messages through a stream of its own. A message is a plain line, as before, or a frame compressed on its own with a preset dictionary. Both are always read. A client between two failure domains calls the method "compress" with the format of its frames, at the same time as its first call, and both sides compress once the other has agreed. An earlier release answers that the method does not exist, and both directions stay plain. This needs no field in the list of instances, which instances of earlier releases would drop when they pass it on.

--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -48,6 +48,7 @@
 // Router chooses the gateway of each member for one instance and implements
 // group.Gateways. It is safe for concurrent use.
 type Router struct {
+	domain string
 	clock  boottime.Clock
 	log    *logrus.Entry
 	dial   peer.DialFunc
@@ -68,7 +69,7 @@
 // NewRouter returns a Router for the instance self in the failure domain domain. It uses
 // no gateways before SetInstances. A nil dial connects over TCP.
 func NewRouter(self, domain string, dial peer.DialFunc, clock boottime.Clock, log *logrus.Entry) *Router {
-	return &Router{clock: clock, log: log, dial: dial, picker: gateway.New(self, domain),
+	return &Router{domain: domain, clock: clock, log: log, dial: dial, picker: gateway.New(self, domain),
 		clients: make(map[string]*peer.Client), queueWaits: make(map[target]queueWait)}
 }
 
@@ -117,7 +118,7 @@
 	}
 	client := r.clients[c.Name]
 	if client == nil {
-		client = peer.NewClient(c.Address, r.dial, r.log)
+		client = peer.NewClient(c.Address, peer.Between(r.domain, c.FailureDomain), r.dial, r.log)
 		r.clients[c.Name] = client
 	}
 	return &path{router: r, gateway: c.Name, client: client, target: target{service, member, primary}}
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -97,7 +97,7 @@
 
 func newReader(n *Node) *reader {
 	s := n.cfg.Settings
-	return &reader{node: n, cache: relay.NewCache(n.cfg.Clock), client: relay.NewClient(s.Instance, n.cfg.DialPeer, n.cfg.Log),
+	return &reader{node: n, cache: relay.NewCache(n.cfg.Clock), client: relay.NewClient(s.Instance, s.FailureDomain, n.cfg.DialPeer, n.cfg.Log),
 		storeDependency: n.newDependencyMonitor("store"), wake: make(chan struct{}, 1), picker: source.New(s.Instance, s.FailureDomain),
 		self:                 source.Candidate{Name: s.Instance, Address: s.PeerAddress, FailureDomain: s.FailureDomain, Weight: s.Weight},
 		pendingAnnouncements: make(map[string]source.Candidate)}
--- a/proxy/peer/peer.go
+++ b/proxy/peer/peer.go
@@ -1,5 +1,6 @@
 // Package peer is the RPC between instances: JSON-RPC 2.0 over one persistent
-// connection from each instance to each that it calls.
+// connection from each instance to each that it calls. Messages on connections between
+// failure domains are compressed.
 package peer
 
 import (
@@ -55,8 +56,8 @@
 		if err != nil {
 			return Class.Wrap(err)
 		}
-		stream := jsonrpc2.NewPlainObjectStream(writeTimeoutConn{c})
-		conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(dispatcher{s}), jsonrpc2.SetLogger(connectionLogger{s.log}))
+		stream := newStream(c)
+		conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(dispatcher{s, stream}), jsonrpc2.SetLogger(connectionLogger{s.log}))
 		go func() {
 			select {
 			case <-ctx.Done():
@@ -89,11 +90,19 @@
 	l.log.WithField("event", "peer_connection").Debugf(format, args...)
 }
 
-type dispatcher struct{ server *Server }
+// dispatcher answers the calls of one connection.
+type dispatcher struct {
+	server *Server
+	stream *stream
+}
 
 // Handle implements jsonrpc2.Handler. It ignores errors of replies: they mean that the
 // calling instance has disconnected.
 func (d dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == methodCompress {
+		_ = conn.Reply(ctx, req.ID, d.stream.acceptCompression(req.Params))
+		return
+	}
 	answer, err := d.server.answerOrRecover(ctx, conn, req)
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, req.ID, err)
@@ -134,9 +143,10 @@
 
 // Client calls one other instance. It is safe for concurrent use.
 type Client struct {
-	address string
-	dial    DialFunc
-	log     *logrus.Entry
+	address  string
+	dial     DialFunc
+	log      *logrus.Entry
+	compress bool
 
 	mu         sync.Mutex
 	conn       *jsonrpc2.Conn
@@ -144,13 +154,20 @@
 	lastAnswer time.Time    // arrival of the last answer
 }
 
+// Compression states whether a Client compresses messages, if the other instance can.
+type Compression bool
+
+// Between returns the Compression for calls between two failure domains: traffic within
+// one costs nothing, and compression takes processor time.
+func Between(domain, other string) Compression { return domain != other }
+
 // NewClient returns a Client that connects at the first call. A nil dial connects over
 // TCP.
-func NewClient(address string, dial DialFunc, log *logrus.Entry) *Client {
+func NewClient(address string, compression Compression, dial DialFunc, log *logrus.Entry) *Client {
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Client{address: address, dial: dial, log: log}
+	return &Client{address: address, dial: dial, log: log, compress: bool(compression)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -254,8 +271,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if attempt.err = err; err == nil {
-		attempt.conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(writeTimeoutConn{netConn}), rejectRequests{}, jsonrpc2.SetLogger(connectionLogger{c.log}))
+		stream := newStream(netConn)
+		attempt.conn = jsonrpc2.NewConn(context.Background(), stream, rejectRequests{}, jsonrpc2.SetLogger(connectionLogger{c.log}))
 		c.conn = attempt.conn
+		if c.compress {
+			go stream.requestCompression(attempt.conn)
+		}
 	}
 	c.dialing = nil
 	close(attempt.done)
--- a/proxy/peer/peer_test.go
+++ b/proxy/peer/peer_test.go
@@ -31,7 +31,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() { _ = server.Serve(l) }() // ends with the listener
-	client := peer.NewClient(l.Addr().String(), nil, silentLog())
+	client := peer.NewClient(l.Addr().String(), peer.Between("a", "a"), nil, silentLog())
 	defer client.Close()
 	err = client.Call(t.Context(), "fault", 1, nil)
 	var answerErr *peer.Error
@@ -58,7 +58,7 @@
 		assert.NilError(t, err)
 		assert.NilError(t, c.Close())
 	}
-	client := peer.NewClient(l.Addr().String(), nil, silentLog())
+	client := peer.NewClient(l.Addr().String(), peer.Between("a", "a"), nil, silentLog())
 	defer client.Close()
 	assert.Assert(t, client.Call(t.Context(), "unknown", 1, nil) != nil)
 	var text string
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -207,18 +207,24 @@
 
 // Client polls one instance at a time. It is safe for concurrent use.
 type Client struct {
-	self string
-	dial peer.DialFunc
-	log  *logrus.Entry
+	self   string
+	domain string
+	dial   peer.DialFunc
+	log    *logrus.Entry
 
 	mu   sync.Mutex
 	peer *peer.Client // nil before the first Poll
 }
 
-// NewClient returns a Client for the instance self. It connects at the first call; a
-// nil dial connects over TCP.
-func NewClient(self string, dial peer.DialFunc, log *logrus.Entry) *Client {
-	return &Client{self: self, dial: dial, log: log}
+// NewClient returns a Client for the instance self in the failure domain domain. It
+// connects at the first call; a nil dial connects over TCP.
+func NewClient(self, domain string, dial peer.DialFunc, log *logrus.Entry) *Client {
+	return &Client{self: self, domain: domain, dial: dial, log: log}
+}
+
+// connectTo returns an RPC client for an instance, which connects at its first call.
+func (c *Client) connectTo(instance source.Candidate) *peer.Client {
+	return peer.NewClient(instance.Address, peer.Between(c.domain, instance.FailureDomain), c.dial, c.log)
 }
 
 // Poll long-polls an instance and returns what changed there since k. Without a newer
@@ -229,7 +235,7 @@
 	c.mu.Lock()
 	before := c.peer
 	if before == nil || before.Address() != from.Address {
-		c.peer = peer.NewClient(from.Address, c.dial, c.log)
+		c.peer = c.connectTo(from)
 	}
 	current := c.peer
 	c.mu.Unlock()
@@ -266,7 +272,7 @@
 // own. Unlike FetchConfig, it also fetches a change that is small enough for the answer to
 // a poll.
 func (c *Client) FetchConfigFrom(ctx context.Context, instance source.Candidate, from uint64) (*ConfigDelta, error) {
-	connection := peer.NewClient(instance.Address, c.dial, c.log)
+	connection := c.connectTo(instance)
 	defer connection.Close()
 	return fetchConfig(ctx, connection, from)
 }
@@ -274,7 +280,7 @@
 // HasNewerConfig reports whether an instance answers that it has a newer configuration
 // than a version.
 func (c *Client) HasNewerConfig(ctx context.Context, instance source.Candidate, version uint64) bool {
-	connection := peer.NewClient(instance.Address, c.dial, c.log)
+	connection := c.connectTo(instance)
 	defer connection.Close()
 	var answer configAnswer
 	err := connection.Call(ctx, methodConfig, configRequest{From: version}, &answer)
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -76,7 +76,7 @@
 }
 
 func newFollower(t *testing.T, from source.Candidate) *follower {
-	client := relay.NewClient("asker", nil, silentLog())
+	client := relay.NewClient("asker", "", nil, silentLog())
 	t.Cleanup(client.Close)
 	return &follower{t, relay.NewCache(boottime.Now), client, from}
 }
@@ -196,7 +196,7 @@
 // Guards the distinction between a stale and a silent source, on which the choice of
 // the next source depends.
 func TestPollFailures(t *testing.T) {
-	client := relay.NewClient("asker", nil, silentLog())
+	client := relay.NewClient("asker", "", nil, silentLog())
 	defer client.Close()
 	stale := newSource()
 	stale.unavailable = true
@@ -213,7 +213,7 @@
 func TestAnnounceAndPollFaster(t *testing.T) {
 	src := newSource()
 	src.read(12, record(12))
-	client := relay.NewClient("asker", nil, silentLog())
+	client := relay.NewClient("asker", "", nil, silentLog())
 	defer client.Close()
 	assert.NilError(t, client.PollFaster(t.Context()), "must do nothing without a source")
 	self := source.Candidate{Name: "asker", Address: "10.1.0.9:1"}
