Omit zero fields from calls between instances

Cause: a call held positions of zero, empty names and flags, the empty job of a call that abandons a transaction, and times in nanoseconds.

Change: fields that are zero are omitted, and times left and queueing times are sent in steps of 0.1 ms, times left rounded down. Names of fields are unchanged; decoders of earlier releases set absent fields to zero (TestEarlierMessages).

--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -118,12 +118,17 @@
 	}
 	client := r.clients[c.Name]
 	if client == nil {
-		client = peer.NewClient(c.Address, peer.Between(r.domain, c.FailureDomain), r.dial, r.log)
+		client = r.connectTo(c)
 		r.clients[c.Name] = client
 	}
 	return &path{router: r, gateway: c.Name, client: client, target: target{service, member, primary}}
 }
 
+// connectTo returns an RPC client for an instance, which connects at its first call.
+func (r *Router) connectTo(c source.Candidate) *peer.Client {
+	return peer.NewClient(c.Address, peer.Between(r.domain, c.FailureDomain), r.dial, r.log)
+}
+
 // Close ends the connections to gateways.
 func (r *Router) Close() {
 	r.mu.Lock()
--- a/proxy/hop/server.go
+++ b/proxy/hop/server.go
@@ -73,7 +73,7 @@
 func notAccepted(text string) *peer.Error { return peer.NewError(codeNotAccepted, text) }
 
 func (s *server) load(executor Executor, member string, r schedule.Rank) load {
-	return load{Wait: executor.ExpectedWait(member, r), Leaving: s.instance.Leaving()}
+	return load{Wait: executor.ExpectedWait(member, r).Round(wirePrecision), Leaving: s.instance.Leaving()}
 }
 
 func (s *server) execute(_ context.Context, params json.RawMessage, _ <-chan struct{}) (any, *peer.Error) {
--- a/proxy/hop/size_test.go
+++ b/proxy/hop/size_test.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"reflect"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +18,7 @@
 
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/peer"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -71,11 +75,11 @@
 	refused = upstream.NotSent(verdict.New(verdict.Overloaded, "queue of the member is full").WithRetryAfter(340 * time.Millisecond))
 	next.Statement.After = position.Position{Term: 3, Offset: 1209377}
 	return []sizeCase{
-		{name: "strict read", job: job, result: answer, maxBytes: 1150},
-		{name: "write", job: write, result: answer, maxBytes: 1150},
-		{name: "prepared", job: prepared, result: answer, maxBytes: 1250},
-		{name: "refusal", job: job, result: refused, maxBytes: 520},
-		{name: "transaction", job: next, result: answer, inTx: true, maxBytes: 1100},
+		{name: "strict read", job: job, result: answer, maxBytes: 1100},
+		{name: "write", job: write, result: answer, maxBytes: 1100},
+		{name: "prepared", job: prepared, result: answer, maxBytes: 1190},
+		{name: "refusal", job: job, result: refused, maxBytes: 450},
+		{name: "transaction", job: next, result: answer, inTx: true, maxBytes: 1090},
 	}
 }
 
@@ -100,21 +104,24 @@
 	return g.tx, upstream.OpenResult{}, true
 }
 
-// bytesPerCall returns the mean bytes of a call in both directions, after the first ones
-// of the connection.
-func bytesPerCall(t *testing.T, compression peer.Compression, c sizeCase) int64 {
+// bytesPerCall returns the mean bytes of a call from the failure domain "a" to one in
+// domain, in both directions, after the first ones of the connection.
+func bytesPerCall(t *testing.T, domain string, c sizeCase) int64 {
 	n := newNetwork()
 	l := n.Listen("gate")
-	defer l.Close() //nolint:errcheck // nothing is left to do for a listener of the test
+	defer func() { _ = l.Close() }() // nothing is left to do for a listener of the test
 	server := peer.NewServer(silentLog())
 	Register(server, &sizeGateway{&fakeGroup{known: true, result: c.result}, sizeTx{&c.result}}, n.Clock)
 	go func() { _ = server.Serve(l) }() // ends with the listener
 	var sent atomic.Int64
-	r := NewRouter("self", "a", nil, n.Clock, silentLog())
-	client := peer.NewClient("gate", compression, func(ctx context.Context, to string) (net.Conn, error) {
+	r := NewRouter("self", "a", func(ctx context.Context, to string) (net.Conn, error) {
 		conn, err := n.dial(ctx, to)
 		return countingConn{conn, &sent}, err
-	}, silentLog())
+	}, n.Clock, silentLog())
+	// An earlier release announces an instance in the same way.
+	var gate source.Candidate
+	assert.NilError(t, json.Unmarshal(fmt.Appendf(nil, `{"name":"gate","address":"gate","failure_domain":%q,"weight":1}`, domain), &gate))
+	client := r.connectTo(gate)
 	defer client.Close()
 	p := &path{router: r, gateway: "gate", client: client, target: target{"colle-avvisi-3", "colle-avvisi-3-b", true}}
 	clock := rand.New(rand.NewPCG(3, 4))
@@ -148,9 +155,58 @@
 func TestBytesPerCall(t *testing.T) {
 	for _, c := range sizeCases(rand.New(rand.NewPCG(1, 2))) {
 		synctest.Test(t, func(t *testing.T) {
-			plain, compressed := bytesPerCall(t, peer.Between("a", "a"), c), bytesPerCall(t, peer.Between("a", "b"), c)
+			plain, compressed := bytesPerCall(t, "a", c), bytesPerCall(t, "b", c)
 			t.Logf("| %s | %d | %d |", c.name, plain, compressed)
 			assert.Assert(t, compressed <= c.maxBytes, "%s: %d bytes", c.name, compressed)
 		})
 	}
 }
+
+// Guards a rolling upgrade: messages without the fields that are zero must mean the same to
+// an earlier release, which always sends these fields, and messages of that release must
+// mean the same here.
+func TestEarlierMessages(t *testing.T) {
+	earlier := `{"service":"s","member":"m","job":{"statement":{"ID":"","Kind":0,"Name":"","Writes":false,"Operands":"","After":{"term":0,"offset":0}},` +
+		`"caller":"c","prepared":{"UpstreamName":"u","Writes":false,"Shape":"x"},"left":2999123456}}`
+	var got executeRequest
+	assert.NilError(t, json.Unmarshal([]byte(earlier), &got))
+	want := executeRequest{target{Service: "s", Member: "m"}, wireJob{Caller: "c", Prepared: &upstream.Prepared{UpstreamName: "u", Shape: "x"}, TimeLeft: 2999123456}}
+	assert.Assert(t, reflect.DeepEqual(got, want), "%+v", got)
+	var result executeAnswer
+	assert.NilError(t, json.Unmarshal([]byte(`{"result":{"position":{"term":0,"offset":0},"sent":true},"load":{}}`), &result))
+	assert.Assert(t, reflect.DeepEqual(result, executeAnswer{Result: wireResult{Sent: true}}), "%+v", result)
+	// The fields and their types in the earlier release, whose decoder sets absent ones to
+	// zero.
+	var earlierRequest struct {
+		Job struct {
+			Statement struct {
+				ID       string
+				Kind     uint8
+				Name     string
+				Writes   bool
+				Operands string
+				After    struct{ Term, Offset uint64 }
+			} `json:"statement"`
+			Left time.Duration `json:"left"`
+		} `json:"job"`
+	}
+	j := upstream.Job{Statement: statement.Statement{ID: "q", Kind: statement.Execute, Name: "p", Operands: "o", After: position.Position{Term: 1, Offset: 2}}, Deadline: time.Second}
+	raw, err := json.Marshal(executeRequest{Job: jobToWire(j, 0)})
+	assert.NilError(t, err)
+	assert.NilError(t, json.Unmarshal(raw, &earlierRequest))
+	s := earlierRequest.Job.Statement
+	assert.Equal(t, statement.Statement{ID: s.ID, Kind: statement.Kind(s.Kind), Name: s.Name, Operands: s.Operands, After: position.Position(s.After)}, j.Statement)
+	assert.Equal(t, earlierRequest.Job.Left, time.Second)
+	raw, err = json.Marshal(executeRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, string(raw), `{"service":"","member":"","job":{"statement":{},"caller":"","left":0}}`)
+}
+
+// Guards the deadline against rounding: a gateway must never have more time than its caller.
+func TestTimesAreRoundedDown(t *testing.T) {
+	for _, left := range []time.Duration{0, 1, 99_999, time.Second - 1, time.Second, time.Second + 1} {
+		w := jobToWire(upstream.Job{Deadline: time.Hour + left, Due: time.Hour + left}, time.Hour)
+		assert.Assert(t, w.TimeLeft <= left && left-w.TimeLeft < wirePrecision)
+		assert.Equal(t, *w.TimeToDue, w.TimeLeft)
+	}
+}
--- a/proxy/hop/wire.go
+++ b/proxy/hop/wire.go
@@ -26,6 +26,10 @@
 // nothing was executed.
 const codeNotAccepted = -32002
 
+// wirePrecision is the precision of times on the wire, which saves digits. Times left are
+// rounded down, so that a gateway never takes longer than its caller waits.
+const wirePrecision = 100 * time.Microsecond
+
 // wireJob is the encoded form of an upstream.Job. It has the time left instead of the
 // deadline, as the clocks of instances differ.
 type wireJob struct {
@@ -47,9 +51,9 @@
 
 func jobToWire(j upstream.Job, now time.Duration) wireJob {
 	w := wireJob{Statement: j.Statement, Caller: j.Caller, Workspace: j.Workspace, Weight: j.Weight, Rank: j.Rank, Values: j.Values, Prepared: j.Prepared,
-		TimeLeft: j.Deadline - now, Limit: j.Limit, CommitsWrites: j.CommitsWrites, OnlyCandidate: j.OnlyCandidate}
+		TimeLeft: (j.Deadline - now).Truncate(wirePrecision), Limit: j.Limit, CommitsWrites: j.CommitsWrites, OnlyCandidate: j.OnlyCandidate}
 	if j.Due != 0 {
-		left := j.Due - now
+		left := (j.Due - now).Truncate(wirePrecision)
 		w.TimeToDue = &left
 	}
 	return w
@@ -82,14 +86,14 @@
 	target
 	// Tx identifies the transaction on this connection.
 	Tx    uint64              `json:"tx"`
-	Begin statement.Statement `json:"begin"`
+	Begin statement.Statement `json:"begin,omitzero"`
 	Job   wireJob             `json:"job"`
 }
 
 // txRequest runs a job in, or abandons, a transaction of the same connection.
 type txRequest struct {
 	Tx  uint64  `json:"tx"`
-	Job wireJob `json:"job"`
+	Job wireJob `json:"job,omitzero"` // zero to abandon the transaction
 }
 
 type confirmRequest struct {
@@ -106,13 +110,13 @@
 
 type executeAnswer struct {
 	Result wireResult `json:"result"`
-	Load   load       `json:"load"`
+	Load   load       `json:"load,omitzero"`
 }
 
 type openAnswer struct {
-	Begin wireResult `json:"begin"`
-	First wireResult `json:"first"`
-	Load  load       `json:"load"`
+	Begin wireResult `json:"begin,omitzero"`
+	First wireResult `json:"first,omitzero"`
+	Load  load       `json:"load,omitzero"`
 }
 
 // wireResult is the encoded form of an upstream.Result.
@@ -121,7 +125,7 @@
 	Signature string            `json:"signature,omitempty"`
 	ReplyErr  *wireError        `json:"reply_error,omitempty"`
 	State     statement.State   `json:"state,omitempty"`
-	Position  position.Position `json:"position"`
+	Position  position.Position `json:"position,omitzero"`
 	Err       *wireError        `json:"error,omitempty"`
 	Sent      bool              `json:"sent,omitempty"`
 }
--- a/proxy/peer/stream_test.go
+++ b/proxy/peer/stream_test.go
@@ -178,7 +178,7 @@
 		netConn, err := l.dial(t.Context(), "")
 		assert.NilError(t, err)
 		conn := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(netConn), rejectRequests{}, jsonrpc2.SetLogger(connectionLogger{discardLog()}))
-		defer conn.Close() //nolint:errcheck // the connection is not used again
+		defer func() { _ = conn.Close() }() // the connection is not used again
 		for range 10 {
 			var got string
 			assert.NilError(t, conn.Call(t.Context(), "echo", text, &got))
--- a/proxy/statement/statement.go
+++ b/proxy/statement/statement.go
@@ -52,19 +52,20 @@
 // String returns the name of the kind as it appears in logs.
 func (k Kind) String() string { return kindNames[k] }
 
-// Statement is one request of a caller, or one that papayarail sends itself.
+// Statement is one request of a caller, or one that papayarail sends itself. Instances
+// send it to one another as JSON, without fields that are zero.
 type Statement struct {
 	// ID is the caller's request ID; empty for papayarail's own statements.
-	ID   string
-	Kind Kind
+	ID   string `json:",omitzero"`
+	Kind Kind   `json:",omitzero"`
 	// Name is the name of the session value or of the prepared statement.
-	Name string
+	Name string `json:",omitzero"`
 	// Writes means, in a Prepare, that the prepared statement writes.
-	Writes bool
+	Writes bool `json:",omitzero"`
 	// Operands is the rest of the statement, forwarded byte for byte.
-	Operands string
+	Operands string `json:",omitzero"`
 	// After is the position that the upstream's log must have reached; zero means any.
-	After position.Position
+	After position.Position `json:",omitzero"`
 }
 
 // State is the transaction state of a session after a reply.
--- a/proxy/upstream/prepare.go
+++ b/proxy/upstream/prepare.go
@@ -19,7 +19,7 @@
 // under a name derived from its definition.
 type Prepared struct {
 	UpstreamName string
-	Writes       bool
+	Writes       bool   `json:",omitzero"`
 	Shape        string // the definition, as received from the caller
 }
 
