--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -179,12 +179,17 @@
 func (r *Router) client(c source.Candidate) *peer.Client {
 	client := r.clients[c.Name]
 	if client == nil {
-		client = peer.NewClient(c.Address, r.dial, r.log)
+		client = r.connectTo(c)
 		r.clients[c.Name] = client
 	}
 	return client
 }
 
+// connectTo returns an RPC client for an instance, which connects at its first call.
+func (r *Router) connectTo(c source.Candidate) *peer.Client {
+	return peer.NewClient(c.Address, peer.Between(r.domain, c.FailureDomain), r.dial, r.log)
+}
+
 // Close ends the connections to gateways.
 func (r *Router) Close() {
 	r.closeOnce.Do(func() { close(r.closed) })
