Read the configuration at a start on the root only, and relay it by region

Cause: at a start of 91 instances, requests to two sources failed for a moment, so that instances read the store directly.

The reads of the records do not wait for the configuration, which is read once at a time. A poll is answered at once when there is a newer configuration.

Measured: tests of core/source only; not yet on a whole deployment.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -1,7 +1,9 @@
 // Package source selects the instance from which an instance obtains snapshots of the
 // platform's store. A read of the store costs the store as much for one instance as for
 // a thousand, so the instances form a distribution tree. Its root reads the store and
-// serves one instance of each other failure domain; within a failure domain, an instance
+// serves one instance of each other region and of each other failure domain of its own
+// region. The first instance of a region serves one of each other failure domain there, so
+// that a snapshot crosses to each other region once. Within a failure domain, an instance
 // serves at most Fanout others, whatever the size of the deployment.
 //
 // The tree needs no agreement: all instances order the candidates alike, and each
@@ -48,6 +50,30 @@
 	// them.
 	readRetryInterval    = time.Second
 	readRetryPerInstance = 5 * time.Millisecond
+	// smallDeployment is the number of candidates up to which each instance may read the
+	// store on its own without a noticeable load: the limits on a start apply above it.
+	smallDeployment = 12
+	// startPeriod is the time after the first request to a candidate during which, in
+	// larger deployments, an instance that has never had a snapshot asks other candidates
+	// instead of reading the store. All instances may be starting, and none of those above
+	// it in the tree has a snapshot before the root has read the store.
+	startPeriod = 1500 * time.Millisecond
+	// startRetryInterval is the suspension of a candidate that does not answer in that
+	// time: its process may not have opened its port yet.
+	startRetryInterval = 150 * time.Millisecond
+	// startConfigWait is the time after the first request during which only the first
+	// candidate of all reads the configuration: the others may find those above them not
+	// yet listening.
+	startConfigWait = 500 * time.Millisecond
+	// unservedBeforeConfig is the time without a snapshot from a candidate after which an
+	// instance that has a configuration follows that of the store on its own. A new version
+	// must be in force on a partitioned instance as well.
+	unservedBeforeConfig = time.Second
+	// A starting instance reads the configuration from the store if no candidate has
+	// provided it after smallConfigWait, or after largeConfigWait in a larger deployment.
+	// The configuration of 300 instances has 7 MB, which takes a small machine 2 s to read.
+	smallConfigWait = time.Second
+	largeConfigWait = 4 * time.Second
 )
 
 // Candidate is an instance that can serve snapshots to others.
@@ -55,6 +81,9 @@
 	Name          string `json:"name"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain,omitempty"`
+	// Region is the region of the failure domain. It is empty if all failure domains are in
+	// one region.
+	Region string `json:"region,omitempty"`
 	// Weight is the processor and link capacity of the instance, in any unit. Candidates
 	// of greater weight come first.
 	Weight float64 `json:"weight"`
@@ -68,6 +97,9 @@
 	Unresponsive Failure = iota
 	// StoreUnavailable means that the candidate answered that it has no fresh snapshot.
 	StoreUnavailable
+	// Starting means that the candidate answered that it has had no snapshot since its
+	// start.
+	Starting
 )
 
 // Picker selects the source of snapshots for one instance. It is not safe for concurrent
@@ -75,6 +107,7 @@
 type Picker struct {
 	self              string
 	domain            string
+	region            string
 	candidates        []Candidate // in the common order
 	backoff           backoff.Tracker
 	failuresInRow     int           // failed candidates since the last snapshot or read of the store
@@ -83,11 +116,15 @@
 	directReadUntil   time.Duration // until then no candidate is asked
 	readFailedAt      time.Duration // time of the last failed read of the store by this instance
 	readFailed        bool          // the last read of the store by this instance failed
+	started           bool          // startedAt is set
+	startedAt         time.Duration // time of the first choice of a candidate
+	served            bool          // this instance has had a snapshot
+	servedAt          time.Duration // time of the last snapshot from a candidate, or startedAt
 }
 
 // New returns a Picker without candidates: the instance reads the store itself.
-func New(self, domain string) *Picker {
-	return &Picker{self: self, domain: domain}
+func New(self, domain, region string) *Picker {
+	return &Picker{self: self, domain: domain, region: region}
 }
 
 // SetCandidates replaces the candidates, which include the instance itself.
@@ -107,6 +144,9 @@
 
 // Next returns the source of the next snapshot.
 func (p *Picker) Next(now time.Duration) Choice {
+	if !p.started && len(p.candidates) > 0 {
+		p.started, p.startedAt, p.servedAt = true, now, now
+	}
 	before, after := p.split()
 	readFailedRecently := p.readFailed && now < p.readFailedAt+p.retryInterval()
 	maxFailures := unavailableBeforeRead
@@ -132,16 +172,51 @@
 }
 
 // IsRoot reports whether other instances depend on the reads of this instance because no
-// usable candidate precedes it, or whether it is partitioned from them.
+// usable candidate precedes it.
 func (p *Picker) IsRoot(now time.Duration) bool {
-	if now < p.directReadUntil {
-		return true
-	}
 	before, _ := p.split()
 	_, found := p.firstUsable(before, now)
 	return !found
 }
 
+// ReadsConfig reports whether this instance may read the configuration from the store,
+// which is large: if it is the root, or if no candidate has served it for so long that it
+// must be partitioned from them. Failed requests alone do not matter: when all instances
+// start, many requests fail, and all of them would read it at the same time. configured
+// means that the instance has a configuration.
+func (p *Picker) ReadsConfig(now time.Duration, configured bool) bool {
+	wait := unservedBeforeConfig
+	if !configured {
+		wait = p.ConfigWait()
+	}
+	if p.started && now-p.servedAt >= wait {
+		return true
+	}
+	if p.starting(now) && now-p.startedAt < startConfigWait {
+		before, _ := p.split()
+		return len(before) == 0
+	}
+	return p.IsRoot(now)
+}
+
+// ConfigWait returns how long a starting instance waits for the configuration of a
+// candidate.
+func (p *Picker) ConfigWait() time.Duration {
+	if len(p.candidates) <= smallDeployment {
+		return smallConfigWait
+	}
+	return largeConfigWait
+}
+
+// ReadFailed reports whether the last read of the store by this instance failed.
+func (p *Picker) ReadFailed() bool { return p.readFailed }
+
+// starting reports whether requests of this instance may fail because all instances are
+// starting.
+func (p *Picker) starting(now time.Duration) bool {
+	return !p.served && p.started && len(p.candidates) > smallDeployment && now-p.startedAt < startPeriod
+}
+
 // split returns the candidates before and after this instance, which comes last if it is
 // not a candidate itself.
 func (p *Picker) split() (before, after []Candidate) {
@@ -153,29 +228,29 @@
 }
 
 // parent returns the candidate that serves this instance. The instances of a failure
-// domain form a tree in the common order, and the first one of each domain is served by
-// the first one of all. ok is false if this instance is the first one of all.
+// domain form a tree in the common order. The first one of each domain is served by the
+// first one of its region, and the first one of each region by the first one of all. ok is
+// false if this instance is the first one of all.
 func (p *Picker) parent(before []Candidate, now time.Duration) (c Candidate, ok bool) {
-	precedingInDomain := 0
-	for _, c := range before {
-		if c.FailureDomain == p.domain && p.backoff.Usable(c.Name, now) {
-			precedingInDomain++
-		}
-	}
-	if precedingInDomain == 0 {
-		return p.firstUsable(before, now)
-	}
-	index := (precedingInDomain - 1) / Fanout
+	var inDomain, inRegion []Candidate
 	for _, c := range before {
-		if c.FailureDomain != p.domain || !p.backoff.Usable(c.Name, now) {
+		if !p.backoff.Usable(c.Name, now) {
 			continue
 		}
-		if index == 0 {
-			return c, true
+		if c.FailureDomain == p.domain {
+			inDomain = append(inDomain, c)
+		}
+		if c.Region == p.region {
+			inRegion = append(inRegion, c)
 		}
-		index--
 	}
-	return Candidate{}, false
+	switch {
+	case len(inDomain) > 0:
+		return inDomain[(len(inDomain)-1)/Fanout], true
+	case len(inRegion) > 0:
+		return inRegion[0], true
+	}
+	return p.firstUsable(before, now)
 }
 
 // firstUsable returns the first candidate that is not suspended after a failure.
@@ -193,13 +268,24 @@
 }
 
 // RecordSuccess records that a candidate served a snapshot.
-func (p *Picker) RecordSuccess(name string) {
+func (p *Picker) RecordSuccess(name string, now time.Duration) {
 	p.backoff.RecordSuccess(name)
 	p.failuresInRow, p.unresponsive, p.unresponsiveInRow = 0, false, 0
+	p.served, p.servedAt = true, now
 }
 
-// RecordFailure records that a candidate served no snapshot.
+// RecordFailure records that a candidate served no snapshot. While all instances may be
+// starting, an unresponsive candidate is skipped for a short time, and one that is starting
+// is asked again at once, because it answers as soon as it has a snapshot.
 func (p *Picker) RecordFailure(name string, reason Failure, now time.Duration) {
+	if p.starting(now) {
+		if reason == Unresponsive {
+			p.backoff.SuspendUntil(name, now+startRetryInterval)
+		}
+		if reason != StoreUnavailable {
+			return
+		}
+	}
 	p.backoff.RecordFailure(name, now)
 	p.failuresInRow++
 	if reason != Unresponsive {
@@ -216,7 +302,9 @@
 func (p *Picker) RecordStoreRead(ok bool, now time.Duration) {
 	p.failuresInRow, p.unresponsive = 0, false
 	p.readFailed = !ok
-	if !ok {
+	if ok {
+		p.served = true
+	} else {
 		p.readFailedAt = now
 	}
 }
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -1,6 +1,7 @@
 package source_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -25,7 +26,7 @@
 func pickers(all []source.Candidate) map[string]*source.Picker {
 	ps := make(map[string]*source.Picker)
 	for _, c := range all {
-		ps[c.Name] = source.New(c.Name, c.FailureDomain)
+		ps[c.Name] = source.New(c.Name, c.FailureDomain, "")
 		ps[c.Name].SetCandidates(all)
 	}
 	return ps
@@ -139,10 +140,11 @@
 // Guards against a read lease that expires because the source does not respond: the
 // instance reads the store immediately, and avoids that source for a while.
 func TestUnresponsiveSource(t *testing.T) {
-	p := source.New("i0", "d0")
+	p := source.New("i0", "d0", "")
 	assert.Assert(t, p.Next(0).ReadStore, "without candidates it reads the store itself")
 	p.SetCandidates(candidates(40))
 	firstSource := p.Next(0).Source.Name
+	p.RecordSuccess(firstSource, 0)
 	p.RecordFailure(firstSource, source.Unresponsive, time.Second)
 	choice := p.Next(time.Second)
 	assert.Assert(t, choice.ReadStore && choice.Delay == 0)
@@ -155,8 +157,9 @@
 // Guards against a partitioned instance that asks all others in turn, during which its read
 // lease expires (incident inc-5af3).
 func TestPartitionedInstanceReadsStore(t *testing.T) {
-	p := source.New("i0", "d0")
+	p := source.New("i0", "d0", "")
 	p.SetCandidates(candidates(60))
+	p.RecordSuccess(p.Next(0).Source.Name, 0)
 	now, asked := time.Duration(0), 0
 	for now < 6*time.Second {
 		choice := p.Next(now)
@@ -170,7 +173,115 @@
 		p.RecordFailure(choice.Source.Name, source.Unresponsive, now)
 	}
 	assert.Assert(t, asked <= 4, "%d candidates asked in 6 s", asked)
-	assert.Assert(t, p.IsRoot(now), "it does not wait for the configuration of others")
+	assert.Assert(t, p.ReadsConfig(now, true) && p.ReadsConfig(now, false), "it does not wait for the configuration of others")
+}
+
+// Guards against an instance that never serves because it is partitioned from the others
+// when it starts: it has no snapshot that could expire, and asks a few more of them.
+func TestPartitionedInstanceStarts(t *testing.T) {
+	p := source.New("i0", "d0", "")
+	p.SetCandidates(candidates(60))
+	now, asked, firstRead := time.Duration(0), 0, time.Duration(0)
+	for now < 6*time.Second {
+		choice := p.Next(now)
+		if choice.ReadStore {
+			firstRead = cmp.Or(firstRead, now)
+			now += 400 * time.Millisecond
+			p.RecordStoreRead(true, now)
+			continue
+		}
+		asked++
+		now += 450 * time.Millisecond
+		p.RecordFailure(choice.Source.Name, source.Unresponsive, now)
+	}
+	assert.Assert(t, firstRead > 0 && firstRead <= 2500*time.Millisecond, "first read of the store at %s", firstRead)
+	assert.Assert(t, asked <= 8, "%d candidates asked in 6 s", asked)
+	assert.Assert(t, p.ReadsConfig(now, false))
+}
+
+// Guards against a start of all instances at which each of them reads the configuration
+// from the store because requests to the others fail for a moment: 46 instances of the
+// second region read 850 kB each over a link of 60 Mbit/s.
+func TestFailedRequestsAtStartDoNotReadConfig(t *testing.T) {
+	all := candidates(91)
+	readers := 0
+	for name, p := range pickers(all) {
+		var reads bool
+		for now := time.Duration(0); now < time.Second; now += 50 * time.Millisecond {
+			choice := p.Next(now)
+			reads = reads || p.ReadsConfig(now, false)
+			switch {
+			case choice.ReadStore:
+			case now < 200*time.Millisecond: // the others do not listen yet
+				p.RecordFailure(choice.Source.Name, source.Unresponsive, now)
+			case now < 700*time.Millisecond: // they have no snapshot yet
+				p.RecordFailure(choice.Source.Name, source.Starting, now)
+			default:
+				p.RecordSuccess(choice.Source.Name, now)
+			}
+		}
+		if reads {
+			readers++
+			assert.Equal(t, name, "i90")
+		}
+	}
+	assert.Equal(t, readers, 1)
+}
+
+// Guards against failed requests to two sources that make an instance read the
+// configuration itself: an instance in another region that read the store for 2 s read
+// 850 kB as well. It does so once no source has served it for a longer time.
+func TestDirectReadsDoNotReadConfig(t *testing.T) {
+	p := source.New("i0", "d0", "")
+	p.SetCandidates(candidates(91))
+	now := 10 * time.Second
+	p.RecordSuccess(p.Next(now).Source.Name, now)
+	for range 2 {
+		now += 100 * time.Millisecond
+		p.RecordFailure(p.Next(now).Source.Name, source.Unresponsive, now)
+		p.RecordStoreRead(true, now)
+	}
+	assert.Assert(t, p.Next(now).ReadStore)
+	assert.Assert(t, !p.ReadsConfig(now, true) && !p.ReadsConfig(now, false))
+	assert.Assert(t, p.ReadsConfig(now+time.Second, true))
+	assert.Assert(t, p.ReadsConfig(now+5*time.Second, false))
+}
+
+// Guards against a longer wait for the configuration in a small deployment, where a
+// failed request to another instance leads to a read of the store as before.
+func TestSmallDeploymentStarts(t *testing.T) {
+	p := source.New("i0", "d0", "")
+	p.SetCandidates(candidates(6))
+	p.RecordFailure(p.Next(0).Source.Name, source.Unresponsive, 10*time.Millisecond)
+	assert.Assert(t, p.Next(10*time.Millisecond).ReadStore)
+	assert.Assert(t, p.ReadsConfig(time.Second, false))
+}
+
+// Guards against a snapshot that crosses the link between two regions once for each failure
+// domain: only the first instance of a region has its source in another one.
+func TestSnapshotsCrossBetweenRegionsOnce(t *testing.T) {
+	all := candidates(91)
+	region := make(map[string]string)
+	for i := range all {
+		all[i].Region = "r" + fmt.Sprint(i%5/3)
+		region[all[i].Name] = all[i].Region
+	}
+	ps := make(map[string]*source.Picker)
+	for _, c := range all {
+		ps[c.Name] = source.New(c.Name, c.FailureDomain, c.Region)
+		ps[c.Name].SetCandidates(all)
+	}
+	tr := buildTree(t, all, ps, 0, nil)
+	assert.Equal(t, tr.readers, 1)
+	assert.Equal(t, tr.remote, 4, "once to each other failure domain")
+	crossings := 0
+	for name, from := range tr.source {
+		if region[name] != region[from] {
+			crossings++
+		}
+	}
+	assert.Equal(t, crossings, 1)
+	assert.Assert(t, tr.depth <= 4)
 }
 
 // Guards against the cost of calls to the store during its outage: an instance whose
@@ -181,7 +292,7 @@
 	// candidate (9 s) among 1,796.
 	for _, test := range []struct{ n, maxReads int }{{85, 11}, {1796, 3}} {
 		for _, self := range []string{"i0", fmt.Sprint("i", test.n-1)} { // the last one is the root
-			p := source.New(self, "d0")
+			p := source.New(self, "d0", "")
 			p.SetCandidates(candidates(test.n))
 			reads, asked := 0, 0
 			now := time.Duration(0)
@@ -207,14 +318,14 @@
 // refuses only it: it obtains them from an instance that comes after it.
 func TestRootIsRefused(t *testing.T) {
 	all := candidates(30)
-	p := source.New("i29", "d4")
+	p := source.New("i29", "d4", "")
 	p.SetCandidates(all)
 	assert.Assert(t, p.Next(0).ReadStore, "it comes first")
 	assert.Assert(t, p.IsRoot(0))
 	p.RecordStoreRead(false, 0)
 	choice := p.Next(0)
 	assert.Assert(t, !choice.ReadStore)
-	p.RecordSuccess(choice.Source.Name)
+	p.RecordSuccess(choice.Source.Name, 0)
 	assert.Assert(t, !p.Next(500*time.Millisecond).ReadStore)
 	assert.Assert(t, p.Next(2*time.Second).ReadStore, "it tries the store again")
 }
@@ -240,7 +351,7 @@
 // time without a new snapshot after the first 8 s. served holds the instances that the
 // store serves.
 func longestGap(self source.Candidate, all []source.Candidate, served map[string]bool) (longest time.Duration) {
-	p := source.New(self.Name, self.FailureDomain)
+	p := source.New(self.Name, self.FailureDomain, "")
 	p.SetCandidates(all)
 	const readTime, warmUp, snapshotInterval = 550 * time.Millisecond, 8 * time.Second, 100 * time.Millisecond
 	now, lastSnapshot := time.Duration(0), time.Duration(0)
@@ -257,7 +368,7 @@
 				longest = max(longest, now-max(lastSnapshot, warmUp))
 			}
 			lastSnapshot = now
-			p.RecordSuccess(choice.Source.Name)
+			p.RecordSuccess(choice.Source.Name, now)
 		default:
 			now += 5 * time.Millisecond
 			p.RecordFailure(choice.Source.Name, source.StoreUnavailable, now)
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -50,6 +50,8 @@
 type Settings struct {
 	Instance      string
 	FailureDomain string
+	// Region is the region of the failure domain; empty if the deployment has only one.
+	Region string
 	// PeerAddress is the host:port at which other instances call this one; empty
 	// if it serves no peers and uses none.
 	PeerAddress string
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/relay"
 )
@@ -53,12 +54,12 @@
 	// backgroundTimeout bounds store calls that are not urgent: a slow store takes
 	// 0.4 s for an answer.
 	backgroundTimeout = 1500 * time.Millisecond
-	// peerConfigWait is how long a starting instance waits for a peer's configuration
-	// before it reads the store, plus a random time up to peerConfigJitter. The
-	// configuration of 300 instances has 7 MB, which takes a small machine 2 s to
-	// read: when all instances read it at once, none answered its peers in time.
-	peerConfigWait   = 4 * time.Second
-	peerConfigJitter = 2 * time.Second
+	// peerConfigJitter is the range of a random time that is added to the wait of a starting
+	// instance for a peer's configuration (source.Picker.ConfigWait) in a deployment
+	// of more than peerConfigJitterAbove instances, so that they do not all read it from the
+	// store at the same time.
+	peerConfigJitter      = 2 * time.Second
+	peerConfigJitterAbove = 12
 	// startJitter is the range of the random delay before an instance first reads the
 	// store when the whole deployment starts, so that the first instances are
 	// announced before the others read the list and can be polled by them.
@@ -86,8 +87,15 @@
 	instancesSchedule  readSchedule
 	instancesChangedAt time.Duration // last change of the announced instances
 	fetchingConfig     bool          // a configuration is being fetched in parts
-	// peerConfigUntil is when the wait for a peer's configuration ends.
-	peerConfigUntil time.Duration
+	readingConfig      bool          // readConfig is running
+	// configCursor is the cursor of the store after readConfig; 0 if it has not succeeded.
+	configCursor storeversion.Version
+	// configSeen is the newest version of the configuration that a polled instance has
+	// reported, and that is being fetched from it.
+	configSeen uint64
+	// startedAt is the time of the start, and configJitter a random addition to the wait for
+	// a peer's configuration.
+	startedAt, configJitter time.Duration
 	// pendingAnnouncements holds instances to be announced in the store, by name.
 	pendingAnnouncements map[string]source.Candidate
 	applyMu              sync.Mutex // held while changes are applied to the node
@@ -96,8 +104,8 @@
 func newReader(n *Node) *reader {
 	s := n.cfg.Settings
 	return &reader{node: n, cache: relay.NewCache(n.cfg.Clock), client: relay.NewClient(s.Instance, n.cfg.DialPeer, n.cfg.Log),
-		storeDependency: n.newDependencyMonitor("store"), wake: make(chan struct{}, 1), picker: source.New(s.Instance, s.FailureDomain),
-		self:                 source.Candidate{Name: s.Instance, Address: s.PeerAddress, FailureDomain: s.FailureDomain, Weight: s.Weight},
+		storeDependency: n.newDependencyMonitor("store"), wake: make(chan struct{}, 1), picker: source.New(s.Instance, s.FailureDomain, s.Region),
+		self:                 source.Candidate{Name: s.Instance, Address: s.PeerAddress, FailureDomain: s.FailureDomain, Region: s.Region, Weight: s.Weight},
 		pendingAnnouncements: make(map[string]source.Candidate)}
 }
 
@@ -105,7 +113,7 @@
 func (r *reader) run(ctx context.Context) {
 	defer r.client.Close()
 	r.mu.Lock()
-	r.peerConfigUntil = r.node.cfg.Clock() + peerConfigWait + rand.N(peerConfigJitter)
+	r.startedAt, r.configJitter = r.node.cfg.Clock(), rand.N(peerConfigJitter)
 	r.mu.Unlock()
 	r.discoverInstances(ctx)
 	for ctx.Err() == nil {
@@ -158,6 +166,9 @@
 	return all
 }
 
+// errStarting means that the polled instance has not had a snapshot since its start.
+var errStarting = errors.New("the polled instance is starting and has no snapshot of the store yet")
+
 // pollSource polls another instance for a newer snapshot and applies the answer.
 func (r *reader) pollSource(ctx context.Context, from source.Candidate) {
 	n := r.node
@@ -165,7 +176,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	sentAt := n.cfg.Clock()
-	answer, err := r.client.Poll(callCtx, from, r.cache.Known(), announce)
+	r.mu.Lock()
+	seen := r.configSeen
+	r.mu.Unlock()
+	answer, err := r.client.Poll(callCtx, from, r.cache.Known(), seen, announce)
 	answeredAt := n.cfg.Clock()
 	n.cfg.Metrics.StoreCall("relayed", err, answeredAt-sentAt)
 	var changes relay.Changes
@@ -173,12 +187,17 @@
 		changes = r.cache.Apply(answer, sentAt, answeredAt)
 		if !changes.RecordsRead && r.stale() {
 			err = relay.ErrStale
+			if answer.Delta.RecordsAsOf == 0 {
+				err = errStarting
+			}
 		}
 	}
 	r.mu.Lock()
 	switch {
 	case err == nil:
-		r.picker.RecordSuccess(from.Name)
+		r.picker.RecordSuccess(from.Name, answeredAt)
+	case errors.Is(err, errStarting):
+		r.picker.RecordFailure(from.Name, source.Starting, answeredAt)
 	case errors.Is(err, relay.ErrStale):
 		r.picker.RecordFailure(from.Name, source.StoreUnavailable, answeredAt)
 	default:
@@ -195,38 +214,41 @@
 		}
 	}
 	r.applyChanges(changes)
-	if err == nil && answer.Delta.ConfigVersion > r.cache.Known().Config {
-		r.fetchConfig(ctx)
+	if answer.Delta.ConfigVersion > r.cache.Known().Config {
+		r.fetchConfig(ctx, answer.Delta.ConfigVersion)
 	}
 }
 
-// fetchConfig fetches, in the background, a configuration that is too large for a
-// poll's answer. If that fails, it is fetched again after the next poll, or read
-// from the store once shouldReadConfig allows it.
-func (r *reader) fetchConfig(ctx context.Context) {
+// fetchConfig fetches, in the background, the configuration of a version that is too
+// large for a poll's answer. If that fails, it is fetched again after the next poll, or
+// read from the store once shouldReadConfig allows it.
+func (r *reader) fetchConfig(ctx context.Context, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.configSeen = max(r.configSeen, version)
 	if r.fetchingConfig {
 		return
 	}
 	r.fetchingConfig = true
 	go func() {
-		defer func() {
-			r.mu.Lock()
-			r.fetchingConfig = false
-			r.mu.Unlock()
-		}()
 		started := r.node.cfg.Clock()
 		d, err := r.client.FetchConfig(ctx, r.cache.Known().Config)
 		r.node.cfg.Metrics.StoreCall("relayed_config", err, r.node.cfg.Clock()-started)
 		if err == nil {
 			r.applyChanges(r.cache.ApplyConfig(d))
-			return
-		}
-		r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Info("configuration could not be fetched from a peer")
-		if r.shouldReadConfig(r.node.cfg.Clock()) {
-			r.readConfig(ctx)
+		} else {
+			r.node.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Info("configuration could not be fetched from a peer")
+			if r.shouldReadConfig(r.node.cfg.Clock()) {
+				r.readConfig(ctx)
+			}
+			boottime.Sleep(ctx, retryInterval)
 		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.fetchingConfig = false
+		// The next poll is answered at once if the source has a newer version than that in
+		// the cache, also if it has been reported before.
+		r.configSeen = 0
 	}()
 }
 
--- a/proxy/node/relay.go
+++ b/proxy/node/relay.go
@@ -21,16 +21,18 @@
 // Unavailable implements relay.Source. It is true for the instance that this one polls,
 // so that the two do not poll each other; that instance may ask if the store refuses
 // the one that is first in the order of sources. Before this instance has a snapshot,
-// polls wait for one.
+// polls wait for one, unless its reads of the store fail.
 func (r *reader) Unavailable(requester string) bool {
 	r.mu.Lock()
-	from := r.sourceName
+	from, readFailed := r.sourceName, r.picker.ReadFailed()
 	r.mu.Unlock()
 	if from == requester {
 		return true
 	}
-	_, known := r.cache.Age()
-	return known && r.stale()
+	if _, known := r.cache.Age(); !known {
+		return readFailed
+	}
+	return r.stale()
 }
 
 // Announce implements relay.Source.
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -53,8 +53,10 @@
 	instancesDue := r.servesPeers() && r.instancesSchedule.begin(now, interval)
 	r.mu.Unlock()
 	var tables sync.WaitGroup
+	// The configuration may take longer to read than the snapshots of other instances may
+	// be old, so the reads of the records do not wait for it.
 	if !n.Configured() && r.shouldReadConfig(now) {
-		tables.Go(func() { r.readConfig(ctx) })
+		go r.readConfig(ctx)
 	}
 	if membersDue {
 		tables.Go(func() { r.readMembers(ctx) })
@@ -162,16 +164,38 @@
 func (r *reader) shouldReadConfig(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.picker.IsRoot(now) || now >= r.peerConfigUntil
+	configured := r.node.Configured()
+	if r.picker.IsRoot(now) || configured {
+		return r.picker.ReadsConfig(now, configured)
+	}
+	wait := r.picker.ConfigWait()
+	if len(r.cache.Instances()) > peerConfigJitterAbove {
+		wait += r.configJitter
+	}
+	return now-r.startedAt >= wait
 }
 
-// readConfig reads the current configuration from the store.
+// readConfig reads the current configuration from the store, unless that is already being
+// done.
 func (r *reader) readConfig(ctx context.Context) {
 	n := r.node
+	r.mu.Lock()
+	if r.readingConfig {
+		r.mu.Unlock()
+		return
+	}
+	r.readingConfig = true
+	r.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, backgroundTimeout)
 	defer cancel()
 	started := n.cfg.Clock()
-	c, _, err := n.cfg.Store.Config(callCtx, 0, 0)
+	c, cursor, err := n.cfg.Store.Config(callCtx, 0, 0)
+	r.mu.Lock()
+	r.readingConfig = false
+	if err == nil && c != nil {
+		r.configCursor = cursor
+	}
+	r.mu.Unlock()
 	n.cfg.Metrics.StoreCall("config", err, n.cfg.Clock()-started)
 	if err != nil {
 		n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Warn("configuration could not be read from the store")
@@ -211,11 +235,18 @@
 	n := r.node
 	var cursor storeversion.Version
 	for ctx.Err() == nil {
-		if !r.readsStoreItself() {
+		if !n.Configured() {
+			boottime.Sleep(ctx, retryInterval) // readStore and fetchConfig obtain the first one
+			continue
+		}
+		if !r.readsStoreItself() || !r.shouldReadConfig(n.cfg.Clock()) {
 			cursor = 0
 			boottime.Sleep(ctx, readInterval)
 			continue
 		}
+		if cursor == 0 {
+			cursor = r.takeConfigCursor()
+		}
 		callCtx, cancel := context.WithTimeout(ctx, configWait+configWaitMargin)
 		started := n.cfg.Clock()
 		c, next, err := n.cfg.Store.Config(callCtx, cursor, configWait)
@@ -233,6 +264,15 @@
 	}
 }
 
+// takeConfigCursor returns the cursor of the last call of readConfig, once.
+func (r *reader) takeConfigCursor() storeversion.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cursor := r.configCursor
+	r.configCursor = 0
+	return cursor
+}
+
 // readsStoreItself reports whether this instance currently reads the store itself,
 // instead of polling a peer.
 func (r *reader) readsStoreItself() bool {
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -366,12 +366,13 @@
 }
 
 // awaitNewer returns the answer to the poll of an instance that has k. It waits until
-// there is a newer read of the records, or until ctx ends.
-func (cache *Cache) awaitNewer(ctx context.Context, k Known) (*encodedDelta, error) {
+// there is a newer read of the records, or a newer configuration than configSeen, or until
+// ctx ends.
+func (cache *Cache) awaitNewer(ctx context.Context, k Known, configSeen *uint64) (*encodedDelta, error) {
 	for {
 		cache.mu.Lock()
 		changed := cache.updated
-		if cache.recordsAsOf > k.RecordsAsOf {
+		if cache.recordsAsOf > k.RecordsAsOf || configSeen != nil && cache.routes.Version() > *configSeen {
 			defer cache.mu.Unlock()
 			return cache.encodeSince(k)
 		}
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -53,6 +53,10 @@
 	Known
 	// Requester is the name of the polling instance.
 	Requester string `json:"asker"`
+	// ConfigSeen is the newest version of the configuration that is known to the polling
+	// instance to exist. A newer one is answered at once, without waiting for a newer
+	// read of the records. Nil means that the instance does not expect such answers.
+	ConfigSeen *uint64 `json:"config_seen,omitempty"`
 	// Announce lists instances to be announced in the store.
 	Announce []source.Candidate `json:"announce,omitempty"`
 }
@@ -172,7 +176,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
 		defer cancel()
-		encoded, err := src.Cache().awaitNewer(ctx, req.Known)
+		encoded, err := src.Cache().awaitNewer(ctx, req.Known, req.ConfigSeen)
 		if err != nil {
 			return nil, peer.NewError(codeStale, err.Error())
 		}
@@ -217,10 +221,11 @@
 }
 
 // Poll long-polls an instance and returns what changed there since k. Without a newer
-// read, the answer comes after 350 ms. The error is ErrStale if the instance has no
+// read, the answer comes after 350 ms, or as soon as there is a version of the configuration
+// that is newer than that of k and than configSeen. The error is ErrStale if the instance has no
 // fresh snapshot; other errors mean that it did not answer or that its answer is
 // malformed.
-func (c *Client) Poll(ctx context.Context, from source.Candidate, k Known, announce []source.Candidate) (Answer, error) {
+func (c *Client) Poll(ctx context.Context, from source.Candidate, k Known, configSeen uint64, announce []source.Candidate) (Answer, error) {
 	c.mu.Lock()
 	before := c.peer
 	if before == nil || before.Address() != from.Address {
@@ -232,7 +237,8 @@
 		before.Close()
 	}
 	var answer pollAnswer
-	err := current.Call(ctx, methodPoll, pollRequest{k, c.self, announce}, &answer)
+	configSeen = max(configSeen, k.Config)
+	err := current.Call(ctx, methodPoll, pollRequest{k, c.self, &configSeen, announce}, &answer)
 	var answerErr *peer.Error
 	switch {
 	case err == nil:
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -80,7 +80,7 @@
 func (f *follower) poll() (relay.Answer, relay.Changes) {
 	f.t.Helper()
 	sentAt := boottime.Now()
-	answer, err := f.client.Poll(f.t.Context(), f.from, f.cache.Known(), nil)
+	answer, err := f.client.Poll(f.t.Context(), f.from, f.cache.Known(), 0, nil)
 	assert.NilError(f.t, err)
 	return answer, f.cache.Apply(answer, sentAt, boottime.Now())
 }
@@ -196,11 +196,11 @@
 	defer client.Close()
 	stale := newSource()
 	stale.unavailable = true
-	_, err := client.Poll(t.Context(), serve(t, stale), relay.Known{}, nil)
+	_, err := client.Poll(t.Context(), serve(t, stale), relay.Known{}, 0, nil)
 	assert.ErrorIs(t, err, relay.ErrStale)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = client.Poll(ctx, serve(t, newSource()), relay.Known{RecordsAsOf: time.Hour}, nil)
+	_, err = client.Poll(ctx, serve(t, newSource()), relay.Known{RecordsAsOf: time.Hour}, 0, nil)
 	assert.Assert(t, err != nil, "the call ends with its context")
 }
 
@@ -213,7 +213,7 @@
 	defer client.Close()
 	assert.NilError(t, client.PollFaster(t.Context()), "must do nothing without a source")
 	self := source.Candidate{Name: "asker", Address: "10.1.0.9:1"}
-	_, err := client.Poll(t.Context(), serve(t, src), relay.Known{}, []source.Candidate{self})
+	_, err := client.Poll(t.Context(), serve(t, src), relay.Known{}, 0, []source.Candidate{self})
 	assert.NilError(t, err)
 	assert.Equal(t, <-src.announce, self)
 	assert.NilError(t, client.PollFaster(t.Context()))
