Ask for more evidence before a primary or an instance counts as lost

Cause: after a start of 91 instances, saturated members accepted no new connections for a while. Probes timed out although the primaries answered on open connections (60 primary_lost, 14 claims, 3 promotions), and two silent members made 29 instances report not ready. Quorum rounds and step-down commands came from all instances. All failure domains had the same cost, so that reads crossed a round trip of 16 ms for 2 ms of queue.

Change: an answer of the primary later than 50 ms after the beginning of a probe shows that it runs; earlier ones do not delay the detection of a real loss. An instance that had no answer since its start waits for a second probe. With more than 12 instances, instances of two other failure domains are asked before silence counts as isolation, which does not come later in a partition. Only gateways ask a former primary to step down; more than three gateways run quorum rounds half as often each. A control command that could not connect is not tried on a second new connection. The cost of a remote member is the measured round trip to its failure domain. A polled configuration is applied also before the store's clock is known.

The round trips and the calls to other failure domains were not measured on a whole deployment.

--- a/core/gateway/fleet.go
+++ b/core/gateway/fleet.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/papayarail/papayarail/core/source"
@@ -25,6 +27,22 @@
 // Size returns the number of announced instances.
 func (f *Fleet) Size() int { return len(f.instances) }
 
+// Outside returns one instance of each other failure domain, up to n, that all instances
+// of a failure domain choose differently, so that no instance is asked by all of them.
+func (f *Fleet) Outside(domain string, n int) []source.Candidate {
+	first := make(map[string]source.Candidate)
+	for _, c := range f.instances {
+		if c.FailureDomain == domain {
+			continue
+		}
+		if best, known := first[c.FailureDomain]; !known || rendezvousScore(f.self, c) < rendezvousScore(f.self, best) {
+			first[c.FailureDomain] = c
+		}
+	}
+	all := slices.SortedFunc(maps.Values(first), func(a, b source.Candidate) int { return cmp.Compare(a.FailureDomain, b.FailureDomain) })
+	return all[:min(n, len(all))]
+}
+
 // LoadShare returns the fraction of all callers that this instance is expected to serve:
 // callers connect to instances of their own failure domain, and failure domains are
 // assumed to have the same number of callers.
--- a/core/gateway/gateway_test.go
+++ b/core/gateway/gateway_test.go
@@ -201,3 +201,22 @@
 	assert.Assert(t, math.Abs(gateway.NewFleet("unannounced", all).LoadShare()-1.0/6) < 1e-9)
 	assert.Equal(t, gateway.NewStandalone("i0").LoadShare(), 1.0)
 }
+
+// Guards against a question to other failure domains that all instances ask the same
+// instance at the same time.
+func TestOutsideIsSpread(t *testing.T) {
+	all := instances(91)
+	asked := make(map[string]int)
+	for _, c := range all {
+		outside := gateway.NewFleet(c.Name, all).Outside(c.FailureDomain, 2)
+		assert.Equal(t, len(outside), 2)
+		assert.Assert(t, outside[0].FailureDomain != outside[1].FailureDomain)
+		for _, o := range outside {
+			assert.Assert(t, o.FailureDomain != c.FailureDomain)
+			asked[o.Name]++
+		}
+	}
+	for name, n := range asked {
+		assert.Assert(t, n <= 10, "%s is asked by %d", name, n)
+	}
+}
--- a/core/reachability/reachability.go
+++ b/core/reachability/reachability.go
@@ -15,6 +15,9 @@
 	// lost read does not count. Members under load answer within that time, and an
 	// instance that gets answers again passes the readiness probe at once.
 	silenceTimeout = 400 * time.Millisecond
+	// doubtAfter is the time without any answer after which other evidence is worth asking
+	// for. A round trip to another failure domain fits between it and silenceTimeout.
+	doubtAfter = 200 * time.Millisecond
 	// minSilentMembers is the least number of members that have not answered: a single
 	// one may have crashed.
 	minSilentMembers = 2
@@ -40,6 +43,13 @@
 // store, or another instance.
 func (d *Detector) RecordAnswer() { clear(d.unanswered) }
 
+// Doubtful reports whether the instance may soon count as isolated. An answer of another
+// instance outside of the failure domain then shows that members are silent because they are
+// saturated.
+func (d *Detector) Doubtful(now time.Duration) bool {
+	return len(d.unanswered) >= minSilentMembers && now-d.silentSince >= doubtAfter
+}
+
 // Isolated reports whether the instance is isolated from everything outside of its
 // failure domain.
 func (d *Detector) Isolated(now time.Duration) bool {
--- a/core/reachability/reachability_test.go
+++ b/core/reachability/reachability_test.go
@@ -48,3 +48,20 @@
 	d.RecordRequest("dead", 10*time.Second)
 	assert.Assert(t, !d.Isolated(11*time.Second))
 }
+
+// Guards against an instance that concludes from the silence of saturated members that it
+// is isolated: other instances must be asked before that, and their answers count.
+func TestSilentMembersOfReachableDomain(t *testing.T) {
+	var d reachability.Detector
+	for now := time.Duration(0); now < 2*time.Second; now += 10 * ms {
+		d.RecordRequest("a", now)
+		d.RecordRequest("b", now)
+		if d.Doubtful(now) {
+			assert.Assert(t, !d.Isolated(now))
+			d.RecordAnswer()
+		}
+	}
+	d.RecordAnswer()
+	d.RecordRequest("a", 3*time.Second)
+	assert.Assert(t, !d.Doubtful(10*time.Second), "a single member may have crashed")
+}
--- a/core/replicaselect/replicaselect.go
+++ b/core/replicaselect/replicaselect.go
@@ -5,9 +5,12 @@
 import "time"
 
 const (
-	// RemoteCost is added for a member in another failure domain: the round trip there
-	// (1.8 ms) and the price of the traffic between failure domains.
+	// RemoteCost is added for a member in another failure domain if the round trip there has
+	// not been measured: 1.8 ms and TrafficCost.
 	RemoteCost = 2 * time.Millisecond
+	// TrafficCost is added to a measured round trip for the price of the traffic between
+	// failure domains.
+	TrafficCost = 200 * time.Microsecond
 	// PrimaryCost is added for the primary, so that replicas execute the reads that they
 	// can: the primary alone executes writes. It is the mean service time of a read.
 	PrimaryCost = 9 * time.Millisecond
@@ -30,8 +33,10 @@
 	// ServiceTime is the expected service time.
 	ServiceTime time.Duration
 	// Remote means that the member is in another failure domain.
-	Remote  bool
-	Primary bool
+	Remote bool
+	// RoundTrip is the measured time to a remote member and back; 0 if it is not known.
+	RoundTrip time.Duration
+	Primary   bool
 	// Behind means that the member has probably not applied the required position.
 	Behind bool
 	// RecentlyBehind means that the member has just rejected a read because of that.
@@ -49,7 +54,10 @@
 // Cost returns the expected cost of executing the read on c.
 func Cost(c Candidate) time.Duration {
 	cost := c.Wait + c.ServiceTime
-	if c.Remote {
+	switch {
+	case c.Remote && c.RoundTrip > 0:
+		cost += c.RoundTrip + TrafficCost
+	case c.Remote:
 		cost += RemoteCost
 	}
 	if c.Primary {
--- a/core/replicaselect/replicaselect_test.go
+++ b/core/replicaselect/replicaselect_test.go
@@ -50,3 +50,19 @@
 	assert.Assert(t, !replicaselect.OthersBehind([]replicaselect.Candidate{{}, {}}, 0), "an equal candidate is another one")
 	assert.Assert(t, replicaselect.OthersBehind([]replicaselect.Candidate{primary}, 0))
 }
+
+// Guards against reads that cross between regions although a replica in the region can
+// execute them: with one cost for all failure domains, a queue of 2 ms sent a read over a
+// round trip of 16 ms.
+func TestReadsStayInTheRegion(t *testing.T) {
+	near := replicaselect.Candidate{ServiceTime: 9 * ms, Remote: true, RoundTrip: 3 * ms}
+	far := replicaselect.Candidate{ServiceTime: 9 * ms, Remote: true, RoundTrip: 16 * ms}
+	unknown := replicaselect.Candidate{ServiceTime: 9 * ms, Remote: true}
+	near.Wait = 12 * ms
+	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{far, near}), 1)
+	near.Wait = 14 * ms
+	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{far, near}), 0, "the queue costs more than the round trip")
+	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{far, unknown}), 1)
+	local := replicaselect.Candidate{ServiceTime: 9 * ms, RoundTrip: 16 * ms}
+	assert.Equal(t, replicaselect.Cost(local), 9*ms, "only a remote member has a round trip")
+}
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -166,7 +166,7 @@
 			continue
 		}
 		entry := m.Member()
-		c := replicaselect.Candidate{Remote: entry.FailureDomain != g.cfg.FailureDomain, Suspect: m.Suspect()}
+		c := replicaselect.Candidate{Remote: entry.FailureDomain != g.cfg.FailureDomain, RoundTrip: g.roundTrip(entry.FailureDomain), Suspect: m.Suspect()}
 		c.Wait, c.ServiceTime, c.NeedsConnection = m.Load(req.Rank)
 		if gw := g.cfg.Gateways.Gateway(g.cfg.Service, id, id == primary.Member, g.service.Connections); gw != nil {
 			c.Wait, c.NeedsConnection = gw.ExpectedWait(), false
@@ -201,6 +201,14 @@
 	return choices[best], true
 }
 
+// roundTrip returns the measured round trip to a failure domain, or 0.
+func (g *Group) roundTrip(domain string) time.Duration {
+	if g.cfg.RoundTrip == nil {
+		return 0
+	}
+	return g.cfg.RoundTrip(domain)
+}
+
 // minReplicaPosition returns the position that a replica must have reached for a
 // read, and the time by which a primary had reached it; ok is false if none is
 // known. It prefers a position observed on the primary. The members' bound on
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -117,7 +117,7 @@
 // ConnectingInstances implements Gateways.
 func (noGateways) ConnectingInstances(string, int) int { return 0 }
 
-// Config holds the dependencies of a Group. Gateways and Reachability are
+// Config holds the dependencies of a Group. Gateways, Reachability and RoundTrip are
 // optional: without Gateways, the instance connects to all members directly.
 type Config struct {
 	Service       string
@@ -126,10 +126,13 @@
 	Dialer        statement.Dialer
 	Gateways      Gateways
 	Reachability  Reachability
-	RecordStore   RecordStore
-	Promoter      Promoter
-	Clock         boottime.Clock
-	Log           *logrus.Entry
+	// RoundTrip returns the measured round trip to a failure domain, or 0; nil means that
+	// none is measured.
+	RoundTrip   func(domain string) time.Duration
+	RecordStore RecordStore
+	Promoter    Promoter
+	Clock       boottime.Clock
+	Log         *logrus.Entry
 }
 
 // Group is one database group as seen by this instance. It is safe for concurrent use.
@@ -267,11 +270,15 @@
 
 // stepDownFormer asks a former primary to step down. A former primary that is
 // partitioned from its successor does not learn of it, and may be reachable from this
-// instance only. g.mu is held.
+// instance only. Instances that use gateways leave that to these: nobody uses a primary that
+// no gateway reaches. g.mu is held.
 func (g *Group) stepDownFormer(former primacy.Primary) {
 	if former.Member == "" || former.Member == g.tracker.Primary().Member || g.members[former.Member] == nil {
 		return
 	}
+	if g.cfg.Gateways.Gateway(g.cfg.Service, former.Member, false, g.service.Connections) != nil {
+		return
+	}
 	command := statement.Control{Kind: statement.StepDown, Term: g.tracker.Primary().Term}
 	go g.controlAll(command, []string{former.Member}, false)
 }
@@ -292,6 +299,7 @@
 func (g *Group) observePrimaryChange(former primacy.Primary, source string) {
 	g.lastAckSentAt = 0 // acknowledgements of the former primary do not confirm the new one
 	g.primaryMissingSince = 0
+	g.silence.answeredAt = 0
 	g.switchover.Reset()
 	for _, m := range g.members {
 		m.maxPosition = position.Position{} // replicas that were ahead of the new primary are rolled back
@@ -333,7 +341,8 @@
 	defer g.mu.Unlock()
 	g.tracker.ObservePosition(u.Member().ID, p, sentAt)
 	if u.Member().ID == g.tracker.Primary().Member {
-		g.suspicion.answered(g.cfg.Clock())
+		g.silence.answeredAt = g.cfg.Clock()
+		g.suspicion.answered(g.silence.answeredAt)
 	}
 }
 
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -28,6 +28,10 @@
 	// probeInterval separates two probes, so that a restart of the member's listener
 	// does not count as a failure of the member.
 	probeInterval = 60 * time.Millisecond
+	// lateAnswerAfter is the time after the beginning of a probe from which an answer of the
+	// primary on another connection shows that it runs. Earlier ones may have been under way
+	// when it failed.
+	lateAnswerAfter = 50 * time.Millisecond
 	// unansweredWriteLimit is the number of consecutive unanswered writes after which
 	// the replicas' positions are compared with the primary's. Unanswered writes
 	// alone prove nothing: answers are also lost while commits continue.
@@ -74,6 +78,7 @@
 type silenceWatch struct {
 	outstanding int
 	since       time.Duration // last answer, or first statement after none was outstanding
+	answeredAt  time.Duration // last answer of the present primary, here or at a gateway; 0 if none
 	watching    bool
 }
 
@@ -98,6 +103,7 @@
 	g.silence.outstanding--
 	if answered {
 		g.silence.since = g.cfg.Clock()
+		g.silence.answeredAt = g.silence.since
 	}
 }
 
@@ -379,13 +385,28 @@
 	probeReplica
 	probeDead
 	// probeUnknown means that the member runs but did not report its role, for
-	// example because its connection limit is reached.
+	// example because its connection limit is reached, or because its listener is
+	// saturated: it then answers statements on open connections.
 	probeUnknown
 )
 
+// answeredSince reports whether the primary has answered on any connection, here or at a
+// gateway, later than the given time.
+func (g *Group) answeredSince(at time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.silence.answeredAt > at
+}
+
 // probe asks the primary for its status on new connections: an open connection may
-// be broken without a sign while the member serves.
+// be broken without a sign while the member serves. Conversely, a primary that answers
+// statements while it does not accept the probe's connections is not dead: after a start of
+// 91 instances, the probes of saturated primaries timed out and led to 14 claims.
 func (g *Group) probe(u *upstream.Upstream, primary primacy.Primary) probeResult {
+	startedAt := g.cfg.Clock()
+	// Without any answer since its start, this instance has no open connection that could
+	// show that the primary runs, so that it waits for a second probe.
+	neverAnswered := !g.answeredSince(0) && startedAt-g.startedAt < startQuotaPeriod
 	for attempt := range 2 {
 		if attempt > 0 {
 			time.Sleep(probeInterval)
@@ -402,7 +423,10 @@
 		}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "probe_failed", "member": primary.Member, "attempt": attempt, "error": err.Error()}).Info("primary did not answer a probe")
 		var connErr *statement.ConnError
-		if errors.As(err, &connErr) && connErr.Timeout {
+		if g.answeredSince(startedAt + lateAnswerAfter) {
+			return probeUnknown
+		}
+		if errors.As(err, &connErr) && connErr.Timeout && !neverAnswered {
 			break // the timeout was longer than probeInterval already
 		}
 	}
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -19,6 +19,10 @@
 	// roundInterval limits the rate of quorum rounds while the store is unreachable:
 	// a status takes one of the member's slots for about 0.5 ms.
 	roundInterval = 40 * time.Millisecond
+	// roundGateways is the number of gateways of a primary, one for each failure domain, up
+	// to which each runs rounds at roundInterval; with more of them, each runs them half as
+	// often. All gateways of six failure domains then take 4% of a slot.
+	roundGateways = 3
 	// statusTimeout limits the wait for a member's answer to a control command. A
 	// status waits for a slot behind up to 18 statements of 9 ms on two slots.
 	statusTimeout = 250 * time.Millisecond
@@ -75,7 +79,11 @@
 		return
 	}
 	g.rounds.running = true
-	delay := max(g.rounds.startedAt+roundInterval-g.cfg.Clock(), 0)
+	interval := roundInterval
+	if g.cfg.Gateways.ConnectingInstances(g.tracker.Primary().Member, g.service.Connections) > roundGateways {
+		interval *= 2
+	}
+	delay := max(g.rounds.startedAt+interval-g.cfg.Clock(), 0)
 	go func() {
 		time.Sleep(delay)
 		g.mu.Lock()
@@ -360,6 +368,10 @@
 		if refused && reason != statement.WrongMember {
 			break // the member would refuse a new connection as well
 		}
+		var connErr *statement.ConnError
+		if errors.As(err, &connErr) && connErr.Timeout && !connErr.Sent {
+			break // the first attempt has already failed to open a connection
+		}
 	}
 	return nil, gone
 }
--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -118,12 +118,27 @@
 			return nil
 		}
 	}
+	return &path{router: r, gateway: c.Name, client: r.client(c), target: target{service, member, primary}, excludedUntil: excludedUntil}
+}
+
+// client returns the client of an instance. r.mu is held.
+func (r *Router) client(c source.Candidate) *peer.Client {
 	client := r.clients[c.Name]
 	if client == nil {
 		client = peer.NewClient(c.Address, r.dial, r.log)
 		r.clients[c.Name] = client
 	}
-	return &path{router: r, gateway: c.Name, client: client, target: target{service, member, primary}, excludedUntil: excludedUntil}
+	return client
+}
+
+// Ping reports whether an instance answers within pingTimeout.
+func (r *Router) Ping(ctx context.Context, c source.Candidate) bool {
+	r.mu.Lock()
+	client := r.client(c)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return client.Call(ctx, methodPing, struct{}{}, nil) == nil
 }
 
 // Close ends the connections to gateways.
--- a/proxy/node/isolation.go
+++ b/proxy/node/isolation.go
@@ -27,7 +27,12 @@
 	// removalProbes is the number of consecutive failed probes after which the load
 	// balancer sends an instance no new connections, and probeAnswerTime the time
 	// that the answer to the last one may be under way.
-	removalProbes   = 2
+	removalProbes = 2
+	// outsideAsked is the number of other failure domains in which an instance asks another
+	// instance when the members do not answer, and askOutsideAbove the number of instances
+	// above which it does: fewer instances do not saturate the members.
+	outsideAsked    = 2
+	askOutsideAbove = 12
 	probeAnswerTime = 50 * time.Millisecond
 )
 
@@ -94,6 +99,29 @@
 	return i.failedProbes > removalProbes || i.failedProbes == removalProbes && now-i.lastFailedProbe >= probeAnswerTime
 }
 
+// askOutside asks instances of other failure domains whether they answer, if the members
+// outside have not answered for some time. An answer shows that the members are saturated and
+// that this instance is not partitioned from them. If there is none, the instance counts as
+// isolated as early as without the question.
+func (n *Node) askOutside(ctx context.Context, now time.Duration) {
+	n.isolation.mu.Lock()
+	doubtful := n.isolation.reachability.Doubtful(now)
+	n.isolation.mu.Unlock()
+	n.mu.Lock()
+	fleet := n.fleet
+	n.mu.Unlock()
+	if !doubtful || fleet.Size() <= askOutsideAbove {
+		return
+	}
+	for _, c := range fleet.Outside(n.cfg.Settings.FailureDomain, outsideAsked) {
+		go func() {
+			if n.router.Ping(ctx, c) {
+				n.isolation.recordAnswer()
+			}
+		}()
+	}
+}
+
 // AnswerProbe returns Ready and counts the answer as one to a probe of the load
 // balancer, which sends new connections elsewhere after two consecutive failures.
 func (n *Node) AnswerProbe() bool {
@@ -149,6 +177,7 @@
 	for ctx.Err() == nil {
 		boottime.Sleep(ctx, isolationCheckInterval)
 		now := n.cfg.Clock()
+		n.askOutside(ctx, now)
 		isolated, expiredFor := n.checkIsolated(now)
 		switch {
 		case isolated && isolatedSince == 0:
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -101,7 +101,9 @@
 	router    *hop.Router
 	failures  *failurelog.Log
 	isolation isolation
-	stop      stopState
+	// roundTrips are the measured round trips to other failure domains.
+	roundTrips roundTrips
+	stop       stopState
 }
 
 // New returns a Node that does nothing until Run.
@@ -124,6 +126,7 @@
 	n.background.Go(func() { n.reader.followConfig(ctx) })
 	n.background.Go(func() { n.reader.run(ctx) })
 	n.background.Go(func() { n.watchIsolation(ctx) })
+	n.background.Go(func() { n.measureRoundTrips(ctx) })
 	n.background.Wait()
 	n.router.Close()
 }
@@ -222,7 +225,7 @@
 func (n *Node) addGroup(s catalog.Service) {
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
-		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
+		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, RoundTrip: n.roundTrips.get, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
 		Log: n.cfg.Log.WithField("service", s.Name),
 	}, s)
 	g.SetFleet(n.fleet)
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -213,12 +213,11 @@
 		r.picker.RecordFailure(from.Name, source.Unresponsive, answeredAt)
 	}
 	r.mu.Unlock()
-	if errors.Is(err, errUnbounded) {
-		return
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errUnbounded):
+	case err != nil:
 		n.cfg.Log.WithFields(logrus.Fields{"event": "source_failed", "from": from.Name, "error": err.Error()}).Info("peer did not provide a fresh snapshot of the store")
-	} else {
+	default:
 		r.storeDependency.observe(nil)
 		r.setSource(from.Name)
 		if from.FailureDomain != n.cfg.Settings.FailureDomain {
@@ -226,7 +225,7 @@
 		}
 	}
 	r.applyChanges(changes)
-	if answer.Delta.ConfigVersion > r.cache.Known().Config {
+	if answer.Delta.Config == nil && answer.Delta.ConfigVersion > r.cache.Known().Config {
 		r.fetchConfig(ctx, answer.Delta.ConfigVersion)
 	}
 }
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -216,8 +216,8 @@
 }
 
 // Apply merges a peer's answer to a poll that was sent at sentAt and answered at
-// answeredAt, on the local clock. It drops an answer whose age cannot be bounded or
-// that claims to be from the future.
+// answeredAt, on the local clock. Of an answer whose age cannot be bounded or that claims to
+// be from the future, it uses only the configuration, which has no age.
 func (cache *Cache) Apply(a Answer, sentAt, answeredAt time.Duration) Changes {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
@@ -225,10 +225,12 @@
 	if a.Latest != 0 {
 		cache.clockOffset.AddExchange(a.Earliest, a.Latest, sentAt, answeredAt)
 	}
+	if c.ConfigChanged = cache.applyConfig(a.Delta.Config); c.ConfigChanged {
+		cache.notify()
+	}
 	if !cache.clockOffset.Known() || !cache.hasPassed(a.Delta.RecordsAsOf, answeredAt) || !cache.hasPassed(a.Delta.MembersAsOf, answeredAt) {
 		return c
 	}
-	c.ConfigChanged = cache.applyConfig(a.Delta.Config)
 	if d := a.Delta.Instances; d != nil {
 		c.InstancesChanged = cache.instances.ApplyDelta(*d)
 	}
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -189,6 +189,20 @@
 	assert.DeepEqual(t, f.cache.Config(), changed) // an older version must not replace it
 }
 
+// Guards against an instance that polls its source without a pause while that is starting
+// and has a configuration, but no records: it must keep the configuration, so that the next
+// poll waits.
+func TestConfigOfStartingSource(t *testing.T) {
+	src := newSource()
+	f := newFollower(t, serve(t, src))
+	src.cache.SetConfig(config(7, 3))
+	_, changes := f.poll()
+	assert.Equal(t, changes, relay.Changes{ConfigChanged: true})
+	started := time.Now()
+	f.poll()
+	assert.Assert(t, time.Since(started) > 250*time.Millisecond, "answered after %s", time.Since(started))
+}
+
 // Guards against a configuration that reaches each level of the distribution tree one
 // interval of reads later: a poll that waits for a newer read of the records must be
 // answered at once when there is a newer configuration, and only once for a version that
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -80,6 +80,13 @@
 	c.otherRoutes += n
 }
 
+// Promotions returns the number of promotions that took effect.
+func (c *Cluster) Promotions() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int(c.primaryMember().term) - 1
+}
+
 // HoldConnections opens n connections to a member that nobody uses, for d, as those of
 // instances that lost power.
 func (c *Cluster) HoldConnections(id string, n int, d time.Duration) {
