--- a/proxy/hop/wire.go
+++ b/proxy/hop/wire.go
@@ -28,7 +28,7 @@
 
 // codeStarting is the JSON-RPC error code of a gateway that did not accept a call because it
 // has no configuration or no members yet: nothing was executed.
-const codeStarting = -32003
+const codeStarting = -32004
 
 // wireJob is the encoded form of an upstream.Job. It has the time left instead of the
 // deadline, as the clocks of instances differ.
