Compare service times with and without the wait for a slot

Cause: service times were divided by the statements in flight per slot. The interval of probes of a slow member did not grow.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -62,7 +62,7 @@
 	// is below returnRatio, if no statement of it was measured for idleProbeInterval. Reads
 	// go to the member with the least expected cost, so a slow member would otherwise get
 	// no further reads that prove it slow or well again.
-	suspectRatio      = 2.5
+	suspectRatio      = 2.0
 	idleProbeInterval = 200 * time.Millisecond
 	// probeTimeout is the time after which an unanswered probe no longer prevents another.
 	probeTimeout = 2 * time.Second
@@ -168,26 +168,30 @@
 	Probe
 )
 
-// mean is a moving mean of service times.
+// mean is a moving mean.
 type mean struct {
-	value   float64 // in seconds
+	value   float64
 	samples int
 	at      time.Duration
 }
 
-func (m *mean) add(v float64, now time.Duration) {
+func (m *mean) add(v, weight float64, now time.Duration) {
 	m.samples++
-	m.value += max(meanWeight, 1/float64(m.samples)) * (v - m.value)
+	m.value += max(weight, 1/float64(m.samples)) * (v - m.value)
 	m.at = now
 }
 
+// serviceTime holds the moving means of the service times of one class, in seconds: as
+// measured, and without the estimated wait for a slot of the member.
+type serviceTime struct{ measured, work mean }
+
 func (m *mean) known(now time.Duration) bool {
-	return m != nil && m.samples >= minSamples && now-m.at <= meanMaxAge
+	return m.samples >= minSamples && now-m.at <= meanMaxAge
 }
 
 type member struct {
-	means       map[int]*mean // by class
-	floor       float64       // shortest exchange in seconds: the round trip and the least work
+	means       map[int]*serviceTime // by class
+	floor       float64              // shortest exchange in seconds: the round trip and the least work
 	failureRate mean
 	failScore   float64
 	slowScore   float64
@@ -221,7 +225,9 @@
 func New() *Tracker { return &Tracker{members: make(map[string]*member)} }
 
 // Add adds a member, or resets one that has restarted or moved.
-func (t *Tracker) Add(id string) { t.members[id] = &member{means: make(map[int]*mean), ratio: 1} }
+func (t *Tracker) Add(id string) {
+	t.members[id] = &member{means: make(map[int]*serviceTime), ratio: 1}
+}
 
 // Remove removes a member. The group may become too small for its ejected members.
 func (t *Tracker) Remove(id string, now time.Duration) []Change {
@@ -341,7 +347,7 @@
 		}
 		limit := 0.0
 		for class := range m.means {
-			if expected, ok := t.peerMean(id, class, now); ok {
+			if expected, _, ok := t.peerMeans(id, class, now); ok {
 				limit = max(limit, expected)
 			}
 		}
@@ -374,9 +380,7 @@
 	failed := a.Outcome == Failed || a.Outcome == Refused
 	if a.Outcome != Neutral {
 		m.failScore = min(max(m.failScore+t.failureWeight(id, failed, now), 0), maxScore)
-		m.failureRate.samples++
-		m.failureRate.value += rateWeight * (boolValue(failed) - m.failureRate.value)
-		m.failureRate.at = now
+		m.failureRate.add(boolValue(failed), rateWeight, now)
 	}
 	if failed {
 		m.failedInRow++
@@ -384,7 +388,10 @@
 		m.probeInterval = min(max(2*m.probeInterval, minProbeInterval), maxProbeInterval)
 		m.nextProbe = now + m.probeInterval
 	} else if !m.ejected || a.SentAt >= m.ejectedAt {
-		m.failedInRow, m.probeInterval = 0, 0
+		m.failedInRow = 0
+		if ratio <= suspectRatio {
+			m.probeInterval = 0
+		}
 	}
 	if ratio > 0 && !a.Starting {
 		capped := min(ratio, maxRatio)
@@ -461,19 +468,24 @@
 	if a.Outcome != Good {
 		return 0
 	}
-	took = (took - m.distance(t)) / max(a.Load, 1)
-	peers, ok := t.peerMean(id, a.Class, now)
+	peers, peersWork, ok := t.peerMeans(id, a.Class, now)
 	own := m.means[a.Class]
 	if own == nil {
-		own = &mean{}
+		own = &serviceTime{}
 		m.means[a.Class] = own
 	}
-	// The mean has the distance included, as floors may still fall.
-	own.add(took+m.distance(t), now)
-	if !ok || peers <= 0 {
+	distance, load := m.distance(t), max(a.Load, 1)
+	work := (took - distance) / load
+	// The means have the distance included, as floors may still fall.
+	own.measured.add(took, meanWeight, now)
+	own.work.add(work+distance, meanWeight, now)
+	if !ok || peers <= 0 || peersWork <= 0 {
 		return 0
 	}
-	return max(took/peers, 1e-3)
+	// The member may execute more in parallel than its slots, or other instances may add
+	// to its load, so the wait is not certain. A member counts as slow if it is with and
+	// without it.
+	return max(min((took-distance)/peers, work/peersWork), 1e-3)
 }
 
 // distance returns by how much the member's shortest exchange exceeds that of the
@@ -488,20 +500,26 @@
 	return min(m.floor-nearest, maxDistance.Seconds())
 }
 
-// peerMean returns the lower median of the mean service times of the other members that
-// are not ejected; ok is false if none is known.
-func (t *Tracker) peerMean(id string, class int, now time.Duration) (seconds float64, ok bool) {
-	var all []float64
+// peerMeans returns the lower medians of the mean service times of the other members that
+// are not ejected, as measured and without the wait for a slot; ok is false if none is
+// known.
+func (t *Tracker) peerMeans(id string, class int, now time.Duration) (measured, work float64, ok bool) {
+	var backing, backingWork [8]float64 // no allocation for groups of usual size
+	all, allWork := backing[:0], backingWork[:0]
 	for other, o := range t.members {
-		if other != id && !o.ejected && o.means[class].known(now) {
-			all = append(all, o.means[class].value-o.distance(t))
+		mean := o.means[class]
+		if other != id && !o.ejected && mean != nil && mean.measured.known(now) {
+			distance := o.distance(t)
+			all, allWork = append(all, mean.measured.value-distance), append(allWork, mean.work.value-distance)
 		}
 	}
 	if len(all) == 0 {
-		return 0, false
+		return 0, 0, false
 	}
 	slices.Sort(all)
-	return all[(len(all)-1)/2], true
+	slices.Sort(allWork)
+	median := (len(all) - 1) / 2
+	return all[median], allWork[median], true
 }
 
 // eject ejects a member if at most one member in three is then ejected. A slow member
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -360,6 +360,23 @@
 	}
 }
 
+// BenchmarkStatement measures what one statement costs while all members are well.
+func BenchmarkStatement(b *testing.B) {
+	tr := newTracker(3)
+	ids := []string{"m-0", "m-1", "m-2"}
+	b.ReportAllocs()
+	for i := range b.N {
+		now, id := time.Duration(i)*ms, ids[i%3]
+		tr.CheckSilence(now)
+		for _, id := range ids {
+			tr.Use(id, now)
+		}
+		tr.RecordSent(id, now)
+		tr.RecordDone(id, true, now)
+		tr.Record(id, health.Answer{Class: i / 3 % 3, Took: 10 * ms, SentAt: now}, now)
+	}
+}
+
 // Guards against more than one member in three out of use: while all fail, and after
 // members have left the group. A member that fails takes the place of a slow one.
 func TestBound(t *testing.T) {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -155,6 +155,14 @@
 	return res
 }
 
+// ResetServiceTimes replaces the measured service times of all ranks by the initial one,
+// for an upstream whose measurements no longer apply.
+func (s *Scheduler) ResetServiceTimes() {
+	for r := range s.ranks {
+		s.ranks[r].serviceTime = s.cfg.InitialServiceTime
+	}
+}
+
 // Running returns the number of running requests.
 func (s *Scheduler) Running() int { return s.running }
 
