Avoid members that fail or are slow, and pace those that start or recover

Cause: a member was the last choice for 500 ms after a failure, until any answer, a status answer included. A member that started, was promoted or recovered got all its load at once. Change: proxy/group feeds core/health with the outcome of each statement, where it was sent to the member, and core/pace with what follows; Choose makes ejected members the last choice and sends probes. Gateways refuse reads for an ejected member unless no other can execute them. replicaselect: Avoid and Probe replace Suspect. upstream: the pace reduces the quota in the scheduler. ColdLeftMs becomes catalog.Member.ColdFor; counting down is no change (catalog.SameMember). Metrics, log lines and state in /state. Upstream.Suspect, Probing and RecordFailure are gone: a gateway still answers cut_off while the probe of a suspect member is outstanding, and a member that is missing from the register and suspect is still not chosen. A demoted primary no longer counts as failing.

--- a/core/replicaselect/replicaselect.go
+++ b/core/replicaselect/replicaselect.go
@@ -38,13 +38,16 @@
 	RecentlyBehind bool
 	// NeedsConnection means that a connection must be opened first.
 	NeedsConnection bool
-	// Suspect means that the last request to the member failed.
-	Suspect bool
+	// Avoid means that the member failed or is slow (see core/health).
+	Avoid bool
+	// Probe means that the read should find out whether such a member works again.
+	Probe bool
 }
 
-// SuspectCost is added for a suspect member. It exceeds every expected wait at which a
-// queue accepts a read, so that a suspect member is the last choice.
-const SuspectCost = 10 * time.Second
+// AvoidCost is added for a member to avoid. It exceeds every expected wait at which a
+// queue accepts a read, so that such a member is the last choice. It is subtracted for a
+// member to probe, which is then the first choice unless it is behind.
+const AvoidCost = 10 * time.Second
 
 // Cost returns the expected cost of executing the read on c.
 func Cost(c Candidate) time.Duration {
@@ -64,8 +67,11 @@
 	if c.NeedsConnection {
 		cost += ConnectCost
 	}
-	if c.Suspect {
-		cost += SuspectCost
+	if c.Avoid {
+		cost += AvoidCost
+	}
+	if c.Probe && !c.Behind {
+		cost -= AvoidCost
 	}
 	return cost
 }
--- a/core/replicaselect/replicaselect_test.go
+++ b/core/replicaselect/replicaselect_test.go
@@ -13,7 +13,7 @@
 
 // Guards against reads that use slots of the primary or cross failure domains needlessly:
 // the replica in the same failure domain is selected until its queue costs more than the
-// round trip to another member. A suspect member is the last choice.
+// round trip to another member. A member to avoid is the last choice.
 func TestLowestCostIsSelected(t *testing.T) {
 	local := replicaselect.Candidate{ServiceTime: 9 * ms}
 	remote := replicaselect.Candidate{ServiceTime: 9 * ms, Remote: true}
@@ -23,8 +23,12 @@
 	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{primary, remote, local}), 1)
 	local.Wait, remote.Wait = 30*ms, 30*ms
 	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{primary, remote, local}), 0)
-	primary.Suspect = true
+	primary.Avoid = true
 	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{primary, remote, local}), 2)
+	primary.Avoid, primary.Probe = false, true
+	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{primary, remote, local}), 0)
+	primary.Behind, primary.Wait = true, 30*ms
+	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{primary, remote, local}), 2, "a read that the member cannot execute is no probe")
 	assert.Equal(t, replicaselect.Best(nil), -1)
 }
 
@@ -34,7 +38,7 @@
 func TestRecentlyBehindIsAvoided(t *testing.T) {
 	behind := replicaselect.Candidate{ServiceTime: 9 * ms, Behind: true, RecentlyBehind: true}
 	busy := replicaselect.Candidate{ServiceTime: 9 * ms, Primary: true, Wait: time.Second}
-	dead := replicaselect.Candidate{Suspect: true}
+	dead := replicaselect.Candidate{Avoid: true}
 	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{behind, busy}), 1)
 	assert.Equal(t, replicaselect.Best([]replicaselect.Candidate{dead, behind}), 1)
 	behind.RecentlyBehind = false
--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -82,6 +82,19 @@
 	// Started distinguishes the incarnations of a member that restarts without its log
 	// under the same ID.
 	Started int64
+	// ColdFor is how much longer the member expects to be slow after its start, at the
+	// time of the read. It only suggests to raise the load with care: the answers decide.
+	ColdFor time.Duration `json:",omitempty"`
+}
+
+// SameMember reports whether two registrations are the same. A ColdFor that counts down
+// is no change, only its end is: otherwise each read of the store would be passed on to
+// all instances and wake all groups.
+func SameMember(a, b Member) bool {
+	if a.ColdFor > 0 && b.ColdFor > 0 {
+		b.ColdFor = a.ColdFor
+	}
+	return a == b
 }
 
 // Members is one snapshot of the registered members, by ID.
@@ -107,5 +120,5 @@
 	return byService
 }
 
-// Equal reports whether two snapshots contain the same members.
-func (all Members) Equal(other Members) bool { return maps.Equal(all, other) }
+// Equal reports whether two snapshots contain the same members; see SameMember.
+func (all Members) Equal(other Members) bool { return maps.EqualFunc(all, other, SameMember) }
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/papayarail/papayarail/core/health"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/replicaselect"
@@ -161,12 +162,18 @@
 	var choices []Choice
 	var candidates []replicaselect.Candidate
 	primary, primaryUpstream := g.primaryLocked()
+	g.health.checkSilence()
 	for id, m := range g.members {
-		if excluded[m.Upstream] || m.departed || m.missingSince != 0 && m.Suspect() {
+		if excluded[m.Upstream] || m.departed || m.missingSince != 0 && g.health.suspect(id) {
 			continue
 		}
 		entry := m.Member()
-		c := replicaselect.Candidate{Remote: entry.FailureDomain != g.cfg.FailureDomain, Suspect: m.Suspect()}
+		use := g.health.use(id)
+		c := replicaselect.Candidate{Remote: entry.FailureDomain != g.cfg.FailureDomain, Avoid: use == health.Avoid}
+		// A retry of a read that failed elsewhere is not delayed by a probe.
+		if use == health.Probe {
+			c.Probe, c.Avoid = len(excluded) == 0, len(excluded) > 0
+		}
 		c.Wait, c.ServiceTime, c.NeedsConnection = m.Load(req.Rank)
 		if gw := g.cfg.Gateways.Gateway(g.cfg.Service, id, id == primary.Member, g.service.Connections); gw != nil {
 			c.Wait, c.NeedsConnection = gw.ExpectedWait(), false
@@ -194,6 +201,9 @@
 	if best < 0 {
 		return Choice{}, false
 	}
+	if u := choices[best].Member().ID; g.health.use(u) >= health.Retry {
+		g.health.recordProbe(u)
+	}
 	if candidates[best].Behind {
 		choices[best].RecordLagProbe()
 	}
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -19,8 +19,8 @@
 	// rollbackTimeout limits the rollback of an abandoned transaction. When it expires
 	// the connection is closed, which also rolls back.
 	rollbackTimeout = 200 * time.Millisecond
-	// retryAfterUnanswered is the suggested retry delay for a member that does not
-	// answer: other members are preferred to it for that long.
+	// retryAfterUnanswered is the suggested retry delay for a member that a gateway does
+	// not use: other members are preferred to it for that long.
 	retryAfterUnanswered = 500 * time.Millisecond
 )
 
@@ -54,6 +54,8 @@
 	tx, o := g.openRouted(c, begin, j)
 	if o.Begin.Err == nil {
 		g.reportAnswer(c.Upstream)
+	} else if o.Begin.Gateway != "" {
+		g.health.recordGatewayResult(c.Upstream, j, o.Begin, sentAt)
 	}
 	if tx == nil {
 		return nil, o
@@ -94,8 +96,11 @@
 // observeResult updates what the group knows of a member, such as its log position, from
 // the result of a job.
 func (g *Group) observeResult(u *upstream.Upstream, j upstream.Job, r upstream.Result, sentAt time.Duration) {
+	if r.Gateway != "" {
+		g.health.recordGatewayResult(u, j, r, sentAt)
+	}
 	if r.Err != nil {
-		g.observeFailure(u, r.Err)
+		g.observeFailure(r.Err)
 		return
 	}
 	g.reportAnswer(u)
@@ -108,17 +113,11 @@
 	}
 }
 
-// observeFailure marks a member as suspect if it did not answer, here or at its
-// gateway. If a gateway reports that the primary does not serve, the record is read
-// more often for failoverTime.
-func (g *Group) observeFailure(u *upstream.Upstream, err error) {
-	var connErr *statement.ConnError
+// observeFailure makes the record be read more often for failoverTime if a gateway
+// reports that the primary does not serve.
+func (g *Group) observeFailure(err error) {
 	var v *verdict.Error
-	isVerdict := errors.As(err, &v)
-	if errors.As(err, &connErr) || isVerdict && v.Code == verdict.CutOff {
-		u.RecordFailure()
-	}
-	if isVerdict && v.Code == verdict.NoPrimary {
+	if errors.As(err, &v) && v.Code == verdict.NoPrimary {
 		g.mu.Lock()
 		g.gatewayDoubtUntil = g.cfg.Clock() + failoverTime
 		g.mu.Unlock()
@@ -135,7 +134,7 @@
 	if j.Limit > 0 {
 		left = min(left, j.Limit)
 	}
-	reply, err := g.exec(primary, conn, j.Statement, left)
+	reply, err := g.exec(u, primary, conn, j, left)
 	u.Release(ticket, err == nil)
 	if err != nil {
 		u.Discard(conn)
@@ -161,6 +160,7 @@
 		u.Release(ticket, false)
 		var connErr *statement.ConnError
 		if errors.As(err, &connErr) {
+			g.health.recordConnFailure(u)
 			g.RequestFailed(u, false)
 		}
 		return 0, nil, err
@@ -168,6 +168,7 @@
 	if err = conn.SyncSession(j.Values, j.Prepared, false, left); err != nil {
 		u.Discard(conn)
 		u.Release(ticket, false)
+		g.health.recordConnFailure(u)
 		g.RequestFailed(u, false)
 		return 0, nil, err
 	}
@@ -189,14 +190,17 @@
 	}
 }
 
-// exec runs a statement on a connection, and tracks whether the primary answers.
-func (g *Group) exec(primary bool, conn *upstream.Conn, st statement.Statement, timeout time.Duration) (statement.Reply, error) {
-	if !primary {
-		return conn.Exec(st, timeout)
-	}
-	g.StatementStarted()
-	reply, err := conn.Exec(st, timeout)
-	g.StatementFinished(err == nil)
+// exec runs a job's statement on a connection, and records how the member answers.
+func (g *Group) exec(u *upstream.Upstream, primary bool, conn *upstream.Conn, j upstream.Job, timeout time.Duration) (statement.Reply, error) {
+	done := g.health.sent(u, j, timeout)
+	if primary {
+		g.StatementStarted()
+	}
+	reply, err := conn.Exec(j.Statement, timeout)
+	if primary {
+		g.StatementFinished(err == nil)
+	}
+	done(reply, err)
 	return reply, err
 }
 
@@ -208,7 +212,7 @@
 	if err != nil {
 		return nil, upstream.OpenResult{Begin: upstream.NotSent(err)}
 	}
-	reply, err := g.exec(primary, conn, begin, j.Deadline-g.cfg.Clock()-answerMargin)
+	reply, err := g.exec(u, primary, conn, upstream.Job{Statement: begin, Rank: j.Rank}, j.Deadline-g.cfg.Clock()-answerMargin)
 	if err != nil {
 		u.Release(ticket, false)
 		u.Discard(conn)
@@ -255,10 +259,11 @@
 		if err := t.conn.SyncSession(j.Values, j.Prepared, true, left); err != nil {
 			t.upstream.Release(ticket, false)
 			t.discard()
+			t.g.health.recordConnFailure(t.upstream)
 			return upstream.NotSent(connectionLost(err))
 		}
 	}
-	reply, err := t.g.exec(t.primary, t.conn, j.Statement, left)
+	reply, err := t.g.exec(t.upstream, t.primary, t.conn, j, left)
 	t.upstream.Release(ticket, err == nil)
 	if err != nil {
 		t.discard()
@@ -321,7 +326,7 @@
 // ExecuteFor runs a job of another instance, for which this one is the gateway, on a
 // member. known is false if this instance does not know the member.
 func (g *Group) ExecuteFor(member string, primary bool, j upstream.Job) (r upstream.Result, known bool) {
-	u, known, err := g.upstreamForPeer(member, primary)
+	u, known, err := g.upstreamForPeer(member, primary, j.OnlyCandidate)
 	if err != nil {
 		return upstream.NotSent(err), known
 	}
@@ -334,7 +339,7 @@
 
 // OpenFor opens a transaction of another instance on a member; see ExecuteFor.
 func (g *Group) OpenFor(member string, primary bool, begin statement.Statement, j upstream.Job) (tx upstream.Tx, o upstream.OpenResult, known bool) {
-	u, known, err := g.upstreamForPeer(member, primary)
+	u, known, err := g.upstreamForPeer(member, primary, j.OnlyCandidate)
 	if err != nil {
 		return nil, upstream.OpenResult{Begin: upstream.NotSent(err)}, known
 	}
@@ -359,8 +364,8 @@
 }
 
 // upstreamForPeer returns the upstream for a job of another instance, or an error if the
-// member is unknown or does not answer.
-func (g *Group) upstreamForPeer(member string, primary bool) (u *upstream.Upstream, known bool, err error) {
+// member is unknown, does not answer, or is ejected.
+func (g *Group) upstreamForPeer(member string, primary, onlyCandidate bool) (u *upstream.Upstream, known bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[member]
@@ -370,8 +375,8 @@
 	if primary && g.suspicion.confirmed && member == g.tracker.Primary().Member {
 		return nil, true, verdict.New(verdict.NoPrimary, "the primary of service %s does not answer", g.cfg.Service).WithRetryAfter(g.retryAfterLocked())
 	}
-	if !primary && m.Probing() {
-		return nil, true, verdict.New(verdict.CutOff, "member %s does not answer", member).WithRetryAfter(retryAfterUnanswered)
+	if !primary && !g.health.admit(member, onlyCandidate) {
+		return nil, true, verdict.New(verdict.CutOff, "member %s fails or is slow", member).WithRetryAfter(retryAfterUnanswered)
 	}
 	return m.Upstream, true, nil
 }
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -117,7 +117,7 @@
 // ConnectingInstances implements Gateways.
 func (noGateways) ConnectingInstances(string, int) int { return 0 }
 
-// Config holds the dependencies of a Group. Gateways and Reachability are
+// Config holds the dependencies of a Group. Gateways, Reachability and Metrics are
 // optional: without Gateways, the instance connects to all members directly.
 type Config struct {
 	Service       string
@@ -128,6 +128,7 @@
 	Reachability  Reachability
 	RecordStore   RecordStore
 	Promoter      Promoter
+	Metrics       HealthMetrics
 	Clock         boottime.Clock
 	Log           *logrus.Entry
 }
@@ -140,6 +141,7 @@
 	service catalog.Service
 	tracker primacy.Tracker
 	members map[string]*member
+	health  *healthMonitor
 	fleet   *gateway.Fleet
 	changed chan struct{} // closed and replaced when waiting requests should check again
 	// gatewayDoubtUntil is the time until which a gateway's report that the primary
@@ -175,8 +177,11 @@
 	if cfg.Reachability == nil {
 		cfg.Reachability = noReachability{}
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = noMetrics{}
+	}
 	return &Group{
-		cfg: cfg, service: service,
+		cfg: cfg, service: service, health: newHealthMonitor(&cfg),
 		members: make(map[string]*member), fleet: gateway.NewStandalone(cfg.Instance),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), finished: make(chan struct{}),
 	}
@@ -295,6 +300,9 @@
 		m.maxPosition = position.Position{} // replicas that were ahead of the new primary are rolled back
 	}
 	primary := g.tracker.Primary()
+	if m := g.members[primary.Member]; m != nil && former.Member != "" && former.Member != primary.Member {
+		g.health.startPace(primary.Member, m.Upstream, upstream.Promoted, m.Member().ColdFor > 0)
+	}
 	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": primary.Member, "term": primary.Term, "before": former.Member, "source": source}).Info("primary changed")
 }
 
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -125,6 +125,7 @@
 	}
 	if readAt-m.missingSince >= missingEntryTimeout && !m.departed {
 		m.departed = true
+		g.health.remove(id)
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (readAt - m.missingSince).Milliseconds()}).Info("member is no longer registered")
 		g.signalRun()
 	}
@@ -155,6 +156,7 @@
 func (g *Group) removeMember(id string, m *member, reason string) {
 	g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "reason": reason}).Info("member removed")
 	delete(g.members, id)
+	g.health.remove(id)
 	m.Close()
 	g.signalRun()
 }
@@ -162,6 +164,7 @@
 // updateMember handles the entry of a registered member. g.mu is held.
 func (g *Group) updateMember(id string, m catalog.Member, readAt time.Duration) {
 	known := g.members[id]
+	joined := known == nil || known.departed
 	if known == nil {
 		known = &member{Upstream: upstream.New(m, g.connLimits(m), g.cfg.Dialer, g.cfg.Clock)}
 		g.members[id] = known
@@ -187,6 +190,7 @@
 		g.signalRun()
 	}
 	known.Update(m, g.connLimits(m))
+	g.observeMemberStart(known, old, m, joined)
 	if m.Primary && !m.Draining && g.tracker.Primary().Member == "" {
 		if g.selfReported.Member != id {
 			g.selfReported, g.selfReportedAt = primacy.Primary{Member: id}, readAt
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -124,7 +124,6 @@
 
 // RequestFailed records that a request to a member failed without an answer.
 func (g *Group) RequestFailed(u *upstream.Upstream, unansweredWrite bool) {
-	u.RecordFailure()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, primary := g.primaryLocked(); primary != u {
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -13,7 +13,7 @@
 )
 
 // Metrics implements session.Metrics. The values of labels come from fixed sets only
-// (consistencies, outcomes, causes and store calls), which bounds the number of series.
+// (consistencies, outcomes, causes, changes and store calls), which bounds the number of series.
 type Metrics struct{ set *metrics.Set }
 
 // New returns Metrics without any series.
@@ -49,6 +49,20 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_store_snapshots_ignored_total{table=%q}`, table)).Inc()
 }
 
+// CountMemberChange counts a change of the state of a member; see group.HealthMetrics.
+func (m *Metrics) CountMemberChange(kind, cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_member_changes_total{change=%q,cause=%q}`, kind, cause)).Inc()
+}
+
+// RegisterPaceGauges registers the gauges of the members below full use: how many there
+// are, the statements in flight that this instance allows for them together, and the
+// number at full use. They have no label, as the IDs of members are not bounded.
+func (m *Metrics) RegisterPaceGauges(members, limit, full func() float64) {
+	m.set.GetOrCreateGauge("papayarail_paced_members", members)
+	m.set.GetOrCreateGauge("papayarail_paced_members_limit", limit)
+	m.set.GetOrCreateGauge("papayarail_paced_members_full_limit", full)
+}
+
 // RegisterEraGauge registers the gauge of the store's era, which grows when the store is
 // restored from an older copy.
 func (m *Metrics) RegisterEraGauge(era func() float64) {
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -263,8 +263,9 @@
 	answered, refused = new(atomic.Int32), new(atomic.Int32)
 	var ended atomic.Bool
 	var work sync.WaitGroup
+	instances := slices.Sorted(maps.Keys(c.nodes))
 	for i := range n {
-		instance := fmt.Sprint("i", 1+i%len(c.nodes))
+		instance := instances[i%len(instances)]
 		s := c.open(instance, simulator.Database+"_own")
 		work.Go(func() {
 			defer func() { s.leave() }()
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -109,6 +109,7 @@
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
 	cfg.Metrics.RegisterSessionGauge(func() float64 { return float64(n.openSessions()) })
+	n.registerPaceGauges()
 	return n
 }
 
@@ -202,7 +203,7 @@
 func (n *Node) addGroup(s catalog.Service) {
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
-		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
+		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Metrics: n.cfg.Metrics, Clock: n.cfg.Clock,
 		Log: n.cfg.Log.WithField("service", s.Name),
 	}, s)
 	g.SetFleet(n.fleet)
@@ -301,16 +302,38 @@
 	ConfigVersion int64                         `json:"config_version"`
 	Sessions      int                           `json:"sessions"`
 	Groups        map[string]group.PrimaryState `json:"groups"`
+	// Members holds the states of the members of each group by ID.
+	Members map[string]map[string]group.MemberState `json:"members"`
 }
 
 // State returns a diagnostic dump of the present state.
 func (n *Node) State() State {
-	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState)}
+	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState), Members: make(map[string]map[string]group.MemberState)}
 	for _, g := range n.allGroups() {
 		state.Groups[g.Service()] = g.PrimaryState()
+		state.Members[g.Service()] = g.MemberStates()
 	}
 	return state
 }
 
+// registerPaceGauges registers the gauges of the members below full use.
+func (n *Node) registerPaceGauges() {
+	sum := func(of func(group.MemberState) int) func() float64 {
+		return func() float64 {
+			total := 0
+			for _, g := range n.allGroups() {
+				for _, m := range g.MemberStates() {
+					if m.PaceCause != "" {
+						total += of(m)
+					}
+				}
+			}
+			return float64(total)
+		}
+	}
+	n.cfg.Metrics.RegisterPaceGauges(sum(func(group.MemberState) int { return 1 }),
+		sum(func(m group.MemberState) int { return m.Limit }), sum(func(m group.MemberState) int { return m.Full }))
+}
+
 // Configured reports whether a configuration is in force.
 func (n *Node) Configured() bool { return n.config.Load() != nil }
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -111,7 +111,7 @@
 func NewCache(clock boottime.Clock) *Cache {
 	return &Cache{clock: clock, updated: make(chan struct{}), encodedDeltas: make(map[Known]*encodedDelta), configDeltas: make(map[uint64]*encodedConfigDelta),
 		records:   mirror.New(func(a, b primacy.Record) bool { return a.Version == b.Version }),
-		members:   mirror.New(same[catalog.Member]),
+		members:   mirror.New(catalog.SameMember),
 		instances: mirror.New(same[source.Candidate]),
 		routes:    mirror.New(same[catalog.Route]),
 		services:  mirror.New(same[catalog.Service]),
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -285,3 +285,22 @@
 	f.poll()
 	assert.Equal(t, f.cache.Records().EraSeenAt, seenAt)
 }
+
+// Guards against instances and groups that are woken by each read of the store while a
+// member counts down how long it stays cold: only the end is a change.
+func TestColdMemberIsNoChange(t *testing.T) {
+	cache := relay.NewCache(func() time.Duration { return time.Hour })
+	read := func(version storeversion.Version, coldFor time.Duration) relay.Changes {
+		at := time.Duration(version) * time.Second
+		m := catalog.Member{ID: "m", Service: "s", Started: 7, ColdFor: coldFor}
+		return cache.SetMembers(catalog.Snapshot[catalog.Member]{Rows: catalog.Members{"m": m}, Version: version, StoreNow: at}, at, at)
+	}
+	assert.Assert(t, read(1, 3*time.Second).MembersChanged)
+	before, _ := cache.Members()
+	assert.Equal(t, read(2, 2*time.Second), relay.Changes{MembersRead: true})
+	after, _ := cache.Members()
+	assert.Assert(t, before["m"].ColdFor > 0 && catalog.Members(before).Equal(after))
+	assert.Assert(t, read(3, 0).MembersChanged)
+	warm, _ := cache.Members()
+	assert.Assert(t, !catalog.Members(after).Equal(warm))
+}
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -58,6 +58,8 @@
 	// appliedAsPrimary is the number of entries that the member had applied when it
 	// last stepped down.
 	appliedAsPrimary int
+	fault            ReadFault
+	reads            int // number of reads that arrived
 	conns            map[*conn]bool
 }
 
@@ -465,6 +467,34 @@
 	c.readTime = d
 }
 
+// ReadFault is a fault of the reads of a member whose control commands and registration
+// report that it is well.
+type ReadFault struct {
+	// Time is added to the execution time of a read.
+	Time time.Duration
+	// FailEvery makes every n-th read fail with Reason, or without a reply if Silent is
+	// set; 0 means none.
+	FailEvery int
+	Reason    statement.Reason
+	Silent    bool
+	// Instance limits the fault to the reads of one instance; empty means all.
+	Instance string
+}
+
+// SetReadFault sets the fault of a member's reads; the zero value ends it.
+func (c *Cluster) SetReadFault(id string, f ReadFault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.member(id).fault = f
+}
+
+// ReadsOn returns the number of reads that have arrived at a member.
+func (c *Cluster) ReadsOn(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.member(id).reads
+}
+
 // ReadCount returns the number of reads that the members have executed.
 func (c *Cluster) ReadCount() int {
 	c.mu.Lock()
--- a/proxy/simulator/conn.go
+++ b/proxy/simulator/conn.go
@@ -119,7 +119,14 @@
 	case statement.Rollback:
 		c.inTx, c.txWrites = false, nil
 	case statement.Read:
-		time.Sleep(readTime)
+		fault, fails := c.nextReadFault()
+		time.Sleep(readTime + fault.Time)
+		if fails && fault.Silent {
+			return statement.Reply{}, false
+		}
+		if fails {
+			return statement.Reply{Err: &statement.UpstreamError{Reason: fault.Reason}, Position: reached}, true
+		}
 		return c.read(), true
 	case statement.Write:
 		time.Sleep(statementTime)
@@ -142,6 +149,18 @@
 	return statement.Reply{Signature: "-", Position: reached}, true
 }
 
+// nextReadFault counts a read, and returns the member's fault and whether this read fails.
+func (c *conn) nextReadFault() (fault ReadFault, fails bool) {
+	c.cluster.mu.Lock()
+	defer c.cluster.mu.Unlock()
+	m := c.member
+	m.reads++
+	if m.fault.Instance != "" && m.fault.Instance != c.instance {
+		return ReadFault{}, false
+	}
+	return m.fault, m.fault.FailEvery > 0 && m.reads%m.fault.FailEvery == 0
+}
+
 // read executes a read, which returns one row with a unique number, and keeps the log
 // that the read saw for CheckRead.
 func (c *conn) read() statement.Reply {
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/papayarail/papayarail/core/lag"
+	"github.com/papayarail/papayarail/core/pace"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/quota"
 	"github.com/papayarail/papayarail/core/schedule"
@@ -30,9 +31,6 @@
 	// deadlineCheckInterval is how often waiting requests are checked for deadlines that
 	// can no longer be met.
 	deadlineCheckInterval = 20 * time.Millisecond
-	// suspectDuration is how long a member stays suspect after a failure; other members
-	// are preferred to a suspect one.
-	suspectDuration = 500 * time.Millisecond
 	// dialBackoff is the backoff after the member has refused a connection because of
 	// its connection limit. It doubles with each further refusal up to maxDialBackoff.
 	dialBackoff    = 20 * time.Millisecond
@@ -72,7 +70,8 @@
 	refusals     int           // consecutive refused connections
 	connWaiters  []chan *Conn
 
-	suspectUntil  time.Duration
+	pace          pace.Limiter
+	paceCause     PaceCause
 	knownPosition position.Position // highest position known of the member's log
 	lag           lag.Estimator
 }
@@ -107,10 +106,11 @@
 		u.openConns -= len(drop)
 		u.knownPosition, u.lag = position.Position{}, lag.Estimator{}
 	}
-	if limits.MaxRunning != u.limits.MaxRunning || limits.SlotLimit != u.limits.SlotLimit {
-		u.dispatch(u.sched.SetLimits(limits.MaxRunning, limits.SlotLimit, u.clock()))
-	}
+	changed := limits.MaxRunning != u.limits.MaxRunning || limits.SlotLimit != u.limits.SlotLimit
 	u.member, u.limits = m, limits
+	if changed {
+		u.applyLimits()
+	}
 	u.mu.Unlock()
 	closeAll(drop)
 }
@@ -143,8 +143,13 @@
 	for i := range int(r) + 1 {
 		ahead += u.sched.Waiting(schedule.Rank(i))
 	}
-	// The member executes as many statements in parallel as it has slots.
-	wait = time.Duration(ahead) * service / time.Duration(max(u.member.Slots, 1))
+	// The member executes as many statements in parallel as it has slots, or as its pace
+	// allows.
+	parallel := max(u.member.Slots, 1)
+	if u.pace.Active() {
+		parallel = min(parallel, u.pace.Limit(u.limits.MaxRunning))
+	}
+	wait = time.Duration(ahead) * service / time.Duration(parallel)
 	cold = len(u.idleConns) == 0
 	if cold {
 		wait += max(u.noDialBefore-u.clock(), 0)
@@ -152,36 +157,11 @@
 	return wait, service, cold
 }
 
-// Suspect reports whether the last request to the member failed, less than
-// suspectDuration ago.
-func (u *Upstream) Suspect() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.clock() < u.suspectUntil
-}
-
-// Probing reports whether the member is suspect and a connection to it is being opened.
-// Further requests should go to other members until the attempt has succeeded or failed.
-func (u *Upstream) Probing() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.dialing > 0 && u.clock() < u.suspectUntil
-}
-
-// RecordFailure marks the member as suspect for suspectDuration.
-func (u *Upstream) RecordFailure() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.suspectUntil = u.clock() + suspectDuration
-}
-
-// ObservePosition records a position that the member's log has reached. The member is
-// no longer suspect.
+// ObservePosition records a position that the member's log has reached.
 func (u *Upstream) ObservePosition(p position.Position) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.knownPosition = position.Max(u.knownPosition, p)
-	u.suspectUntil = 0
 }
 
 // LikelyBehind reports whether the member has probably not reached position p, which
