Judge a member by a gateway's failures no longer

Cause: a statement that a gateway left unanswered counted against the member at the gateway's clients. A silent gateway fails five reads at once, which ejected its members. Change: such a statement only makes the member suspect until its next answer; the gateway itself judges the member.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -21,7 +21,8 @@
 
 const (
 	// ejectScore is the score at which a member is ejected. 5 failures in a row reach it.
-	// With 2% of failures it is reached once in some 2 million statements.
+	// With 2% of failures it is reached once in 2 million statements or more rarely, by
+	// calculation.
 	ejectScore = 10.0
 	// ejectSlowScore is the same for service times. 3 of ten times the peers' mean reach
 	// it, or some 33 of three times. With 7, one of three equal members was ejected once
@@ -306,7 +307,8 @@
 	}
 }
 
-// RecordAvoid records that the gateway of a member asks to avoid the member.
+// RecordAvoid makes a member suspect until it answers, and no read is sent to it before
+// until. It is no evidence against the member.
 func (t *Tracker) RecordAvoid(id string, until time.Duration) {
 	if m := t.members[id]; m != nil {
 		m.probingSince = 0
--- a/proxy/group/health.go
+++ b/proxy/group/health.go
@@ -23,6 +23,9 @@
 	// startingPeriod is the longest time after a start or a change of role for which a
 	// member that is below full use is not ejected for being slow.
 	startingPeriod = 30 * time.Second
+	// gatewayFailurePause is the time for which other members are preferred after a
+	// statement was not answered through a gateway.
+	gatewayFailurePause = 100 * time.Millisecond
 )
 
 // HealthMetrics counts changes of the state of members.
@@ -199,18 +202,25 @@
 	h.record(u, health.Answer{Outcome: health.Failed, SentAt: h.cfg.Clock()})
 }
 
-// recordGatewayResult records the result of a job that ran at the member's gateway. Its
-// service time is judged there.
+// recordGatewayResult records the result of a job that ran at the member's gateway. The
+// gateway judges the member; here, a job without an answer only makes the member suspect,
+// because the gateway may have failed instead.
 func (h *healthMonitor) recordGatewayResult(u *upstream.Upstream, j upstream.Job, r upstream.Result, sentAt time.Duration) {
+	if r.Err == nil {
+		if outcome := outcomeOf(j, r.Reply, nil); outcome == health.Good || outcome == health.Neutral {
+			h.record(u, health.Answer{Outcome: outcome, SentAt: sentAt})
+		}
+		return
+	}
 	var connErr *statement.ConnError
 	var v *verdict.Error
-	switch {
-	case r.Err == nil || errors.As(r.Err, &connErr):
-		h.record(u, health.Answer{Outcome: outcomeOf(j, r.Reply, r.Err), SentAt: sentAt})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch id, now := u.Member().ID, h.cfg.Clock(); {
+	case errors.As(r.Err, &connErr):
+		h.tracker.RecordAvoid(id, now+gatewayFailurePause)
 	case errors.As(r.Err, &v) && v.Code == verdict.CutOff:
-		h.mu.Lock()
-		h.tracker.RecordAvoid(u.Member().ID, h.cfg.Clock()+retryAfterUnanswered)
-		h.mu.Unlock()
+		h.tracker.RecordAvoid(id, now+retryAfterUnanswered)
 	}
 }
 
--- a/proxy/group/health_test.go
+++ b/proxy/group/health_test.go
@@ -78,7 +78,8 @@
 }
 
 // Guards against a member that is used again because it reports that it is well, against
-// an ejection by statements that were given too little time, and against reads of other
+// an ejection by statements that were given too little time or by the failure of a
+// gateway, and against reads of other
 // instances that no other member can execute being refused.
 func TestHealthReportsDoNotCount(t *testing.T) {
 	now := time.Hour
@@ -97,6 +98,13 @@
 		g.health.sent(u, read, 5*time.Millisecond)(statement.Reply{}, timeout)
 	}
 	assert.Assert(t, !g.health.suspect("b"))
+	for range 20 {
+		g.observeResult(u, read, upstream.Result{Err: timeout, Sent: true, Gateway: "i"}, now)
+	}
+	assert.Assert(t, g.health.suspect("b"))
+	assert.Equal(t, g.MemberStates()["b"].Ejected, "", "the gateway may have failed")
+	g.observeResult(u, read, upstream.Result{Gateway: "i"}, now)
+	assert.Assert(t, !g.health.suspect("b"))
 	for range 20 {
 		g.health.sent(u, read, time.Second)(statement.Reply{}, timeout)
 	}
