Take no slow member for a silent one

Cause: a member that took twice as long as its peers was ejected as silent in one of twelve plays: three of its statements took longer than six service times of its peers. Change: silence lasts six service times of the member itself as well. Tests that a member 1.5 times as slow is not ejected and that one twice as slow is not taken for silent.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -348,7 +348,8 @@
 			continue
 		}
 		limit := 0.0
-		for class := range m.means {
+		for class, own := range m.means {
+			limit = max(limit, own.measured.value) // a slow member is not silent
 			if expected, _, ok := t.peerMeans(id, class, now); ok {
 				limit = max(limit, expected)
 			}
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -325,13 +325,18 @@
 }
 
 // Guards against members that are taken out of use although nothing is wrong with them:
-// 2% of all answers are lost, or work is unequal, or the member is 15 ms further away.
+// 2% of its answers are lost, it is 16 ms further away, or its hardware takes 1.5 times as
+// long.
 func TestWellMembersStay(t *testing.T) {
 	lost := failing(0.02, hang)
 	for _, size := range []struct{ members, perSecond int }{{3, 240}, {6, 480}, {3, 5}} {
 		for seed := range uint64(4) {
 			f := play(newTracker(size.members), size.members, size.perSecond, lost, 8*ms, seed+1)
 			assert.Equal(t, len(f.ejections), 0, "%v", f)
+			f = play(newTracker(size.members), size.members, size.perSecond, slow(1.5), 0, seed+1)
+			assert.Equal(t, len(f.ejections), 0, "%v", f)
+			f = play(newTracker(size.members), size.members, size.perSecond, slow(2), 0, seed+1)
+			assert.Equal(t, f.ejections["m-0 silence"], 0, "a slow member answers")
 		}
 	}
 	tr := newTracker(3)
