--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -14,7 +14,8 @@
 )
 
 // Metrics implements session.Metrics. The values of labels come from bounded sets only:
-// consistencies, outcomes, causes, store calls, and the workspaces of SetWorkspaces.
+// consistencies, outcomes, causes, changes, store calls, and the workspaces of
+// SetWorkspaces. This bounds the number of series.
 type Metrics struct {
 	set *metrics.Set
 
@@ -122,6 +123,20 @@
 	m.set.GetOrCreateCounter("papayarail_upstream_connection_waits_total").AddInt64(int64(n))
 }
 
+// CountMemberChange counts a change of the state of a member; see group.HealthMetrics.
+func (m *Metrics) CountMemberChange(kind, cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_member_changes_total{change=%q,cause=%q}`, kind, cause)).Inc()
+}
+
+// RegisterPaceGauges registers the gauges of the members below full use: how many there
+// are, the statements in flight that this instance allows for them together, and the
+// number at full use. They have no label, as the IDs of members are not bounded.
+func (m *Metrics) RegisterPaceGauges(members, limit, full func() float64) {
+	m.set.GetOrCreateGauge("papayarail_paced_members", members)
+	m.set.GetOrCreateGauge("papayarail_paced_members_limit", limit)
+	m.set.GetOrCreateGauge("papayarail_paced_members_full_limit", full)
+}
+
 // RegisterEraGauge registers the gauge of the store's era, which grows when the store is
 // restored from an older copy.
 func (m *Metrics) RegisterEraGauge(era func() float64) {
--- a/proxy/upstream/pool.go
+++ b/proxy/upstream/pool.go
@@ -331,12 +331,12 @@
 	}
 }
 
-// applyLimits passes new limits to the pool and returns the connections to close. u.mu is
-// held.
-func (u *Upstream) applyLimits(l quota.Limits) []*Conn {
-	grants, closed := u.pool.SetLimits(l, u.clock())
+// applyPoolLimits passes the quota to the pool and returns the connections to close. u.mu
+// is held.
+func (u *Upstream) applyPoolLimits() []*Conn {
+	grants, closed := u.pool.SetLimits(u.limits, u.clock())
 	u.deliver(grants)
-	u.admit(u.transactions.SetLimit(transactionLimit(l)))
+	u.admit(u.transactions.SetLimit(transactionLimit(u.limits)))
 	u.countPoolEvents()
 	return u.takeConns(closed)
 }
