--- a/core/schedule/estimate.go
+++ b/core/schedule/estimate.go
@@ -42,6 +42,7 @@
 
 // rankState is the queue and the accounting of one rank.
 type rankState struct {
+	measured        bool // a request has completed
 	queue           *fairQueue
 	running         int
 	serviceTime     time.Duration                  // moving mean of the measured service time
@@ -111,6 +112,7 @@
 		}
 	}
 	st.serviceTime = max(movingMean(st.serviceTime, took), 1)
+	st.measured = true
 }
 
 // maxClasses bounds the number of classes of a rank; further ones have its mean.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -77,7 +77,7 @@
 	s.enqueue(r, beyond, now)
 	// Less urgent requests wait for this one, too.
 	for rank := NumRanks - 1; rank >= int(r.Rank); rank-- {
-		if s.exceedsQueueTime(Rank(rank)) {
+		if s.exceedsQueueTime(Rank(rank)) && !s.ranks[rank].queue.lastOfLongestFlow().req.InTransaction {
 			s.shedFrom(Rank(rank), &res)
 		}
 	}
@@ -206,6 +206,25 @@
 // ServiceTime returns the moving mean of the service time of a rank.
 func (s *Scheduler) ServiceTime(r Rank) time.Duration { return s.ranks[r].serviceTime }
 
+// MeasuredServiceTime returns the moving mean of the service time of a rank, or 0 if no
+// request of the rank has completed.
+func (s *Scheduler) MeasuredServiceTime(r Rank) time.Duration {
+	if !s.ranks[r].measured {
+		return 0
+	}
+	return s.ranks[r].serviceTime
+}
+
+// ExpectServiceTime sets the service time that is assumed for a rank until one is measured.
+func (s *Scheduler) ExpectServiceTime(r Rank, serviceTime time.Duration) {
+	if !s.ranks[r].measured {
+		s.ranks[r].serviceTime = max(serviceTime, 1)
+	}
+}
+
+// SetQueueTime changes Config.QueueTime. Requests that wait already are not rejected.
+func (s *Scheduler) SetQueueTime(limit [NumRanks]time.Duration) { s.cfg.QueueTime = limit }
+
 // startWaiting starts waiting requests while slots are free.
 func (s *Scheduler) startWaiting(now time.Duration, res *Result) {
 	for s.running < s.slots && s.waiting > 0 {
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -82,6 +82,8 @@
 	Denied
 	// RateLimited means that the caller's workspace has used up its limit of operations.
 	RateLimited
+	// Cancelled means that the caller disconnected before the request was executed.
+	Cancelled
 )
 
 // codeProperties holds the external name, the SQLSTATE and the usual verdict of a Code.
@@ -111,6 +113,7 @@
 	ReadUnanswered:        {"read_unanswered", "57014", MayHaveRun},
 	Denied:                {"denied", "28000", NotRun},
 	RateLimited:           {"rate_limited", "53400", NotRun},
+	Cancelled:             {"cancelled", "57014", NotRun},
 }
 
 // String returns the name of the code as it appears in logs and metrics.
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -169,7 +169,7 @@
 		c := replicaselect.Candidate{Remote: entry.FailureDomain != g.cfg.FailureDomain, Suspect: m.Suspect()}
 		c.Wait, c.ServiceTime, c.NeedsConnection = m.Load(req.Rank)
 		if gw := g.cfg.Gateways.Gateway(g.cfg.Service, id, id == primary.Member, g.service.Connections); gw != nil {
-			c.Wait, c.NeedsConnection = gw.ExpectedWait(), false
+			c.Wait, c.NeedsConnection = gw.ExpectedWait(req.Rank), false
 		}
 		choice := Choice{Upstream: m.Upstream, MinPosition: after, MinPositionAt: at, EvidenceAge: req.Arrival - at}
 		switch {
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -150,7 +150,7 @@
 // session's values and the prepared statement. After an error, neither is held and
 // the job has not run.
 func (g *Group) connect(u *upstream.Upstream, j upstream.Job) (ticket uint64, conn *upstream.Conn, err error) {
-	if ticket, err = u.Acquire(j.Caller, j.Rank, j.Deadline); err != nil {
+	if ticket, err = u.Acquire(j, false); err != nil {
 		if j.OnlyCandidate && verdict.FromError(err).IsOverload() {
 			g.observeReadOverload(u)
 		}
@@ -165,6 +165,11 @@
 		}
 		return 0, nil, err
 	}
+	if err = u.CheckCaller(j, upstream.StagePool); err != nil {
+		u.Return(conn)
+		u.Release(ticket, false)
+		return 0, nil, err
+	}
 	if err = conn.SyncSession(j.Values, j.Prepared, false, left); err != nil {
 		u.Discard(conn)
 		u.Release(ticket, false)
@@ -241,7 +246,7 @@
 	if t.conn == nil {
 		return upstream.NotSent(verdict.New(verdict.TransactionRolledBack, "the transaction has ended"))
 	}
-	ticket, err := t.upstream.Acquire(j.Caller, j.Rank, j.Deadline)
+	ticket, err := t.upstream.Acquire(j, true)
 	if err != nil {
 		return upstream.NotSent(err)
 	}
@@ -376,14 +381,13 @@
 	return m.Upstream, true, nil
 }
 
-// ExpectedWait returns the expected queueing time of a statement of the rank on a member.
-func (g *Group) ExpectedWait(member string, r schedule.Rank) time.Duration {
+// Load returns the load of the queue for a member, which a gateway reports.
+func (g *Group) Load(member string) schedule.Load {
 	g.mu.Lock()
 	m := g.members[member]
 	g.mu.Unlock()
 	if m == nil {
-		return 0
+		return schedule.Load{}
 	}
-	wait, _, _ := m.Load(r)
-	return wait
+	return m.QueueLoad()
 }
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -17,6 +17,7 @@
 	"github.com/papayarail/papayarail/core/handover"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
@@ -77,8 +78,9 @@
 	// Confirm asks the gateway for a quorum round of the service that begins
 	// after the call.
 	Confirm(service string) (Confirmation, error)
-	// ExpectedWait returns the expected queueing time at the gateway, as last reported.
-	ExpectedWait() time.Duration
+	// ExpectedWait returns the expected queueing time of a request of the rank at the
+	// gateway, as last reported.
+	ExpectedWait(r schedule.Rank) time.Duration
 }
 
 // Gateways determines which instances connect to a member. limit is the member's
@@ -130,6 +132,8 @@
 	Promoter      Promoter
 	Clock         boottime.Clock
 	Log           *logrus.Entry
+	// QueueMetrics receives the metrics of the queues for the members; it is optional.
+	QueueMetrics upstream.QueueMetrics
 }
 
 // Group is one database group as seen by this instance. It is safe for concurrent use.
@@ -138,6 +142,7 @@
 
 	mu      sync.Mutex
 	service catalog.Service
+	profile upstream.Profile
 	tracker primacy.Tracker
 	members map[string]*member
 	fleet   *gateway.Fleet
@@ -206,6 +211,35 @@
 	g.service = s
 }
 
+// SetProfile sets what the routes to the service tell about the queues for its members.
+func (g *Group) SetProfile(p upstream.Profile) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p == g.profile {
+		return
+	}
+	g.profile = p
+	for _, m := range g.members {
+		m.SetProfile(p)
+	}
+}
+
+// expectedProfile returns the profile for a new member, with the greatest service time of
+// each rank that another member shows, if there is one. g.mu is held.
+func (g *Group) expectedProfile() upstream.Profile {
+	p := g.profile
+	for r := range p.ServiceTime {
+		measured := time.Duration(0)
+		for _, m := range g.members {
+			measured = max(measured, m.MeasuredServiceTime(schedule.Rank(r)))
+		}
+		if measured > 0 {
+			p.ServiceTime[r] = measured
+		}
+	}
+	return p
+}
+
 // SetMaxStaleness sets the largest staleness bound of all routes to the service.
 func (g *Group) SetMaxStaleness(staleness time.Duration) {
 	g.mu.Lock()
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -164,6 +164,8 @@
 	known := g.members[id]
 	if known == nil {
 		known = &member{Upstream: upstream.New(m, g.connLimits(m), g.cfg.Dialer, g.cfg.Clock)}
+		known.SetQueueMetrics(g.cfg.QueueMetrics)
+		known.SetProfile(g.expectedProfile())
 		g.members[id] = known
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_joined", "member": id, "address": m.Address, "failure_domain": m.FailureDomain, "primary": m.Primary}).Info("member joined")
 		g.signalRun()
--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/papayarail/papayarail/core/gateway"
+	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/boottime"
@@ -43,6 +45,12 @@
 	loadMaxAge = 300 * time.Millisecond
 	// abandonTimeout bounds the call that ends a transaction.
 	abandonTimeout = 500 * time.Millisecond
+	// departureCheckInterval is how often a waiting call checks whether its caller has
+	// disconnected. With the gateway's own check every 20 ms, the job leaves the queue
+	// within 50 ms.
+	departureCheckInterval = 25 * time.Millisecond
+	// cancelTimeout bounds the call that cancels a job.
+	cancelTimeout = 500 * time.Millisecond
 )
 
 // Router chooses the gateway of each member for one instance and implements
@@ -52,24 +60,39 @@
 	log    *logrus.Entry
 	dial   peer.DialFunc
 	lastTx atomic.Uint64
+	// lastCall numbers the jobs that may be cancelled, for each connection.
+	lastCall atomic.Uint64
 
 	mu         sync.Mutex
 	picker     *gateway.Picker
 	clients    map[string]*peer.Client // by instance
 	queueWaits map[target]queueWait
+	// admission refuses here what gateways refuse, by gateway.
+	admission map[string]*schedule.AdmissionController
+	refusals  RefusalCounter
 }
 
 // queueWait is a gateway's last report of its queue for a member.
 type queueWait struct {
-	expected time.Duration // expected queueing time of another statement
-	at       time.Duration // when the report arrived
+	expected [schedule.NumRanks]time.Duration // expected queueing time of another statement
+	at       time.Duration                    // when the report arrived
 }
 
+// RefusalCounter counts the statements that a Router refuses because the gateway would
+// refuse them.
+type RefusalCounter interface {
+	CountEntryRefusal(r schedule.Rank)
+}
+
+// SetRefusalCounter sets what counts refused statements. It must be called before the
+// Router is used.
+func (r *Router) SetRefusalCounter(c RefusalCounter) { r.refusals = c }
+
 // NewRouter returns a Router for the instance self in the failure domain domain. It uses
 // no gateways before SetInstances. A nil dial connects over TCP.
 func NewRouter(self, domain string, dial peer.DialFunc, clock boottime.Clock, log *logrus.Entry) *Router {
 	return &Router{clock: clock, log: log, dial: dial, picker: gateway.New(self, domain),
-		clients: make(map[string]*peer.Client), queueWaits: make(map[target]queueWait)}
+		clients: make(map[string]*peer.Client), queueWaits: make(map[target]queueWait), admission: make(map[string]*schedule.AdmissionController)}
 }
 
 // SetInstances sets the announced instances and closes the connections to those that
@@ -86,6 +109,7 @@
 		if addresses[name] != client.Address() {
 			gone = append(gone, client)
 			delete(r.clients, name)
+			delete(r.admission, name)
 		}
 	}
 	r.mu.Unlock()
@@ -146,7 +170,11 @@
 	r.mu.Lock()
 	now := r.clock()
 	r.picker.RecordAnswer(name, now)
-	r.queueWaits[target{Service: t.Service, Member: t.Member}] = queueWait{l.Wait, now}
+	if l.known() {
+		reported := l.toSchedule()
+		r.queueWaits[target{Service: t.Service, Member: t.Member}] = queueWait{reported.Wait, now}
+		r.controller(name).RecordLoad(t.Member, reported, now)
+	}
 	first := l.Leaving && r.picker.RecordLeaving(name, now)
 	r.mu.Unlock()
 	if first {
@@ -162,33 +190,91 @@
 	target
 }
 
+// controller returns the admission controller for the members of a gateway. r.mu is held.
+func (r *Router) controller(gateway string) *schedule.AdmissionController {
+	c := r.admission[gateway]
+	if c == nil {
+		c = schedule.NewAdmissionController(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		r.admission[gateway] = c
+	}
+	return c
+}
+
+// admit returns the error for a job that the gateway would refuse. Some of these jobs are
+// admitted to detect a recovery, and all reads for which the other members are behind: the
+// gateway counts those that it refuses, to decide about a switchover.
+func (p *path) admit(j upstream.Job) error {
+	if j.OnlyCandidate {
+		return nil
+	}
+	p.router.mu.Lock()
+	ok, retryAfter := p.router.controller(p.gateway).AdmitCaller(p.Member, flowName(j), j.Rank, p.router.clock())
+	p.router.mu.Unlock()
+	if ok {
+		return nil
+	}
+	if p.router.refusals != nil {
+		p.router.refusals.CountEntryRefusal(j.Rank)
+	}
+	return verdict.New(verdict.Overloaded, "the queue for member %s at gateway %s is full", p.Member, p.gateway).WithRetryAfter(retryAfter)
+}
+
+// recordRefusal records that the gateway has refused a job.
+func (p *path) recordRefusal(j upstream.Job, r upstream.Result) {
+	var v *verdict.Error
+	if r.Sent || !errors.As(r.Err, &v) || !v.IsOverload() || v.RetryAfter <= 0 {
+		return
+	}
+	p.router.mu.Lock()
+	defer p.router.mu.Unlock()
+	p.router.controller(p.gateway).RecordRefusal(p.Member, flowName(j), j.Rank, v.RetryAfter, p.router.clock())
+}
+
+// flowName identifies what a job shares a queue with: its workspace, or its caller.
+func flowName(j upstream.Job) string {
+	if j.Workspace != "" {
+		return "workspace " + j.Workspace
+	}
+	return j.Caller
+}
+
 // ExpectedWait implements group.Gateway.
-func (p *path) ExpectedWait() time.Duration {
+func (p *path) ExpectedWait(rank schedule.Rank) time.Duration {
 	p.router.mu.Lock()
 	defer p.router.mu.Unlock()
 	known := p.router.queueWaits[target{Service: p.Service, Member: p.Member}]
 	if p.router.clock()-known.at > loadMaxAge {
 		return 0
 	}
-	return known.expected
+	return known.expected[rank]
 }
 
 // Execute implements group.Gateway.
 func (p *path) Execute(j upstream.Job) (upstream.Result, bool) {
+	if err := p.admit(j); err != nil {
+		return upstream.NotSent(err), true
+	}
 	var answer executeAnswer
-	err := p.call(methodExecute, executeRequest{p.target, p.encode(j)}, &answer, j)
+	encoded := p.encode(j)
+	err := p.call(methodExecute, executeRequest{p.target, encoded}, &answer, j, encoded.Call)
 	if err != nil {
 		return p.unanswered(err)
 	}
 	p.router.gatewayAnswered(p.gateway, p.target, answer.Load)
-	return p.withGateway(answer.Result), true
+	r := p.withGateway(answer.Result)
+	p.recordRefusal(j, r)
+	return r, true
 }
 
 // Open implements group.Gateway.
 func (p *path) Open(begin statement.Statement, j upstream.Job) (upstream.Tx, upstream.OpenResult, bool) {
+	if err := p.admit(j); err != nil {
+		return nil, upstream.OpenResult{Begin: upstream.NotSent(err)}, true
+	}
 	tx := &gatewayTx{path: p, id: p.router.lastTx.Add(1)}
 	var answer openAnswer
-	err := p.call(methodOpen, openRequest{p.target, tx.id, begin, p.encode(j)}, &answer, j)
+	encoded := p.encode(j)
+	err := p.call(methodOpen, openRequest{p.target, tx.id, begin, encoded}, &answer, j, encoded.Call)
 	if err != nil {
 		tx.Abandon() // the gateway may have begun the transaction
 		r, reached := p.unanswered(err)
@@ -197,6 +283,7 @@
 	p.router.gatewayAnswered(p.gateway, p.target, answer.Load)
 	o := upstream.OpenResult{Begin: p.withGateway(answer.Begin), First: p.withGateway(answer.First)}
 	if !o.Begun() {
+		p.recordRefusal(j, o.Begin)
 		return nil, o, true
 	}
 	return tx, o, true
@@ -222,15 +309,23 @@
 	return r
 }
 
-func (p *path) encode(j upstream.Job) wireJob { return jobToWire(j, p.router.clock()+transitAllowance) }
+func (p *path) encode(j upstream.Job) wireJob {
+	w := jobToWire(j, p.router.clock()+transitAllowance)
+	if j.Gone != nil {
+		w.Call = p.router.lastCall.Add(1)
+	}
+	return w
+}
 
 // errGatewaySilent means that a gateway neither answered a call nor a ping.
 var errGatewaySilent = errors.New("gateway is silent")
 
 // call makes a call for a job, until its deadline. If the gateway does not even answer
-// a ping, call abandons a read, but keeps waiting for the outcome of a write. After an
-// error, answer must not be read: the call may still write to it.
-func (p *path) call(method string, params, answer any, j upstream.Job) error {
+// a ping, call abandons a read, but keeps waiting for the outcome of a write. If the caller
+// disconnects, call asks the gateway to cancel the job, whose number is id, and keeps
+// waiting for the answer: the gateway answers at once if the job still waits in a queue.
+// After an error, answer must not be read: the call may still write to it.
+func (p *path) call(method string, params, answer any, j upstream.Job, id uint64) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sent := time.Now()
@@ -241,12 +336,24 @@
 	watch := time.NewTimer(silenceThreshold)
 	defer watch.Stop()
 	var pinged time.Time // zero unless the answer to a ping is awaited
+	var departure <-chan time.Time
+	if j.Gone != nil {
+		ticker := time.NewTicker(departureCheckInterval)
+		defer ticker.Stop()
+		departure = ticker.C
+	}
 	for {
 		select {
 		case err := <-done:
 			return err
 		case <-deadline.C:
 			return context.DeadlineExceeded
+		case <-departure:
+			if j.Gone() {
+				departure = nil
+				go p.cancel(ctx, id)
+			}
+			continue
 		case <-watch.C:
 		}
 		answeredAt := p.lastAnswerSince(sent)
@@ -267,6 +374,14 @@
 	}
 }
 
+// cancel asks the gateway to remove a job from its queue.
+func (p *path) cancel(ctx context.Context, id uint64) {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	// Without an answer, the job ends by its deadline.
+	_ = p.client.Call(ctx, methodCancel, cancelRequest{id}, nil)
+}
+
 // ping makes a call that the gateway answers at once: a job that takes long, for example
 // on a member that does not answer, does not show whether the gateway works.
 func (p *path) ping(ctx context.Context) {
@@ -313,7 +428,8 @@
 		return upstream.NotSent(verdict.New(verdict.TransactionRolledBack, "the transaction has ended"))
 	}
 	var answer executeAnswer
-	err := t.path.call(methodNext, txRequest{t.id, t.path.encode(j)}, &answer, j)
+	encoded := t.path.encode(j)
+	err := t.path.call(methodNext, txRequest{t.id, encoded}, &answer, j, encoded.Call)
 	if err == nil {
 		t.path.router.gatewayAnswered(t.path.gateway, t.path.target, answer.Load)
 		r := t.path.withGateway(answer.Result)
--- a/proxy/hop/hop_test.go
+++ b/proxy/hop/hop_test.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,8 @@
 	result upstream.Result
 	known  bool
 	block  chan struct{} // jobs wait until it is closed; nil means no wait
+	queued bool          // jobs wait in a queue until they are cancelled
+	load   schedule.Load
 
 	mu   sync.Mutex
 	jobs []upstream.Job
@@ -48,6 +51,12 @@
 	if g.block != nil {
 		<-g.block
 	}
+	for g.queued {
+		time.Sleep(20 * time.Millisecond)
+		if j.Gone() {
+			return upstream.NotSent(upstream.ErrCancelled()), true
+		}
+	}
 	return g.result, g.known
 }
 
@@ -66,7 +75,7 @@
 	return group.Confirmation{Confirmed: true}, nil
 }
 
-func (g *fakeGroup) ExpectedWait(string, schedule.Rank) time.Duration { return 7 * time.Millisecond }
+func (g *fakeGroup) Load(string) schedule.Load { return g.load }
 
 // Executor implements Instance.
 func (g *fakeGroup) Executor(string) (Executor, bool) { return g, true }
@@ -253,3 +262,100 @@
 		<-g.txs[3].abandoned
 	})
 }
+
+// Guards against the queued work of a disconnected caller that stays in the queue of the
+// gateway: it must leave within 50 ms, also if the connection to the gateway ends.
+func TestGatewayCancelsJobOfDepartedCaller(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := &fakeGroup{known: true, queued: true}
+			r := start(t, g)
+			var gone atomic.Bool
+			j := r.job(statement.Write, 5*time.Second)
+			j.CommitsWrites = true
+			j.Gone = gone.Load
+			var leftAt time.Time
+			time.AfterFunc(time.Second, func() {
+				leftAt = time.Now()
+				if closes {
+					r.Close()
+				} else {
+					gone.Store(true)
+				}
+			})
+			result, reached := r.mustGateway(t).Execute(j)
+			assert.Assert(t, reached && result.Err != nil)
+			assert.Assert(t, time.Since(leftAt) <= 50*time.Millisecond, "the job waited %s", time.Since(leftAt))
+			if !closes {
+				assert.Equal(t, verdict.FromError(result.Err).Code, verdict.Cancelled)
+				assert.Assert(t, !result.Sent)
+			}
+			time.Sleep(50 * time.Millisecond)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			assert.Assert(t, g.jobs[0].Gone())
+		})
+	}
+}
+
+// Guards the outcome of a job that was sent to a member: its answer must be awaited although
+// the caller has disconnected.
+func TestSentJobIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &fakeGroup{known: true, block: make(chan struct{}), result: upstream.Result{Reply: statement.Reply{Rows: []string{"done"}}}}
+		r := start(t, g)
+		time.AfterFunc(time.Second, func() { close(g.block) })
+		j := r.job(statement.Write, 5*time.Second)
+		j.CommitsWrites = true
+		j.Gone = func() bool { return true }
+		result, _ := r.mustGateway(t).Execute(j)
+		assert.DeepEqual(t, result.Reply.Rows, []string{"done"})
+	})
+}
+
+// Guards against jobs that cross to a gateway which refuses them: an instance must refuse
+// them itself as not run, let a few through to detect the recovery, and still send jobs of
+// other ranks and those that the choice of the primary depends on.
+func TestEntryRefusesWhatGatewayRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &fakeGroup{known: true, load: schedule.Load{RefuseFor: [schedule.NumRanks]time.Duration{schedule.Least: 100 * time.Millisecond}}}
+		r := start(t, g)
+		run := func(rank schedule.Rank, only bool) upstream.Result {
+			j := r.job(statement.Read, time.Second)
+			j.Rank, j.OnlyCandidate = rank, only
+			result, reached := r.mustGateway(t).Execute(j)
+			assert.Assert(t, reached)
+			return result
+		}
+		assert.NilError(t, run(schedule.Least, false).Err)
+		refused, delays := 0, map[time.Duration]bool{}
+		for range 320 {
+			if result := run(schedule.Least, false); result.Err != nil {
+				v := verdict.FromError(result.Err)
+				assert.Assert(t, !result.Sent && v.Verdict == verdict.NotRun && v.RetryAfter > 0)
+				refused, delays[v.RetryAfter] = refused+1, true
+			}
+			assert.NilError(t, run(schedule.Urgent, false).Err)
+			assert.NilError(t, run(schedule.Least, true).Err)
+		}
+		assert.Assert(t, refused > 280 && refused < 320, "%d refused", refused)
+		assert.Assert(t, len(delays) > refused/2, "retries collide")
+		g.load = schedule.Load{}
+		assert.NilError(t, run(schedule.Urgent, false).Err)
+		assert.NilError(t, run(schedule.Least, false).Err)
+	})
+}
+
+// Guards against routing reads of one rank by the wait of another: the report of a gateway
+// must keep the ranks apart, and an answer without report must not count as an idle queue.
+func TestExpectedWaitByRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &fakeGroup{known: true, load: schedule.Load{Wait: [schedule.NumRanks]time.Duration{time.Millisecond, 5 * time.Millisecond, 70 * time.Millisecond}}}
+		r := start(t, g)
+		gw := r.mustGateway(t)
+		tx, _, _ := gw.Open(statement.Statement{Kind: statement.Begin}, r.job(statement.Write, time.Second))
+		assert.NilError(t, tx.Run(r.job(statement.Read, time.Second)).Err)
+		assert.Equal(t, gw.ExpectedWait(schedule.Urgent), time.Millisecond)
+		assert.Equal(t, gw.ExpectedWait(schedule.Least), 70*time.Millisecond)
+	})
+}
--- a/proxy/hop/server.go
+++ b/proxy/hop/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/papayarail/papayarail/core/schedule"
@@ -21,8 +22,8 @@
 	ExecuteFor(member string, primary bool, j upstream.Job) (r upstream.Result, known bool)
 	OpenFor(member string, primary bool, begin statement.Statement, j upstream.Job) (tx upstream.Tx, o upstream.OpenResult, known bool)
 	Confirm(ctx context.Context) (group.Confirmation, error)
-	// ExpectedWait returns the expected queueing time of a statement of the rank on a member.
-	ExpectedWait(member string, r schedule.Rank) time.Duration
+	// Load returns the load of the queue for a member.
+	Load(member string) schedule.Load
 }
 
 // Instance is what the gateway server needs of the instance that it runs in.
@@ -42,6 +43,8 @@
 	// txs holds the open transactions of each connection, by the channel that is closed
 	// when the connection ends, which rolls them back.
 	txs map[<-chan struct{}]map[uint64]*remoteTx
+	// calls holds, for each job that may be cancelled, whether it was.
+	calls map[callKey]*atomic.Bool
 }
 
 // remoteTx is a transaction that runs here for another instance.
@@ -61,22 +64,69 @@
 // Register adds the methods of this package to p, so that other instances can use this
 // one as a gateway.
 func Register(p *peer.Server, instance Instance, clock boottime.Clock) {
-	s := &server{instance: instance, clock: clock, txs: make(map[<-chan struct{}]map[uint64]*remoteTx)}
+	s := &server{instance: instance, clock: clock, txs: make(map[<-chan struct{}]map[uint64]*remoteTx), calls: make(map[callKey]*atomic.Bool)}
 	p.Handle(methodExecute, s.execute)
 	p.Handle(methodOpen, s.open)
 	p.Handle(methodNext, s.runInTx)
 	p.Handle(methodAbandon, s.abandon)
 	p.Handle(methodConfirm, s.confirm)
+	p.Handle(methodCancel, s.cancel)
 	p.Handle(methodPing, func(context.Context, json.RawMessage, <-chan struct{}) (any, *peer.Error) { return struct{}{}, nil })
 }
 
 func notAccepted(text string) *peer.Error { return peer.NewError(codeNotAccepted, text) }
 
-func (s *server) load(executor Executor, member string, r schedule.Rank) load {
-	return load{Wait: executor.ExpectedWait(member, r), Leaving: s.instance.Leaving()}
+func (s *server) load(executor Executor, member string) load {
+	return loadToWire(executor.Load(member), s.instance.Leaving())
 }
 
-func (s *server) execute(_ context.Context, params json.RawMessage, _ <-chan struct{}) (any, *peer.Error) {
+// callKey identifies a call by its connection and its number there.
+type callKey struct {
+	closed <-chan struct{}
+	call   uint64
+}
+
+// begin returns the job of a call, which the caller's instance can cancel until end is
+// called. The end of the connection cancels it, too.
+func (s *server) begin(w wireJob, closed <-chan struct{}) (j upstream.Job, end func()) {
+	j = w.toJob(s.clock)
+	if w.Call == 0 {
+		return j, func() {}
+	}
+	key, cancelled := callKey{closed, w.Call}, new(atomic.Bool)
+	j.Gone = func() bool {
+		select {
+		case <-closed:
+			return true
+		default:
+			return cancelled.Load()
+		}
+	}
+	s.mu.Lock()
+	s.calls[key] = cancelled
+	s.mu.Unlock()
+	return j, func() {
+		s.mu.Lock()
+		delete(s.calls, key)
+		s.mu.Unlock()
+	}
+}
+
+func (s *server) cancel(_ context.Context, params json.RawMessage, closed <-chan struct{}) (any, *peer.Error) {
+	var req cancelRequest
+	if err := peer.Decode(params, &req); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	cancelled := s.calls[callKey{closed, req.Call}]
+	s.mu.Unlock()
+	if cancelled != nil {
+		cancelled.Store(true)
+	}
+	return struct{}{}, nil
+}
+
+func (s *server) execute(_ context.Context, params json.RawMessage, closed <-chan struct{}) (any, *peer.Error) {
 	var req executeRequest
 	if err := peer.Decode(params, &req); err != nil {
 		return nil, err
@@ -85,11 +135,13 @@
 	if !found {
 		return nil, notAccepted("service " + req.Service + " is not known here")
 	}
-	r, known := executor.ExecuteFor(req.Member, req.Primary, req.Job.toJob(s.clock))
+	job, end := s.begin(req.Job, closed)
+	defer end()
+	r, known := executor.ExecuteFor(req.Member, req.Primary, job)
 	if !known {
 		return nil, notAccepted(r.Err.Error())
 	}
-	return executeAnswer{resultToWire(r), s.load(executor, req.Member, req.Job.Rank)}, nil
+	return executeAnswer{resultToWire(r), s.load(executor, req.Member)}, nil
 }
 
 func (s *server) open(_ context.Context, params json.RawMessage, closed <-chan struct{}) (any, *peer.Error) {
@@ -103,7 +155,9 @@
 	}
 	tx := s.addTx(closed, req.Tx)
 	defer tx.mu.Unlock()
-	begun, o, known := executor.OpenFor(req.Member, req.Primary, req.Begin, req.Job.toJob(s.clock))
+	job, end := s.begin(req.Job, closed)
+	defer end()
+	begun, o, known := executor.OpenFor(req.Member, req.Primary, req.Begin, job)
 	if begun == nil {
 		s.removeTx(closed, req.Tx)
 	}
@@ -111,7 +165,7 @@
 	if !known {
 		return nil, notAccepted(o.Begin.Err.Error())
 	}
-	return openAnswer{resultToWire(o.Begin), resultToWire(o.First), s.load(executor, req.Member, req.Job.Rank)}, nil
+	return openAnswer{resultToWire(o.Begin), resultToWire(o.First), s.load(executor, req.Member)}, nil
 }
 
 // addTx adds a transaction of a connection and returns it locked, so that a request to
@@ -167,7 +221,9 @@
 	if tx.tx == nil {
 		return nil, notAccepted("the transaction was not begun")
 	}
-	r := tx.tx.Run(req.Job.toJob(s.clock))
+	job, end := s.begin(req.Job, closed)
+	defer end()
+	r := tx.tx.Run(job)
 	if req.Job.Statement.Kind == statement.Commit && r.Err == nil && r.Reply.State == statement.Idle {
 		s.removeTx(closed, req.Tx)
 	}
--- a/proxy/hop/wire.go
+++ b/proxy/hop/wire.go
@@ -20,6 +20,7 @@
 	methodAbandon = "abandon"
 	methodConfirm = "confirm"
 	methodPing    = "ping"
+	methodCancel  = "cancel"
 )
 
 // codeNotAccepted is the JSON-RPC error code of a gateway that did not accept a call:
@@ -34,8 +35,13 @@
 	Workspace string              `json:"workspace,omitempty"`
 	Weight    float64             `json:"weight,omitempty"`
 	Rank      schedule.Rank       `json:"rank,omitempty"`
-	Values    map[string]string   `json:"values,omitempty"`
-	Prepared  *upstream.Prepared  `json:"prepared,omitempty"`
+	// Class is the class of service times, the same on all instances.
+	Class schedule.ServiceClass `json:"class,omitempty"`
+	// Call identifies the job on this connection in a cancelRequest; 0 if it cannot be
+	// cancelled.
+	Call     uint64             `json:"call,omitempty"`
+	Values   map[string]string  `json:"values,omitempty"`
+	Prepared *upstream.Prepared `json:"prepared,omitempty"`
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration `json:"left"`
 	// TimeToDue is the time until the statement is due; nil if it has no such time.
@@ -46,7 +52,7 @@
 }
 
 func jobToWire(j upstream.Job, now time.Duration) wireJob {
-	w := wireJob{Statement: j.Statement, Caller: j.Caller, Workspace: j.Workspace, Weight: j.Weight, Rank: j.Rank, Values: j.Values, Prepared: j.Prepared,
+	w := wireJob{Statement: j.Statement, Caller: j.Caller, Workspace: j.Workspace, Weight: j.Weight, Rank: j.Rank, Class: j.Class, Values: j.Values, Prepared: j.Prepared,
 		TimeLeft: j.Deadline - now, Limit: j.Limit, CommitsWrites: j.CommitsWrites, OnlyCandidate: j.OnlyCandidate}
 	if j.Due != 0 {
 		left := j.Due - now
@@ -57,7 +63,7 @@
 
 func (w wireJob) toJob(clock boottime.Clock) upstream.Job {
 	now := clock()
-	j := upstream.Job{Statement: w.Statement, Caller: w.Caller, Workspace: w.Workspace, Weight: w.Weight, Rank: w.Rank, Values: w.Values, Prepared: w.Prepared,
+	j := upstream.Job{Statement: w.Statement, Caller: w.Caller, Workspace: w.Workspace, Weight: w.Weight, Rank: w.Rank, Class: w.Class, Values: w.Values, Prepared: w.Prepared,
 		Deadline: now + w.TimeLeft, Limit: w.Limit, CommitsWrites: w.CommitsWrites, OnlyCandidate: w.OnlyCandidate}
 	if w.TimeToDue != nil {
 		j.Due = now + *w.TimeToDue
@@ -92,18 +98,45 @@
 	Job wireJob `json:"job"`
 }
 
+// cancelRequest asks to remove the job of a call on the same connection from the queues of
+// the gateway. A job that was sent to a member continues.
+type cancelRequest struct {
+	Call uint64 `json:"call"`
+}
+
 type confirmRequest struct {
 	Service string `json:"service"`
 }
 
 // load is a gateway's report of its load, sent with each answer.
 type load struct {
-	// Wait is the expected queueing time of another statement of the same rank.
-	Wait time.Duration `json:"wait,omitempty"`
+	// Waits is the expected queueing time of another statement, by rank; none if the
+	// answer has no report.
+	Waits []time.Duration `json:"waits,omitempty"`
+	// RefuseFor is how long the gateway expects to refuse statements, by rank; none if it
+	// refuses none.
+	RefuseFor []time.Duration `json:"refuse,omitempty"`
 	// Leaving means that the gateway is about to stop.
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+func loadToWire(s schedule.Load, leaving bool) load {
+	l := load{Waits: s.Wait[:], Leaving: leaving}
+	if s.RefuseFor != [schedule.NumRanks]time.Duration{} {
+		l.RefuseFor = s.RefuseFor[:]
+	}
+	return l
+}
+
+// known reports whether the answer has a report of the queue.
+func (l load) known() bool { return len(l.Waits) > 0 }
+
+func (l load) toSchedule() (s schedule.Load) {
+	copy(s.Wait[:], l.Waits)
+	copy(s.RefuseFor[:], l.RefuseFor)
+	return s
+}
+
 type executeAnswer struct {
 	Result wireResult `json:"result"`
 	Load   load       `json:"load"`
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -9,7 +9,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 // Metrics implements session.Metrics. The values of labels come from fixed sets only
@@ -33,6 +36,27 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_retries_total{cause=%q}`, cause)).Inc()
 }
 
+// QueueWait implements upstream.QueueMetrics.
+func (m *Metrics) QueueWait(r schedule.Rank, waited time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`papayarail_queue_wait_seconds{rank=%q}`, r)).Update(waited.Seconds())
+}
+
+// CountRefusal implements upstream.QueueMetrics.
+func (m *Metrics) CountRefusal(r schedule.Rank, cause verdict.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_queue_refusals_total{rank=%q,cause=%q}`, r, cause)).Inc()
+}
+
+// CountCancelled implements upstream.QueueMetrics.
+func (m *Metrics) CountCancelled(s upstream.Stage) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_statements_cancelled_total{stage=%q}`, s)).Inc()
+}
+
+// CountEntryRefusal counts a statement that was refused here because a gateway refuses
+// such statements.
+func (m *Metrics) CountEntryRefusal(r schedule.Rank) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_entry_refusals_total{rank=%q}`, r)).Inc()
+}
+
 // StoreCall counts a call to the store by its outcome and records its latency.
 func (m *Metrics) StoreCall(call string, err error, took time.Duration) {
 	outcome := "ok"
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -122,6 +122,7 @@
 	replies    chan statement.Reply
 	wake       chan struct{}
 	ended      chan struct{} // closed when the session has ended
+	gone       atomic.Bool   // reported by Gone
 }
 
 var _ node.Caller = (*callerStub)(nil)
@@ -146,6 +147,7 @@
 
 func (s *callerStub) Answer(r statement.Reply) error { s.replies <- r; return nil }
 func (s *callerStub) Pending() bool                  { return len(s.statements) > 0 }
+func (s *callerStub) Gone() bool                     { return s.gone.Load() }
 func (s *callerStub) Wake() {
 	select {
 	case s.wake <- struct{}{}:
@@ -155,7 +157,7 @@
 
 // open starts a session on an instance.
 func (c *cluster) open(instance, database string) *callerStub {
-	s := &callerStub{make(chan statement.Statement, 1), make(chan statement.Reply, 1), make(chan struct{}, 1), make(chan struct{})}
+	s := &callerStub{statements: make(chan statement.Statement, 1), replies: make(chan statement.Reply, 1), wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	c.wait.Go(func() {
 		defer close(s.ended)
 		_ = c.nodes[instance].Serve(s, "caller", database) // ends with io.EOF, or because the instance is isolated
@@ -163,7 +165,10 @@
 	return s
 }
 
-func (s *callerStub) leave() { close(s.statements) }
+func (s *callerStub) leave() {
+	s.gone.Store(true)
+	close(s.statements)
+}
 
 var errEnded = errors.New("session has ended")
 
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/papayarail/papayarail/proxy/relay"
 	"github.com/papayarail/papayarail/proxy/session"
 	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 // Store is an instance's view of the platform's store.
@@ -108,6 +109,7 @@
 	n.reader = newReader(n)
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
+	n.router.SetRefusalCounter(cfg.Metrics)
 	cfg.Metrics.RegisterSessionGauge(func() float64 { return float64(n.openSessions()) })
 	return n
 }
@@ -181,8 +183,12 @@
 		return
 	}
 	staleness := make(map[string]time.Duration)
+	profiles := make(map[string]upstream.Profile)
 	for _, r := range c.Routes {
 		staleness[r.Service] = max(staleness[r.Service], r.Staleness)
+		p := profiles[r.Service]
+		p.Add(r)
+		profiles[r.Service] = p
 	}
 	n.mu.Lock()
 	for name, s := range c.Services {
@@ -192,6 +198,7 @@
 			n.addGroup(s)
 		}
 		n.groups[name].SetMaxStaleness(staleness[name])
+		n.groups[name].SetProfile(profiles[name])
 	}
 	n.mu.Unlock()
 	n.config.Store(c)
@@ -203,7 +210,7 @@
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
 		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
-		Log: n.cfg.Log.WithField("service", s.Name),
+		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics,
 	}, s)
 	g.SetFleet(n.fleet)
 	n.groups[s.Name] = g
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/papayarail/papayarail/core/schedule"
@@ -42,7 +43,9 @@
 	reply := s.runOnMembers(g, op, reqs)
 	s.env.Metrics.Statement(r.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
 	if reply.Err != nil {
-		s.logFailure(g, op, r, reqs, reply.Err)
+		if !cancelled(reply.Err) {
+			s.logFailure(g, op, r, reqs, reply.Err)
+		}
 	} else if op.writes {
 		s.rememberWrite(r.Service, reply.Position)
 	}
@@ -68,11 +71,19 @@
 	excluded := make(map[*upstream.Upstream]bool)
 	var last error
 	for n := 1; n <= maxAttempts; n++ {
+		if n > 1 {
+			if err := s.checkCaller(); err != nil {
+				return refused(err)
+			}
+		}
 		choice, err := g.Choose(reqs, excluded)
 		if err != nil {
 			return refused(preferAttemptError(last, err))
 		}
 		reply, result := attempt(choice, len(excluded))
+		if cancelled(reply.Err) {
+			return reply
+		}
 		if result == answered {
 			if reply.Err == nil && len(s.failedAttempts) > 0 {
 				s.logRetried(op, choice)
@@ -179,7 +190,46 @@
 
 // job returns the job that runs an operation on a member.
 func (s *Session) job(op operation, rank schedule.Rank, deadline time.Duration) upstream.Job {
-	return upstream.Job{Statement: op.Statement, Caller: s.name, Rank: rank, Values: s.values, Prepared: op.prepared, Deadline: deadline}
+	return upstream.Job{Statement: op.Statement, Caller: s.name, Rank: rank, Values: s.values, Prepared: op.prepared, Deadline: deadline, Gone: s.caller.Gone}
+}
+
+// serviceClass returns the class of operations with similar service times: those of
+// routes with the same objective, separately for reads, writes and commits.
+func serviceClass(objective time.Duration, op operation) schedule.ServiceClass {
+	class := schedule.ServiceClass(min(max(objective/time.Millisecond, 0), math.MaxInt32/4)+1) << 2
+	switch {
+	case op.Kind == statement.Commit:
+		return class | 2
+	case op.writes:
+		return class | 1
+	default:
+		return class
+	}
+}
+
+// due returns when the caller should have the answer to a statement that arrived at
+// arrival; 0 means that its route has no objective.
+func due(arrival, objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return 0
+	}
+	return arrival + objective
+}
+
+// checkCaller returns an error if the caller has disconnected.
+func (s *Session) checkCaller() error {
+	if !s.caller.Gone() {
+		return nil
+	}
+	s.env.Metrics.CountCancelled(upstream.StageEntry)
+	return upstream.ErrCancelled()
+}
+
+// cancelled reports whether a statement was not executed because its caller had
+// disconnected.
+func cancelled(err error) bool {
+	var v *verdict.Error
+	return errors.As(err, &v) && v.Code == verdict.Cancelled
 }
 
 // attempt runs an operation once on a member.
@@ -187,6 +237,7 @@
 	j := s.job(op, reqs.Rank, reqs.Deadline)
 	j.Statement.After = c.MinPosition
 	j.CommitsWrites, j.OnlyCandidate = op.writes, c.OnlyCandidate
+	j.Due, j.Class = due(reqs.Arrival, reqs.Objective), serviceClass(reqs.Objective, op)
 	if !op.writes && tried == 0 {
 		limit := max(firstReadTimeout, reqs.Objective)
 		j.Limit = limit
--- a/proxy/session/session.go
+++ b/proxy/session/session.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/position"
-	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/catalog"
@@ -38,6 +37,8 @@
 	Statement(c catalog.Consistency, outcome string, took time.Duration)
 	// CountRetry counts a retry of a statement by its cause.
 	CountRetry(cause string)
+	// CountCancelled counts a statement whose caller disconnected before it was executed.
+	CountCancelled(s upstream.Stage)
 }
 
 // Env holds the dependencies of a session.
@@ -243,12 +244,7 @@
 func (s *Session) requirements(r catalog.Route, arrival time.Duration, writes, reads bool) group.Requirements {
 	own := s.ownWrites[r.Service]
 	return group.Requirements{Writes: writes, Reads: reads, Consistency: r.Consistency, Staleness: r.Staleness, Arrival: arrival,
-		OwnWrite: own.position, OwnWriteAt: own.at, Rank: rank(r), Objective: r.Objective, Deadline: arrival + r.Timeout}
-}
-
-// rank returns the scheduling rank of a route's operations.
-func rank(r catalog.Route) schedule.Rank {
-	return schedule.Rank(min(max(r.Priority, 0), schedule.NumRanks-1))
+		OwnWrite: own.position, OwnWriteAt: own.at, Rank: upstream.Rank(r), Objective: r.Objective, Deadline: arrival + r.Timeout}
 }
 
 // rememberWrite keeps the position of the session's own write for read-your-writes.
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -105,8 +105,10 @@
 	}
 	t.wrote = t.wrote || op.writes
 	deadline := arrival + t.route.Timeout
+	j := s.job(op, schedule.Urgent, deadline)
+	j.Class = serviceClass(t.route.Objective, op)
 	for {
-		r := t.tx.Run(s.job(op, schedule.Urgent, deadline))
+		r := t.tx.Run(j)
 		s.lastGateway = r.Gateway
 		if r.Err != nil {
 			return refused(r.Err)
@@ -117,6 +119,9 @@
 			return r.Reply
 		}
 		time.Sleep(busyRetryDelay)
+		if err := s.checkCaller(); err != nil {
+			return refused(err)
+		}
 	}
 }
 
@@ -128,7 +133,7 @@
 	reqs.Deadline = arrival + t.route.Timeout
 	return s.tryMembers(t.group, op, reqs, func(c group.Choice, _ int) (statement.Reply, outcome) {
 		t.choice = c
-		reply, result := s.openTransaction(op, reqs)
+		reply, result := s.openTransaction(op, reqs, arrival)
 		if result != answered {
 			t.rollBack()
 		}
@@ -138,7 +143,7 @@
 
 // openTransaction opens the transaction on the chosen upstream and runs its first
 // statement there.
-func (s *Session) openTransaction(op operation, reqs group.Requirements) (statement.Reply, outcome) {
+func (s *Session) openTransaction(op operation, reqs group.Requirements, arrival time.Duration) (statement.Reply, outcome) {
 	t := s.tx
 	begin := statement.Statement{Kind: statement.Begin, After: t.choice.MinPosition}
 	if t.readOnly {
@@ -147,6 +152,7 @@
 	t.wrote = t.wrote || op.writes
 	j := s.job(op, reqs.Rank, reqs.Deadline)
 	j.OnlyCandidate = t.choice.OnlyCandidate
+	j.Due, j.Class = due(arrival, reqs.Objective), serviceClass(reqs.Objective, op)
 	tx, opened := t.group.Open(t.choice, begin, j)
 	s.lastGateway = cmp.Or(opened.First.Gateway, opened.Begin.Gateway)
 	if !opened.Begun() {
@@ -206,7 +212,7 @@
 		return s.commitEmpty(t, st, arrival)
 	}
 	j := s.job(operation{Statement: st}, schedule.Urgent, arrival+t.route.Timeout)
-	j.CommitsWrites = t.wrote
+	j.CommitsWrites, j.Class = t.wrote, serviceClass(t.route.Objective, operation{Statement: st})
 	r := t.tx.Run(j)
 	s.lastGateway = r.Gateway
 	t.rollBack() // no effect if the commit has ended the transaction
@@ -233,7 +239,7 @@
 	}
 	t.choice = choice
 	s.tx = t
-	reply, result := s.openTransaction(operation{Statement: st}, reqs)
+	reply, result := s.openTransaction(operation{Statement: st}, reqs, arrival)
 	s.tx = nil
 	t.rollBack() // no effect if the commit has ended the transaction
 	if result != answered {
--- a/proxy/statement/statement.go
+++ b/proxy/statement/statement.go
@@ -251,6 +251,9 @@
 	// Pending reports whether the caller has sent input that Next has not returned
 	// yet.
 	Pending() bool
+	// Gone reports, without blocking, whether the caller has closed its connection. It may
+	// be called by any goroutine, also while a statement is handled.
+	Gone() bool
 }
 
 // SyntaxError means that a statement cannot be parsed. The session continues.
--- a/proxy/upstream/job.go
+++ b/proxy/upstream/job.go
@@ -19,6 +19,12 @@
 	// Weight is the share of the workspace relative to others in fair queuing; 0 counts as 1.
 	Weight float64
 	Rank   schedule.Rank
+	// Class distinguishes statements with different service times; see schedule.Request.
+	Class schedule.ServiceClass
+	// Gone reports whether the caller has disconnected; nil means that it never does. It is
+	// called at intervals while the job waits, also by other goroutines, and does not block.
+	// A job that was sent to a member is not cut off.
+	Gone func() bool
 	// Values are the session's values. The map must not be changed.
 	Values map[string]string
 	// Prepared is the prepared statement that Statement executes, or nil.
--- /dev/null
+++ b/proxy/upstream/queue_test.go
@@ -0,0 +1,130 @@
+//go:build !race
+
+// See proxy/node/simulated_test.go for why these tests do not build under the race detector.
+
+package upstream
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/quota"
+	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/verdict"
+	"github.com/papayarail/papayarail/proxy/catalog"
+)
+
+const ms = time.Millisecond
+
+func newQueue(slots int) *Upstream {
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) + time.Hour }
+	return New(catalog.Member{ID: "m", Slots: slots}, quota.Limits{MaxRunning: slots}, nil, clock)
+}
+
+type countedMetrics struct {
+	cancelled, started, refused atomic.Int64
+}
+
+func (m *countedMetrics) CountCancelled(Stage)                     { m.cancelled.Add(1) }
+func (m *countedMetrics) QueueWait(schedule.Rank, time.Duration)   { m.started.Add(1) }
+func (m *countedMetrics) CountRefusal(schedule.Rank, verdict.Code) { m.refused.Add(1) }
+
+// Guards against a waiting request that stays in the queue after its caller has
+// disconnected, that is counted as started, or whose slot is lost; and against one that is
+// cancelled although it holds a slot.
+func TestRequestOfDepartedCallerLeavesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u, m := newQueue(1), &countedMetrics{}
+		u.SetQueueMetrics(m)
+		var gone atomic.Bool
+		running, err := u.Acquire(Job{Gone: gone.Load}, false)
+		assert.NilError(t, err)
+		errs := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := u.Acquire(Job{Gone: gone.Load, Rank: schedule.Least}, false)
+				errs <- err
+			}()
+		}
+		time.Sleep(time.Second)
+		left := time.Now()
+		gone.Store(true)
+		for range 2 {
+			assert.Equal(t, verdict.FromError(<-errs).Code, verdict.Cancelled)
+		}
+		assert.Assert(t, time.Since(left) <= 50*ms)
+		u.Release(running, true)
+		assert.Equal(t, m.cancelled.Load(), int64(2))
+		assert.Equal(t, m.started.Load(), int64(1))
+		_, err = u.Acquire(Job{}, false)
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against a queue whose length does not follow what its content takes, and against
+// service times that are unknown at a new member although the routes tell them.
+func TestQueueTimeFollowsRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p Profile
+		p.Add(catalog.Route{Priority: 2, Objective: 1500 * ms, Timeout: 3 * time.Second})
+		p.Add(catalog.Route{Priority: 2, Objective: 400 * ms, Timeout: time.Second})
+		p.Add(catalog.Route{Priority: 0, Timeout: time.Second})
+		assert.Equal(t, p.QueueTime, [schedule.NumRanks]time.Duration{600 * ms, 0, 900 * ms})
+		assert.Equal(t, p.ServiceTime, [schedule.NumRanks]time.Duration{25 * ms, 0, 10 * ms})
+		for _, took := range []time.Duration{5 * ms, 50 * ms} {
+			u, m := newQueue(2), &countedMetrics{}
+			u.SetQueueMetrics(m)
+			u.SetProfile(p)
+			for range 100 {
+				ticket, err := u.Acquire(Job{Rank: schedule.Least}, false)
+				assert.NilError(t, err)
+				time.Sleep(took)
+				u.Release(ticket, true)
+			}
+			var wait sync.WaitGroup
+			for range 600 {
+				wait.Go(func() { _, _ = u.Acquire(Job{Rank: schedule.Least}, false) }) // closed below
+			}
+			synctest.Wait()
+			waiting := int64(900 * ms / took * 2)
+			assert.Assert(t, m.refused.Load() >= 598-waiting-2 && m.refused.Load() <= 598-waiting+2, "%d refused", m.refused.Load())
+			u.Close()
+			wait.Wait()
+		}
+	})
+}
+
+// Guards against statements of different kinds in one rank that share one estimate, and
+// against due times or workspaces that do not reach the scheduler.
+func TestAcquirePassesTheOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newQueue(1)
+		running, err := u.Acquire(Job{}, false)
+		assert.NilError(t, err)
+		order := make(chan string, 4)
+		for _, j := range []Job{
+			{Caller: "late", Workspace: "w", Weight: 2, Due: u.clock() + 1500*ms, Class: 1},
+			{Caller: "early", Workspace: "w", Weight: 2, Due: u.clock() + 250*ms, Class: 2},
+		} {
+			go func() {
+				ticket, err := u.Acquire(j, false)
+				if err == nil {
+					order <- j.Caller
+					time.Sleep(10 * ms)
+					u.Release(ticket, true)
+				}
+			}()
+			synctest.Wait()
+		}
+		u.Release(running, true)
+		assert.Equal(t, <-order, "early")
+		assert.Equal(t, <-order, "late")
+		time.Sleep(time.Second)
+	})
+}
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -17,18 +17,12 @@
 )
 
 const (
-	// QueueLimit is the largest number of requests that wait for a member at one
-	// instance. At 9 ms a statement and 3 at a time, a full queue takes 100 ms.
-	QueueLimit = 32
-	// initialServiceTime is the expected service time until there are measurements: the
-	// mean of a statement in the users' site files (see deploy/compare).
-	initialServiceTime = 9 * time.Millisecond
 	// middleRankMinShare and lowestRankMinShare are the guaranteed shares of the two
 	// lower ranks, as fractions of the execution slots.
 	middleRankMinShare = 0.10
 	lowestRankMinShare = 0.05
 	// deadlineCheckInterval is how often waiting requests are checked for deadlines that
-	// can no longer be met.
+	// can no longer be met, and for callers that have disconnected.
 	deadlineCheckInterval = 20 * time.Millisecond
 	// suspectDuration is how long a member stays suspect after a failure; other members
 	// are preferred to a suspect one.
@@ -59,9 +53,10 @@
 	mu         sync.Mutex
 	member     catalog.Member
 	sched      *schedule.Scheduler
-	lastTicket uint64                // returned by the last Acquire
-	waiting    map[uint64]chan error // by ticket; receives nil once the statement may run
-	ticking    bool                  // a call of checkDeadlines is scheduled
+	metrics    QueueMetrics
+	lastTicket uint64             // returned by the last Acquire
+	waiting    map[uint64]*waiter // by ticket
+	ticking    bool               // a call of checkWaiting is scheduled
 	closed     bool
 
 	idleConns    []*Conn
@@ -81,9 +76,9 @@
 func New(m catalog.Member, limits quota.Limits, dialer statement.Dialer, clock boottime.Clock) *Upstream {
 	return &Upstream{
 		dialer: dialer, clock: clock, member: m, limits: limits,
-		waiting: make(map[uint64]chan error),
+		waiting: make(map[uint64]*waiter), metrics: noQueueMetrics{},
 		sched: schedule.New(schedule.Config{
-			Slots: limits.MaxRunning, SlotLimit: limits.SlotLimit, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
+			Slots: limits.MaxRunning, SlotLimit: limits.SlotLimit, QueueLimit: queueLimit, InitialServiceTime: defaultServiceTime,
 			Floor: [schedule.NumRanks]float64{0, middleRankMinShare, lowestRankMinShare},
 			Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
@@ -138,13 +133,7 @@
 func (u *Upstream) Load(r schedule.Rank) (wait, service time.Duration, cold bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	service = u.sched.ServiceTime(r)
-	ahead := u.sched.Running()
-	for i := range int(r) + 1 {
-		ahead += u.sched.Waiting(schedule.Rank(i))
-	}
-	// The member executes as many statements in parallel as it has slots.
-	wait = time.Duration(ahead) * service / time.Duration(max(u.member.Slots, 1))
+	service, wait = u.sched.ServiceTime(r), u.waitLocked(r)
 	cold = len(u.idleConns) == 0
 	if cold {
 		wait += max(u.noDialBefore-u.clock(), 0)
