Share the estimates of a class among ranks and check the caller after a wait for a primary

Cause: statements of open transactions are urgent, so that a class was learned again in the urgent rank; routes with the same objective and different ranks shared a class; a statement that had waited for a primary was attempted for a caller that had disconnected.

Change: a class is the objective and rank of the route with the kind of statement, and has one mean in all ranks; the caller is checked before the first attempt of a statement that is older than 20 ms. A test plays a caller that leaves the connection pool.

--- a/core/schedule/estimate.go
+++ b/core/schedule/estimate.go
@@ -46,7 +46,7 @@
 	queue           *fairQueue
 	running         int
 	serviceTime     time.Duration                  // moving mean of the measured service time
-	classes         map[ServiceClass]time.Duration // moving means by class
+	classes         map[ServiceClass]time.Duration // moving means by class, shared by all ranks
 	utilization     float64                        // moving mean of the occupied fraction of the slots' time
 	refusedFraction float64                        // moving mean of the refused fraction of the requests that found no free slot
 	credit          time.Duration                  // slot time that the floor still owes to the rank
@@ -115,8 +115,8 @@
 	st.measured = true
 }
 
-// maxClasses bounds the number of classes of a rank; further ones have its mean.
-const maxClasses = 64
+// maxClasses bounds the number of classes; further ones have the mean of their rank.
+const maxClasses = 256
 
 func movingMean(mean, measured time.Duration) time.Duration {
 	return mean + time.Duration(serviceTimeWeight*float64(measured-mean))
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -109,8 +109,10 @@
 	return c
 }
 
-// ServiceClass distinguishes requests of one rank with different service times, such as those of
-// different routes. Class 0 has the mean service time of its rank.
+// ServiceClass distinguishes requests with different service times, such as those of
+// different routes, also within a rank. A class has one mean service time in all ranks: that
+// of a statement does not depend on whether it is urgent because its transaction is open.
+// Class 0 has the mean service time of its rank.
 type ServiceClass uint32
 
 // Request asks for a slot. Its ID is unique among the requests that wait or run.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -36,10 +36,11 @@
 	cfg = cfg.withDefaults()
 	s := &Scheduler{cfg: cfg, slots: cfg.Slots, items: make(map[uint64]*item)}
 	s.shares.workspaces = make(map[string]*share)
+	classes := make(map[ServiceClass]time.Duration)
 	for r := range s.ranks {
 		s.ranks[r].queue = newFairQueue()
 		s.ranks[r].serviceTime = cfg.InitialServiceTime
-		s.ranks[r].classes = make(map[ServiceClass]time.Duration)
+		s.ranks[r].classes = classes
 	}
 	return s
 }
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -433,6 +433,8 @@
 	s.Submit(Request{ID: 100, Class: 1}, now)
 	assert.Equal(t, len(s.Submit(Request{ID: 101, Class: 1, Deadline: now + 80*ms}, now).Rejected), 0)
 	assert.Equal(t, len(s.Submit(Request{ID: 102, Class: 2, Deadline: now + 80*ms}, now).Rejected), 1)
+	// A class that was measured in one rank is known in the others.
+	assert.Equal(t, s.ranks[Least].expectedServiceTime(2), 100*ms)
 }
 
 // Guards against a workspace that takes the slots from the less urgent work of others with
--- a/core/schedule/share.go
+++ b/core/schedule/share.go
@@ -15,7 +15,7 @@
 // Requests beyond it that find no free slot are queued as least urgent. Otherwise a
 // workspace that floods a more urgent rank would take the slots from the less urgent work
 // of all others: at seven times the usual demand of one workspace of eight, in a group with
-// a load of 70%, the others lost 16% to 20% of their requests, all in the least urgent rank.
+// a load of 70%, the others lost 16% to 21% of their requests, in the least urgent rank.
 type shares struct {
 	workspaces map[string]*share
 	weight     float64 // sum of the weights
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math"
 	"time"
 
 	"github.com/papayarail/papayarail/core/schedule"
@@ -24,6 +23,10 @@
 	firstReadTimeout = 300 * time.Millisecond
 )
 
+// departureCheckAge is the age of a statement from which the caller's connection is checked
+// before its first attempt. A younger one is attempted without a system call.
+const departureCheckAge = 20 * time.Millisecond
+
 // outcome is the outcome of one attempt.
 type outcome uint8
 
@@ -71,15 +74,16 @@
 	excluded := make(map[*upstream.Upstream]bool)
 	var last error
 	for n := 1; n <= maxAttempts; n++ {
-		if n > 1 {
-			if err := s.checkCaller(); err != nil {
-				return refused(err)
-			}
-		}
 		choice, err := g.Choose(reqs, excluded)
 		if err != nil {
 			return refused(preferAttemptError(last, err))
 		}
+		// The first attempt begins at once, unless Choose has waited for a primary.
+		if n > 1 || s.env.Clock()-reqs.Arrival > departureCheckAge {
+			if err := s.checkCaller(); err != nil {
+				return refused(err)
+			}
+		}
 		reply, result := attempt(choice, len(excluded))
 		if cancelled(reply.Err) {
 			return reply
@@ -193,18 +197,22 @@
 	return upstream.Job{Statement: op.Statement, Caller: s.name, Rank: rank, Values: s.values, Prepared: op.prepared, Deadline: deadline, Gone: s.caller.Gone}
 }
 
-// serviceClass returns the class of operations with similar service times: those of
-// routes with the same objective, separately for reads, writes and commits.
-func serviceClass(objective time.Duration, op operation) schedule.ServiceClass {
-	class := schedule.ServiceClass(min(max(objective/time.Millisecond, 0), math.MaxInt32/4)+1) << 2
+// maxClassObjective is the longest objective that serviceClass distinguishes.
+const maxClassObjective = 24 * time.Hour
+
+// serviceClass returns the class of operations with similar service times: those of routes
+// with the same objective and rank, separately for reads, writes and commits. It is the
+// same on all instances.
+func serviceClass(objective time.Duration, routeRank schedule.Rank, op operation) schedule.ServiceClass {
+	kind := schedule.ServiceClass(1)
 	switch {
 	case op.Kind == statement.Commit:
-		return class | 2
+		kind = 3
 	case op.writes:
-		return class | 1
-	default:
-		return class
+		kind = 2
 	}
+	ms := min(max(objective, 0), maxClassObjective) / time.Millisecond
+	return schedule.ServiceClass(ms)<<4 | schedule.ServiceClass(routeRank)<<2 | kind
 }
 
 // due returns when the caller should have the answer to a statement that arrived at
@@ -237,7 +245,7 @@
 	j := s.job(op, reqs.Rank, reqs.Deadline)
 	j.Statement.After = c.MinPosition
 	j.CommitsWrites, j.OnlyCandidate = op.writes, c.OnlyCandidate
-	j.Due, j.Class = due(reqs.Arrival, reqs.Objective), serviceClass(reqs.Objective, op)
+	j.Due, j.Class = due(reqs.Arrival, reqs.Objective), serviceClass(reqs.Objective, reqs.Rank, op)
 	if !op.writes && tried == 0 {
 		limit := max(firstReadTimeout, reqs.Objective)
 		j.Limit = limit
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -106,7 +106,7 @@
 	t.wrote = t.wrote || op.writes
 	deadline := arrival + t.route.Timeout
 	j := s.job(op, schedule.Urgent, deadline)
-	j.Class = serviceClass(t.route.Objective, op)
+	j.Class = serviceClass(t.route.Objective, upstream.Rank(t.route), op)
 	for {
 		r := t.tx.Run(j)
 		s.lastGateway = r.Gateway
@@ -152,7 +152,7 @@
 	t.wrote = t.wrote || op.writes
 	j := s.job(op, reqs.Rank, reqs.Deadline)
 	j.OnlyCandidate = t.choice.OnlyCandidate
-	j.Due, j.Class = due(arrival, reqs.Objective), serviceClass(reqs.Objective, op)
+	j.Due, j.Class = due(arrival, reqs.Objective), serviceClass(reqs.Objective, reqs.Rank, op)
 	tx, opened := t.group.Open(t.choice, begin, j)
 	s.lastGateway = cmp.Or(opened.First.Gateway, opened.Begin.Gateway)
 	if !opened.Begun() {
@@ -212,7 +212,7 @@
 		return s.commitEmpty(t, st, arrival)
 	}
 	j := s.job(operation{Statement: st}, schedule.Urgent, arrival+t.route.Timeout)
-	j.CommitsWrites, j.Class = t.wrote, serviceClass(t.route.Objective, operation{Statement: st})
+	j.CommitsWrites, j.Class = t.wrote, serviceClass(t.route.Objective, upstream.Rank(t.route), operation{Statement: st})
 	r := t.tx.Run(j)
 	s.lastGateway = r.Gateway
 	t.rollBack() // no effect if the commit has ended the transaction
--- a/proxy/upstream/queue_test.go
+++ b/proxy/upstream/queue_test.go
@@ -17,6 +17,7 @@
 	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/statement"
 )
 
 const ms = time.Millisecond
@@ -128,3 +129,36 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// oneConn is a Dialer whose connections stay open.
+type oneConn struct{}
+
+func (oneConn) Dial(statement.Target, time.Duration) (statement.Conn, error) { return aliveConn{}, nil }
+
+type aliveConn struct{ statement.Conn }
+
+func (aliveConn) Alive() bool { return true }
+
+func (aliveConn) Close() {}
+
+// Guards against a disconnected caller that keeps waiting for a connection of the pool, or
+// that receives the connection instead of the next caller.
+func TestDepartedCallerLeavesPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start, m := time.Now(), &countedMetrics{}
+		clock := func() time.Duration { return time.Since(start) + time.Hour }
+		u := New(catalog.Member{ID: "m", Slots: 2}, quota.Limits{MaxRunning: 3, MaxOpen: 1, MaxIdle: 1}, oneConn{}, clock)
+		u.SetQueueMetrics(m)
+		conn, err := u.Checkout(nil, time.Second, nil)
+		assert.NilError(t, err)
+		var gone atomic.Bool
+		time.AfterFunc(100*ms, func() { gone.Store(true) })
+		_, err = u.Checkout(nil, time.Second, gone.Load)
+		assert.Equal(t, verdict.FromError(err).Code, verdict.Cancelled)
+		assert.Assert(t, time.Since(start) <= 150*ms, "%s", time.Since(start))
+		assert.Equal(t, m.cancelled.Load(), int64(1))
+		u.Return(conn)
+		_, err = u.Checkout(nil, time.Second, nil)
+		assert.NilError(t, err)
+	})
+}
