Report a full queue to entry instances before it overflows

Change: a rank counts as refused while one more request would exceed its bound, and no flow with several requests or with work beyond its part would be shed instead.

--- a/core/schedule/estimate.go
+++ b/core/schedule/estimate.go
@@ -276,8 +276,8 @@
 	switch {
 	case s.mayStart(r):
 		return false
-	case s.exceedsQueueTime(r):
-		return q.byLength[0].waiting <= 1
+	case s.exceedsQueueTime(r, 1):
+		return q.byLength[0].waiting <= 1 && q.byLength[0].beyond == 0
 	case s.waiting < s.cfg.QueueLimit:
 		return false
 	}
@@ -289,9 +289,11 @@
 	return q.waiting == 0 || q.byLength[0].waiting <= 1
 }
 
-// exceedsQueueTime reports whether the requests of a rank and of more urgent ranks wait
-// longer than the limit allows. If none of the rank waits, it reports false.
-func (s *Scheduler) exceedsQueueTime(r Rank) bool {
+// exceedsQueueTime reports whether the requests of a rank and of more urgent ranks, with
+// this number of further ones of the rank, wait longer than the limit allows. It reports
+// false if not more of the rank wait than there are slots.
+func (s *Scheduler) exceedsQueueTime(r Rank, further int) bool {
 	limit, q := s.cfg.QueueTime[r], s.ranks[r].queue
-	return limit > 0 && q.waiting > max(s.slots, 1) && s.estimateWait(r, q.afterOvertaking(q.waiting-1)) > limit
+	waiting := q.waiting + further
+	return limit > 0 && waiting > max(s.slots, 1) && s.estimateWait(r, q.afterOvertaking(waiting-1)) > limit
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -78,7 +78,7 @@
 	s.enqueue(r, beyond, now)
 	// Less urgent requests wait for this one, too.
 	for rank := NumRanks - 1; rank >= int(r.Rank); rank-- {
-		if s.exceedsQueueTime(Rank(rank)) && !s.ranks[rank].queue.lastOfLongestFlow().req.InTransaction {
+		if s.exceedsQueueTime(Rank(rank), 0) && !s.ranks[rank].queue.lastOfLongestFlow().req.InTransaction {
 			s.shedFrom(Rank(rank), &res)
 		}
 	}
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -452,3 +452,25 @@
 	}, 1000)
 	assert.Assert(t, count["within"] <= 1, "%v", count)
 }
+
+// Guards against a load report that makes entry instances refuse workspaces within their
+// part while the queue is full of work beyond the parts of others, which is shed first.
+func TestLoadAcceptsWorkspacesWithinTheirPart(t *testing.T) {
+	s := New(Config{Slots: 1, InitialServiceTime: 100 * ms, QueueTime: [NumRanks]time.Duration{0, 0, 150 * ms}})
+	id := uint64(0)
+	submit := func(workspace string) Result {
+		id++
+		return s.Submit(Request{ID: id, Workspace: workspace, Rank: Least}, 0)
+	}
+	for range shareWindow / (100 * ms) { // uses the part of the workspace
+		submit("flood")
+		s.Cancel(id, 0)
+	}
+	submit("running")
+	submit("flood")
+	assert.Equal(t, s.Load(0).RefuseFor[Least], time.Duration(0))
+	res := submit("modest")
+	assert.Equal(t, len(res.Rejected), 1)
+	assert.Equal(t, res.Rejected[0].ID, id-1, "the request beyond the part of its workspace must be shed")
+	assert.Assert(t, s.Load(0).RefuseFor[Least] > 0, "another workspace would be refused")
+}
