--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -66,7 +66,8 @@
 		assert.Equal(t, gateway.MaxOpenAt(time.Hour), gateway.MaxOpen)
 		assert.Equal(t, gateway.MaxIdle, gateway.MaxOpen, "the connection of a small workspace must stay open")
 		assert.Assert(t, gateway.SlotLimit[schedule.Least] >= test.slots && gateway.MaxRunning > test.slots, "one gateway must fill all slots")
-		assert.Assert(t, gateway.MaxRunning <= 2*test.slots, "the queue is here and not at the member")
+		assert.Assert(t, gateway.MaxRunning <= test.slots+1, "the queue is here and not at the member")
+		assert.Assert(t, gateway.SlotLimit[schedule.Middle] <= gateway.MaxRunning && gateway.SlotLimit[schedule.Least] < gateway.SlotLimit[schedule.Middle])
 	}
 	assert.Assert(t, quota.HandoverTime > 3*time.Second)
 }
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -23,6 +23,10 @@
 	firstReadTimeout = 300 * time.Millisecond
 )
 
+// departureCheckAge is the age of a statement from which the caller's connection is checked
+// before its first attempt. A younger one is attempted without a system call.
+const departureCheckAge = 20 * time.Millisecond
+
 // outcome is the outcome of one attempt.
 type outcome uint8
 
@@ -42,7 +46,9 @@
 	reply := s.runOnMembers(g, op, reqs)
 	s.countStatement(r, reply.Err, s.env.Clock()-arrival)
 	if reply.Err != nil {
-		s.logFailure(g, op, r, reqs, reply.Err)
+		if !cancelled(reply.Err) {
+			s.logFailure(g, op, r, reqs, reply.Err)
+		}
 	} else if op.writes {
 		s.rememberWrite(r.Service, reply.Position)
 	}
@@ -72,7 +78,16 @@
 		if err != nil {
 			return refused(preferAttemptError(last, err))
 		}
+		// The first attempt begins at once, unless Choose has waited for a primary.
+		if n > 1 || s.env.Clock()-reqs.Arrival > departureCheckAge {
+			if err := s.checkCaller(); err != nil {
+				return refused(err)
+			}
+		}
 		reply, result := attempt(choice, len(excluded))
+		if cancelled(reply.Err) {
+			return reply
+		}
 		if result == answered {
 			if reply.Err == nil && len(s.failedAttempts) > 0 {
 				s.logRetried(op, choice)
@@ -179,7 +194,50 @@
 
 // job returns the job that runs an operation on a member.
 func (s *Session) job(op operation, rank schedule.Rank, deadline time.Duration) upstream.Job {
-	return upstream.Job{Statement: op.Statement, Caller: s.name, Workspace: s.workspace.Name, Weight: s.workspace.Rate, Rank: rank, Values: s.values, Prepared: op.prepared, Deadline: deadline}
+	return upstream.Job{Statement: op.Statement, Caller: s.name, Workspace: s.workspace.Name, Weight: s.workspace.Rate, Rank: rank, Values: s.values, Prepared: op.prepared, Deadline: deadline, Gone: s.caller.Gone}
+}
+
+// maxClassObjective is the longest objective that serviceClass distinguishes.
+const maxClassObjective = 24 * time.Hour
+
+// serviceClass returns the class of operations with similar service times: those of routes
+// with the same objective and rank, separately for reads, writes and commits. It is the
+// same on all instances.
+func serviceClass(objective time.Duration, routeRank schedule.Rank, op operation) schedule.ServiceClass {
+	kind := schedule.ServiceClass(1)
+	switch {
+	case op.Kind == statement.Commit:
+		kind = 3
+	case op.writes:
+		kind = 2
+	}
+	ms := min(max(objective, 0), maxClassObjective) / time.Millisecond
+	return schedule.ServiceClass(ms)<<4 | schedule.ServiceClass(routeRank)<<2 | kind
+}
+
+// due returns when the caller should have the answer to a statement that arrived at
+// arrival; 0 means that its route has no objective.
+func due(arrival, objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return 0
+	}
+	return arrival + objective
+}
+
+// checkCaller returns an error if the caller has disconnected.
+func (s *Session) checkCaller() error {
+	if !s.caller.Gone() {
+		return nil
+	}
+	s.env.Metrics.CountCancelled(upstream.StageEntry)
+	return upstream.ErrCancelled()
+}
+
+// cancelled reports whether a statement was not executed because its caller had
+// disconnected.
+func cancelled(err error) bool {
+	var v *verdict.Error
+	return errors.As(err, &v) && v.Code == verdict.Cancelled
 }
 
 // attempt runs an operation once on a member.
@@ -187,6 +245,7 @@
 	j := s.job(op, reqs.Rank, reqs.Deadline)
 	j.Statement.After = c.MinPosition
 	j.CommitsWrites, j.OnlyCandidate = op.writes, c.OnlyCandidate
+	j.Due, j.Class = due(reqs.Arrival, reqs.Objective), serviceClass(reqs.Objective, reqs.Rank, op)
 	if !op.writes && tried == 0 {
 		limit := max(firstReadTimeout, reqs.Objective)
 		j.Limit = limit
--- a/proxy/session/identity_test.go
+++ b/proxy/session/identity_test.go
@@ -14,6 +14,7 @@
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 const key = "secret-41c7"
@@ -34,8 +35,15 @@
 func (counts) Statement(catalog.Consistency, string, time.Duration) {}
 func (counts) WorkspaceStatement(string, bool)                      {}
 func (counts) CountRetry(string)                                    {}
+func (counts) CountCancelled(upstream.Stage)                        {}
 func (c counts) CountRefusal(cause string)                          { c.refusals[cause]++ }
 
+// connectedCaller is a caller that does not disconnect.
+type connectedCaller struct{ statement.Caller }
+
+// Gone implements statement.Caller.
+func (connectedCaller) Gone() bool { return false }
+
 func configOf(version int64, workspaces ...catalog.Workspace) *catalog.Config {
 	c := &catalog.Config{Version: version, Routes: map[string]catalog.Route{"db": {Database: "db", Service: "s"}}}
 	if workspaces != nil {
@@ -50,7 +58,7 @@
 	log.SetOutput(logged)
 	log.SetLevel(logrus.TraceLevel)
 	env := Env{Directory: d, Clock: func() time.Duration { return time.Hour }, Log: logrus.NewEntry(log), Metrics: m}
-	return New(env, nil, Client{Address: "10.1.0.9:4411", Credential: catalog.NewCredential([]byte(key))}, "db"), d, m, logged
+	return New(env, connectedCaller{}, Client{Address: "10.1.0.9:4411", Credential: catalog.NewCredential([]byte(key))}, "db"), d, m, logged
 }
 
 // codeOf returns the code of the error of a reply.
--- a/proxy/upstream/pace_test.go
+++ b/proxy/upstream/pace_test.go
@@ -20,7 +20,7 @@
 	var running atomic.Int32
 	for range 20 {
 		go func() {
-			if ticket, err := u.Acquire("s", schedule.Urgent, now()+time.Second); err == nil {
+			if ticket, err := u.Acquire(upstream.Job{Caller: "s", Rank: schedule.Urgent, Deadline: now() + time.Second}, false); err == nil {
 				running.Add(1)
 				time.Sleep(500 * time.Millisecond)
 				running.Add(-1)
