--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -18,6 +18,7 @@
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/quota"
+	"github.com/papayarail/papayarail/core/schedule"
 	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
@@ -78,8 +79,9 @@
 	// Confirm asks the gateway for a quorum round of the service that begins
 	// after the call.
 	Confirm(service string) (Confirmation, error)
-	// ExpectedWait returns the expected queueing time at the gateway, as last reported.
-	ExpectedWait() time.Duration
+	// ExpectedWait returns the expected queueing time of a request of the rank at the
+	// gateway, as last reported.
+	ExpectedWait(r schedule.Rank) time.Duration
 	// Outside reports whether the gateway is in another failure domain than this instance.
 	// It then reports its calls and their answers to Reachability itself.
 	Outside() bool
@@ -131,7 +133,7 @@
 // ConnectingInstances implements Gateways.
 func (noGateways) ConnectingInstances(catalog.Member, int) int { return 0 }
 
-// Config holds the dependencies of a Group. Gateways, Reachability, PoolCounters and RoundTrip are
+// Config holds the dependencies of a Group. Gateways, Reachability, PoolCounters, Metrics and RoundTrip are
 // optional: without Gateways, the instance connects to all members directly.
 type Config struct {
 	Service       string
@@ -146,8 +148,11 @@
 	RoundTrip   func(domain string) time.Duration
 	RecordStore RecordStore
 	Promoter    Promoter
+	Metrics     HealthMetrics
 	Clock       boottime.Clock
 	Log         *logrus.Entry
+	// QueueMetrics receives the metrics of the queues for the members; it is optional.
+	QueueMetrics upstream.QueueMetrics
 }
 
 // Group is one database group as seen by this instance. It is safe for concurrent use.
@@ -156,8 +161,10 @@
 
 	mu      sync.Mutex
 	service catalog.Service
+	profile upstream.Profile
 	tracker primacy.Tracker
 	members map[string]*member
+	health  *healthMonitor
 	fleet   *gateway.Fleet
 	changed chan struct{} // closed and replaced when waiting requests should check again
 	// gatewayDoubtUntil is the time until which a gateway's report that the primary
@@ -194,8 +201,11 @@
 	if cfg.Reachability == nil {
 		cfg.Reachability = noReachability{}
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = noMetrics{}
+	}
 	return &Group{
-		cfg: cfg, service: service,
+		cfg: cfg, service: service, health: newHealthMonitor(&cfg),
 		members: make(map[string]*member), fleet: gateway.NewStandalone(cfg.Instance),
 		changed: make(chan struct{}), wake: make(chan struct{}, 1), finished: make(chan struct{}),
 		startedAt: cfg.Clock(),
@@ -226,6 +236,35 @@
 	g.service = s
 }
 
+// SetProfile sets what the routes to the service tell about the queues for its members.
+func (g *Group) SetProfile(p upstream.Profile) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p == g.profile {
+		return
+	}
+	g.profile = p
+	for _, m := range g.members {
+		m.SetProfile(p)
+	}
+}
+
+// expectedProfile returns the profile for a new member, with the greatest service time of
+// each rank that another member shows, if there is one. g.mu is held.
+func (g *Group) expectedProfile() upstream.Profile {
+	p := g.profile
+	for r := range p.ServiceTime {
+		measured := time.Duration(0)
+		for _, m := range g.members {
+			measured = max(measured, m.MeasuredServiceTime(schedule.Rank(r)))
+		}
+		if measured > 0 {
+			p.ServiceTime[r] = measured
+		}
+	}
+	return p
+}
+
 // SetMaxStaleness sets the largest staleness bound of all routes to the service.
 func (g *Group) SetMaxStaleness(staleness time.Duration) {
 	g.mu.Lock()
@@ -321,6 +360,9 @@
 		m.maxPosition = position.Position{} // replicas that were ahead of the new primary are rolled back
 	}
 	primary := g.tracker.Primary()
+	if m := g.members[primary.Member]; m != nil && former.Member != "" && former.Member != primary.Member {
+		g.health.startPace(primary.Member, m.Upstream, upstream.Promoted, m.Member().ColdFor > 0)
+	}
 	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": primary.Member, "term": primary.Term, "before": former.Member, "source": source}).Info("primary changed")
 }
 
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -140,6 +140,7 @@
 	}
 	if readAt-m.missingSince >= missingEntryTimeout && !m.departed {
 		m.departed = true
+		g.health.remove(id)
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (readAt - m.missingSince).Milliseconds()}).Info("member is no longer registered")
 		g.signalRun()
 	}
@@ -170,6 +171,7 @@
 func (g *Group) removeMember(id string, m *member, reason string) {
 	g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "reason": reason}).Info("member removed")
 	delete(g.members, id)
+	g.health.remove(id)
 	m.Close()
 	g.signalRun()
 }
@@ -177,9 +179,12 @@
 // updateMember handles the entry of a registered member. g.mu is held.
 func (g *Group) updateMember(id string, m catalog.Member, readAt time.Duration) {
 	known := g.members[id]
+	joined := known == nil || known.departed
 	if known == nil {
 		known = &member{Upstream: upstream.New(m, g.connLimits(m), g.cfg.Dialer, g.cfg.Clock)}
 		known.SetPoolCounters(g.cfg.PoolCounters)
+		known.SetQueueMetrics(g.cfg.QueueMetrics)
+		known.SetProfile(g.expectedProfile())
 		g.members[id] = known
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_joined", "member": id, "address": m.Address, "failure_domain": m.FailureDomain, "primary": m.Primary}).Info("member joined")
 		g.signalRun()
@@ -203,6 +208,7 @@
 		g.signalRun()
 	}
 	known.Update(m, g.connLimits(m))
+	g.observeMemberStart(known, old, m, joined)
 	if m.Primary && !m.Draining && g.tracker.Primary().Member == "" {
 		if g.selfReported.Member != id {
 			g.selfReported, g.selfReportedAt = primacy.Primary{Member: id}, readAt
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -10,11 +10,15 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 // Metrics implements session.Metrics. The values of labels come from bounded sets only:
-// consistencies, outcomes, causes, store calls, and the workspaces of SetWorkspaces.
+// consistencies, outcomes, causes, changes, store calls, and the workspaces of
+// SetWorkspaces. This bounds the number of series.
 type Metrics struct {
 	set *metrics.Set
 
@@ -95,6 +99,27 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_retries_total{cause=%q}`, cause)).Inc()
 }
 
+// QueueWait implements upstream.QueueMetrics.
+func (m *Metrics) QueueWait(r schedule.Rank, waited time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`papayarail_queue_wait_seconds{rank=%q}`, r)).Update(waited.Seconds())
+}
+
+// CountQueueRefusal implements upstream.QueueMetrics.
+func (m *Metrics) CountQueueRefusal(r schedule.Rank, cause verdict.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_queue_refusals_total{rank=%q,cause=%q}`, r, cause)).Inc()
+}
+
+// CountCancelled implements upstream.QueueMetrics.
+func (m *Metrics) CountCancelled(s upstream.Stage) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_statements_cancelled_total{stage=%q}`, s)).Inc()
+}
+
+// CountEntryRefusal counts a statement that was refused here because a gateway refuses
+// such statements.
+func (m *Metrics) CountEntryRefusal(r schedule.Rank) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_entry_refusals_total{rank=%q}`, r)).Inc()
+}
+
 // StoreCall counts a call to the store by its outcome and records its latency.
 func (m *Metrics) StoreCall(call string, err error, took time.Duration) {
 	outcome := "ok"
@@ -122,6 +147,20 @@
 	m.set.GetOrCreateCounter("papayarail_upstream_connection_waits_total").AddInt64(int64(n))
 }
 
+// CountMemberChange counts a change of the state of a member; see group.HealthMetrics.
+func (m *Metrics) CountMemberChange(kind, cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_member_changes_total{change=%q,cause=%q}`, kind, cause)).Inc()
+}
+
+// RegisterPaceGauges registers the gauges of the members below full use: how many there
+// are, the statements in flight that this instance allows for them together, and the
+// number at full use. They have no label, as the IDs of members are not bounded.
+func (m *Metrics) RegisterPaceGauges(members, limit, full func() float64) {
+	m.set.GetOrCreateGauge("papayarail_paced_members", members)
+	m.set.GetOrCreateGauge("papayarail_paced_members_limit", limit)
+	m.set.GetOrCreateGauge("papayarail_paced_members_full_limit", full)
+}
+
 // RegisterEraGauge registers the gauge of the store's era, which grows when the store is
 // restored from an older copy.
 func (m *Metrics) RegisterEraGauge(era func() float64) {
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -140,6 +140,7 @@
 	replies    chan statement.Reply
 	wake       chan struct{}
 	ended      chan struct{} // closed when the session has ended
+	gone       atomic.Bool   // reported by Gone
 }
 
 var _ node.Caller = (*callerStub)(nil)
@@ -164,6 +165,7 @@
 
 func (s *callerStub) Answer(r statement.Reply) error { s.replies <- r; return nil }
 func (s *callerStub) Pending() bool                  { return len(s.statements) > 0 }
+func (s *callerStub) Gone() bool                     { return s.gone.Load() }
 func (s *callerStub) Wake() {
 	select {
 	case s.wake <- struct{}{}:
@@ -178,7 +180,7 @@
 
 // openWithKey starts a session of a caller that presents a key.
 func (c *cluster) openWithKey(instance, database, key string) *callerStub {
-	s := &callerStub{make(chan statement.Statement, 1), make(chan statement.Reply, 1), make(chan struct{}, 1), make(chan struct{})}
+	s := &callerStub{statements: make(chan statement.Statement, 1), replies: make(chan statement.Reply, 1), wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	c.wait.Go(func() {
 		defer close(s.ended)
 		_ = c.nodes[instance].Serve(s, session.Client{Address: "caller", Credential: catalog.NewCredential([]byte(key))}, database) // ends with io.EOF, or because the instance is isolated
@@ -186,7 +188,10 @@
 	return s
 }
 
-func (s *callerStub) leave() { close(s.statements) }
+func (s *callerStub) leave() {
+	s.gone.Store(true)
+	close(s.statements)
+}
 
 var errEnded = errors.New("session has ended")
 
@@ -286,8 +291,9 @@
 	answered, refused = new(atomic.Int32), new(atomic.Int32)
 	var ended atomic.Bool
 	var work sync.WaitGroup
+	instances := slices.Sorted(maps.Keys(c.nodes))
 	for i := range n {
-		instance := fmt.Sprint("i", 1+i%len(c.nodes))
+		instance := instances[i%len(instances)]
 		s := c.open(instance, simulator.Database+"_own")
 		work.Go(func() {
 			defer func() { s.leave() }()
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -115,7 +115,9 @@
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
 	n.router.SetReachability(reachabilityObserver{n})
+	n.router.SetRefusalCounter(cfg.Metrics)
 	cfg.Metrics.RegisterSessionGauge(func() float64 { return float64(n.openSessions()) })
+	n.registerPaceGauges()
 	return n
 }
 
@@ -202,8 +204,12 @@
 		return
 	}
 	staleness := make(map[string]time.Duration)
+	profiles := make(map[string]upstream.Profile)
 	for _, r := range c.Routes {
 		staleness[r.Service] = max(staleness[r.Service], r.Staleness)
+		p := profiles[r.Service]
+		p.Add(r)
+		profiles[r.Service] = p
 	}
 	n.router.SetWorkspaces(c.Workspaces != nil)
 	n.mu.Lock()
@@ -214,6 +220,7 @@
 			n.addGroup(s)
 		}
 		n.groups[name].SetMaxStaleness(staleness[name])
+		n.groups[name].SetProfile(profiles[name])
 	}
 	n.mu.Unlock()
 	n.cfg.Metrics.SetWorkspaces(catalog.HighestLimits(c.Workspaces, metrics.MaxWorkspaces))
@@ -229,8 +236,8 @@
 func (n *Node) addGroup(s catalog.Service) {
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
-		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, PoolCounters: n.cfg.Metrics, RoundTrip: n.roundTrips.get, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Clock: n.cfg.Clock,
-		Log: n.cfg.Log.WithField("service", s.Name),
+		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, PoolCounters: n.cfg.Metrics, RoundTrip: n.roundTrips.get, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Metrics: n.cfg.Metrics, Clock: n.cfg.Clock,
+		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics,
 	}, s)
 	g.SetFleet(n.fleet)
 	n.groups[s.Name] = g
@@ -332,6 +339,8 @@
 	Workspaces        int                           `json:"workspaces"`
 	Sessions          int                           `json:"sessions"`
 	Groups            map[string]group.PrimaryState `json:"groups"`
+	// Members holds the states of the members of each group by ID.
+	Members map[string]map[string]group.MemberState `json:"members"`
 	// Pools holds the connections to each member, by service and member.
 	Pools map[string]map[string]upstream.PoolState `json:"pools"`
 }
@@ -339,16 +348,36 @@
 // State returns a diagnostic dump of the present state.
 func (n *Node) State() State {
 	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState),
-		Pools: make(map[string]map[string]upstream.PoolState)}
+		Members: make(map[string]map[string]group.MemberState), Pools: make(map[string]map[string]upstream.PoolState)}
 	if c := n.config.Load(); c != nil {
 		state.CallersIdentified, state.Workspaces = c.Identified(), len(c.Workspaces)
 	}
 	for _, g := range n.allGroups() {
 		state.Groups[g.Service()] = g.PrimaryState()
 		state.Pools[g.Service()] = g.PoolStates()
+		state.Members[g.Service()] = g.MemberStates()
 	}
 	return state
 }
 
+// registerPaceGauges registers the gauges of the members below full use.
+func (n *Node) registerPaceGauges() {
+	sum := func(of func(group.MemberState) int) func() float64 {
+		return func() float64 {
+			total := 0
+			for _, g := range n.allGroups() {
+				for _, m := range g.MemberStates() {
+					if m.PaceCause != "" {
+						total += of(m)
+					}
+				}
+			}
+			return float64(total)
+		}
+	}
+	n.cfg.Metrics.RegisterPaceGauges(sum(func(group.MemberState) int { return 1 }),
+		sum(func(m group.MemberState) int { return m.Limit }), sum(func(m group.MemberState) int { return m.Full }))
+}
+
 // Configured reports whether a configuration is in force.
 func (n *Node) Configured() bool { return n.config.Load() != nil }
--- a/proxy/upstream/pool.go
+++ b/proxy/upstream/pool.go
@@ -39,6 +39,7 @@
 	any       bool // a connection of any workspace serves
 	values    map[string]string
 	since     time.Duration
+	gone      func() bool // whether the caller has disconnected; nil means that it never does
 }
 
 // grant lets a request use a connection: conn, or one that it opens after it has closed
@@ -50,9 +51,10 @@
 
 // Checkout returns an idle connection of the workspace, or opens one. It prefers a
 // connection on which the session's values are already set. The error is a *verdict.Error,
-// or the error of the dialer.
-func (u *Upstream) Checkout(workspace string, values map[string]string, timeout time.Duration) (*Conn, error) {
-	return u.checkout(connRequest{workspace: workspace, values: values}, timeout)
+// or the error of the dialer. A wait ends if gone reports that the caller has disconnected;
+// nil means that it never does.
+func (u *Upstream) Checkout(workspace string, values map[string]string, timeout time.Duration, gone func() bool) (*Conn, error) {
+	return u.checkout(connRequest{workspace: workspace, values: values, gone: gone}, timeout)
 }
 
 func (u *Upstream) checkout(r connRequest, timeout time.Duration) (*Conn, error) {
@@ -64,10 +66,14 @@
 			return nil, err
 		}
 		if wait != nil {
-			g = u.awaitGrant(r.id, wait, min(pause, deadline-u.clock()))
+			g = u.awaitGrant(r.id, wait, min(pause, deadline-u.clock()), r.gone)
 		}
 		switch {
 		case g == nil:
+			if r.gone != nil && r.gone() {
+				u.metrics.CountCancelled(StagePool)
+				return nil, ErrCancelled()
+			}
 			if u.clock() >= deadline {
 				return nil, verdict.New(verdict.Overloaded, "no connection to upstream %s came free", u.Member().ID).WithRetryAfter(maxDialBackoff)
 			}
@@ -140,14 +146,11 @@
 }
 
 // awaitGrant waits for a connection that another request returns to the pool. It returns
-// nil after the limit; the request is then no longer waiting.
-func (u *Upstream) awaitGrant(id uint64, wait chan grant, limit time.Duration) *grant {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case g := <-wait:
+// nil after the limit, or when gone reports that the caller has disconnected; the request
+// is then no longer waiting.
+func (u *Upstream) awaitGrant(id uint64, wait chan grant, limit time.Duration, gone func() bool) *grant {
+	if g, ok := receive(wait, limit, gone); ok {
 		return &g
-	case <-timer.C:
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -265,8 +268,9 @@
 
 // BeginTransaction waits until a transaction of the workspace may use a connection. After
 // success, either EndTransaction must be called, or KeepsTransaction with the connection
-// of the transaction. The error is a *verdict.Error.
-func (u *Upstream) BeginTransaction(workspace string, deadline time.Duration) error {
+// of the transaction. The error is a *verdict.Error. The wait ends if gone reports that the
+// caller has disconnected; nil means that it never does.
+func (u *Upstream) BeginTransaction(workspace string, deadline time.Duration, gone func() bool) error {
 	u.mu.Lock()
 	if u.closed {
 		u.mu.Unlock()
@@ -285,12 +289,8 @@
 		u.counters.CountConnectionWaits(1)
 	}
 	u.mu.Unlock()
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-begin:
+	if _, ok := receive(begin, left, gone); ok {
 		return nil
-	case <-timer.C:
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -299,6 +299,10 @@
 	}
 	delete(u.txWaiters, id)
 	u.transactions.Cancel(id)
+	if gone != nil && gone() {
+		u.metrics.CountCancelled(StagePool)
+		return ErrCancelled()
+	}
 	return verdict.New(verdict.Overloaded, "too many open transactions on upstream %s", u.member.ID).WithRetryAfter(maxTransactionWait/2 + rand.N(maxTransactionWait))
 }
 
@@ -331,12 +335,12 @@
 	}
 }
 
-// applyLimits passes new limits to the pool and returns the connections to close. u.mu is
-// held.
-func (u *Upstream) applyLimits(l quota.Limits) []*Conn {
-	grants, closed := u.pool.SetLimits(l, u.clock())
+// applyPoolLimits passes the quota to the pool and returns the connections to close. u.mu
+// is held.
+func (u *Upstream) applyPoolLimits() []*Conn {
+	grants, closed := u.pool.SetLimits(u.limits, u.clock())
 	u.deliver(grants)
-	u.admit(u.transactions.SetLimit(transactionLimit(l)))
+	u.admit(u.transactions.SetLimit(transactionLimit(u.limits)))
 	u.countPoolEvents()
 	return u.takeConns(closed)
 }
--- a/proxy/upstream/pool_test.go
+++ b/proxy/upstream/pool_test.go
@@ -64,7 +64,7 @@
 
 func checkout(t *testing.T, u *upstream.Upstream, workspace string) *upstream.Conn {
 	t.Helper()
-	c, err := u.Checkout(workspace, nil, time.Second)
+	c, err := u.Checkout(workspace, nil, time.Second, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, c.Conn.(*fakeConn).workspace, workspace, "connection of another workspace")
 	return c
@@ -97,7 +97,7 @@
 	for i := range 16 {
 		work.Go(func() {
 			for range 50 {
-				c, err := u.Checkout(fmt.Sprint("w", i%6), nil, 5*time.Second)
+				c, err := u.Checkout(fmt.Sprint("w", i%6), nil, 5*time.Second, nil)
 				if !assert.Check(t, err) {
 					return
 				}
@@ -143,7 +143,7 @@
 	var open []*upstream.Conn
 	var refusal error
 	for refusal == nil {
-		if refusal = u.BeginTransaction("idle", deadline); refusal == nil {
+		if refusal = u.BeginTransaction("idle", deadline, nil); refusal == nil {
 			c := checkout(t, u, "idle")
 			c.KeepsTransaction()
 			open = append(open, c)
@@ -152,11 +152,11 @@
 	assert.Assert(t, len(open) >= 2 && len(open) <= 4, "%d transactions", len(open))
 	v := verdict.FromError(refusal)
 	assert.Assert(t, v.IsOverload() && v.RetryAfter > 0)
-	assert.NilError(t, u.BeginTransaction("other", deadline))
+	assert.NilError(t, u.BeginTransaction("other", deadline, nil))
 	u.Return(checkout(t, u, "other"))
 	u.EndTransaction("other")
 	u.Discard(open[0])
-	assert.NilError(t, u.BeginTransaction("idle", deadline))
+	assert.NilError(t, u.BeginTransaction("idle", deadline, nil))
 }
 
 // Guards against connections that stay open after a gateway has lost its role.
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayarail/papayarail/core/connpool"
 	"github.com/papayarail/papayarail/core/lag"
+	"github.com/papayarail/papayarail/core/pace"
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/quota"
 	"github.com/papayarail/papayarail/core/schedule"
@@ -18,22 +19,13 @@
 )
 
 const (
-	// QueueLimit is the largest number of requests that wait for a member at one
-	// instance. At 9 ms a statement and 3 at a time, a full queue takes 100 ms.
-	QueueLimit = 32
-	// initialServiceTime is the expected service time until there are measurements: the
-	// mean of a statement in the users' site files (see deploy/compare).
-	initialServiceTime = 9 * time.Millisecond
 	// middleRankMinShare and lowestRankMinShare are the guaranteed shares of the two
 	// lower ranks, as fractions of the execution slots.
 	middleRankMinShare = 0.10
 	lowestRankMinShare = 0.05
 	// deadlineCheckInterval is how often waiting requests are checked for deadlines that
-	// can no longer be met.
+	// can no longer be met, and for callers that have disconnected.
 	deadlineCheckInterval = 20 * time.Millisecond
-	// suspectDuration is how long a member stays suspect after a failure; other members
-	// are preferred to a suspect one.
-	suspectDuration = 500 * time.Millisecond
 	// dialBackoff is the backoff after the member has refused a connection because of
 	// its connection limit. It doubles with each further refusal up to maxDialBackoff.
 	dialBackoff    = 20 * time.Millisecond
@@ -62,9 +54,10 @@
 	mu         sync.Mutex
 	member     catalog.Member
 	sched      *schedule.Scheduler
-	lastTicket uint64                // returned by the last Acquire
-	waiting    map[uint64]chan error // by ticket; receives nil once the statement may run
-	ticking    bool                  // a call of checkDeadlines is scheduled
+	metrics    QueueMetrics
+	lastTicket uint64             // returned by the last Acquire
+	waiting    map[uint64]*waiter // by ticket
+	ticking    bool               // a call of checkWaiting is scheduled
 	closed     bool
 
 	pool            *connpool.Pool
@@ -79,7 +72,8 @@
 	counters        PoolCounters             // nil if nothing counts
 	countedStats    connpool.Stats           // passed to counters so far
 
-	suspectUntil  time.Duration
+	pace          pace.Limiter
+	paceCause     PaceCause
 	knownPosition position.Position // highest position known of the member's log
 	lag           lag.Estimator
 }
@@ -88,10 +82,10 @@
 func New(m catalog.Member, limits quota.Limits, dialer statement.Dialer, clock boottime.Clock) *Upstream {
 	u := &Upstream{
 		dialer: dialer, clock: clock, member: m, limits: limits,
-		waiting: make(map[uint64]chan error),
-		pool:    connpool.New(limits), conns: make(map[uint64]*Conn), connWaiters: make(map[uint64]chan grant), txWaiters: make(map[uint64]chan struct{}),
+		waiting: make(map[uint64]*waiter), metrics: noQueueMetrics{},
+		pool: connpool.New(limits), conns: make(map[uint64]*Conn), connWaiters: make(map[uint64]chan grant), txWaiters: make(map[uint64]chan struct{}),
 		sched: schedule.New(schedule.Config{
-			Slots: limits.MaxRunning, SlotLimit: limits.SlotLimit, QueueLimit: QueueLimit, InitialServiceTime: initialServiceTime,
+			Slots: limits.MaxRunning, SlotLimit: limits.SlotLimit, QueueLimit: queueLimit, InitialServiceTime: defaultServiceTime,
 			Floor: [schedule.NumRanks]float64{0, middleRankMinShare, lowestRankMinShare},
 			Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
@@ -123,11 +117,12 @@
 		drop = u.takeConns(u.pool.CloseAllIdle())
 		u.knownPosition, u.lag = position.Position{}, lag.Estimator{}
 	}
-	if limits.MaxRunning != u.limits.MaxRunning || limits.SlotLimit != u.limits.SlotLimit {
-		u.dispatch(u.sched.SetLimits(limits.MaxRunning, limits.SlotLimit, u.clock()))
-	}
+	changed := limits.MaxRunning != u.limits.MaxRunning || limits.SlotLimit != u.limits.SlotLimit
 	u.member, u.limits = m, limits
-	drop = append(drop, u.applyLimits(limits)...)
+	if changed {
+		u.applyLimits()
+	}
+	drop = append(drop, u.applyPoolLimits()...)
 	u.mu.Unlock()
 	closeAll(drop)
 }
@@ -153,13 +148,7 @@
 func (u *Upstream) Load(r schedule.Rank) (wait, service time.Duration, cold bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	service = u.sched.ServiceTime(r)
-	ahead := u.sched.Running()
-	for i := range int(r) + 1 {
-		ahead += u.sched.Waiting(schedule.Rank(i))
-	}
-	// The member executes as many statements in parallel as it has slots.
-	wait = time.Duration(ahead) * service / time.Duration(max(u.member.Slots, 1))
+	service, wait = u.sched.ServiceTime(r), u.waitLocked(r)
 	cold = u.pool.Idle() == 0
 	if cold {
 		wait += max(u.pool.NoOpenBefore()-u.clock(), 0)
@@ -167,36 +156,11 @@
 	return wait, service, cold
 }
 
-// Suspect reports whether the last request to the member failed, less than
-// suspectDuration ago.
-func (u *Upstream) Suspect() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.clock() < u.suspectUntil
-}
-
-// Probing reports whether the member is suspect and a connection to it is being opened.
-// Further requests should go to other members until the attempt has succeeded or failed.
-func (u *Upstream) Probing() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.pool.Opening() > 0 && u.clock() < u.suspectUntil
-}
-
-// RecordFailure marks the member as suspect for suspectDuration.
-func (u *Upstream) RecordFailure() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.suspectUntil = u.clock() + suspectDuration
-}
-
-// ObservePosition records a position that the member's log has reached. The member is
-// no longer suspect.
+// ObservePosition records a position that the member's log has reached.
 func (u *Upstream) ObservePosition(p position.Position) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.knownPosition = position.Max(u.knownPosition, p)
-	u.suspectUntil = 0
 }
 
 // LikelyBehind reports whether the member has probably not reached position p, which
