--- a/core/gateway/fleet.go
+++ b/core/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/papayarail/papayarail/core/rendezvous"
 	"github.com/papayarail/papayarail/core/source"
 )
 
@@ -55,9 +56,9 @@
 	if self < 0 {
 		return len(f.instances), false
 	}
-	own := rendezvousScore(subject, f.instances[self])
+	own := rendezvous.Score(subject, f.instances[self])
 	for _, c := range f.instances {
-		if rendezvousScore(subject, c) < own {
+		if rendezvous.Score(subject, c) < own {
 			position++
 		}
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -8,14 +8,11 @@
 package gateway
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/papayarail/papayarail/core/backoff"
+	"github.com/papayarail/papayarail/core/rendezvous"
 	"github.com/papayarail/papayarail/core/source"
 )
 
@@ -133,22 +130,8 @@
 			order = append(order, c)
 		}
 	}
-	slices.SortFunc(order, func(a, b source.Candidate) int {
-		return cmp.Or(cmp.Compare(rendezvousScore(member, a), rendezvousScore(member, b)), cmp.Compare(a.Name, b.Name))
-	})
+	rendezvous.Sort(member, order)
 	order = slices.Clone(order[:min(gatewaysPerDomain+spareGateways, len(order))])
 	p.preferences[member] = order
 	return order
 }
-
-// rendezvousScore returns the score of a candidate in weighted rendezvous hashing; the
-// lowest score comes first. Each candidate comes first for a fraction of the members in
-// proportion to its weight, and a change of the candidates moves few members.
-func rendezvousScore(member string, c source.Candidate) float64 {
-	hash := xxhash.Sum64String(member + "\x00" + c.Name)
-	unit := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -math.Log(unit) / max(c.Weight, minWeight)
-}
-
-// minWeight is the least weight of a candidate, used if it states none.
-const minWeight = 0.01
--- /dev/null
+++ b/core/ratelimit/main_test.go
@@ -0,0 +1,9 @@
+package ratelimit
+
+import (
+	"testing"
+
+	"github.com/papayarail/papayarail/core/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
