Admit operations of workspaces within their limits

Cause: core/ratelimit decides, but nothing calls it: no instance asks another one for permits, and sessions run every operation. Change: proxy/limits exchanges permits over proxy/peer, lets an operation wait up to 100 ms, and reports metrics and state. A session asks for one permit for a single statement, for the first statement of a transaction or for the COMMIT of an empty one, whatever the number of attempts, and gives it back if no member may have run it. Admit returns the refund of its own permit instead of Refund(workspace): giving back the permit of another operation would let a late refund raise the number of operations in a window beyond A. The settings are Bounds.QuotaWindowS, QuotaOverrun and QuotaSlack. Session.workspace returns an empty name until callers are identified, so nothing is limited yet. Conclusion: complete but for the identity of callers.

--- a/core/ratelimit/holder.go
+++ b/core/ratelimit/holder.go
@@ -740,3 +740,67 @@
 
 // AllocatorChanges returns how often the instance has changed to another allocator.
 func (h *Holder) AllocatorChanges() int { return h.allocatorChanges }
+
+// Failed reports that a request was not answered and will not be. Its operations need not
+// wait for the rest of WaitLimit.
+func (h *Holder) Failed(now time.Duration, from string, shard Shard, seq uint64) {
+	l := h.shards[shard.Index]
+	if l == nil || l.shard != shard || l.exchanges[from] == nil {
+		return
+	}
+	pending := l.exchanges[from].pending
+	for i := range pending {
+		if pending[i].seq == seq {
+			pending[i].sentAt = min(pending[i].sentAt, now-WaitLimit)
+		}
+	}
+}
+
+// LoanState describes the share of an instance in one shard.
+type LoanState struct {
+	Shard     Shard         `json:"shard"`
+	Allocator string        `json:"allocator"` // that permits are asked of
+	LentTo    string        `json:"lent_to,omitempty"`
+	LentFor   time.Duration `json:"lent_for_ns"` // until the share is free; negative: since when
+}
+
+// Loans returns the state of all shares, by shard.
+func (h *Holder) Loans(now time.Duration) (all []LoanState) {
+	for _, index := range slices.Sorted(maps.Keys(h.shards)) {
+		l := h.shards[index]
+		s := LoanState{Shard: l.shard, Allocator: l.order[l.current].Name, LentTo: l.lentTo.name}
+		if l.lentTo.name != "" {
+			s.LentFor = l.lentUntil - now
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// StockState describes what an instance holds of one workspace.
+type StockState struct {
+	Held    int `json:"held"` // valid unused permits
+	Waiting int `json:"waiting"`
+	// Demand is in operations per second. While EmptyFor is positive, operations are
+	// refused without asking the allocator.
+	Demand   float64       `json:"demand_per_s"`
+	EmptyFor time.Duration `json:"empty_for_ns,omitempty"`
+}
+
+// Stock returns the state of one workspace.
+func (h *Holder) Stock(now time.Duration, workspace string) (state StockState) {
+	s := h.workspaces[workspace]
+	if s == nil {
+		return state
+	}
+	for _, p := range s.permits {
+		if p.expires > now {
+			state.Held += p.n
+		}
+	}
+	state.Waiting, state.Demand, state.EmptyFor = s.waiting, s.demand/BatchInterval.Seconds(), max(s.emptyUntil-now, 0)
+	return state
+}
+
+// Instances returns the number of instances that the share of this one is computed from.
+func (h *Holder) Instances(now time.Duration) int { return h.instances(now) }
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -12,7 +12,7 @@
 	"github.com/papayarail/papayarail/proxy/catalog"
 )
 
-// Metrics implements session.Metrics. The values of labels come from fixed sets only
+// Metrics implements session.Metrics and limits.Metrics. The values of labels come from fixed sets only
 // (consistencies, outcomes, causes and store calls), which bounds the number of series.
 type Metrics struct{ set *metrics.Set }
 
@@ -60,5 +60,20 @@
 	m.set.GetOrCreateGauge("papayarail_sessions_open", open)
 }
 
+// CountLimitRefusal counts an operation refused because of the limit of its workspace.
+func (m *Metrics) CountLimitRefusal(workspace, cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_limit_refusals_total{workspace=%q,cause=%q}`, workspace, cause)).Inc()
+}
+
+// CountPermits counts permits that were granted to, or returned by, this instance.
+func (m *Metrics) CountPermits(workspace, what string, n int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_permits_total{workspace=%q,what=%q}`, workspace, what)).Add(n)
+}
+
+// RegisterAllocatorChanges registers the gauge of changes to another allocator.
+func (m *Metrics) RegisterAllocatorChanges(count func() float64) {
+	m.set.GetOrCreateGauge("papayarail_allocator_changes", count)
+}
+
 // Write writes all metrics in the Prometheus text format.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
--- a/proxy/node/apply.go
+++ b/proxy/node/apply.go
@@ -48,6 +48,7 @@
 // setInstances updates the router and the groups with the announced instances.
 func (n *Node) setInstances(all []source.Candidate) {
 	n.router.SetInstances(all)
+	n.limiter.SetInstances(all)
 	fleet := n.fleetOf(all)
 	n.mu.Lock()
 	n.fleet = fleet
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/gateway"
+	"github.com/papayarail/papayarail/core/ratelimit"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
@@ -22,6 +23,7 @@
 	"github.com/papayarail/papayarail/proxy/failurelog"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/hop"
+	"github.com/papayarail/papayarail/proxy/limits"
 	"github.com/papayarail/papayarail/proxy/metrics"
 	"github.com/papayarail/papayarail/proxy/peer"
 	"github.com/papayarail/papayarail/proxy/relay"
@@ -59,6 +61,11 @@
 	// that serves peers then waits a random time before its first read of the store's
 	// announced instances.
 	FirstStart bool
+	// QuotaWindow is the sliding window of the limits of workspaces; 0 means that there are
+	// no limits. In a window, operations may exceed a limit by the fraction QuotaOverrun
+	// and the number QuotaSlack.
+	QuotaWindow              time.Duration
+	QuotaOverrun, QuotaSlack float64
 	// GracePeriod is the time from the request to stop until the process must have exited.
 	GracePeriod time.Duration
 }
@@ -96,6 +103,7 @@
 
 	reader    *reader
 	router    *hop.Router
+	limiter   *limits.Limiter
 	failures  *failurelog.Log
 	isolation isolation
 	stop      stopState
@@ -108,6 +116,8 @@
 	n.reader = newReader(n)
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
+	n.limiter = limits.New(limits.Config{Instance: cfg.Settings.Instance, Standalone: cfg.Settings.PeerAddress == "", Dial: cfg.DialPeer, Clock: cfg.Clock, Log: cfg.Log, Metrics: cfg.Metrics,
+		Params: ratelimit.Params{Window: cfg.Settings.QuotaWindow, Overrun: cfg.Settings.QuotaOverrun, Slack: cfg.Settings.QuotaSlack}})
 	cfg.Metrics.RegisterSessionGauge(func() float64 { return float64(n.openSessions()) })
 	return n
 }
@@ -121,6 +131,7 @@
 	n.background.Go(func() { n.reader.followConfig(ctx) })
 	n.background.Go(func() { n.reader.run(ctx) })
 	n.background.Go(func() { n.watchIsolation(ctx) })
+	n.background.Go(func() { n.limiter.Run(ctx) })
 	n.background.Wait()
 	n.router.Close()
 }
@@ -153,6 +164,7 @@
 	server := peer.NewServer(n.cfg.Log)
 	relay.Register(server, n.reader)
 	hop.Register(server, n, n.cfg.Clock)
+	n.limiter.Register(server)
 	return server
 }
 
@@ -194,6 +206,7 @@
 		n.groups[name].SetMaxStaleness(staleness[name])
 	}
 	n.mu.Unlock()
+	n.limiter.SetWorkspaces(c.Workspaces)
 	n.config.Store(c)
 	n.cfg.Log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "routes": len(c.Routes), "services": len(c.Services)}).Info("configuration in force")
 }
@@ -284,7 +297,7 @@
 		delete(n.sessions, entry)
 		n.mu.Unlock()
 	}()
-	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, FailureLog: n.failures, Metrics: n.cfg.Metrics}
+	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, FailureLog: n.failures, Metrics: n.cfg.Metrics, Limiter: n.limiter}
 	return session.New(env, caller, name, database).Serve(n)
 }
 
@@ -301,11 +314,12 @@
 	ConfigVersion int64                         `json:"config_version"`
 	Sessions      int                           `json:"sessions"`
 	Groups        map[string]group.PrimaryState `json:"groups"`
+	Limits        *limits.State                 `json:"limits,omitempty"`
 }
 
 // State returns a diagnostic dump of the present state.
 func (n *Node) State() State {
-	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState)}
+	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState), Limits: n.limiter.State()}
 	for _, g := range n.allGroups() {
 		state.Groups[g.Service()] = g.PrimaryState()
 	}
--- a/proxy/node/stop.go
+++ b/proxy/node/stop.go
@@ -47,6 +47,7 @@
 	grace := n.cfg.Settings.GracePeriod
 	n.stop.stage.Store(stageNotReady)
 	n.cfg.Log.WithFields(logrus.Fields{"event": "stop_ordered", "grace_ms": grace.Milliseconds(), "sessions": n.openSessions()}).Info("stopping")
+	n.limiter.Leave()
 	go n.withdraw()
 	half := grace / 2
 	time.Sleep(min(balancerDelay, max(half-closeSpread, 0)))
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -39,7 +39,7 @@
 		return refused(err)
 	}
 	reqs := s.requirements(r, arrival, op.writes, !op.writes)
-	reply := s.runOnMembers(g, op, reqs)
+	reply := s.runLimited(s.workspace(), reqs.Deadline, func() statement.Reply { return s.runOnMembers(g, op, reqs) })
 	s.env.Metrics.Statement(r.Consistency, outcomeName(reply.Err), s.env.Clock()-arrival)
 	if reply.Err != nil {
 		s.logFailure(g, op, r, reqs, reply.Err)
@@ -73,6 +73,7 @@
 			return refused(preferAttemptError(last, err))
 		}
 		reply, result := attempt(choice, len(excluded))
+		s.reachedMember = s.reachedMember || result != notRun
 		if result == answered {
 			if reply.Err == nil && len(s.failedAttempts) > 0 {
 				s.logRetried(op, choice)
--- a/proxy/session/session.go
+++ b/proxy/session/session.go
@@ -47,6 +47,7 @@
 	Log        *logrus.Entry
 	FailureLog FailureLog
 	Metrics    Metrics
+	Limiter    Limiter // nil: no limits
 }
 
 // Session is one caller's session. Serve is called once.
@@ -62,6 +63,8 @@
 	tx          *transaction
 	state       statement.State
 	lastGateway string // instance that ran the last attempt; empty if this one did
+	// reachedMember means that the present operation may have run on a member.
+	reachedMember bool
 	// failedAttempts are the attempts of the present statement without a final answer.
 	failedAttempts []failedAttempt
 }
--- a/proxy/session/transaction.go
+++ b/proxy/session/transaction.go
@@ -101,7 +101,7 @@
 func (s *Session) runOnUpstream(op operation, arrival time.Duration) statement.Reply {
 	t := s.tx
 	if t.tx == nil {
-		return s.firstStatement(op, arrival)
+		return s.runLimited(s.workspace(), arrival+t.route.Timeout, func() statement.Reply { return s.firstStatement(op, arrival) })
 	}
 	t.wrote = t.wrote || op.writes
 	deadline := arrival + t.route.Timeout
@@ -156,6 +156,7 @@
 		return refused(cmp.Or(opened.Begin.Err, opened.Begin.Reply.Err)), notRun
 	}
 	t.tx = tx
+	s.reachedMember = true
 	// Without its COMMIT the transaction has no effect, and its caller has seen no
 	// result of it, so it may be opened on another upstream. In an empty transaction
 	// the first statement is the COMMIT itself, which may have taken effect once sent.
@@ -203,7 +204,7 @@
 // transaction wrote; otherwise it counts as rolled back.
 func (s *Session) commit(t *transaction, st statement.Statement, arrival time.Duration) statement.Reply {
 	if t.tx == nil {
-		return s.commitEmpty(t, st, arrival)
+		return s.runLimited(s.workspace(), arrival+t.route.Timeout, func() statement.Reply { return s.commitEmpty(t, st, arrival) })
 	}
 	j := s.job(operation{Statement: st}, schedule.Urgent, arrival+t.route.Timeout)
 	j.CommitsWrites = t.wrote
