--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -130,8 +130,7 @@
 			order = append(order, c)
 		}
 	}
-	rendezvous.Sort(member, order)
-	order = slices.Clone(order[:min(gatewaysPerDomain+spareGateways, len(order))])
+	order = rendezvous.First(member, order, gatewaysPerDomain+spareGateways)
 	p.preferences[member] = order
 	return order
 }
--- a/core/ratelimit/holder.go
+++ b/core/ratelimit/holder.go
@@ -19,8 +19,9 @@
 	// is no reason to divide the shares.
 	failuresBeforeChange = 2
 	// allocatorCandidates is the number of instances that may become the allocator of a
-	// shard before an instance serves itself.
-	allocatorCandidates = 3
+	// shard before an instance serves itself. Dead instances stay in the list: when half of
+	// 88 had died, the first three of a shard were among them, and 30% were refused.
+	allocatorCandidates = 8
 	// probeInterval is the time between two attempts to reach the allocators that precede
 	// the present one, and leavingExclusion how long one that is leaving is left out.
 	probeInterval    = time.Second
@@ -31,8 +32,8 @@
 	demandWeight = 0.3
 	// advanceCover is the number of batch intervals for which permits are kept in advance.
 	advanceCover = 1.5
-	// idleIntervals is the number of batch intervals without an operation after which an
-	// instance forgets a workspace.
+	// idleIntervals is the number of estimates of the demand, one for each batch interval or
+	// half of it, without an operation after which an instance forgets a workspace.
 	idleIntervals = 40
 )
 
@@ -154,7 +155,7 @@
 	arrived int     // operations since the last batch
 	refused int     // refused ones that are not reported yet
 	demand  float64 // operations in a batch interval
-	idle    int     // batch intervals without an operation
+	idle    int     // estimates of the demand without an operation
 	// Until emptyUntil, the allocator has no permits; callers may return at retryAfter.
 	emptyUntil time.Duration
 	retryAfter time.Duration
@@ -260,8 +261,13 @@
 		present = l.order[l.current].Name
 	}
 	order := slices.Clone(h.candidates)
-	rendezvous.Sort("quota/"+strconv.Itoa(l.shard.Count)+"/"+strconv.Itoa(l.shard.Index), order)
-	order = order[:min(allocatorCandidates, len(order))]
+	for i := range order {
+		// Squared, because all the work of a shard falls to one instance: an allocator of
+		// deployment A answers several hundred requests per second, which the common
+		// instance with 0.192 of a core should not.
+		order[i].Weight *= order[i].Weight
+	}
+	order = rendezvous.First("quota/"+strconv.Itoa(l.shard.Count)+"/"+strconv.Itoa(l.shard.Index), order, allocatorCandidates)
 	if !slices.ContainsFunc(order, func(c source.Candidate) bool { return c.Name == h.self }) {
 		order = append(order, source.Candidate{Name: h.self})
 	}
@@ -400,19 +406,15 @@
 		if !batch && !l.urgent {
 			continue
 		}
-		if batch {
-			l.batchAt += BatchInterval
-			if l.batchAt <= now {
-				l.batchAt = now + BatchInterval
-			}
-			h.observe(l, now)
-			out = append(out, h.probes(l, now)...)
-		}
 		to := l.order[l.current]
 		x := l.exchange(to)
 		if !batch && x.busy() {
 			continue // the next request follows the answer
 		}
+		// Each request carries everything, so it also replaces the next regular one.
+		l.batchAt = now + BatchInterval
+		h.observe(l, now)
+		out = append(out, h.probes(l, now)...)
 		out = append(out, h.request(l, to, x, now))
 	}
 	return out, decisions
@@ -445,10 +447,10 @@
 func (h *Holder) observe(l *loan, now time.Duration) {
 	elapsed := now - l.observed
 	if elapsed < BatchInterval/2 {
-		return // an additional request, sent to lend the share early
+		return // too short for an estimate
 	}
 	l.observed = now
-	intervals := max(float64(elapsed)/float64(BatchInterval), 1)
+	intervals := float64(elapsed) / float64(BatchInterval)
 	for name, s := range h.workspaces {
 		if shardOf(name, l.shard.Count) != l.shard {
 			continue
@@ -638,7 +640,7 @@
 				}
 			}
 			l.failures[name]++
-			if l.failures[name] >= failuresBeforeChange {
+			if l.failures[name] >= failuresBeforeChange || x.stamp.Incarnation == 0 {
 				l.excluded[name] = math.MaxInt64 // until a probe is answered
 			}
 		}
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -24,9 +24,29 @@
 	return -math.Log(unit) / max(c.Weight, minWeight)
 }
 
-// Sort sorts candidates by their scores for a subject.
-func Sort(subject string, all []source.Candidate) {
-	slices.SortFunc(all, func(a, b source.Candidate) int {
-		return cmp.Or(cmp.Compare(Score(subject, a), Score(subject, b)), cmp.Compare(a.Name, b.Name))
-	})
+// First returns the n candidates with the lowest scores for a subject, in order. It
+// computes each score once: there are thousands of candidates.
+func First(subject string, all []source.Candidate, n int) []source.Candidate {
+	type scored struct {
+		source.Candidate
+		score float64
+	}
+	compare := func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
+	}
+	best := make([]scored, 0, n+1)
+	for _, c := range all {
+		s := scored{c, Score(subject, c)}
+		if len(best) == n && (n == 0 || compare(s, best[n-1]) > 0) {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(best, s, compare)
+		best = slices.Insert(best, i, s)
+		best = best[:min(n, len(best))]
+	}
+	first := make([]source.Candidate, len(best))
+	for i, s := range best {
+		first[i] = s.Candidate
+	}
+	return first
 }
