--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/gateway"
+	"github.com/papayarail/papayarail/core/ratelimit"
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
@@ -22,6 +23,7 @@
 	"github.com/papayarail/papayarail/proxy/failurelog"
 	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/hop"
+	"github.com/papayarail/papayarail/proxy/limits"
 	"github.com/papayarail/papayarail/proxy/metrics"
 	"github.com/papayarail/papayarail/proxy/peer"
 	"github.com/papayarail/papayarail/proxy/relay"
@@ -60,6 +62,11 @@
 	// that serves peers then waits a random time before its first read of the store's
 	// announced instances.
 	FirstStart bool
+	// QuotaWindow is the sliding window of the limits of workspaces; 0 means that there are
+	// no limits. In a window, operations may exceed a limit by the fraction QuotaOverrun
+	// and the number QuotaSlack.
+	QuotaWindow              time.Duration
+	QuotaOverrun, QuotaSlack float64
 	// GracePeriod is the time from the request to stop until the process must have exited.
 	GracePeriod time.Duration
 }
@@ -97,6 +104,7 @@
 
 	reader    *reader
 	router    *hop.Router
+	limiter   *limits.Limiter
 	failures  *failurelog.Log
 	isolation isolation
 	stop      stopState
@@ -110,6 +118,8 @@
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
 	n.router.SetReachability(reachabilityObserver{n})
+	n.limiter = limits.New(limits.Config{Instance: cfg.Settings.Instance, Standalone: cfg.Settings.PeerAddress == "", Dial: cfg.DialPeer, Clock: cfg.Clock, Log: cfg.Log, Metrics: cfg.Metrics,
+		Params: ratelimit.Params{Window: cfg.Settings.QuotaWindow, Overrun: cfg.Settings.QuotaOverrun, Slack: cfg.Settings.QuotaSlack}})
 	cfg.Metrics.RegisterSessionGauge(func() float64 { return float64(n.openSessions()) })
 	return n
 }
@@ -123,6 +133,7 @@
 	n.background.Go(func() { n.reader.followConfig(ctx) })
 	n.background.Go(func() { n.reader.run(ctx) })
 	n.background.Go(func() { n.watchIsolation(ctx) })
+	n.background.Go(func() { n.limiter.Run(ctx) })
 	n.background.Wait()
 	n.router.Close()
 }
@@ -151,6 +162,7 @@
 	server := peer.NewServer(n.cfg.Log)
 	relay.Register(server, n.reader)
 	hop.Register(server, n, n.cfg.Clock)
+	n.limiter.Register(server)
 	return server
 }
 
@@ -194,6 +206,7 @@
 	}
 	n.mu.Unlock()
 	n.cfg.Metrics.SetWorkspaces(catalog.HighestLimits(c.Workspaces, metrics.MaxWorkspaces))
+	n.limiter.SetWorkspaces(c.Workspaces)
 	n.config.Store(c)
 	n.cfg.Log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "routes": len(c.Routes), "services": len(c.Services),
 		"callers_identified": c.Identified(), "workspaces": len(c.Workspaces)}).Info("configuration in force")
@@ -288,7 +301,7 @@
 		delete(n.sessions, entry)
 		n.mu.Unlock()
 	}()
-	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, FailureLog: n.failures, Metrics: n.cfg.Metrics}
+	env := session.Env{Directory: n, Clock: n.cfg.Clock, Log: n.cfg.Log, FailureLog: n.failures, Metrics: n.cfg.Metrics, Limiter: n.limiter}
 	return session.New(env, caller, client, database).Serve(n)
 }
 
@@ -310,13 +323,14 @@
 	Sessions          int                           `json:"sessions"`
 	Groups            map[string]group.PrimaryState `json:"groups"`
 	// Pools holds the connections to each member, by service and member.
-	Pools map[string]map[string]upstream.PoolState `json:"pools"`
+	Pools  map[string]map[string]upstream.PoolState `json:"pools"`
+	Limits *limits.State                            `json:"limits,omitempty"`
 }
 
 // State returns a diagnostic dump of the present state.
 func (n *Node) State() State {
 	state := State{Instance: n.cfg.Settings.Instance, Ready: n.Ready(), ConfigVersion: n.configVersion(), Sessions: n.openSessions(), Groups: make(map[string]group.PrimaryState),
-		Pools: make(map[string]map[string]upstream.PoolState)}
+		Pools: make(map[string]map[string]upstream.PoolState), Limits: n.limiter.State()}
 	if c := n.config.Load(); c != nil {
 		state.CallersIdentified, state.Workspaces = c.Identified(), len(c.Workspaces)
 	}
