--- a/core/gateway/fleet.go
+++ b/core/gateway/fleet.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/papayarail/papayarail/core/rendezvous"
 	"github.com/papayarail/papayarail/core/source"
 )
 
@@ -35,7 +36,7 @@
 		if c.FailureDomain == domain {
 			continue
 		}
-		if best, known := first[c.FailureDomain]; !known || rendezvousScore(f.self, c) < rendezvousScore(f.self, best) {
+		if best, known := first[c.FailureDomain]; !known || rendezvous.Score(f.self, c) < rendezvous.Score(f.self, best) {
 			first[c.FailureDomain] = c
 		}
 	}
@@ -73,9 +74,9 @@
 	if self < 0 {
 		return len(f.instances), false
 	}
-	own := rendezvousScore(subject, f.instances[self])
+	own := rendezvous.Score(subject, f.instances[self])
 	for _, c := range f.instances {
-		if rendezvousScore(subject, c) < own {
+		if rendezvous.Score(subject, c) < own {
 			position++
 		}
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -13,14 +13,13 @@
 package gateway
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/papayarail/papayarail/core/backoff"
+	"github.com/papayarail/papayarail/core/rendezvous"
 	"github.com/papayarail/papayarail/core/source"
 )
 
@@ -365,20 +364,5 @@
 			order = append(order, c)
 		}
 	}
-	slices.SortFunc(order, func(a, b source.Candidate) int {
-		return cmp.Or(cmp.Compare(rendezvousScore(id, a), rendezvousScore(id, b)), cmp.Compare(a.Name, b.Name))
-	})
-	return slices.Clone(order[:min(n, len(order))])
+	return rendezvous.First(id, order, n)
 }
-
-// rendezvousScore returns the score of a candidate in weighted rendezvous hashing; the
-// lowest score comes first. Each candidate comes first for a fraction of the members in
-// proportion to its weight, and a change of the candidates moves few members.
-func rendezvousScore(member string, c source.Candidate) float64 {
-	hash := xxhash.Sum64String(member + "\x00" + c.Name)
-	unit := (float64(hash>>11) + 0.5) / (1 << 53)
-	return -math.Log(unit) / max(c.Weight, minWeight)
-}
-
-// minWeight is the least weight of a candidate, used if it states none.
-const minWeight = 0.01
--- a/proxy/session/attempt.go
+++ b/proxy/session/attempt.go
@@ -43,7 +43,7 @@
 		return refused(err)
 	}
 	reqs := s.requirements(r, arrival, op.writes, !op.writes)
-	reply := s.runOnMembers(g, op, reqs)
+	reply := s.runLimited(s.workspace.Name, reqs.Deadline, func() statement.Reply { return s.runOnMembers(g, op, reqs) })
 	s.countStatement(r, reply.Err, s.env.Clock()-arrival)
 	if reply.Err != nil {
 		if !cancelled(reply.Err) {
@@ -85,6 +85,7 @@
 			}
 		}
 		reply, result := attempt(choice, len(excluded))
+		s.reachedMember = s.reachedMember || result != notRun
 		if cancelled(reply.Err) {
 			return reply
 		}
