Bound the queue of a member by time only where callers have workspaces

Cause: a queue bounded by 0.3 of the objective takes 6 requests of 9 ms on the smallest deployments, where 32 were served before; TestWellMembersAtFullUse showed refused reads. Measured: TestWellMembersAtFullUse and the cold start pass (go test -run in proxy/node), a new test guards the limit. Conclusion: what is new applies where the configuration calls for it.

--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -236,8 +236,11 @@
 	}
 }
 
-// SetQueueTime changes Config.QueueTime. Requests that wait already are not rejected.
-func (s *Scheduler) SetQueueTime(limit [NumRanks]time.Duration) { s.cfg.QueueTime = limit }
+// SetQueueLimits changes Config.QueueLimit and Config.QueueTime. Requests that wait already
+// are not rejected.
+func (s *Scheduler) SetQueueLimits(requests int, limit [NumRanks]time.Duration) {
+	s.cfg.QueueLimit, s.cfg.QueueTime = requests, limit
+}
 
 // startWaiting starts waiting requests while slots are free.
 func (s *Scheduler) startWaiting(now time.Duration, res *Result) {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -220,7 +220,7 @@
 	for _, r := range c.Routes {
 		staleness[r.Service] = max(staleness[r.Service], r.Staleness)
 		p := profiles[r.Service]
-		p.Add(r)
+		p.Add(r, c.Identified())
 		profiles[r.Service] = p
 	}
 	n.router.SetWorkspaces(c.Workspaces != nil)
--- a/proxy/upstream/queue.go
+++ b/proxy/upstream/queue.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// queueLimit bounds the memory of waiting requests: each takes about 10 KB with its
+	// timedQueueLimit bounds the memory of waiting requests: each takes about 10 KB with its
 	// goroutine, so that the queue of a member takes at most 10 MB of an instance with
 	// 184 MB. The time that the queue takes is bounded by Profile.QueueTime.
-	queueLimit = 1024
+	timedQueueLimit = 1024
+	// queueLimit is the number of requests that may wait if QueueTime sets no limit.
+	queueLimit = 32
 	// defaultServiceTime is the expected service time of a rank without routes until there
 	// are measurements.
 	defaultServiceTime = 10 * time.Millisecond
@@ -29,21 +31,26 @@
 
 // Profile holds what the routes of a service tell about its queues.
 type Profile struct {
-	// QueueTime is the longest time that the queue of a rank may take; 0 sets no limit.
+	// QueueTime is the longest time that the queue of a rank may take; 0 sets no limit. It
+	// is used where callers have workspaces: the queue is shared by all of them, and
+	// the one that exceeds its part is refused first.
 	QueueTime [schedule.NumRanks]time.Duration
 	// ServiceTime is the expected service time of a rank until one is measured; 0 means
 	// that it is unknown.
 	ServiceTime [schedule.NumRanks]time.Duration
 }
 
-// Add includes a route in the profile of its service.
-func (p *Profile) Add(r catalog.Route) {
+// Add includes a route in the profile of its service. timed bounds the queue by the time
+// that it takes instead of by a number of requests.
+func (p *Profile) Add(r catalog.Route, timed bool) {
 	objective := r.Objective
 	if objective <= 0 {
 		objective = r.Timeout
 	}
 	rank := Rank(r)
-	p.QueueTime[rank] = max(p.QueueTime[rank], time.Duration(objectiveFraction*float64(objective)))
+	if timed {
+		p.QueueTime[rank] = max(p.QueueTime[rank], time.Duration(objectiveFraction*float64(objective)))
+	}
 	if expected := time.Duration(serviceFraction * float64(objective)); p.ServiceTime[rank] == 0 || expected < p.ServiceTime[rank] {
 		p.ServiceTime[rank] = expected
 	}
@@ -58,7 +65,11 @@
 func (u *Upstream) SetProfile(p Profile) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.sched.SetQueueTime(p.QueueTime)
+	limit := timedQueueLimit
+	if p.QueueTime == [schedule.NumRanks]time.Duration{} {
+		limit = queueLimit
+	}
+	u.sched.SetQueueLimits(limit, p.QueueTime)
 	for r, expected := range p.ServiceTime {
 		if expected > 0 {
 			u.sched.ExpectServiceTime(schedule.Rank(r), expected)
--- a/proxy/upstream/queue_test.go
+++ b/proxy/upstream/queue_test.go
@@ -73,9 +73,9 @@
 func TestQueueTimeFollowsRoutes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var p Profile
-		p.Add(catalog.Route{Priority: 2, Objective: 1500 * ms, Timeout: 3 * time.Second})
-		p.Add(catalog.Route{Priority: 2, Objective: 400 * ms, Timeout: time.Second})
-		p.Add(catalog.Route{Priority: 0, Timeout: time.Second})
+		p.Add(catalog.Route{Priority: 2, Objective: 1500 * ms, Timeout: 3 * time.Second}, true)
+		p.Add(catalog.Route{Priority: 2, Objective: 400 * ms, Timeout: time.Second}, true)
+		p.Add(catalog.Route{Priority: 0, Timeout: time.Second}, true)
 		assert.Equal(t, p.QueueTime, [schedule.NumRanks]time.Duration{300 * ms, 0, 450 * ms})
 		assert.Equal(t, p.ServiceTime, [schedule.NumRanks]time.Duration{25 * ms, 0, 10 * ms})
 		for _, took := range []time.Duration{5 * ms, 50 * ms} {
@@ -242,3 +242,24 @@
 		assert.NilError(t, <-done)
 	})
 }
+
+// Guards against a queue bounded by time where callers have no workspaces: 30 ms of queue
+// refused reads of 60 callers that a queue of 32 requests serves in time.
+func TestQueueOfRequestsWithoutWorkspaces(t *testing.T) {
+	var p Profile
+	p.Add(catalog.Route{Priority: 1, Objective: 100 * ms, Timeout: time.Second}, false)
+	assert.Equal(t, p.QueueTime, [schedule.NumRanks]time.Duration{})
+	synctest.Test(t, func(t *testing.T) {
+		u, m := newQueue(2), &countedMetrics{}
+		u.SetQueueMetrics(m)
+		u.SetProfile(p)
+		var wait sync.WaitGroup
+		for range 40 {
+			wait.Go(func() { _, _ = u.Acquire(Job{Rank: schedule.Middle}, false) }) // closed below
+		}
+		synctest.Wait()
+		assert.Equal(t, m.refused.Load(), int64(40-2-queueLimit))
+		u.Close()
+		wait.Wait()
+	})
+}
