Fill buckets faster and keep fewer permits in them

Cause: a workspace at 1.7 times its limit was issued exactly RatePerS, 593 a second, although the window allows 787 a second: the overrun, the slack and the burst lay unused in the capacity. An instance that restarted also waited joinDelay, although the others counted its entry already.

Change: the capacity is half of the greater of the burst and a second of the rate, plus the slack; the rest of A is the fill rate, both scaled by the fraction of the shares. An instance whose very first list names it lends without joinDelay, because it announces itself only after its first list.

Conclusion: the fill rate uses the window. The pause after a restart is still the one of a lease.

--- a/core/ratelimit/holder.go
+++ b/core/ratelimit/holder.go
@@ -84,7 +84,7 @@
 	random      *rand.Rand
 
 	candidates []source.Candidate
-	listedAt   time.Duration // since when a list names this instance
+	joinedAt   time.Duration // from when the others count this instance
 	listed     bool
 	standalone bool // there are no other instances
 	sizes      []listSize
@@ -201,8 +201,13 @@
 	h.sizes = append(h.sizes, listSize{n: len(all)})
 	h.candidates = all
 	listed := slices.ContainsFunc(all, func(c source.Candidate) bool { return c.Name == h.self })
-	if listed && !h.listed {
-		h.listedAt = now
+	switch {
+	case listed && len(h.sizes) == 1:
+		// An instance announces itself only after its first list, so this entry is of a
+		// former process, and the others count it already.
+		h.joinedAt = now
+	case listed && !h.listed:
+		h.joinedAt = now + joinDelay
 	}
 	h.listed = listed
 	h.arrange(now)
@@ -472,7 +477,7 @@
 	// A former process of this instance may have lent the share until it ended.
 	at = max(h.started+leaseTerm+clockMargin, h.formerEnd)
 	if !h.standalone {
-		at = max(at, h.listedAt+joinDelay)
+		at = max(at, h.joinedAt)
 	}
 	if l.lentTo != to {
 		at = max(at, l.lentUntil)
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -13,8 +13,8 @@
 //     under a lease. n is the greatest number of announced instances that it has seen for
 //     listMemory; an allocator counts the shares lent to it by the greatest n of its lenders.
 //   - An allocator with the fraction s of all shares fills the bucket of a limit of R and B
-//     at F(s) and keeps level plus unused permits within C(s) = s x A - Window x F(s). F(s)
-//     is R, and the level is at most B, both scaled by min(1, s x A / (Window x R + B)).
+//     at F(s) = s x F and keeps level plus unused permits within C(s) = s x C, where
+//     C = min(max(R x 1 s, B) / 2 + Slack, A) and Window x F + C = A.
 //   - A share counts only while its lease outlasts every permit that is issued now. A
 //     permit is therefore void before the share behind it can be lent to another allocator.
 //   - A bucket starts empty, and an allocator that restarts counts as another one.
@@ -33,7 +33,8 @@
 //     Holder.Admit, or the answer that admits it, reads the clock.
 //   - An instance that lends a share is in the list of instances of every other one that
 //     lends, or was in it less than listMemory ago. A joining instance waits joinDelay for
-//     the others to learn of it. If an instance with an older list is cut off for longer
+//     the others to learn of it; one that its very first list names need not, as that entry
+//     is of its former process. If an instance with an older list is cut off for longer
 //     than that while the number of instances grows by a factor g, or loses its row while
 //     it runs, its share exceeds its due by a factor of g, or is in excess.
 //   - During a change of a limit, the greater of the two limits applies until one window
@@ -96,26 +97,27 @@
 // bucketSize is the size of a bucket at an allocator.
 type bucketSize struct {
 	rate     float64 // permits per second
-	burst    float64 // bounds the level
+	burst    float64 // bounds the level alone
 	capacity float64 // bounds the level and the unused permits together
 }
 
 // sizeFor returns the size of a bucket at an allocator to which the given fraction of
-// all shares is lent: Window x rate + capacity is at most the fraction of Allowed.
+// all shares is lent: Window x rate + capacity is the fraction of Allowed. The capacity,
+// half of the burst or of a second of the rate and the slack, covers the permits that are
+// out and a short burst; the overrun and the rest of the burst go into the rate, since a
+// workspace that exceeds its limit does so for seconds and not for a moment.
 func (p Params) sizeFor(l Limit, fraction float64) (size bucketSize) {
-	burst := max(l.Burst, 1) // a permit is whole
-	share := fraction * p.Allowed(l)
-	window := p.Window.Seconds()
-	scale := min(1, share/(l.Rate*window+burst))
-	size.rate, size.burst = l.Rate*scale, burst*scale
-	if size.burst < 1 {
+	allowed := p.Allowed(l)
+	capacity := min(max(l.Burst, l.Rate)/2+p.Slack, allowed)
+	size.capacity = fraction * capacity
+	size.rate = fraction * (allowed - capacity) / p.Window.Seconds()
+	if size.capacity < 1 {
 		// Without room for a whole permit, nothing would ever be issued.
-		size.burst = min(1, share)
-		size.rate = min(size.rate, (share-size.burst)/window)
+		share := fraction * allowed
+		size.capacity = min(1, share)
+		size.rate = (share - size.capacity) / p.Window.Seconds()
 	}
-	// Permits on their way and in advance use what the overrun and the slack leave before
-	// they take from the burst.
-	size.capacity = max(share-size.rate*window, 0)
+	size.burst = size.capacity
 	return size
 }
 
