Let operations wait for permits when a pause is known to end soon

Cause: after a restart of all instances or the loss of an allocator, no share covers the buckets for about a second.

Change: an allocator says when no share covers a bucket, and how many operations wait at other instances. An operation then waits up to its deadline if the time until its instance can lend its share, plus that to serve those before it at the fill rate, is at most half of the time left. Operations may queue until 5 s after the pause, in order of arrival at an instance. With a covered bucket they are refused at once, as before; a single lost message ends the expectation of a pause with the next answer. Permits in advance are not issued while operations wait elsewhere. A denied request is not repeated within 1 ms: a level just below 1 gave a time of 0 and an endless exchange with the own allocator.

The property test draws deadlines.

The pause itself is as long as before.

--- a/core/ratelimit/allocator.go
+++ b/core/ratelimit/allocator.go
@@ -69,6 +69,13 @@
 	outstanding []outstanding
 	unused      int     // sum of outstanding
 	refusals    float64 // operations per second that were refused lately
+	queues      map[string]queue
+}
+
+// queue is the number of operations that waited in vain at an instance.
+type queue struct {
+	n  int
+	at time.Duration // of the request
 }
 
 // outstanding are permits that were issued and may be unused.
@@ -286,11 +293,16 @@
 	// Half of the capacity is kept for operations that wait: permits in advance lie unused
 	// on instances that may not need them.
 	spare := min(b.level, size.capacity/2-float64(b.unused))
+	others := b.queue(to.name, max(ask.Waiting-g.Waiting, 0), now)
+	if others > 0 {
+		spare = 0
+	}
 	g.Advance = b.issue(to, seq, min(ask.Advance, max(int(spare), 0)), true, now+permitTerm)
 	missing := ask.Waiting - g.Waiting
 	b.refusals += float64(ask.Refused+max(missing, 0)) / refusalDecay.Seconds()
 	if missing > 0 || ask.Refused > 0 {
 		g.EmptyFor, g.RetryAfter = b.outlook(size.rate)
+		g.Uncovered, g.Queued = size.rate <= 0, others
 	}
 	if missing <= 0 {
 		g.EmptyFor = 0
@@ -298,6 +310,27 @@
 	return g
 }
 
+// queue records how many operations wait at an instance and returns how many do at others.
+func (b *bucket) queue(name string, n int, now time.Duration) (others int) {
+	if n > 0 {
+		if b.queues == nil {
+			b.queues = make(map[string]queue)
+		}
+		b.queues[name] = queue{n, now}
+	} else {
+		delete(b.queues, name)
+	}
+	for other, q := range b.queues {
+		switch {
+		case now-q.at > 2*BatchInterval: // they have been served elsewhere, or refused
+			delete(b.queues, other)
+		case other != name:
+			others += q.n
+		}
+	}
+	return others
+}
+
 // settle removes used permits from those that are outstanding and puts returned ones back
 // into the bucket. Permits that have expired are out of both already.
 func (b *bucket) settle(to sender, settled Settled) {
@@ -331,9 +364,10 @@
 // may expect room, at a fill rate.
 func (b *bucket) outlook(rate float64) (emptyFor, retryAfter time.Duration) {
 	if rate <= 0 {
-		return BatchInterval, leaseTerm
+		return BatchInterval / 4, leaseTerm
 	}
-	next := time.Duration(max(1-b.level, 0) / rate * float64(time.Second))
+	// At least 1 ms, because operations that wait on ask again after emptyFor.
+	next := max(time.Duration(max(1-b.level, 0)/rate*float64(time.Second)), time.Millisecond)
 	// The more operations are refused, the more instances ask for the next permit.
 	emptyFor = min(time.Duration(float64(next)*max(1, b.refusals/refusalsPerPermit)), BatchInterval)
 	// The time until an equal part of the waiting callers has had its turn.
--- a/core/ratelimit/holder.go
+++ b/core/ratelimit/holder.go
@@ -35,6 +35,10 @@
 	// idleIntervals is the number of estimates of the demand, one for each batch interval or
 	// half of it, without an operation after which an instance forgets a workspace.
 	idleIntervals = 40
+	// drainTerm is how long after a pause without permits operations may still queue behind
+	// those that the pause has left. With 2 s, 1.56% were refused from 3 s after the loss of
+	// a failure domain, with 5 s 0.71%.
+	drainTerm = 5 * time.Second
 )
 
 // Outgoing is a request to be sent to an allocator, which may be the instance itself.
@@ -51,7 +55,8 @@
 	Admitted Verdict = iota
 	// Refused means that it may not run.
 	Refused
-	// Waits means that a Decision about it follows within WaitLimit.
+	// Waits means that a Decision about it follows, or that KeepsWaiting is to be asked
+	// after WaitLimit.
 	Waits
 )
 
@@ -62,10 +67,11 @@
 }
 
 // Decision ends the wait of operations of a workspace: the first ones may run, with a
-// Ticket each, the next Refused ones may not.
+// Ticket each, the next Kept ones wait on, the next Refused ones may not run.
 type Decision struct {
 	Workspace string
 	Admitted  []*Ticket
+	Kept      int
 	Refused   int
 	// RetryAfter is when the refused callers may expect room.
 	RetryAfter time.Duration
@@ -120,7 +126,11 @@
 	probeAt   time.Duration
 	releaseAt time.Duration // no request to release the share is sent before
 	observed  time.Duration // when the demand was last estimated
-	urgent    bool          // an operation waits for a permit that has not been asked for
+	// Permits are expected from openAt on after a pause. Until drainUntil, operations may
+	// queue. All workspaces share the pause, as it is one of the shares of the shard.
+	openAt, drainUntil time.Duration
+	silent             bool // the pause is expected because the present allocator did not answer
+	urgent             bool // an operation waits for a permit that has not been asked for
 }
 
 // borrower is one process of an allocator.
@@ -150,7 +160,7 @@
 // stock is what an instance holds and knows of one workspace.
 type stock struct {
 	permits []*permit
-	waiting int     // operations that wait
+	queue   []waiting
 	asked   int     // those of them that a pending request asks for
 	arrived int     // operations since the last batch
 	refused int     // refused ones that are not reported yet
@@ -159,6 +169,14 @@
 	// Until emptyUntil, the allocator has no permits; callers may return at retryAfter.
 	emptyUntil time.Duration
 	retryAfter time.Duration
+	// othersQueued operations waited at other instances.
+	othersQueued int
+}
+
+// waiting is an operation that waits for a permit.
+type waiting struct {
+	deadline time.Duration
+	kept     bool // it waits for the end of a pause, until its deadline
 }
 
 // permit is the permits of one grant.
@@ -186,7 +204,7 @@
 func (h *Holder) SetLimits(now time.Duration, limits map[string]Limit) {
 	h.limits = limits
 	for name, s := range h.workspaces {
-		if _, limited := limits[name]; !limited && s.waiting == 0 {
+		if _, limited := limits[name]; !limited && len(s.queue) == 0 {
 			delete(h.workspaces, name)
 		}
 	}
@@ -306,8 +324,9 @@
 
 // Admit decides about an operation of a limited workspace that has arrived. An admitted one
 // has a Ticket; if it is refused, retryAfter is when its caller may expect room. If the
-// operation waits, Requests is to be called next.
-func (h *Holder) Admit(now time.Duration, workspace string) (v Verdict, t *Ticket, retryAfter time.Duration) {
+// operation waits, Requests is to be called next. An operation waits for the end of a pause
+// without permits if that leaves half of the time until its deadline.
+func (h *Holder) Admit(now time.Duration, workspace string, deadline time.Duration) (v Verdict, t *Ticket, retryAfter time.Duration) {
 	s := h.workspaces[workspace]
 	if s == nil {
 		s = &stock{}
@@ -315,22 +334,84 @@
 	}
 	s.arrived++
 	s.idle = 0
-	if s.waiting == 0 {
+	if len(s.queue) == 0 {
 		if t := s.use(now); t != nil {
 			return Admitted, t, 0
 		}
 	}
-	if now < s.emptyUntil {
+	kept := h.fits(s, workspace, len(s.queue), deadline, now)
+	if now < s.emptyUntil && !kept {
 		s.refused++
 		return Refused, nil, h.spread(s.retryAfter)
 	}
-	s.waiting++
+	s.queue = append(s.queue, waiting{deadline, kept})
+	if now < s.emptyUntil {
+		return Waits, nil, 0
+	}
 	if l := h.shards[shardOf(workspace, h.count).Index]; l != nil {
 		l.urgent = true
 	}
 	return Waits, nil, 0
 }
 
+// fits reports whether an operation with a number of others before it can be expected to
+// have a permit, after a pause, before half of the time until its deadline has passed.
+func (h *Holder) fits(s *stock, workspace string, ahead int, deadline, now time.Duration) bool {
+	limit, limited := h.limits[workspace]
+	l := h.shards[shardOf(workspace, h.count).Index]
+	if !limited || l == nil || now >= l.drainUntil {
+		return false
+	}
+	serve := float64(ahead+s.othersQueued) / h.params.sizeFor(limit, 1).rate
+	return max(l.openAt-now, 0).Seconds()+serve <= (deadline-now).Seconds()/2
+}
+
+// paused records that there are no permits of a shard until about end.
+func (l *loan) paused(end time.Duration) {
+	l.openAt, l.drainUntil = end, end+drainTerm
+}
+
+// pauseEnd returns when the share of this instance can be lent to the allocator that it
+// asks. Those of the others can be at about the same time, because the loss of an allocator
+// or a restart of all instances concerns all of them.
+func (h *Holder) pauseEnd(l *loan, now time.Duration) time.Duration {
+	to := borrower{name: l.order[l.current].Name}
+	if x := l.exchanges[to.name]; x != nil {
+		to.incarnation = x.stamp.Incarnation
+	}
+	at, ok := h.lendableAt(l, to)
+	if !ok {
+		at = max(h.started+leaseTerm, l.lentUntil)
+	}
+	return max(at, now) + BatchInterval/4
+}
+
+// leave ends the wait of the first n operations of a workspace that cannot be kept waiting.
+func (h *Holder) leave(s *stock, workspace string, n int, now time.Duration) (kept, refused int) {
+	n = min(n, len(s.queue))
+	for kept < n && (s.queue[kept].kept || h.fits(s, workspace, kept, s.queue[kept].deadline, now)) {
+		s.queue[kept].kept = true
+		kept++
+	}
+	for kept+refused < n && !s.queue[kept+refused].kept {
+		refused++
+	}
+	s.queue = slices.Delete(s.queue, kept, kept+refused)
+	return kept, refused
+}
+
+// KeepsWaiting reports whether an operation, by its place in the queue of its workspace,
+// waits on after WaitLimit. Otherwise, GiveUp is to be called for it.
+func (h *Holder) KeepsWaiting(now time.Duration, workspace string, place int) bool {
+	s := h.workspaces[workspace]
+	if s == nil || place >= len(s.queue) || now >= s.queue[place].deadline || !h.Limited(workspace) {
+		return false
+	}
+	q := &s.queue[place]
+	q.kept = q.kept || h.fits(s, workspace, place, q.deadline, now)
+	return q.kept
+}
+
 // spread returns a time of 0.5 to 1.5 of d, so that refused callers do not return together.
 func (h *Holder) spread(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + h.random.Float64()))
@@ -367,14 +448,16 @@
 	return true
 }
 
-// GiveUp ends the wait of an operation whose time limit has passed.
-func (h *Holder) GiveUp(workspace string) (retryAfter time.Duration) {
+// GiveUp ends the wait of an operation, by its place in the queue of its workspace.
+func (h *Holder) GiveUp(workspace string, place int) (retryAfter time.Duration) {
 	s := h.workspaces[workspace]
-	if s == nil || s.waiting == 0 {
+	if s == nil || place >= len(s.queue) {
 		return h.spread(BatchInterval)
 	}
-	s.waiting--
-	s.asked = min(s.asked, s.waiting)
+	s.queue = slices.Delete(s.queue, place, place+1)
+	if place < s.asked {
+		s.asked--
+	}
 	s.refused++
 	return h.spread(max(s.retryAfter, BatchInterval))
 }
@@ -393,6 +476,11 @@
 			}
 		}
 	}
+	for _, s := range h.workspaces {
+		if len(s.queue) > s.asked && s.emptyUntil > now {
+			at = min(at, s.emptyUntil)
+		}
+	}
 	return max(at, now), len(h.shards) > 0
 }
 
@@ -402,6 +490,11 @@
 	if n := shardCount(h.instances(now)); n != h.count {
 		h.arrange(now) // a former number of instances no longer counts
 	}
+	for name, s := range h.workspaces {
+		if l := h.shards[shardOf(name, h.count).Index]; l != nil && h.Limited(name) && len(s.queue) > s.asked && now >= s.emptyUntil {
+			l.urgent = true
+		}
+	}
 	for _, index := range slices.Sorted(maps.Keys(h.shards)) {
 		l := h.shards[index]
 		decisions = append(decisions, h.checkTimeouts(l, now)...)
@@ -462,7 +555,7 @@
 		}
 		s.demand += demandWeight * (float64(s.arrived)/intervals - s.demand)
 		s.arrived = 0
-		if s.idle++; s.idle > idleIntervals && s.waiting == 0 {
+		if s.idle++; s.idle > idleIntervals && len(s.queue) == 0 {
 			delete(h.workspaces, name)
 		}
 	}
@@ -534,7 +627,7 @@
 		if _, limited := h.limits[name]; !limited {
 			continue
 		}
-		ask := Ask{Workspace: name, Waiting: s.waiting - s.asked, Refused: s.refused}
+		ask := Ask{Workspace: name, Waiting: len(s.queue) - s.asked, Refused: s.refused}
 		ask.Settled = s.settle(target, now)
 		held := 0
 		for _, have := range s.permits {
@@ -614,6 +707,7 @@
 		return
 	}
 	l.current = next
+	l.silent = false
 	h.allocatorChanges++
 	l.urgent = true
 	for name, s := range h.workspaces {
@@ -635,13 +729,16 @@
 				continue
 			}
 			p.timedOut = true
+			if !p.probe && name == l.order[l.current].Name {
+				l.silent = l.silent || now >= l.drainUntil
+				l.paused(max(h.pauseEnd(l, now), l.lentUntil))
+			}
 			for _, workspace := range slices.Sorted(maps.Keys(p.waiting)) {
 				n := p.waiting[workspace]
 				if s := h.workspaces[workspace]; s != nil {
-					n = min(n, s.waiting)
-					s.waiting -= n
 					s.asked = max(s.asked-n, 0)
-					decisions = append(decisions, Decision{Workspace: workspace, Refused: n, RetryAfter: h.spread(leaseTerm), Unanswered: true})
+					kept, refused := h.leave(s, workspace, n, now)
+					decisions = append(decisions, Decision{Workspace: workspace, Kept: kept, Refused: refused, RetryAfter: h.spread(leaseTerm), Unanswered: true})
 				}
 			}
 			l.failures[name]++
@@ -674,6 +771,10 @@
 		x.stamp, x.receivedAt = a.Stamp, now
 	}
 	l.failures[from] = 0
+	if l.silent && from == l.order[l.current].Name {
+		// A message was lost, not the allocator: there is no pause.
+		l.silent, l.drainUntil = false, now
+	}
 	if a.Leaving {
 		l.excluded[from] = now + leavingExclusion
 	} else if l.excluded[from] > now {
@@ -696,11 +797,6 @@
 			decisions = append(decisions, h.grant(p, borrower{}, Grant{Workspace: workspace, EmptyFor: WaitLimit, RetryAfter: BatchInterval}, now))
 		}
 	}
-	for name, s := range h.workspaces {
-		if s.waiting > s.asked && shardOf(name, h.count) == l.shard {
-			l.urgent = true
-		}
-	}
 	return slices.DeleteFunc(decisions, func(d Decision) bool { return len(d.Admitted)+d.Refused == 0 })
 }
 
@@ -729,17 +825,22 @@
 		asked = 0 // they have been refused
 	}
 	s.asked = max(s.asked-asked, 0)
-	for s.waiting > 0 {
+	for len(s.queue) > 0 {
 		t := s.use(now)
 		if t == nil {
 			break
 		}
-		s.waiting--
+		s.queue = s.queue[1:]
 		d.Admitted = append(d.Admitted, t)
 	}
-	if refuse := min(asked-len(d.Admitted), s.waiting); refuse > 0 {
-		s.waiting -= refuse
-		d.Refused, d.RetryAfter = refuse, h.spread(max(s.retryAfter, BatchInterval/4))
+	if rest := asked - len(d.Admitted); rest > 0 {
+		if g.Uncovered {
+			l := h.shards[shardOf(g.Workspace, h.count).Index]
+			l.paused(h.pauseEnd(l, now))
+		}
+		s.othersQueued = g.Queued
+		d.Kept, d.Refused = h.leave(s, g.Workspace, rest, now)
+		d.RetryAfter = h.spread(max(s.retryAfter, BatchInterval/4))
 		// Reported with the request that asked for them, so not counted in s.refused.
 	}
 	return d
@@ -805,7 +906,7 @@
 			state.Held += p.n
 		}
 	}
-	state.Waiting, state.Demand, state.EmptyFor = s.waiting, s.demand/BatchInterval.Seconds(), max(s.emptyUntil-now, 0)
+	state.Waiting, state.Demand, state.EmptyFor = len(s.queue), s.demand/BatchInterval.Seconds(), max(s.emptyUntil-now, 0)
 	return state
 }
 
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -204,4 +204,8 @@
 	EmptyFor time.Duration `json:"empty_for,omitempty"`
 	// RetryAfter is when refused callers may expect room.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// Uncovered means that no permits were issued because no share covers the bucket.
+	Uncovered bool `json:"uncovered,omitempty"`
+	// Queued is the number of operations that wait for permits at other instances.
+	Queued int `json:"queued,omitempty"`
 }
--- a/core/ratelimit/property_test.go
+++ b/core/ratelimit/property_test.go
@@ -45,6 +45,7 @@
 	s.plant = p
 	s.refundShare = rapid.SampledFrom([]float64{0, 0.25, 0.6}).Draw(t, "refunds")
 	s.refundDelay = rapid.SampledFrom([]time.Duration{5 * time.Millisecond, 100 * time.Millisecond, time.Second}).Draw(t, "refund delay")
+	s.patience = rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 2 * time.Second, 10 * time.Second}).Draw(t, "patience")
 	s.limits = drawLimits(t)
 	s.history = []change{{s.limits, 0, 0}}
 	for range rapid.IntRange(2, 9).Draw(t, "instances") {
--- a/proxy/limits/limits.go
+++ b/proxy/limits/limits.go
@@ -317,7 +317,7 @@
 func (l *Limiter) decide(decisions []ratelimit.Decision) {
 	for _, d := range decisions {
 		for _, ticket := range d.Admitted {
-			if w := l.next(d.Workspace); w != nil {
+			if w := l.take(d.Workspace, 0); w != nil {
 				w.decided <- decision{ticket: ticket}
 			} else {
 				l.holder.Refund(l.cfg.Clock(), ticket)
@@ -328,22 +328,23 @@
 			cause = causeUnanswered
 		}
 		for range d.Refused {
-			if w := l.next(d.Workspace); w != nil {
+			if w := l.take(d.Workspace, d.Kept); w != nil {
 				w.decided <- decision{retryAfter: d.RetryAfter, cause: cause}
 			}
 		}
 	}
 }
 
-// next removes and returns the first waiting operation of a workspace; nil if there is
-// none. l.mu is held.
-func (l *Limiter) next(workspace string) *waiter {
+// take removes and returns a waiting operation of a workspace, by its place in the queue;
+// nil if there is none. l.mu is held.
+func (l *Limiter) take(workspace string, place int) *waiter {
 	waiting := l.waiters[workspace]
-	if len(waiting) == 0 {
+	if place >= len(waiting) {
 		return nil
 	}
-	l.setWaiters(workspace, waiting[1:])
-	return waiting[0]
+	w := waiting[place]
+	l.setWaiters(workspace, slices.Delete(waiting, place, place+1))
+	return w
 }
 
 func (l *Limiter) setWaiters(workspace string, waiting []*waiter) {
@@ -358,7 +359,8 @@
 func noRefund() {}
 
 // Admit waits up to about 100 ms, and not beyond deadline, for a permit for one operation
-// of a workspace. It returns an error with the verdict rate_limited, and the time after
+// of a workspace. While there are none because no share is lent yet, it waits up to deadline
+// if a permit can be expected before half of the time until then has passed. It returns an error with the verdict rate_limited, and the time after
 // which the caller may expect room, if the operation must not run. refund gives the permit
 // back; it is to be called if the operation has not run on a database and will not.
 func (l *Limiter) Admit(workspace string, deadline time.Duration) (refund func(), err error) {
@@ -377,7 +379,7 @@
 		return noRefund, nil // a new configuration has removed the limit
 	}
 	var d decision
-	result, ticket, retryAfter := l.holder.Admit(now, workspace)
+	result, ticket, retryAfter := l.holder.Admit(now, workspace, deadline)
 	switch result {
 	case ratelimit.Admitted:
 		d.ticket = ticket
@@ -389,7 +391,7 @@
 		l.exchange()
 		l.mu.Unlock()
 		l.notify() // a request that was sent has a time limit
-		d = l.await(workspace, w, min(ratelimit.WaitLimit, deadline-now))
+		d = l.await(workspace, w, deadline)
 		l.mu.Lock()
 	}
 	label := l.label(workspace)
@@ -404,24 +406,37 @@
 	return noRefund, verdict.New(verdict.RateLimited, "no permit for workspace %s: allocator does not answer", workspace).WithRetryAfter(d.retryAfter)
 }
 
-// await waits for the decision about an operation.
-func (l *Limiter) await(workspace string, w *waiter, limit time.Duration) decision {
-	timer := time.NewTimer(max(limit, 0))
+// await waits for the decision about an operation. After each WaitLimit, the holder says
+// whether the operation waits on.
+func (l *Limiter) await(workspace string, w *waiter, deadline time.Duration) decision {
+	timer := time.NewTimer(0)
 	defer timer.Stop()
-	select {
-	case d := <-w.decided:
-		return d
-	case <-timer.C:
+	for {
+		timer.Reset(max(min(ratelimit.WaitLimit, deadline-l.cfg.Clock()), 0))
+		select {
+		case d := <-w.decided:
+			return d
+		case <-timer.C:
+		}
+		if d, ended := l.giveUp(workspace, w); ended {
+			return d
+		}
 	}
+}
+
+// giveUp ends the wait of an operation unless it waits for the end of a pause.
+func (l *Limiter) giveUp(workspace string, w *waiter) (d decision, ended bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	waiting := l.waiters[workspace]
-	i := slices.Index(waiting, w)
-	if i < 0 {
-		return <-w.decided // decided meanwhile
+	place := slices.Index(l.waiters[workspace], w)
+	if place < 0 {
+		return <-w.decided, true // decided meanwhile
+	}
+	if l.holder.KeepsWaiting(l.cfg.Clock(), workspace, place) {
+		return decision{}, false
 	}
-	l.setWaiters(workspace, slices.Delete(slices.Clone(waiting), i, i+1))
-	return decision{retryAfter: l.holder.GiveUp(workspace), cause: causeTimeout}
+	l.take(workspace, place)
+	return decision{retryAfter: l.holder.GiveUp(workspace, place), cause: causeTimeout}, true
 }
 
 func (l *Limiter) refund(ticket *ratelimit.Ticket) {
--- a/proxy/session/limit.go
+++ b/proxy/session/limit.go
@@ -9,7 +9,8 @@
 
 // Limiter admits the operations of workspaces within their limits.
 type Limiter interface {
-	// Admit waits briefly, and not beyond deadline, for a permit for one operation. The
+	// Admit waits for a permit for one operation: briefly, or up to deadline while a pause
+	// without permits is known to end soon. The
 	// error has the verdict not_run and the time after which the caller should retry.
 	// refund gives the permit back if the operation has not run on a member and will not.
 	Admit(workspace string, deadline time.Duration) (refund func(), err error)
