--- a/proxy/limits/limits_test.go
+++ b/proxy/limits/limits_test.go
@@ -213,3 +213,18 @@
 		f.check()
 	})
 }
+
+// Guards against refusals after a start of all instances, when no share is lent yet:
+// operations wait if their deadline allows it, and are refused at once otherwise.
+func TestOperationsWaitAfterAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, limited(), "a", "b", "c")
+		started := f.sim.Clock()
+		_, err := f.limiters["a"].Admit("w", started+time.Second)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+		assert.Assert(t, f.sim.Clock()-started < 2*ratelimit.WaitLimit, "refused after %s", f.sim.Clock()-started)
+		_, err = f.limiters["a"].Admit("w", started+4*time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, f.sim.Clock()-started < 2*time.Second, "admitted after %s", f.sim.Clock()-started)
+	})
+}
