Shorten the pauses of limits and let operations wait longer

Change: leases 0.6 s, permits 0.32 s, batches every 150 ms; an operation waits for up to three quarters of its time.

--- a/core/ratelimit/holder.go
+++ b/core/ratelimit/holder.go
@@ -35,6 +35,9 @@
 	// idleIntervals is the number of estimates of the demand, one for each batch interval or
 	// half of it, without an operation after which an instance forgets a workspace.
 	idleIntervals = 40
+	// waitFraction is the part of the time until its deadline that an operation waits for a
+	// permit at the most; the rest is left for its execution.
+	waitFraction = 0.75
 	// drainTerm is how long after a pause without permits operations may still queue behind
 	// those that the pause has left. With 2 s, 1.56% were refused from 3 s after the loss of
 	// a failure domain, with 5 s 0.71%.
@@ -325,7 +328,7 @@
 // Admit decides about an operation of a limited workspace that has arrived. An admitted one
 // has a Ticket; if it is refused, retryAfter is when its caller may expect room. If the
 // operation waits, Requests is to be called next. An operation waits for the end of a pause
-// without permits if that leaves half of the time until its deadline.
+// without permits if that leaves a quarter of the time until its deadline.
 func (h *Holder) Admit(now time.Duration, workspace string, deadline time.Duration) (v Verdict, t *Ticket, retryAfter time.Duration) {
 	s := h.workspaces[workspace]
 	if s == nil {
@@ -355,7 +358,7 @@
 }
 
 // fits reports whether an operation with a number of others before it can be expected to
-// have a permit, after a pause, before half of the time until its deadline has passed.
+// have a permit, after a pause, within waitFraction of the time until its deadline.
 func (h *Holder) fits(s *stock, workspace string, ahead int, deadline, now time.Duration) bool {
 	limit, limited := h.limits[workspace]
 	l := h.shards[shardOf(workspace, h.count).Index]
@@ -363,7 +366,7 @@
 		return false
 	}
 	serve := float64(ahead+s.othersQueued) / h.params.sizeFor(limit, 1).rate
-	return max(l.openAt-now, 0).Seconds()+serve <= (deadline-now).Seconds()/2
+	return max(l.openAt-now, 0).Seconds()+serve <= waitFraction*(deadline-now).Seconds()
 }
 
 // paused records that there are no permits of a shard until about end.
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -50,17 +50,17 @@
 const (
 	// leaseTerm is the time from the sending of a request until the share that it lends is
 	// free again. It is also the time without new permits after the loss of an allocator.
-	leaseTerm = time.Second
+	leaseTerm = 600 * time.Millisecond
 	// permitTerm is how long a permit is valid: two batch intervals, so that it can be
 	// given back with the second batch, and less than leaseTerm by more than one batch
 	// interval, so that the shares of all instances are behind it at all times.
-	permitTerm = 600 * time.Millisecond
+	permitTerm = 320 * time.Millisecond
 	// WaitLimit is how long an operation waits for a permit, and how long a permit for a
 	// waiting operation is valid. It is short because such permits count as unused until
 	// they expire.
 	WaitLimit = 100 * time.Millisecond
 	// BatchInterval is the time between the regular requests to an allocator.
-	BatchInterval = 250 * time.Millisecond
+	BatchInterval = 150 * time.Millisecond
 	// clockMargin is the allowance for clocks that differ in rate: 1% of leaseTerm. It
 	// ends permits earlier, and leases later, at the instance than at the allocator.
 	clockMargin = 10 * time.Millisecond
--- a/proxy/limits/limits.go
+++ b/proxy/limits/limits.go
@@ -361,7 +361,7 @@
 
 // Admit waits up to about 100 ms, and not beyond deadline, for a permit for one operation
 // of a workspace. While there are none because no share is lent yet, it waits up to deadline
-// if a permit can be expected before half of the time until then has passed. It returns an error with the verdict rate_limited, and the time after
+// if a permit can be expected in three quarters of the time until then. It returns an error with the verdict rate_limited, and the time after
 // which the caller may expect room, if the operation must not run. refund gives the permit
 // back; it is to be called if the operation has not run on a database and will not.
 func (l *Limiter) Admit(workspace string, deadline time.Duration) (refund func(), err error) {
