Write a record again that cannot be read

What callers saw (by reading): a record of another writer left its group without read leases, and each claim for it failed, until somebody removed the row.

Cause: a record that could not be decoded was left out of the reading together with its version, on which every conditional write depends. Claims from the future, which never expire, and terms without a successor were accepted.

Fix: such a record is one of no era (primacy.Unreadable): no evidence of a primary, so that the members confirm it and an instance writes the record again. Record.Check says what no instance can have written.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -34,13 +34,19 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/storeversion"
 )
 
+// Class groups the errors of this package.
+var Class = errs.Class("primacy")
+
 const (
 	// ReadLease is how long one read of the record proves the primary. It is no
 	// longer than a promotion takes (1 s in the site files), so that waiting
@@ -108,6 +114,42 @@
 	Version storeversion.Version `json:"version,omitempty"`
 }
 
+// Unreadable returns the record to use in place of a stored one of this version that
+// cannot be read. Like one of another era, it is no evidence of the primary, and an instance
+// writes it again once the members have confirmed the primary.
+func Unreadable(v storeversion.Version) Record { return Record{Era: noEra, Version: v} }
+
+const (
+	// noEra is the era of a record that was proven in none.
+	noEra = math.MaxUint64
+	// maxTerm is the greatest integer up to which a number of any JSON encoder is exact.
+	maxTerm = 1 << 53
+	// maxClockLead is how far the times of a claim may be ahead of the store's time. They
+	// are lower bounds of it, but for PromoteAfter.
+	maxClockLead = 10 * time.Second
+)
+
+// Check returns an error if no instance can have written the record by the store's time
+// now. A claim from the future would never expire.
+func (r Record) Check(now time.Duration) error {
+	if r.Primary.Term > maxTerm {
+		return Class.New("primary of term %d", r.Primary.Term)
+	}
+	c := r.Claim
+	if c == nil {
+		return nil
+	}
+	if c.OldPrimary.Term > maxTerm {
+		return Class.New("claim against a primary of term %d", c.OldPrimary.Term)
+	}
+	for _, at := range []time.Duration{c.FirstClaimedAt, c.RenewedAt, c.PromoteAfter} {
+		if at < 0 || at > now+maxClockLead {
+			return Class.New("claim of %s at %s", at, now)
+		}
+	}
+	return nil
+}
+
 // Confirmed reports whether Primary was proven in the store's present era. A missing
 // record is confirmed only if the store was never restored.
 func (r Record) Confirmed() bool { return r.Era == r.Version.Era() }
--- a/proxy/node/restore_test.go
+++ b/proxy/node/restore_test.go
@@ -249,3 +249,19 @@
 		c.closeSimulated()
 	})
 }
+
+// Guards against a group that a record of another writer stops for good: the members must
+// confirm the primary, the record is written again, and the primary can be replaced.
+func TestUnreadableRecordIsWrittenAgain(t *testing.T) {
+	underLoad(t, 12, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+		time.Sleep(time.Second)
+		c.sim.DamageRecord()
+		time.Sleep(4 * time.Second)
+		for name, n := range c.nodes {
+			assert.Assert(t, !n.State().Groups[simulator.Service].RecordOutdated, name)
+		}
+		c.sim.Crash("a", false)
+		gap := c.writeGap("i1", 8*time.Second)
+		assert.Assert(t, gap < 3*time.Second, "gap %s, the target is 3 s", gap)
+	})
+}
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -87,6 +87,14 @@
 	c.store.config = c.store.copy.config
 }
 
+// DamageRecord replaces the record of the group by one that cannot be read, as another
+// writer could.
+func (c *Cluster) DamageRecord() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.rows[Service] = primacy.Unreadable(c.store.nextVersion())
+}
+
 // ForgetInstances removes all announcements of instances.
 func (c *Cluster) ForgetInstances() {
 	c.mu.Lock()
