Check what names a member, wherever a registration is read

Such a member never answers, and a change of primary counts it and waits for it. A key with a line end in it changed the STARTUP message.

Cause: the decoder checked the form of an entry, and only where the store is read.

Fix: catalog.Member.Check and source.Candidate.Check, for rows of the store and for those that another instance passes on, which may be of an earlier release. A registration needs each field that the protocol names.

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -16,14 +16,21 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
 
 	"github.com/papayarail/papayarail/core/backoff"
 )
 
+// Class groups the errors of this package.
+var Class = errs.Class("source")
+
 const (
 	// Fanout is the number of instances of its failure domain that an instance serves.
 	// For 360 instances per domain, two levels below the first instance are enough; 24
@@ -89,6 +96,23 @@
 	Weight float64 `json:"weight"`
 }
 
+// maxWeight bounds the weight of a candidate: sums of weights stay finite with it.
+const maxWeight = 1e12
+
+// Check returns an error if the candidate cannot be an instance that announced itself.
+func (c Candidate) Check() error {
+	address, err := netip.ParseAddrPort(c.Address)
+	switch {
+	case c.Name == "" || strings.ContainsFunc(c.Name, unicode.IsControl):
+		return Class.New("%q is not the name of an instance", c.Name)
+	case c.Address == "" || err == nil && (address.Port() == 0 || address.Addr().IsUnspecified()):
+		return Class.New("address %q names no host and port", c.Address)
+	case !(c.Weight >= 0 && c.Weight <= maxWeight):
+		return Class.New("weight %g", c.Weight)
+	}
+	return nil
+}
+
 // Failure is the reason why a candidate served no snapshot.
 type Failure uint8
 
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -250,9 +250,11 @@
 		return c
 	}
 	if d := a.Delta.Instances; d != nil {
+		leaveOut(d, func(name string, i source.Candidate) bool { return i.Check() != nil || i.Name != name })
 		c.InstancesChanged = cache.instances.ApplyDelta(*d)
 	}
 	if d := a.Delta.Members; d != nil {
+		leaveOut(d, func(id string, m catalog.Member) bool { return m.Check() != nil || m.ID != id })
 		c.MembersChanged = cache.members.ApplyDelta(*d)
 	}
 	if a.Delta.MembersAsOf > cache.membersAsOf {
@@ -279,6 +281,17 @@
 	return c
 }
 
+// leaveOut removes invalid rows from a delta, so that they are neither used nor passed on.
+// An instance of an earlier release does not check what it has read.
+func leaveOut[T any](d *mirror.Delta[T], invalid func(key string, row T) bool) {
+	for key, row := range d.Set {
+		if invalid(key, row) {
+			delete(d.Set, key)
+			d.Removed = append(d.Removed, key)
+		}
+	}
+}
+
 // ApplyConfig applies a change of the configuration that FetchConfig returned.
 func (cache *Cache) ApplyConfig(d *ConfigDelta) Changes {
 	cache.mu.Lock()
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,6 +175,7 @@
 		if err := peer.Decode(params, &req); err != nil {
 			return nil, err
 		}
+		req.Announce = slices.DeleteFunc(req.Announce, func(i source.Candidate) bool { return i.Check() != nil })
 		if len(req.Announce) > 0 {
 			src.Announce(req.Announce)
 		}
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -102,6 +102,30 @@
 	return c
 }
 
+// Guards against an invalid row that an instance of an earlier release has read and that
+// is used here or passed on. A row that was valid before is gone then.
+func TestInvalidRowsAreNotPassedOn(t *testing.T) {
+	src := newSource()
+	f := newFollower(t, serve(t, src))
+	valid := catalog.Member{ID: "a", Service: "s", FailureDomain: "z", Address: "10.1.0.9:80", Slots: 2}
+	now := boottime.Now()
+	src.cache.SetMembers(catalog.Snapshot[catalog.Member]{Rows: catalog.Members{"a": valid, "b": {ID: "b", Service: "s", Slots: -5}}, Version: 11, StoreNow: now + time.Hour}, now, now)
+	src.cache.SetInstances(catalog.Snapshot[source.Candidate]{Rows: map[string]source.Candidate{"i": {Name: "i", Address: "10.1.0.9:80"}, "k": {Name: "k", Address: "10.1.0.9:0"}}, Version: 11})
+	src.read(12, record(12))
+	f.poll()
+	members, _ := f.cache.Members()
+	assert.DeepEqual(t, members, catalog.Members{"a": valid})
+	assert.DeepEqual(t, f.cache.Instances(), []source.Candidate{{Name: "i", Address: "10.1.0.9:80"}})
+
+	valid.Slots = 0
+	now = boottime.Now()
+	src.cache.SetMembers(catalog.Snapshot[catalog.Member]{Rows: catalog.Members{"a": valid}, Version: 13, StoreNow: now + time.Hour}, now, now)
+	src.read(14, record(12))
+	f.poll()
+	members, _ = f.cache.Members()
+	assert.Equal(t, len(members), 0)
+}
+
 // Guards the content of answers: everything at first, then only what has changed; the
 // version of a record, on which conditional writes depend, must be kept.
 func TestPoll(t *testing.T) {
@@ -109,7 +133,7 @@
 	f := newFollower(t, serve(t, src))
 	src.cache.SetConfig(config(7, 3))
 	now := boottime.Now()
-	src.cache.SetMembers(catalog.Snapshot[catalog.Member]{Rows: catalog.Members{"a": {ID: "a", Service: "s", Primary: true}}, Version: 11, StoreNow: now + time.Hour}, now, now)
+	src.cache.SetMembers(catalog.Snapshot[catalog.Member]{Rows: catalog.Members{"a": {ID: "a", Service: "s", FailureDomain: "z", Address: "10.1.0.9:80", Slots: 2, Primary: true}}, Version: 11, StoreNow: now + time.Hour}, now, now)
 	src.read(12, record(12))
 	_, changes := f.poll()
 	assert.Equal(t, changes, relay.Changes{RecordsRead: true, MembersRead: true, MembersChanged: true, ConfigChanged: true})
@@ -327,7 +351,7 @@
 	cache := relay.NewCache(func() time.Duration { return time.Hour })
 	read := func(version storeversion.Version, coldFor time.Duration) relay.Changes {
 		at := time.Duration(version) * time.Second
-		m := catalog.Member{ID: "m", Service: "s", Started: 7, ColdFor: coldFor}
+		m := catalog.Member{ID: "m", Service: "s", FailureDomain: "z", Address: "10.1.0.9:80", Slots: 2, Started: 7, ColdFor: coldFor}
 		return cache.SetMembers(catalog.Snapshot[catalog.Member]{Rows: catalog.Members{"m": m}, Version: version, StoreNow: at}, at, at)
 	}
 	assert.Assert(t, read(1, 3*time.Second).MembersChanged)
