Wait for the leases before an own claim after a restore

By reading: a holder that takes over the claim of an earlier era of the store has not seen when that claim was first stored in this era, so leases are counted from its own. Times of a claim may be a little before the start of the store, as they are lower bounds.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -124,9 +124,9 @@
 	noEra = math.MaxUint64
 	// maxTerm is the greatest integer up to which a number of any JSON encoder is exact.
 	maxTerm = 1 << 53
-	// maxClockLead is how far the times of a claim may be ahead of the store's time. They
-	// are lower bounds of it, but for PromoteAfter.
-	maxClockLead = 10 * time.Second
+	// maxClockError bounds the difference between the times of a claim, which are estimates
+	// of the store's time, and the range from the start of the store to its present time.
+	maxClockError = 10 * time.Second
 )
 
 // Check returns an error if no instance can have written the record by the store's time
@@ -143,7 +143,7 @@
 		return Class.New("claim against a primary of term %d", c.OldPrimary.Term)
 	}
 	for _, at := range []time.Duration{c.FirstClaimedAt, c.RenewedAt, c.PromoteAfter} {
-		if at < 0 || at > now+maxClockLead {
+		if at < -maxClockError || at > now+maxClockError {
 			return Class.New("claim of %s at %s", at, now)
 		}
 	}
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -14,8 +14,8 @@
 	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
-// containmentInterval separates the rounds of status queries for acknowledgements that
-// wait for evidence: a replica receives a commit some 10 ms after the first one.
+// containmentInterval separates two rounds of status queries for acknowledgements that wait
+// for evidence.
 const containmentInterval = 10 * time.Millisecond
 
 // AcknowledgementMetrics counts the acknowledgements of commits that arrived while the
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -137,8 +137,9 @@
 		f.earlierPromotionUntil = f.startedAt + g.untilPromotionSettled(*record.Claim)
 	}
 	if record.Claim != nil && record.Claim.OldPrimary == oldPrimary {
-		f.firstClaimStoredAt, f.promoteAfter = f.startedAt, record.Claim.PromoteAfter
+		f.promoteAfter = record.Claim.PromoteAfter
 		if !claimEnded {
+			f.firstClaimStoredAt = f.startedAt
 			f.announced, f.announcedAt = record.Claim.Candidate, f.startedAt
 		}
 	}
