Log and count promoted members that lack an acknowledged commit

Callers lost acknowledged commits without a trace in the logs: nothing compared the log of a promoted member with what had been acknowledged before, and the steps of a change did not show how old the holder's list of members was.

The record now has the position with which its primary was promoted. An instance that reads it and has acknowledged a commit beyond it logs acknowledged_commit_missing and counts papayarail_promotions_lacking_commits_total. change_step has the age of the list (members_age_ms) and the highest position that the holder had passed on. No decision changes.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -105,7 +105,10 @@
 	// Primary is the primary after the last completed change; zero before the first
 	// change.
 	Primary Primary `json:"lead"`
-	Claim   *Claim  `json:"claim,omitempty"`
+	// PromotedAt is the last position of Primary's log when it was promoted; zero if it is
+	// not known.
+	PromotedAt position.Position `json:"promoted_at,omitzero"`
+	Claim      *Claim            `json:"claim,omitempty"`
 	// Era is the era of the store in which Primary was last proven to be the primary: by
 	// a completed change or by the members. A claim keeps it.
 	Era uint64 `json:"era,omitempty"`
@@ -135,6 +138,9 @@
 	if r.Primary.Term > maxTerm {
 		return Class.New("primary of term %d", r.Primary.Term)
 	}
+	if r.PromotedAt.Term > maxTerm || r.PromotedAt.Offset > maxTerm {
+		return Class.New("primary promoted at %s", r.PromotedAt)
+	}
 	c := r.Claim
 	if c == nil {
 		return nil
@@ -150,6 +156,22 @@
 	return nil
 }
 
+// WithPrimary returns the record of a primary without a claim, proven in the present era of
+// the store.
+func (r Record) WithPrimary(p Primary) Record {
+	if p != r.Primary {
+		r.Primary, r.PromotedAt = p, position.Position{}
+	}
+	r.Claim, r.Era = nil, r.Version.Era()
+	return r
+}
+
+// Lacks reports whether the log with which Primary was promoted is known to lack the commit
+// of an earlier term at p.
+func (r Record) Lacks(p position.Position) bool {
+	return !r.PromotedAt.IsZero() && p.Term < r.Primary.Term && !r.PromotedAt.AtLeast(p)
+}
+
 // Confirmed reports whether Primary was proven in the store's present era. A missing
 // record is confirmed only if the store was never restored.
 func (r Record) Confirmed() bool { return r.Era == r.Version.Era() }
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -172,3 +172,16 @@
 		}
 	}
 }
+
+// Guards against a promotion that loses acknowledged commits and leaves no trace.
+func TestRecordShowsMissingCommits(t *testing.T) {
+	acked := position.Position{Term: 1, Offset: 63}
+	r := primacy.Record{Primary: primacy.Primary{Member: "b", Term: 2}}
+	assert.Assert(t, !r.Lacks(acked), "the position of the promotion is not known")
+	r.PromotedAt = position.Position{Term: 1, Offset: 61}
+	assert.Assert(t, r.Lacks(acked))
+	assert.Assert(t, !r.Lacks(position.Position{Term: 1, Offset: 61}))
+	assert.Assert(t, !r.Lacks(position.Position{Term: 2, Offset: 64}), "a commit of the new primary")
+	assert.Equal(t, r.WithPrimary(r.Primary).PromotedAt, r.PromotedAt)
+	assert.Assert(t, r.WithPrimary(primacy.Primary{Member: "c", Term: 3}).PromotedAt.IsZero())
+}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -126,14 +126,17 @@
 	Action  Action
 	Targets []string
 	Term    uint64
-	Reason  string
+	// Log is the last position of the new primary's log as it was in this round, if the
+	// action is Done.
+	Log    position.Position
+	Reason string
 }
 
 // Decide returns the next step.
 func Decide(in Input) Step {
 	r := newRound(in)
 	if primary := r.promoted(); primary != nil {
-		return Step{Action: Done, Targets: []string{primary.ID}, Term: primary.Status.Term, Reason: "a member is the primary of a later term"}
+		return Step{Action: Done, Targets: []string{primary.ID}, Term: primary.Status.Term, Log: primary.Status.Received, Reason: "a member is the primary of a later term"}
 	}
 	switch {
 	case r.old == nil || r.old.Status == nil || r.old.LogLost:
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -18,12 +18,14 @@
 // for evidence.
 const containmentInterval = 10 * time.Millisecond
 
-// AcknowledgementMetrics counts the acknowledgements of commits that arrived while the
-// primary was being replaced.
+// AcknowledgementMetrics counts the acknowledgements of commits around changes of primary.
 type AcknowledgementMetrics interface {
-	// CountGuardedCommit counts one by its result: "contained", "released" if the primary
+	// CountGuardedCommit counts one that arrived while the primary was being replaced, by its result: "contained", "released" if the primary
 	// stays, or "unproven" if its caller was told that the outcome is unknown.
 	CountGuardedCommit(result string)
+	// CountMissingCommits counts a promoted member whose log lacks a commit that this
+	// instance has acknowledged to a caller.
+	CountMissingCommits()
 }
 
 // containmentRounds coalesces the status queries of concurrent acknowledgements.
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/storetime"
 	"github.com/papayarail/papayarail/core/storeversion"
@@ -86,6 +87,8 @@
 	promotedAt         time.Duration // when the last accepted promotion was sent; 0 if none
 	candidate          string        // member that it promotes
 	unconfirmed        bool          // the record before the claim was of an earlier era of the store
+	// membersReadAt is when the list of members was read that the last round was sent to.
+	membersReadAt time.Duration
 	// announced is the candidate that the claim names; promoteAfter is
 	// primacy.Claim.PromoteAfter.
 	announced    string
@@ -248,6 +251,7 @@
 		if f.superseded() {
 			return
 		}
+		f.membersReadAt = f.g.membersReadAt()
 		members := f.g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
 		in := takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed(), Unconfirmed: f.unconfirmed,
 			Candidate: f.announced, CandidateKnown: f.candidateKnown()}
@@ -257,7 +261,8 @@
 			time.Sleep(pollInterval)
 			continue
 		}
-		fields := logrus.Fields{"event": "change_step", "action": step.Action.String(), "targets": step.Targets, "term": step.Term, "why": step.Reason, "members": describeMembers(members)}
+		fields := logrus.Fields{"event": "change_step", "action": step.Action.String(), "targets": step.Targets, "term": step.Term, "why": step.Reason, "members": describeMembers(members),
+			"members_age_ms": (f.g.cfg.Clock() - f.membersReadAt).Milliseconds(), "acknowledged": f.g.acknowledgedPosition().String()}
 		repeated := step.Action == last.Action && slices.Equal(step.Targets, last.Targets)
 		if repeated && step.Action != takeover.Wait {
 			time.Sleep(pollInterval) // the members have not executed the last step yet
@@ -327,7 +332,7 @@
 func (f *failover) performStep(ctx context.Context, s takeover.Step) bool {
 	switch s.Action {
 	case takeover.Done:
-		f.publish(ctx, primacy.Primary{Member: s.Targets[0], Term: s.Term})
+		f.publish(ctx, primacy.Primary{Member: s.Targets[0], Term: s.Term}, s.Log)
 		return true
 	case takeover.Abort:
 		// A promotion that may still take effect relies on the replicas' replication
@@ -387,14 +392,17 @@
 	return true
 }
 
-// publish records the new primary once all read leases on the old one have expired.
-func (f *failover) publish(ctx context.Context, primary primacy.Primary) {
+// publish records the new primary once all read leases on the old one have expired. log is
+// the last position of its log as first seen.
+func (f *failover) publish(ctx context.Context, primary primacy.Primary, log position.Position) {
 	g := f.g
 	go g.controlAll(statement.Control{Kind: statement.StepDown, Term: primary.Term}, []string{f.oldPrimary.Member}, false)
 	seenAt := g.cfg.Clock()
 	f.awaitEndOfLeases()
-	r := f.record
-	r.Primary, r.Claim, r.Era = primary, nil, r.Version.Era()
+	r := f.record.WithPrimary(primary)
+	if log.Term < primary.Term {
+		r.PromotedAt = log
+	}
 	for g.cfg.Clock()-seenAt < publishTimeout && ctx.Err() == nil && !f.superseded() {
 		sentAt := g.cfg.Clock()
 		version, storeNow, err := g.putRecord(ctx, r)
@@ -437,8 +445,7 @@
 
 // withdraw removes the claim; the old primary stays.
 func (f *failover) withdraw(ctx context.Context) {
-	r := f.record
-	r.Primary, r.Claim, r.Era = f.oldPrimary, nil, r.Version.Era()
+	r := f.record.WithPrimary(f.oldPrimary)
 	sentAt := f.g.cfg.Clock()
 	version, storeNow, err := f.g.putRecord(ctx, r)
 	if err != nil {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -307,6 +307,10 @@
 		g.lastRecordsRead = at
 	}
 	changed := g.tracker.ObserveRecord(r, storeNow, sentAt)
+	if changed && r.Lacks(g.ackedPosition) {
+		g.cfg.Metrics.CountMissingCommits()
+		g.cfg.Log.WithFields(logrus.Fields{"event": "acknowledged_commit_missing", "lead": r.Primary.Member, "term": r.Primary.Term, "promoted_at": r.PromotedAt.String(), "acknowledged": g.ackedPosition.String()}).Error("the promoted member lacks a commit that was acknowledged to a caller")
+	}
 	g.announcement.observe(g.tracker.Record(), at.Latest)
 	if r.Version != oldRecord.Version {
 		g.logRecord(r)
@@ -375,6 +379,21 @@
 	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": primary.Member, "term": primary.Term, "before": former.Member, "source": source}).Info("primary changed")
 }
 
+// membersReadAt returns when the list of members was last read.
+func (g *Group) membersReadAt() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastMembersRead
+}
+
+// acknowledgedPosition returns the highest position of a commit whose acknowledgement this
+// instance has passed on.
+func (g *Group) acknowledgedPosition() position.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ackedPosition
+}
+
 // storeTime returns a lower bound of the store's present time. g.mu is held.
 func (g *Group) storeTime() time.Duration {
 	return g.lastRecordsRead.Store + g.cfg.Clock() - g.lastRecordsRead.Latest
--- a/proxy/group/health.go
+++ b/proxy/group/health.go
@@ -44,6 +44,9 @@
 // CountGuardedCommit implements AcknowledgementMetrics.
 func (noMetrics) CountGuardedCommit(string) {}
 
+// CountMissingCommits implements AcknowledgementMetrics.
+func (noMetrics) CountMissingCommits() {}
+
 // healthMonitor derives the state of the members from their answers (core/health), and
 // applies a pace to those that have started or recovered (core/pace). It is safe for
 // concurrent use.
--- a/proxy/group/restore.go
+++ b/proxy/group/restore.go
@@ -90,7 +90,8 @@
 	if err != nil || !round.Confirmed || round.Primary != primary {
 		return reason, overdue
 	}
-	record.Service, record.Primary, record.Claim, record.Era = g.cfg.Service, primary, nil, record.Version.Era()
+	record = record.WithPrimary(primary)
+	record.Service = g.cfg.Service
 	sentAt := g.cfg.Clock()
 	version, storeNow, err := g.putRecord(ctx, record)
 	if err != nil {
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -158,6 +158,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_guarded_commits_total{result=%q}`, result)).Inc()
 }
 
+// CountMissingCommits counts a promoted member that lacks an acknowledged commit; see
+// group.AcknowledgementMetrics.
+func (m *Metrics) CountMissingCommits() {
+	m.set.GetOrCreateCounter("papayarail_promotions_lacking_commits_total").Inc()
+}
+
 // RegisterPaceGauges registers the gauges of the members below full use: how many there
 // are, the statements in flight that this instance allows for them together, and the
 // number at full use. They have no label, as the IDs of members are not bounded.
