Pass on an acknowledgement only with proof that every promotion keeps the commit

Cause: the database acknowledges a commit through any one replica, also one that no holder of a claim knows because it joined behind a partition or after the last reading of the list, and one that leaves with its log. Instances passed on its word as long as they knew of no claim, while the holder chose the longest log among the members that it knew. In a change that they knew of, 'no replica is paused' counted as proof although none might have the commit.

An instance now needs proof for each commit, in calm times as well (takeover.Contains): a replica that every holder waits for has the commit, and its process has run unpaused since before a reading without a claim; or all replicas have it; or the announced candidate has it. A replica counts once it has been registered for longer than any holder's list may be old (2.5 s, which is now checked before a promotion), while it is not leaving, and with a list that is younger than the time after which an instance forgets a silent member (8.5 s instead of 4 s, since it was first seen to leave). Answers stay valid, so that status queries are shared between commits, 10 ms apart at most. Answers on connections that overlap show that the same process still runs; the pool keeps one open while a replica is asked.

--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -1,12 +1,15 @@
 package takeover
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 )
 
-// Containment is whether a commit of a primary that is being replaced is in the log of
-// the next primary.
+// Containment is whether a commit of a primary is in the log of whichever member is
+// promoted next.
 type Containment uint8
 
 const (
@@ -22,36 +25,103 @@
 // String returns the name of the result as it appears in logs and metrics.
 func (c Containment) String() string { return [...]string{"unproven", "contained", "superseded"}[c] }
 
-// Contains reports whether the commit at p, which the old primary of the claim has
-// acknowledged, is in the log of whichever member is promoted under the claim. replicas
-// are the members without the old primary, asked after the acknowledgement arrived.
+// Evidence is what the answers of one replica prove of its log. The zero value proves
+// nothing.
 //
-// With an announced candidate, the candidate's own log is the evidence. Without one, any
-// replica may be promoted: all of them need the commit, unless none is paused, because
-// nothing is promoted before all replicas were paused.
-func Contains(claim primacy.Claim, p position.Position, replicas []Member) Containment {
-	all, anyPaused, allAnswered, found := true, false, true, false
-	for _, m := range replicas {
-		if claim.Candidate != "" && m.ID != claim.Candidate {
-			continue
+// A pause ends unseen if the replica restarts. So an answer proves that no pause by the
+// holder of a claim precedes it if it shows that the replica is not paused, and if its
+// process has run since before a reading of the record without that claim. Whoever holds
+// the claim then looks at the replica's log after this answer.
+type Evidence struct {
+	Member string
+	// Counted means that each holder of a claim waits for the replica's answer.
+	Counted bool
+	// Gone means that the replica's process does not run.
+	Gone bool
+
+	term     uint64
+	received position.Position // last position of its log
+	// unpaused is the last position that an answer has shown without a pause, of a process
+	// that has run since runsSince.
+	unpaused  position.Position
+	runsSince time.Duration
+	// anchored is the last position that every holder of a claim finds in its log.
+	anchored position.Position
+}
+
+// Observe handles an answer of a process that has run, of a member that has been
+// registered, since the local time since.
+func (e *Evidence) Observe(s Status, since time.Duration) {
+	e.term, e.received, e.Gone = s.Term, s.Received, false
+	if s.PausedTerm == 0 && !s.Primary {
+		e.unpaused, e.runsSince = s.Received, since
+	}
+}
+
+// ObserveNoClaim handles a reading of the record that was sent at the local time sentAt and
+// showed no claim.
+func (e *Evidence) ObserveNoClaim(sentAt time.Duration) {
+	if !e.unpaused.IsZero() && e.runsSince <= sentAt {
+		e.anchored = position.Max(e.anchored, e.unpaused)
+	}
+}
+
+// String formats the evidence for the log.
+func (e Evidence) String() string {
+	text := fmt.Sprintf("%s %s anchored %s", e.Member, e.received, e.anchored)
+	if e.Counted {
+		text += " counted"
+	}
+	if e.Gone {
+		text += " gone"
+	}
+	return text
+}
+
+// Holds reports whether the replica has the commit at p.
+func (e Evidence) Holds(p position.Position) bool { return holds(e.received, p) }
+
+// holds reports whether a log that ends at last has the commit at p. A log that ends in
+// a later term may have begun that term without the commit.
+func holds(last, p position.Position) bool { return last.Term == p.Term && last.AtLeast(p) }
+
+// Contains reports whether the commit at p, which the primary has acknowledged, is in the
+// log of whichever member is promoted next. claim is the claim against the primary, nil if
+// this instance knows of none, and replicas is what it knows of all other members.
+//
+// The database acknowledges a commit through any replica: one that joins behind a
+// partition, and that no holder of a claim knows, or one that is leaving with its log. So
+// its word is no evidence. One of these is:
+//
+//   - A counted replica has the commit, and any holder looks at its log after that.
+//   - All replicas whose processes may run have it.
+//   - The claim announces a candidate, which has it.
+func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
+	known, all, later := false, true, false
+	for _, e := range replicas {
+		if e.Counted && holds(e.anchored, p) {
+			return Contained
 		}
-		found = true
-		if m.Status == nil || m.LogLost {
-			all, allAnswered = false, false
-			continue
+		if claim != nil && claim.Candidate == e.Member {
+			switch {
+			case e.Holds(p):
+				return Contained
+			case e.term > p.Term:
+				return Superseded
+			}
 		}
-		has := m.Status.Received.Term == p.Term && m.Status.Received.AtLeast(p)
-		if m.Status.Term > p.Term && !has {
-			return Superseded
+		if e.Gone {
+			continue
 		}
-		all = all && has
-		anyPaused = anyPaused || m.Status.PausedTerm != 0
+		known = true
+		all = all && e.Holds(p)
+		later = later || e.term > p.Term && !e.Holds(p)
 	}
 	switch {
-	case found && all:
-		return Contained
-	case claim.Candidate == "" && found && allAnswered && !anyPaused:
+	case known && all:
 		return Contained
+	case later && (claim == nil || claim.Candidate == ""):
+		return Superseded
 	default:
 		return Unproven
 	}
--- a/core/takeover/model_test.go
+++ b/core/takeover/model_test.go
@@ -40,12 +40,16 @@
 	paused   bool
 	down     bool
 	draining bool
+	joined   bool // after the beginning
+	// startedAt is when it started, and since when instances have a connection to it.
+	startedAt time.Duration
 }
 
-// modelInstance is an instance that has read the record at readAt.
+// modelInstance is an instance that has read the record at readAt, and without a claim at
+// noClaimAt.
 type modelInstance struct {
-	readAt time.Duration
-	claim  *primacy.Claim
+	readAt, noClaimAt time.Duration
+	claim             *primacy.Claim
 }
 
 // modelHolder is the state of a failover attempt; see proxy/group.
@@ -63,7 +67,7 @@
 const modelOldPrimary = "a"
 
 func newGroupModel() *groupModel {
-	g := &groupModel{now: time.Minute, instances: []*modelInstance{{readAt: time.Minute}, {readAt: time.Minute}}}
+	g := &groupModel{now: time.Minute, instances: []*modelInstance{{readAt: time.Minute, noClaimAt: time.Minute}, {readAt: time.Minute, noClaimAt: time.Minute}}}
 	for _, id := range []string{modelOldPrimary, "b", "c"} {
 		g.members = append(g.members, &modelMember{id: id})
 	}
@@ -129,24 +133,37 @@
 	}
 	i := rapid.SampledFrom(g.instances).Draw(t, "instance")
 	n := rapid.Uint64Range(1, acknowledged).Draw(t, "commit")
-	if i.claim == nil && g.now > i.readAt+primacy.ReadLease {
-		return // it holds no lease
-	}
-	if i.claim == nil || takeover.Contains(*i.claim, position.Position{Term: 1, Offset: n}, g.ask(true)) == takeover.Contained {
+	if takeover.Contains(i.claim, position.Position{Term: 1, Offset: n}, g.evidence(i)) == takeover.Contained {
 		g.passed = max(g.passed, n)
 	}
 }
 
+// evidence returns what an instance knows of the replicas after it has asked all of them.
+func (g *groupModel) evidence(i *modelInstance) (all []takeover.Evidence) {
+	for _, m := range g.members[1:] {
+		e := takeover.Evidence{Member: m.id, Counted: !m.draining && !m.joined}
+		if s := m.status(); s != nil {
+			e.Observe(*s, m.startedAt)
+		}
+		e.ObserveNoClaim(i.noClaimAt)
+		all = append(all, e)
+	}
+	return all
+}
+
 // read lets an instance read the record.
 func (g *groupModel) read(t *rapid.T) {
 	i := rapid.SampledFrom(g.instances).Draw(t, "reader")
 	i.readAt, i.claim = g.now, g.claim
+	if g.claim == nil {
+		i.noClaimAt = g.now
+	}
 }
 
 // restart restarts a replica, which keeps its log and loses its pause.
 func (g *groupModel) restart(t *rapid.T) {
 	r := rapid.SampledFrom(g.members[1:]).Draw(t, "restarted")
-	r.down, r.paused = false, false
+	r.down, r.paused, r.startedAt = false, false, g.now+1
 }
 
 // crash ends a replica. It is rare, because the old primary steps down then.
@@ -170,7 +187,7 @@
 // join adds a member that has the log of the primary.
 func (g *groupModel) join(t *rapid.T) {
 	if p := g.primary(); len(g.members) < 5 && p.primary && !p.down {
-		g.members = append(g.members, &modelMember{id: fmt.Sprint("n", len(g.members)), log: p.log})
+		g.members = append(g.members, &modelMember{id: fmt.Sprint("n", len(g.members)), log: p.log, joined: true, startedAt: g.now + 1})
 	}
 }
 
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -91,6 +91,9 @@
 	// Unconfirmed means that the record naming OldPrimary is of an earlier era of the
 	// store, so that another member may have been promoted without a trace there.
 	Unconfirmed bool
+	// MembersOutdated means that the list of members may lack one that instances count for
+	// acknowledgements.
+	MembersOutdated bool
 }
 
 // Action is the kind of a step.
@@ -134,6 +137,14 @@
 
 // Decide returns the next step.
 func Decide(in Input) Step {
+	step := decide(in)
+	if step.Action == Promote && in.MembersOutdated {
+		return Step{Action: Wait, Reason: "the list of members is too old"}
+	}
+	return step
+}
+
+func decide(in Input) Step {
 	r := newRound(in)
 	if primary := r.promoted(); primary != nil {
 		return Step{Action: Done, Targets: []string{primary.ID}, Term: primary.Status.Term, Log: primary.Status.Received, Reason: "a member is the primary of a later term"}
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -74,35 +75,55 @@
 	assert.Equal(t, takeover.RestorePauses(in, "b").Action, takeover.Wait)
 }
 
+// evidence returns that of a replica that has given one answer, on a connection that has
+// been open since 10 s. The record was last read without a claim at noClaimAt.
+func evidence(id string, counted bool, s takeover.Status, noClaimAt time.Duration) takeover.Evidence {
+	e := takeover.Evidence{Member: id, Counted: counted}
+	e.Observe(s, 10*time.Second)
+	e.ObserveNoClaim(noClaimAt)
+	return e
+}
+
 // Guards against an acknowledgement that is passed on although the next primary may lack
-// the commit, and against one that is held back for good in a change without a fault.
+// the commit, and against one that is held back for good without a fault.
 func TestContains(t *testing.T) {
-	type members = []takeover.Member
-	later := &takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 4, Offset: 9}}
+	const before, after = 9 * time.Second, 11 * time.Second // before and after the connections were opened
+	const counted = true
+	has, lacks, paused := *replica(8, 0), *replica(7, 0), *replica(8, 4)
+	later := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 4, Offset: 9}}
+	promotedWith := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 8}}
+	promotedWithout := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 7}}
+	silent := takeover.Evidence{Member: "c"}
+	gone := takeover.Evidence{Member: "c", Gone: true}
+	toB, none := &primacy.Claim{OldPrimary: oldPrimary, Candidate: "b"}, &primacy.Claim{OldPrimary: oldPrimary}
 	for _, test := range []struct {
-		name      string
-		candidate string
-		in        members
-		want      takeover.Containment
+		name  string
+		claim *primacy.Claim
+		in    []takeover.Evidence
+		want  takeover.Containment
 	}{
-		{"the candidate has it", "b", members{{ID: "b", Status: replica(8, 0)}, {ID: "c", Status: replica(7, 4)}}, takeover.Contained},
-		{"the candidate lacks it", "b", members{{ID: "b", Status: replica(7, 0)}, {ID: "c", Status: replica(9, 0)}}, takeover.Unproven},
-		{"the candidate does not answer", "b", members{{ID: "b"}, {ID: "c", Status: replica(9, 4)}}, takeover.Unproven},
-		{"the candidate is not known here", "b", members{{ID: "c", Status: replica(9, 4)}}, takeover.Unproven},
-		{"the candidate may have lost it", "b", members{{ID: "b", LogLost: true, Status: replica(9, 0)}}, takeover.Unproven},
-		{"the candidate was promoted with it", "b", members{{ID: "b", Status: &takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 8}}}}, takeover.Contained},
-		{"the candidate was promoted without it", "b", members{{ID: "b", Status: &takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 7}}}}, takeover.Superseded},
-		{"the candidate was promoted and has committed since", "b", members{{ID: "b", Status: later}}, takeover.Superseded},
-		{"no candidate, none is paused", "", members{{ID: "b", Status: replica(8, 0)}, {ID: "c", Status: replica(7, 0)}}, takeover.Contained},
-		{"no candidate, all have it", "", members{{ID: "b", Status: replica(8, 4)}, {ID: "c", Status: replica(8, 4)}}, takeover.Contained},
-		{"no candidate, a paused one lacks it", "", members{{ID: "b", Status: replica(7, 4)}, {ID: "c", Status: replica(8, 0)}}, takeover.Unproven},
-		{"no candidate, one does not answer", "", members{{ID: "b", Status: replica(8, 0)}, {ID: "c"}}, takeover.Unproven},
-		{"no candidate, one was promoted", "", members{{ID: "b", Status: later}, {ID: "c", Status: replica(8, 0)}}, takeover.Superseded},
-		{"no replica is known", "", nil, takeover.Unproven},
+		{"the candidate has it", toB, []takeover.Evidence{evidence("b", false, has, before), evidence("c", false, lacks, before)}, takeover.Contained},
+		{"the candidate lacks it", toB, []takeover.Evidence{evidence("b", counted, lacks, after), evidence("c", false, has, after)}, takeover.Unproven},
+		{"the candidate does not answer", toB, []takeover.Evidence{{Member: "b"}, evidence("c", false, has, after)}, takeover.Unproven},
+		{"the candidate is not known here", toB, []takeover.Evidence{evidence("c", counted, paused, after), silent}, takeover.Unproven},
+		{"the candidate was promoted with it", toB, []takeover.Evidence{evidence("b", counted, promotedWith, after)}, takeover.Contained},
+		{"the candidate was promoted without it", toB, []takeover.Evidence{evidence("b", counted, promotedWithout, after)}, takeover.Superseded},
+		{"the candidate was promoted and has committed since", toB, []takeover.Evidence{evidence("b", counted, later, after)}, takeover.Superseded},
+		{"a holder will find it on a counted replica", none, []takeover.Evidence{evidence("b", counted, has, after), silent}, takeover.Contained},
+		{"the same without a claim", nil, []takeover.Evidence{evidence("b", counted, has, after), silent}, takeover.Contained},
+		{"a replica that is not counted has it", nil, []takeover.Evidence{evidence("b", false, has, after), evidence("c", counted, lacks, after)}, takeover.Unproven},
+		{"a pause of the replica may have ended", nil, []takeover.Evidence{evidence("b", counted, has, before), silent}, takeover.Unproven},
+		{"the replica is paused", none, []takeover.Evidence{evidence("b", counted, paused, after), silent}, takeover.Unproven},
+		{"no replica is paused, and none has it", none, []takeover.Evidence{evidence("b", counted, lacks, after), evidence("c", counted, lacks, after)}, takeover.Unproven},
+		{"all have it", none, []takeover.Evidence{evidence("b", false, paused, before), evidence("c", false, paused, before)}, takeover.Contained},
+		{"all whose processes run have it", none, []takeover.Evidence{evidence("b", false, paused, before), gone}, takeover.Contained},
+		{"one was promoted", none, []takeover.Evidence{evidence("b", false, later, before), evidence("c", false, has, before)}, takeover.Superseded},
+		{"one was promoted, and no claim is known", nil, []takeover.Evidence{evidence("b", false, later, before), evidence("c", false, has, before)}, takeover.Superseded},
+		{"no replica is known", nil, nil, takeover.Unproven},
+		{"no process of a replica runs", nil, []takeover.Evidence{gone}, takeover.Unproven},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			claim := primacy.Claim{OldPrimary: oldPrimary, Candidate: test.candidate}
-			assert.Equal(t, takeover.Contains(claim, position.Position{Term: 3, Offset: 8}, test.in), test.want)
+			assert.Equal(t, takeover.Contains(test.claim, position.Position{Term: 3, Offset: 8}, test.in), test.want)
 		})
 	}
 }
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,9 +13,20 @@
 	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
-// containmentInterval separates two rounds of status queries for acknowledgements that wait
-// for evidence.
-const containmentInterval = 10 * time.Millisecond
+const (
+	// proofInterval separates two status queries to a replica for acknowledgements that
+	// wait for proof.
+	proofInterval = 10 * time.Millisecond
+	// keepOpenTime is how long a connection to a replica is kept after the last query.
+	keepOpenTime = 10 * time.Second
+	// memberSettleTime is the time after which every instance that may promote a member
+	// knows a member that this one knows: it does so only with a list that is no older than
+	// maxHolderListAge.
+	memberSettleTime = maxHolderListAge + 500*time.Millisecond
+	// maxCountedAge is the age of the list of members up to which no other instance can have
+	// forgotten a member in it, which takes departedRetention.
+	maxCountedAge = departedRetention - 500*time.Millisecond
+)
 
 // AcknowledgementMetrics counts the acknowledgements of commits around changes of primary.
 type AcknowledgementMetrics interface {
@@ -26,16 +36,9 @@
 	// CountMissingCommits counts a promoted member whose log lacks a commit that this
 	// instance has acknowledged to a caller.
 	CountMissingCommits()
-}
-
-// containmentRounds coalesces the status queries of concurrent acknowledgements.
-type containmentRounds struct {
-	running bool
-	// startedAt is when the last finished round began; claim and replicas are what it was
-	// for and its answers.
-	startedAt time.Duration
-	claim     primacy.Claim
-	replicas  []takeover.Member
+	// ObserveCommitProof records how long the acknowledgement of a commit waited for proof
+	// that the commit survives a change of primary.
+	ObserveCommitProof(waited time.Duration)
 }
 
 // announcement is the candidate that the claim against a primary announces, and a local
@@ -62,36 +65,37 @@
 	return a.candidate == candidate && now >= a.storedAt+announcementTime
 }
 
-// confirmCommit returns nil once the acknowledgement of a commit at p may be passed on:
-// at once if no instance is replacing the member that committed it, otherwise when its
-// next primary has the commit. The error is a *verdict.Error that says that the outcome is
-// unknown. It does not wait longer than until the deadline.
+// confirmCommit returns nil once it is proved that a commit at p, which the member has
+// acknowledged, survives each change of primary, so that the acknowledgement may be passed
+// on. The error is a *verdict.Error that says that the outcome is unknown. It does not wait
+// longer than until the deadline.
 func (g *Group) confirmCommit(u *upstream.Upstream, p position.Position, deadline time.Duration) error {
 	id, ackedAt, guarded := u.Member().ID, g.cfg.Clock(), false
 	for {
 		g.mu.Lock()
-		containment, claimed := g.commitContainment(id, p, ackedAt)
-		if claimed && containment == takeover.Unproven {
-			g.startContainmentRound()
+		containment, claimed := g.commitContainment(id, p)
+		if containment == takeover.Unproven {
+			g.askReplicas(id, p)
 		}
 		changed := g.changed
 		g.mu.Unlock()
 		now := g.cfg.Clock()
 		switch {
-		case !claimed && containment == takeover.Contained:
-			if guarded {
+		case containment == takeover.Contained:
+			g.cfg.Metrics.ObserveCommitProof(now - ackedAt)
+			switch {
+			case claimed:
+				g.cfg.Metrics.CountGuardedCommit(containment.String())
+			case guarded:
 				g.cfg.Metrics.CountGuardedCommit("released")
 			}
 			return nil
-		case containment == takeover.Contained:
-			g.cfg.Metrics.CountGuardedCommit(containment.String())
-			return nil
 		case containment == takeover.Superseded || now >= deadline:
 			g.cfg.Metrics.CountGuardedCommit(takeover.Unproven.String())
-			g.cfg.Log.WithFields(logrus.Fields{"event": "commit_unproven", "member": id, "position": p.String(), "containment": containment.String(), "waited_ms": (now - ackedAt).Milliseconds()}).Warn("a commit was acknowledged that the next primary may lack")
-			return verdict.New(verdict.OutcomeUnknown, "the primary is being replaced, and its successor may lack the commit at %s", p)
+			g.cfg.Log.WithFields(logrus.Fields{"event": "commit_unproven", "member": id, "position": p.String(), "containment": containment.String(), "claimed": claimed, "replicas": g.describeEvidence(id), "waited_ms": (now - ackedAt).Milliseconds()}).Warn("a commit was acknowledged that the next primary may lack")
+			return verdict.New(verdict.OutcomeUnknown, "the next primary may lack the commit at %s", p)
 		}
-		guarded = true
+		guarded = guarded || claimed
 		timer := time.NewTimer(deadline - now)
 		select {
 		case <-changed:
@@ -101,62 +105,87 @@
 	}
 }
 
-// commitContainment returns what is known of a commit at p that a member acknowledged at
-// ackedAt. claimed is false if no instance is replacing the member; the commit counts as
-// contained then, unless another member has already replaced it. g.mu is held.
-func (g *Group) commitContainment(id string, p position.Position, ackedAt time.Duration) (c takeover.Containment, claimed bool) {
+// commitContainment returns what is known of a commit at p that a member has acknowledged,
+// and whether an instance is replacing the member. g.mu is held.
+func (g *Group) commitContainment(id string, p position.Position) (c takeover.Containment, claimed bool) {
 	claim := g.tracker.ClaimAgainst(id, p)
 	switch {
 	case g.service.AcknowledgedBy == 0:
 		return takeover.Contained, false // an acknowledged commit may be on the primary alone
 	case g.tracker.Replaced(id, p):
 		return takeover.Superseded, false
-	case claim == nil:
-		return takeover.Contained, false
-	case g.containment.startedAt < ackedAt || g.containment.claim.Candidate != claim.Candidate:
-		return takeover.Unproven, true
-	default:
-		return takeover.Contains(*claim, p, g.containment.replicas), true
 	}
+	var replicas []takeover.Evidence
+	for other, m := range g.members {
+		if other != id {
+			replicas = append(replicas, g.evidenceOf(m))
+		}
+	}
+	return takeover.Contains(claim, p, replicas), claim != nil
 }
 
-// startContainmentRound asks the members that may be promoted for their status, unless a
-// round is running. g.mu is held.
-func (g *Group) startContainmentRound() {
-	if g.containment.running {
-		return
+// describeEvidence formats what is known of the other members' logs for the log.
+func (g *Group) describeEvidence(primary string) (all []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, m := range g.members {
+		if id != primary {
+			all = append(all, g.evidenceOf(m).String())
+		}
 	}
-	g.containment.running = true
-	delay := max(g.containment.startedAt+containmentInterval-g.cfg.Clock(), 0)
-	go func() {
-		time.Sleep(delay)
-		g.runContainmentRound()
-	}()
+	return all
 }
 
-// runContainmentRound asks the announced candidate, or all replicas if there is none.
-func (g *Group) runContainmentRound() {
-	g.mu.Lock()
-	startedAt := g.cfg.Clock()
-	claim := g.tracker.Record().Claim
-	var ids []string
-	if claim != nil {
-		for id := range g.members {
-			if id != claim.OldPrimary.Member && (claim.Candidate == "" || id == claim.Candidate) {
-				ids = append(ids, id)
-			}
+// evidenceOf returns what is known of a replica's log. g.mu is held.
+func (g *Group) evidenceOf(m *member) takeover.Evidence {
+	m.evidence.ObserveNoClaim(g.noClaimAt)
+	e, now := m.evidence, g.cfg.Clock()
+	e.Member = m.Member().ID
+	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && now-g.membersAsOf <= maxCountedAge
+	return e
+}
+
+// askReplicas asks the replicas that may prove the commit at p for their status. g.mu is
+// held.
+func (g *Group) askReplicas(primary string, p position.Position) {
+	candidate := ""
+	if claim := g.tracker.ClaimAgainst(primary, p); claim != nil {
+		candidate = claim.Candidate
+	}
+	for id, m := range g.members {
+		if id == primary || m.asking || m.evidence.Holds(p) || candidate != "" && id != candidate {
+			continue
 		}
+		m.asking = true
+		m.KeepOpen(keepOpenTime)
+		delay := max(m.askedAt+proofInterval-g.cfg.Clock(), 0)
+		go func() {
+			time.Sleep(delay)
+			g.askReplica(m)
+		}()
 	}
+}
+
+// askReplica asks a replica for its status; control keeps what the answer proves.
+func (g *Group) askReplica(m *member) {
+	g.mu.Lock()
+	m.askedAt = g.cfg.Clock()
 	g.mu.Unlock()
-	var replicas []takeover.Member
-	if len(ids) > 0 {
-		replicas = slices.DeleteFunc(g.controlAll(statement.Control{Kind: statement.GetStatus}, ids, false), func(m takeover.Member) bool { return !slices.Contains(ids, m.ID) })
-	}
+	reply, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, false)
+	g.recordAnswer(m, reply != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.containment = containmentRounds{startedAt: startedAt, replicas: replicas}
-	if claim != nil {
-		g.containment.claim = *claim
-	}
+	m.asking = false
 	g.broadcast()
 }
+
+// observeStatus keeps what a status proves of a member's log. knownSince is that of the
+// member before it was asked: the answer may be that of an earlier incarnation.
+func (g *Group) observeStatus(m *member, reply upstream.StatusReply, knownSince time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.knownSince != knownSince || !m.catchUpFloor.IsZero() && !reply.Received.AtLeast(m.catchUpFloor) {
+		return
+	}
+	m.evidence.Observe(reply.Status, max(reply.RunsSince, knownSince))
+}
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -274,7 +274,7 @@
 // ackBoundPossible reports whether the members can bound the position of all
 // acknowledged writes without the primary, which lets a read proceed. g.mu is held.
 func (g *Group) ackBoundPossible(req Requirements) bool {
-	return !req.Writes && g.service.AcknowledgedBy > 0 && g.tracker.Primary().Member != "" && g.cfg.Clock()-g.lastRecordsRead.Earliest < maxMembersAge
+	return !req.Writes && g.service.AcknowledgedBy > 0 && g.tracker.Primary().Member != "" && g.cfg.Clock()-g.membersAsOf < maxMembersAge
 }
 
 // refusal returns the error for a request that should not wait any longer, or nil.
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -49,6 +49,9 @@
 	// promotionTime is how long a promotion takes from its arrival until a member
 	// reports it; the promotion itself takes 1 s in the users' site files.
 	promotionTime = 1200 * time.Millisecond
+	// maxHolderListAge is the age of the list of members up to which a holder promotes one of
+	// them. Lists are read every second.
+	maxHolderListAge = 2500 * time.Millisecond
 	// pollInterval separates two status queries to the members.
 	pollInterval = 30 * time.Millisecond
 	// claimJitter is the upper bound of the random delay before a claim. Of several
@@ -254,7 +257,7 @@
 		f.membersReadAt = f.g.membersReadAt()
 		members := f.g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
 		in := takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed(), Unconfirmed: f.unconfirmed,
-			Candidate: f.announced, CandidateKnown: f.candidateKnown()}
+			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown()}
 		step := takeover.Decide(in)
 		if f.promotionPending(step) {
 			f.restorePauses(in)
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -180,7 +180,9 @@
 	lastRecordsRead     storetime.Timestamp // when the records were last read
 	era                 uint64              // latest era of the store
 	eraSeenAt           time.Duration       // store's time of the earliest known answer in that era
-	lastMembersRead     time.Duration       // when the members were last read
+	lastMembersRead     time.Duration       // when the members were last read, of the reads passed to UpdateMembers
+	membersAsOf         time.Duration       // when the members were last read, changed or not
+	noClaimAt           time.Duration       // when the record was last read without a claim
 	primaryMissingSince time.Duration       // first read of the members without the primary; 0 if it is registered
 	lastRequestAt       time.Duration       // arrival of the last request of a caller of this instance
 	selfReported        primacy.Primary     // member that reports itself primary, with term 0 until learnPrimary knows it; used once a record shows no failover in progress
@@ -194,7 +196,6 @@
 	silence                silenceWatch
 	switchover             handover.Detector
 	rounds                 quorumRounds
-	containment            containmentRounds
 	announcement           announcement
 	wake                   chan struct{} // of capacity 1; makes Run check the group at once
 	finished               chan struct{} // closed when Run has returned
@@ -312,6 +313,9 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "acknowledged_commit_missing", "lead": r.Primary.Member, "term": r.Primary.Term, "promoted_at": r.PromotedAt.String(), "acknowledged": g.ackedPosition.String()}).Error("the promoted member lacks a commit that was acknowledged to a caller")
 	}
 	g.announcement.observe(g.tracker.Record(), at.Latest)
+	if r.Version >= oldRecord.Version && r.Claim == nil && r.Confirmed() {
+		g.noClaimAt = max(g.noClaimAt, sentAt)
+	}
 	if r.Version != oldRecord.Version {
 		g.logRecord(r)
 		g.signalRun()
@@ -383,7 +387,7 @@
 func (g *Group) membersReadAt() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lastMembersRead
+	return g.membersAsOf
 }
 
 // acknowledgedPosition returns the highest position of a commit whose acknowledgement this
--- a/proxy/group/health.go
+++ b/proxy/group/health.go
@@ -47,6 +47,9 @@
 // CountMissingCommits implements AcknowledgementMetrics.
 func (noMetrics) CountMissingCommits() {}
 
+// ObserveCommitProof implements AcknowledgementMetrics.
+func (noMetrics) ObserveCommitProof(time.Duration) {}
+
 // healthMonitor derives the state of the members from their answers (core/health), and
 // applies a pace to those that have started or recovered (core/pace). It is safe for
 // concurrent use.
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -9,6 +9,7 @@
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/quota"
+	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
 	"github.com/papayarail/papayarail/proxy/upstream"
@@ -24,10 +25,13 @@
 	// missingEntryTimeout then starts again.
 	maxMembersReadGap = 2200 * time.Millisecond
 	// departedRetention is how long a member that is no longer registered and does not
-	// answer is kept while the primary serves: the other replicas then have every
-	// commit that it acknowledged, unless they lag by more. In the users' site files
-	// (see deploy/compare), a replica that receives anything lags by 2 s at most.
-	departedRetention = 4 * time.Second
+	// answer is kept, while the primary serves, after it was first seen to leave or to be
+	// missing. Until then an instance may count it for acknowledgements; see maxCountedAge.
+	departedRetention = 8500 * time.Millisecond
+	// minMissingTime is how long its entry must be missing in any case. The other replicas then
+	// have every commit that it acknowledged, unless they lag by more. In the users' site
+	// files (see deploy/compare), a replica that receives anything lags by 2 s at most.
+	minMissingTime = 4 * time.Second
 )
 
 // startQuotaPeriod is the time after the start of a group during which this instance uses
@@ -49,6 +53,7 @@
 type member struct {
 	*upstream.Upstream
 	missingSince time.Duration // first read without its entry; 0 if it is registered
+	leavingSince time.Duration // when it was first seen to be leaving or missing; 0 if it is neither
 	// departed means that it is no longer registered. It is kept until it is known
 	// to have stopped, because it may acknowledge commits until then.
 	departed      bool
@@ -61,6 +66,11 @@
 	formerStarts []int64
 	// maxPosition is its highest position under the present primary.
 	maxPosition position.Position
+	// knownSince is the local time since which it has been registered, in this incarnation.
+	knownSince time.Duration
+	evidence   takeover.Evidence
+	asking     bool          // a status query for an acknowledgement is due or running
+	askedAt    time.Duration // start of the last one
 }
 
 // connLimits returns this instance's quota of a member's connections and slots. g.mu is
@@ -105,10 +115,18 @@
 		g.updateMissing(id, m, readAt)
 	}
 	g.observePrimaryEntry(all, readAt)
-	g.lastMembersRead = readAt
+	g.lastMembersRead, g.membersAsOf = readAt, max(g.membersAsOf, readAt)
 	g.broadcast()
 }
 
+// ObserveMembersRead handles a read of the members at readAt, of which UpdateMembers need
+// not be told if it shows no change.
+func (g *Group) ObserveMembersRead(readAt time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.membersAsOf = max(g.membersAsOf, readAt)
+}
+
 // observePrimaryEntry records whether the primary is registered, and wakes Run if it
 // has been missing for missingEntryTimeout. g.mu is held.
 func (g *Group) observePrimaryEntry(all catalog.Members, readAt time.Duration) {
@@ -138,6 +156,9 @@
 	if m.missingSince == 0 || !m.departed && readAt-g.lastMembersRead > maxMembersReadGap {
 		m.missingSince = readAt
 	}
+	if m.leavingSince == 0 {
+		m.leavingSince = g.cfg.Clock()
+	}
 	if readAt-m.missingSince >= missingEntryTimeout && !m.departed {
 		m.departed = true
 		g.health.remove(id)
@@ -148,7 +169,7 @@
 		return
 	}
 	switch {
-	case m.unanswered && readAt-m.missingSince >= departedRetention:
+	case m.unanswered && readAt-m.missingSince >= minMissingTime && readAt-m.leavingSince >= departedRetention:
 		g.removeMember(id, m, "primary_serves_without_it")
 	case !m.statusPending:
 		m.statusPending = true
@@ -160,7 +181,7 @@
 // from the departure on, so that a member is not removed because of an unanswered
 // query that is older than two timeouts.
 func (g *Group) probeDeparted(m *member) {
-	status, gone := g.control(m.Upstream, statement.Control{Kind: statement.GetStatus}, true)
+	status, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, true)
 	g.recordAnswer(m, status != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -185,11 +206,15 @@
 		known.SetPoolCounters(g.cfg.PoolCounters)
 		known.SetQueueMetrics(g.cfg.QueueMetrics)
 		known.SetProfile(g.expectedProfile())
+		known.knownSince = g.cfg.Clock()
 		g.members[id] = known
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_joined", "member": id, "address": m.Address, "failure_domain": m.FailureDomain, "primary": m.Primary}).Info("member joined")
 		g.signalRun()
 	}
 	old := known.Member()
+	if known.departed {
+		known.knownSince = g.cfg.Clock()
+	}
 	known.missingSince, known.departed = 0, false
 	// A restored store shows registrations that have been replaced since. A member does
 	// not become an earlier incarnation again, nor does it stop leaving.
@@ -200,6 +225,7 @@
 	if old.Started != m.Started && old.Started != 0 {
 		known.formerStarts = append(known.formerStarts, old.Started)
 		known.catchUpFloor = g.tracker.LastPosition()
+		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
 		g.signalRun()
 	}
@@ -207,6 +233,12 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_draining", "member": id}).Info("member is draining")
 		g.signalRun()
 	}
+	switch {
+	case !m.Draining:
+		known.leavingSince = 0
+	case known.leavingSince == 0:
+		known.leavingSince = g.cfg.Clock()
+	}
 	known.Update(m, g.connLimits(m))
 	g.observeMemberStart(known, old, m, joined)
 	if m.Primary && !m.Draining && g.tracker.Primary().Member == "" {
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -283,7 +283,7 @@
 	if askedAt < reportedAt+wait {
 		return
 	}
-	status, _ := g.control(m.Upstream, statement.Control{Kind: statement.GetStatus}, false)
+	status, _ := g.control(m, statement.Control{Kind: statement.GetStatus}, false)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if status == nil || !status.Primary || g.selfReported != reported {
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -179,7 +179,7 @@
 	primaryStatus, quorum := quorumConfirms(primary, members, partial)
 	c := Confirmation{Primary: primary, Received: primaryStatus.Received, Confirmed: quorum}
 	c.LaterPrimary, _ = laterPrimary(primary, members)
-	if synchronous && sentAt-g.lastRecordsRead.Earliest < maxMembersAge {
+	if synchronous && sentAt-g.membersAsOf < maxMembersAge {
 		c.AckBound, c.HasAckBound = takeover.ReadPosition(members, groupSize(len(members)))
 		// A member that lost its log during a partition may not have reported that yet,
 		// and the bound is then too low.
@@ -306,9 +306,13 @@
 	for i, m := range upstreams {
 		if ids == nil || slices.Contains(ids, members[i].ID) {
 			go func() {
-				status, gone := g.control(m.Upstream, command, fresh)
-				g.recordAnswer(m, status != nil, gone)
-				answers <- answer{i, status}
+				reply, gone := g.control(m, command, fresh)
+				g.recordAnswer(m, reply != nil, gone)
+				a := answer{member: i}
+				if reply != nil {
+					a.status = &reply.Status
+				}
+				answers <- a
 			}()
 		}
 	}
@@ -365,23 +369,28 @@
 func (g *Group) recordAnswer(m *member, answered, gone bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.unanswered = !answered
+	m.unanswered, m.evidence.Gone = !answered, gone
 	if id := m.Member().ID; gone && m.departed && g.members[id] == m {
 		g.removeMember(id, m, "not_running")
 	}
 }
 
 // control sends a control command on a pooled connection and, if that is silent or
-// broken, on a new one; if fresh is set, both attempts open a new one. The status is nil
+// broken, on a new one; if fresh is set, both attempts open a new one. The reply is nil
 // if the member did not answer; gone means that no process, or another member, listens
 // at its address.
-func (g *Group) control(u *upstream.Upstream, command statement.Control, fresh bool) (status *takeover.Status, gone bool) {
+func (g *Group) control(m *member, command statement.Control, fresh bool) (reply *upstream.StatusReply, gone bool) {
+	u := m.Upstream
+	g.mu.Lock()
+	knownSince := m.knownSince
+	g.mu.Unlock()
 	for _, fresh := range []bool{fresh, true} {
 		reply, err := u.Control(fresh, command, statusTimeout)
 		if err == nil {
 			g.reportAnswer(u)
 			u.ObservePosition(reply.Received)
-			return &reply.Status, false
+			g.observeStatus(m, reply, knownSince)
+			return &reply, false
 		}
 		gone = processGone(err)
 		reason, refused := statement.ReasonOf(err)
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -164,6 +164,11 @@
 	m.set.GetOrCreateCounter("papayarail_promotions_lacking_commits_total").Inc()
 }
 
+// ObserveCommitProof records the wait of an acknowledgement; see group.AcknowledgementMetrics.
+func (m *Metrics) ObserveCommitProof(waited time.Duration) {
+	m.set.GetOrCreateHistogram("papayarail_commit_proof_seconds").Update(waited.Seconds())
+}
+
 // RegisterPaceGauges registers the gauges of the members below full use: how many there
 // are, the statements in flight that this instance allows for them together, and the
 // number at full use. They have no label, as the IDs of members are not bounded.
--- a/proxy/node/apply.go
+++ b/proxy/node/apply.go
@@ -68,6 +68,8 @@
 		current := byService[g.Service()]
 		if all || g.MembersMissing() || !current.Equal(n.lastMembers[g.Service()]) {
 			g.UpdateMembers(current, readAt)
+		} else {
+			g.ObserveMembersRead(readAt)
 		}
 	}
 	n.lastMembers = byService
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -253,13 +253,23 @@
 	for n > 0 && p.log[n-1].at+r.receiveLag > c.Clock() {
 		n--
 	}
-	if r.term == p.term && n < len(r.log) {
-		return // it has received more before its lag grew
-	}
+	// What it has received before its lag grew stays.
+	n = max(n, commonPrefix(r.log, p.log))
 	r.term = p.term
 	r.log = slices.Clone(p.log[:n])
 }
 
+// commonPrefix returns the number of entries with which both logs begin.
+func commonPrefix(a, b []entry) int {
+	n := min(len(a), len(b))
+	for i := range n {
+		if a[i].id != b[i].id {
+			return i
+		}
+	}
+	return n
+}
+
 // commit appends an entry to a primary's log and waits until a replica has received it;
 // it returns false if none has before the deadline, or if the member crashes or steps
 // down.
--- a/proxy/upstream/control.go
+++ b/proxy/upstream/control.go
@@ -26,8 +26,11 @@
 		u.Return(conn)
 		return StatusReply{}, err
 	}
+	u.mu.Lock()
+	runsSince := u.observeAnswer(conn)
+	u.mu.Unlock()
 	u.Return(conn)
-	return StatusReply{Status: status, SentAt: sentAt}, nil
+	return StatusReply{Status: status, SentAt: sentAt, RunsSince: runsSince}, nil
 }
 
 // controlConn returns the connection for a control command, which may belong to any
--- a/proxy/upstream/pool.go
+++ b/proxy/upstream/pool.go
@@ -112,7 +112,7 @@
 		wait = make(chan grant, 1)
 		u.connWaiters[r.id] = wait
 		grants, retryAt := u.pool.Request(connpool.Request{ID: r.id, Workspace: r.workspace, AnyWorkspace: r.any, Since: r.since,
-			Match: func(id uint64) int { return u.conns[id].match(r.values) }}, now)
+			Match: func(id uint64) int { return u.match(u.conns[id], r) }}, now)
 		u.deliver(grants)
 		u.countPoolEvents()
 		select {
@@ -133,6 +133,19 @@
 	}
 }
 
+// match returns how well a connection suits a request. Control commands are sent on those
+// that show for how long the process has run. u.mu is held.
+func (u *Upstream) match(c *Conn, r *connRequest) int {
+	switch {
+	case !r.any:
+		return c.match(r.values)
+	case c.openedAt <= u.run.until:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // match returns how little setup a session with the values needs on the connection.
 func (c *Conn) match(values map[string]string) int {
 	switch {
@@ -196,7 +209,8 @@
 	if err == nil {
 		u.refusals = 0
 		u.lastConn++
-		c := &Conn{Conn: conn, id: u.lastConn, workspace: r.workspace, prepared: make(map[string]bool)}
+		c := &Conn{Conn: conn, id: u.lastConn, workspace: r.workspace, prepared: make(map[string]bool), openedAt: u.clock(), clock: u.clock}
+		c.answeredAt = c.openedAt
 		u.conns[c.id] = c
 		u.pool.Opened(r.id, c.id)
 		return c, nil
@@ -216,6 +230,7 @@
 func (u *Upstream) Return(c *Conn) {
 	u.mu.Lock()
 	u.endTransaction(c)
+	u.observeAnswer(c)
 	surplus := false
 	if c.broken || u.closed {
 		u.discard(c)
@@ -338,7 +353,11 @@
 // applyPoolLimits passes the quota to the pool and returns the connections to close. u.mu
 // is held.
 func (u *Upstream) applyPoolLimits() []*Conn {
-	grants, closed := u.pool.SetLimits(u.limits, u.clock())
+	limits := u.limits
+	if u.keepsOpen {
+		limits.MaxIdle = max(limits.MaxIdle, 1)
+	}
+	grants, closed := u.pool.SetLimits(limits, u.clock())
 	u.deliver(grants)
 	u.admit(u.transactions.SetLimit(transactionLimit(u.limits)))
 	u.countPoolEvents()
--- a/proxy/upstream/prepare.go
+++ b/proxy/upstream/prepare.go
@@ -8,10 +8,11 @@
 	"github.com/papayarail/papayarail/proxy/statement"
 )
 
-// StatusReply is a member's status and the local time before the query was sent.
+// StatusReply is a member's status, the local time before the query was sent, and a local
+// time since which the process that answered has run.
 type StatusReply struct {
 	takeover.Status
-	SentAt time.Duration
+	SentAt, RunsSince time.Duration
 }
 
 // Prepared is a prepared statement of a session. Sessions share connections and may use
--- a/proxy/upstream/upstream.go
+++ b/proxy/upstream/upstream.go
@@ -43,6 +43,9 @@
 	values      map[string]string
 	prepared    map[string]bool // prepared statements, by upstream name
 	transaction bool            // it is counted in Upstream.transactions
+	openedAt    time.Duration   // no earlier than when it was opened
+	answeredAt  time.Duration   // when the last answered request was sent, or openedAt
+	clock       boottime.Clock
 	broken      bool
 }
 
@@ -62,8 +65,11 @@
 
 	pool            *connpool.Pool
 	transactions    connpool.Transactions
-	limits          quota.Limits             // quota of this instance at the member
-	conns           map[uint64]*Conn         // idle and in use, by ID
+	limits          quota.Limits     // quota of this instance at the member
+	conns           map[uint64]*Conn // idle and in use, by ID
+	run             processRun       // of the member, as far as its answers show it
+	keepsOpen       bool             // one idle connection stays open until keepOpenUntil
+	keepOpenUntil   time.Duration
 	refusals        int                      // consecutive refused connections
 	connWaiters     map[uint64]chan grant    // by request
 	txWaiters       map[uint64]chan struct{} // by request; closed when the transaction may begin
@@ -115,7 +121,7 @@
 	var drop []*Conn
 	if m.Started != u.member.Started || m.Address != u.member.Address {
 		drop = u.takeConns(u.pool.CloseAllIdle())
-		u.knownPosition, u.lag = position.Position{}, lag.Estimator{}
+		u.knownPosition, u.lag, u.run = position.Position{}, lag.Estimator{}, processRun{}
 	}
 	changed := limits.MaxRunning != u.limits.MaxRunning || limits.SlotLimit != u.limits.SlotLimit
 	u.member, u.limits = m, limits
