relay: raise the time of a table only with the rows

An answer whose change starts from a version that the cache no longer has is ignored, but its time was taken, so that an old list of members, or old records, counted as read later than they were: a lease could be too long, and a list could lack a member that registered before its time. It happens when this instance reads the store while its poll of another one is under way.

TestIgnoredDeltaIsNoNewerRead failed before (the time of the list rose from 10 s to 18 s).

--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -253,17 +253,21 @@
 		leaveOut(d, func(name string, i source.Candidate) bool { return i.Check() != nil || i.Name != name })
 		c.InstancesChanged = cache.instances.ApplyDelta(*d)
 	}
+	membersCurrent := true
 	if d := a.Delta.Members; d != nil {
 		leaveOut(d, func(id string, m catalog.Member) bool { return m.Check() != nil || m.ID != id })
 		c.MembersChanged = cache.members.ApplyDelta(*d)
+		membersCurrent = cache.members.Version() >= d.Version
 	}
-	if a.Delta.MembersAsOf > cache.membersAsOf {
+	if membersCurrent && a.Delta.MembersAsOf > cache.membersAsOf {
 		cache.membersAsOf = a.Delta.MembersAsOf
 		c.MembersRead = true
 	}
 	before := cache.era()
+	recordsCurrent := true
 	if d := a.Delta.Records; d != nil {
 		cache.records.ApplyDelta(*d)
+		recordsCurrent = cache.records.Version() >= d.Version
 	}
 	if cache.era() == a.Delta.Era {
 		if cache.eraSeenAt == 0 || cache.era() > before {
@@ -271,7 +275,7 @@
 		}
 		cache.eraSeenAt = min(cache.eraSeenAt, a.Delta.EraSeenAt)
 	}
-	if a.Delta.RecordsAsOf > cache.recordsAsOf {
+	if recordsCurrent && a.Delta.RecordsAsOf > cache.recordsAsOf {
 		cache.recordsAsOf = a.Delta.RecordsAsOf
 		c.RecordsRead = true
 	}
