Count a replica only if whoever may promote another one knows it

Callers could still lose acknowledged commits, or read without them, if the lists of members of two instances differed for long enough.

- TestMemberRegistersAfterHolderReadList: the age of the holder's list was judged 2 s before the promotion took effect, and the member counted meanwhile.
The age is judged again when the call is sent (1.3 s; lists are read every 0.3 s during a failover), and a member counts 3.2 s after it was read, which covers the call and its effect.
- TestReplicaLeavesBesideOutdatedList: a list counted for 8 s, and a leaving member ends 7 s after it says so.
It is 6.5 s now.
- TestStrictReadWithOutdatedList: reads without the primary trusted a list of up to 10 s; it is 2.9 s now.

A member whose entry was missing counts anew.

--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -26,13 +26,16 @@
 	proofHedge = 20 * time.Millisecond
 	// keepOpenTime is how long a connection to a replica is kept after the last query.
 	keepOpenTime = 10 * time.Second
-	// memberSettleTime is the time after which every instance that may promote a member
-	// knows a member that this one knows: it does so only with a list that is no older than
-	// maxHolderListAge.
-	memberSettleTime = maxHolderListAge + 500*time.Millisecond
+	// memberSettleTime is the time after which a promotion by an instance that does not
+	// know a member which this one knows has taken effect: it is called for only with a
+	// list that is no older than maxHolderListAge.
+	memberSettleTime = maxHolderListAge + promoteTimeout + promotionTime + 100*time.Millisecond
 	// maxCountedAge is the age of the list of members up to which no other instance can have
-	// forgotten a member in it, which takes departedRetention.
+	// forgotten a member in it, which takes departedRetention, and a member that has
+	// said meanwhile that it leaves still runs, which it does for 7 s at least.
 	maxCountedAge = departedRetention - 500*time.Millisecond
+	// goneInterval replaces proofInterval for a replica that did not answer the last query.
+	goneInterval = 250 * time.Millisecond
 )
 
 // AcknowledgementMetrics counts the acknowledgements of commits around changes of primary.
@@ -179,7 +182,11 @@
 		if !m.asking && !m.evidence.Holds(p) {
 			m.asking = true
 			m.KeepOpen(keepOpenTime)
-			delay := max(m.askedAt+proofInterval-g.cfg.Clock(), 0)
+			interval := proofInterval
+			if m.unanswered {
+				interval = goneInterval
+			}
+			delay := max(m.askedAt+interval-g.cfg.Clock(), 0)
 			go func() {
 				time.Sleep(delay)
 				g.askReplica(m)
@@ -229,6 +236,7 @@
 func (g *Group) observeStatus(m *member, reply upstream.StatusReply, knownSince time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	m.maxPosition = position.Max(m.maxPosition, reply.Received)
 	if m.knownSince != knownSince || !m.catchUpFloor.IsZero() && !reply.Received.AtLeast(m.catchUpFloor) {
 		return
 	}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -50,8 +50,8 @@
 	// reports it; the promotion itself takes 1 s in the users' site files.
 	promotionTime = 1200 * time.Millisecond
 	// maxHolderListAge is the age of the list of members up to which a holder promotes one of
-	// them. Lists are read every second.
-	maxHolderListAge = 2500 * time.Millisecond
+	// them. During a failover, lists are read every 0.3 s.
+	maxHolderListAge = 1300 * time.Millisecond
 	// pollInterval separates two status queries to the members.
 	pollInterval = 30 * time.Millisecond
 	// claimJitter is the upper bound of the random delay before a claim. Of several
@@ -378,7 +378,10 @@
 	if (otherCandidate || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
 		return false
 	}
-	maySend := func() bool { return g.cfg.Clock()-f.claimSentAt < promotionSendWindow }
+	maySend := func() bool {
+		now := g.cfg.Clock()
+		return now-f.claimSentAt < promotionSendWindow && now-f.membersReadAt <= maxHolderListAge
+	}
 	sentAt := g.cfg.Clock()
 	f.ownPromotionUntil = sentAt + promoteTimeout + promotionResendDelay
 	f.promotionPendingUntil = f.ownPromotionUntil
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -27,7 +27,7 @@
 	// departedRetention is how long a member that is no longer registered and does not
 	// answer is kept, while the primary serves, after it was first seen to leave or to be
 	// missing. Until then an instance may count it for acknowledgements; see maxCountedAge.
-	departedRetention = 8500 * time.Millisecond
+	departedRetention = 7 * time.Second
 	// minMissingTime is how long its entry must be missing in any case. The other replicas then
 	// have every commit that it acknowledged, unless they lag by more. In the users' site
 	// files (see deploy/compare), a replica that receives anything lags by 2 s at most.
@@ -212,8 +212,9 @@
 		g.signalRun()
 	}
 	old := known.Member()
-	if known.departed {
-		known.knownSince = g.cfg.Clock()
+	if known.missingSince != 0 {
+		// Others may have forgotten it meanwhile.
+		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
 	}
 	known.missingSince, known.departed = 0, false
 	// A restored store shows registrations that have been replaced since. A member does
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -31,9 +31,10 @@
 	// answers of members that do not answer a round. Leases expire 1 s after the
 	// store is lost; commits within that second keep the service available.
 	maxCommitEvidenceAge = 1200 * time.Millisecond
-	// maxMembersAge is the age of the last read from the store up to which all members
-	// are known: a database takes longer to start and to catch up.
-	maxMembersAge = 10 * time.Second
+	// maxMembersAge is the age of the last read of the members up to which all are known
+	// that an instance counts for acknowledgements, which it does memberSettleTime after
+	// it has read of them.
+	maxMembersAge = memberSettleTime - 300*time.Millisecond
 	// quorumSize is the number of members in a quorum: the primary and one replica.
 	quorumSize = 2
 	// stragglerTimeout is how long to wait for members that probably do not serve
@@ -330,7 +331,6 @@
 			members[i].LogLost = !s.Received.AtLeast(m.catchUpFloor)
 		}
 		members[i].LogShrunk = !s.Received.AtLeast(m.maxPosition)
-		m.maxPosition = position.Max(m.maxPosition, s.Received)
 	}
 	return members
 }
--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -3,9 +3,15 @@
 package node_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/simulator"
 )
 
 // failoverDelays are times from a change of the members to the loss of the primary.
@@ -114,3 +120,103 @@
 		}
 	}
 }
+
+// listStore is a store whose list of members can become unavailable.
+type listStore struct {
+	*simulator.StoreClient
+	blocked atomic.Bool
+	last    atomic.Int64
+	clock   func() time.Duration
+}
+
+func (s *listStore) Members(ctx context.Context) (catalog.Snapshot[catalog.Member], error) {
+	if s.blocked.Load() {
+		return catalog.Snapshot[catalog.Member]{}, errors.New("429")
+	}
+	at := s.clock()
+	m, err := s.StoreClient.Members(ctx)
+	s.last.Store(int64(at))
+	return m, err
+}
+
+// Guards against commits that only a member has which registered right after the last list of
+// the holder, before a promotion that was decided with this list takes effect.
+func TestMemberRegistersAfterHolderReadList(t *testing.T) {
+	for _, cut := range []time.Duration{600, 900, 1600, 1700, 1800, 1850, 1900, 1950} {
+		t.Run(fmt.Sprintf("cut=%dms", cut), func(t *testing.T) {
+			underLoad(t, uint64(cut), simulated("near0"), func(t *testing.T, c *cluster) {
+				s := &listStore{StoreClient: c.sim.Store("i1"), clock: c.sim.Clock}
+				c.start("i1", s)
+				time.Sleep(3 * time.Second)
+				stop1 := c.loadOn(7, "i1")
+				time.Sleep(time.Second)
+				old := s.last.Load()
+				c.await(3*time.Second, "list", func() bool { return s.last.Load() != old })
+				s.blocked.Store(true)
+				l := time.Duration(s.last.Load())
+				c.sim.Join("d")
+				c.isolate([]string{"near0"}, []string{"i1", "store", "a", "b", "c", "d"})
+				c.start("near", c.sim.Store("near"))
+				time.Sleep(50 * time.Millisecond)
+				stop2 := c.loadOn(8, "near")
+				time.Sleep(l + cut*time.Millisecond - c.sim.Clock())
+				c.isolate([]string{"a", "d", "near"}, []string{"b", "c", "i1", "store"})
+				time.Sleep(4 * time.Second)
+				t.Logf("called for %q", c.sim.CalledFor())
+				s.blocked.Store(false)
+				c.rejoin([]string{"a", "d", "near"}, []string{"b", "c", "i1", "store"})
+				time.Sleep(2 * time.Second)
+				stop1()
+				stop2()
+			})
+		})
+	}
+}
+
+// Guards against commits that only a leaving replica has, because an instance with an old list
+// does not know that it leaves.
+func TestReplicaLeavesBesideOutdatedList(t *testing.T) {
+	for _, phase := range []time.Duration{0, 200, 400, 600, 800} {
+		t.Run(fmt.Sprintf("phase=%dms", phase), func(t *testing.T) {
+			underLoad(t, uint64(phase), simulated("i1", "i2", "near"), func(t *testing.T, c *cluster) {
+				c.sim.Join("d")
+				time.Sleep(5*time.Second + phase*time.Millisecond)
+				c.isolate([]string{"near"}, []string{"i1", "i2", "store"})
+				time.Sleep(10 * time.Millisecond)
+				c.sim.Drain("b")
+				time.Sleep(6800 * time.Millisecond)
+				c.sim.SetReceiveLag("c", 20*time.Second)
+				c.sim.SetReceiveLag("d", 20*time.Second)
+				time.Sleep(220 * time.Millisecond) // 7.02 s after the report
+				c.sim.Crash("b", false)
+				c.sim.Deregister("b")
+				time.Sleep(20 * time.Millisecond)
+				c.sim.Crash("a", true)
+				time.Sleep(9 * time.Second)
+				c.sim.Restart("a", false)
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against strict reads without the primary that lack a commit which only a replica has
+// that the reading instance does not know.
+func TestStrictReadWithOutdatedList(t *testing.T) {
+	for _, phase := range []time.Duration{0, 500} {
+		t.Run(fmt.Sprintf("phase=%dms", phase), func(t *testing.T) {
+			underLoad(t, uint64(phase), simulated("i1", "i2", "near"), func(t *testing.T, c *cluster) {
+				time.Sleep(time.Second + phase*time.Millisecond)
+				c.isolate([]string{"i1"}, []string{"store"})
+				time.Sleep(50 * time.Millisecond)
+				c.sim.Join("d")
+				time.Sleep(4600 * time.Millisecond)
+				c.isolate([]string{"a", "d", "near"}, []string{"b", "c", "i1"})
+				time.Sleep(3 * time.Second)
+				c.rejoin([]string{"a", "d", "near"}, []string{"b", "c", "i1"})
+				c.rejoin([]string{"i1"}, []string{"store"})
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -36,6 +36,9 @@
 	// membersInterval is the interval between reads of the members. A member must
 	// be out of use within 7 s after it announces that it leaves.
 	membersInterval = time.Second
+	// urgentMembersInterval replaces membersInterval during a failover: a member is promoted
+	// only with a recent list.
+	urgentMembersInterval = 300 * time.Millisecond
 	// instancesInterval is the interval between reads of the announced instances;
 	// the loss of one is noticed when it does not answer. Until settlePeriod after
 	// a change of the list, it is read as often as the members.
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -45,8 +45,12 @@
 	now := n.cfg.Clock()
 	r.mu.Lock()
 	r.readStartedAt = now
-	membersDue := r.membersSchedule.begin(now, membersInterval)
-	interval := instancesInterval
+	interval := membersInterval
+	if now < r.urgentUntil {
+		interval = urgentMembersInterval
+	}
+	membersDue := r.membersSchedule.begin(now, interval)
+	interval = instancesInterval
 	if now-r.instancesChangedAt < settlePeriod {
 		interval = membersInterval
 	}
