takeover: do not choose by a log that has become shorter

A replica that restarts without its log answers with a shorter one before anybody has read that it restarted. The holder took it for what the replica had received and promoted another one, although the commits that the replica had confirmed were on the primary only. decideOldUnavailable ignored LogShrunk, which only reads without the primary used. Such a replica now counts as one that lost its log; positions seen by any status query show it.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -231,7 +231,7 @@
 	}
 	withLog := 0
 	for _, m := range r.answered {
-		if !m.LogLost {
+		if !m.LogLost && !m.LogShrunk {
 			withLog++
 		}
 	}
--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -220,3 +220,23 @@
 		})
 	}
 }
+
+// Guards against the promotion of a shorter log while the replica with the longest one has
+// restarted without it.
+func TestReplicaRestartsWithoutLogBeforeFailover(t *testing.T) {
+	for _, phase := range []time.Duration{0, 150, 300, 450, 600, 750} {
+		t.Run(fmt.Sprintf("phase=%dms", phase), func(t *testing.T) {
+			underLoad(t, uint64(phase), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				time.Sleep(4*time.Second + phase*time.Millisecond)
+				c.sim.SetReceiveLag("c", 20*time.Second)
+				time.Sleep(500 * time.Millisecond)
+				c.isolate([]string{"a"}, []string{"b", "c", "i1", "i2", "i3"})
+				c.sim.Crash("b", false)
+				c.sim.Restart("b", true)
+				time.Sleep(5 * time.Second)
+				c.rejoin([]string{"a"}, []string{"b", "c", "i1", "i2", "i3"})
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
