--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -240,3 +240,53 @@
 		})
 	}
 }
+
+// Guards against a failover by an instance that has never read the entries of the primary and
+// of a replica, which are behind a cut.
+func TestNewInstanceReplacesPrimary(t *testing.T) {
+	for _, phase := range []time.Duration{0, 300, 600} {
+		t.Run(fmt.Sprintf("phase=%dms", phase), func(t *testing.T) {
+			underLoad(t, uint64(phase), simulated("i1", "near"), func(t *testing.T, c *cluster) {
+				c.sim.Join("d")
+				time.Sleep(5*time.Second + phase*time.Millisecond)
+				c.isolate([]string{"a", "b", "near"}, []string{"c", "d", "i1", "new", "store"})
+				c.sim.Partition("i1", "store") // i1 ends; new is its successor
+				time.Sleep(3 * time.Second)
+				c.sim.Deregister("a")
+				c.sim.Deregister("b") // three heartbeats of silence
+				time.Sleep(100 * time.Millisecond)
+				c.start("new", c.sim.Store("new"))
+				time.Sleep(6 * time.Second)
+				c.sim.Register("a")
+				c.sim.Register("b")
+				c.sim.Heal("i1", "store")
+				c.rejoin([]string{"a", "b", "near"}, []string{"c", "d", "i1", "new", "store"})
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against the same while instances that know them wait.
+func TestNewInstanceReplacesPrimaryBesideOld(t *testing.T) {
+	for _, phase := range []time.Duration{0, 300} {
+		t.Run(fmt.Sprintf("phase=%dms", phase), func(t *testing.T) {
+			underLoad(t, uint64(phase), simulated("i1", "i2", "near"), func(t *testing.T, c *cluster) {
+				c.sim.Join("d")
+				time.Sleep(5*time.Second + phase*time.Millisecond)
+				c.isolate([]string{"a", "b", "near"}, []string{"c", "d", "i1", "i2", "new", "store"})
+				time.Sleep(3 * time.Second)
+				c.sim.Deregister("a")
+				c.sim.Deregister("b")
+				time.Sleep(100 * time.Millisecond)
+				c.start("new", c.sim.Store("new"))
+				time.Sleep(20 * time.Second)
+				t.Logf("called for %q", c.sim.CalledFor())
+				c.sim.Register("a")
+				c.sim.Register("b")
+				c.rejoin([]string{"a", "b", "near"}, []string{"c", "d", "i1", "i2", "new", "store"})
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
