Keep to a member whose promotion may still take effect

Callers lost acknowledged commits when a call for a promotion took effect seconds after its sender had given up on it: the holder resumed the members 3.1 s after the call, or called for another member, and the first one then led with the log that it had at the call.

Cause: only the holder knew of the call, and it and later holders relied on durations (promotionTime, 1.2 s, and promotionResendDelay, 2.5 s) that hold for calls that were answered.

The holder now names the member in its claim before it calls (primacy.Claim.Called, one more write to the store per change, none if the claim is written anyway). Each later holder and attempt keeps to the member (takeover.Decide): it is called for again where another one would be promoted or announced or the change aborted, until the platform has answered that it does not run or that the call was not accepted, its process has ended, or 15 s have passed since the last call (stated: up to 1 s, or seconds without an answer; connections of unreachable peers are dropped after 3 s). Instances count it like an announced candidate (takeover.Contains). Calling again is safe: all that was passed on is in its log.

group.ErrNotCalled and ErrNotRunning tell a call that has no effect from one that may have one, so that an unreachable platform does not hold up the primary that is back.

Evidence: the simulator holds promotions and control commands and lets them take effect later.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -93,8 +93,18 @@
 	// PromoteAfter is the store time before which the holder does not promote Candidate
 	// while OldPrimary serves. It never decreases under claims against one primary.
 	PromoteAfter time.Duration `json:"promote_after,omitempty"`
+	// Called is the member that a holder has called for, or is about to: until the call is
+	// settled, it may be promoted, and no other member is. Empty if there is none.
+	Called string `json:"called,omitempty"`
+	// CalledAt is a store time no later than the moment at which the claim with the last
+	// call for Called was stored.
+	CalledAt time.Duration `json:"called_at,omitempty"`
 }
 
+// Successor returns the member that must have a commit before its acknowledgement may rest
+// on the claim; empty if the claim names none.
+func (c Claim) Successor() string { return cmp.Or(c.Called, c.Candidate) }
+
 // LeasesEnd returns the store time at which the leases on the old primary end that reads
 // of this claim grant. Until PromoteAfter the old primary cannot have been replaced.
 func (c Claim) LeasesEnd() time.Duration { return max(c.FirstClaimedAt, c.PromoteAfter) + ReadLease }
@@ -148,7 +158,7 @@
 	if c.OldPrimary.Term > maxTerm {
 		return Class.New("claim against a primary of term %d", c.OldPrimary.Term)
 	}
-	for _, at := range []time.Duration{c.FirstClaimedAt, c.RenewedAt, c.PromoteAfter} {
+	for _, at := range []time.Duration{c.FirstClaimedAt, c.RenewedAt, c.PromoteAfter, c.CalledAt} {
 		if at < -maxClockError || at > now+maxClockError {
 			return Class.New("claim of %s at %s", at, now)
 		}
--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -95,14 +95,14 @@
 //
 //   - A counted replica has the commit, and any holder looks at its log after that.
 //   - All replicas whose processes may run have it.
-//   - The claim announces a candidate, which has it.
+//   - The claim announces a candidate or names a called-for member, which has it.
 func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
 	known, all, later := false, true, false
 	for _, e := range replicas {
 		if e.Counted && holds(e.anchored, p) {
 			return Contained
 		}
-		if claim != nil && claim.Candidate == e.Member {
+		if claim != nil && claim.Successor() == e.Member {
 			switch {
 			case e.Holds(p):
 				return Contained
@@ -120,7 +120,7 @@
 	switch {
 	case known && all:
 		return Contained
-	case later && (claim == nil || claim.Candidate == ""):
+	case later && (claim == nil || claim.Successor() == ""):
 		return Superseded
 	default:
 		return Unproven
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -94,6 +94,8 @@
 	// MembersOutdated means that the list of members may lack one that instances count for
 	// acknowledgements.
 	MembersOutdated bool
+	// Called is the member that was called for, as long as the call may take effect.
+	Called string
 }
 
 // Action is the kind of a step.
@@ -139,9 +141,26 @@
 func Decide(in Input) Step {
 	step := decide(in)
 	if step.Action == Promote && in.MembersOutdated {
-		return Step{Action: Wait, Reason: "the list of members is too old"}
+		step = Step{Action: Wait, Reason: "the list of members is too old"}
 	}
-	return step
+	return keepCalled(in, step)
+}
+
+// keepCalled replaces a step that conflicts with a promotion that may take effect: another
+// member would be promoted or announced, or the old primary would go on. The called-for
+// member has every commit whose acknowledgement is passed on (Contains), so that it can be
+// called for again.
+func keepCalled(in Input, step Step) Step {
+	conflicts := step.Action == Abort || (step.Action == Promote || step.Action == Announce) && step.Targets[0] != in.Called
+	if in.Called == "" || !conflicts {
+		return step
+	}
+	for _, m := range in.Members {
+		if m.ID == in.Called && m.Status != nil && !m.LogLost {
+			return Step{Action: Promote, Targets: []string{m.ID}, Term: newRound(in).nextTerm, Reason: "an earlier call for it may take effect"}
+		}
+	}
+	return Step{Action: Wait, Reason: "a member that was called for may be promoted"}
 }
 
 func decide(in Input) Step {
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -221,3 +221,44 @@
 	members[1].Status.Term = 4
 	assert.Equal(t, takeover.Decide(in).Action, takeover.StepDown)
 }
+
+// Guards against a change that goes another way while a promotion that was called for may
+// take effect: the member leads with the log that it had, and the rest is lost.
+func TestCalledMemberIsKept(t *testing.T) {
+	old := primacy.Primary{Member: "a", Term: 1}
+	at := func(n uint64, paused uint64) *takeover.Status {
+		return &takeover.Status{Term: 1, Received: position.Position{Term: 1, Offset: n}, PausedTerm: paused}
+	}
+	serving := &takeover.Status{Primary: true, Term: 1, Received: position.Position{Term: 1, Offset: 9}}
+	for name, in := range map[string]takeover.Input{
+		"longer log of another one": {Members: []takeover.Member{{ID: "a"}, {ID: "b", Status: at(9, 2)}, {ID: "c", Status: at(8, 2)}}},
+		"primary serves again":      {Members: []takeover.Member{{ID: "a", Status: serving}, {ID: "b", Status: at(9, 2)}, {ID: "c", Status: at(8, 2)}}},
+		"announces another one":     {Members: []takeover.Member{{ID: "a", Status: serving, Draining: true}, {ID: "b", Status: at(9, 0)}, {ID: "c", Status: at(8, 2)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in.OldPrimary, in.GroupSize = old, 3
+			without := takeover.Decide(in)
+			assert.Assert(t, without.Action == takeover.Abort || without.Targets[0] == "b", "%v", without)
+			in.Called = "c"
+			kept := takeover.Decide(in)
+			assert.Equal(t, kept.Action, takeover.Promote)
+			assert.DeepEqual(t, kept.Targets, []string{"c"})
+			in.Called = "d"
+			assert.Equal(t, takeover.Decide(in).Action, takeover.Wait)
+			in.Members[2].LogLost, in.Called = true, "c"
+			assert.Assert(t, takeover.Decide(in).Action != takeover.Promote)
+		})
+	}
+}
+
+// Guards against an acknowledgement that rests on the announced candidate, or on the absence
+// of one, while another member was called for.
+func TestAcknowledgementNeedsCalledMember(t *testing.T) {
+	p := position.Position{Term: 1, Offset: 9}
+	with := func(id string, n uint64) takeover.Evidence {
+		return evidence(id, false, takeover.Status{Term: 1, Received: position.Position{Term: 1, Offset: n}}, 0)
+	}
+	claim := &primacy.Claim{Candidate: "b", Called: "c"}
+	assert.Equal(t, takeover.Contains(claim, p, []takeover.Evidence{with("b", 9), with("c", 8)}), takeover.Unproven)
+	assert.Equal(t, takeover.Contains(claim, p, []takeover.Evidence{with("b", 8), with("c", 9)}), takeover.Contained)
+}
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -164,7 +164,7 @@
 func (g *Group) askReplicas(primary string, p position.Position, ackedAt time.Duration) {
 	candidate := ""
 	if claim := g.tracker.ClaimAgainst(primary, p); claim != nil {
-		candidate = claim.Candidate
+		candidate = claim.Successor()
 	}
 	var replicas []*member
 	for id, m := range g.members {
--- /dev/null
+++ b/proxy/group/called_test.go
@@ -0,0 +1,57 @@
+package group
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/takeover"
+)
+
+// fakePromoter fails each call with err, and calls before first.
+type fakePromoter struct {
+	err    error
+	before func(Promotion)
+}
+
+func (f fakePromoter) Promote(p Promotion, _ func() bool, _ time.Duration) error {
+	f.before(p)
+	return f.err
+}
+
+// Guards against a call for a promotion that later holders do not know: they promoted
+// another member, and the first one later took the lead with an older log.
+func TestCallIsStoredUntilItIsSettled(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		err          error
+		again, known bool // called again after a call without an answer; the call is unsettled
+	}{
+		{"unanswered", errors.New("silent"), false, true}, {"not sent", ErrNotCalled, false, false}, {"not running", ErrNotRunning, false, false},
+		{"unanswered, then not sent", ErrNotCalled, true, true}, {"unanswered, then not running", ErrNotRunning, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := 10 * time.Second
+			store := &fakeRecordStore{now: &now}
+			f := newTestFailover(store, &now)
+			promoter := fakePromoter{err: c.err, before: func(p Promotion) {
+				stored := store.puts[len(store.puts)-1].Claim
+				assert.Equal(t, stored.Called, p.Member)
+				assert.Assert(t, now-stored.CalledAt <= claimRenewalAge)
+			}}
+			if c.again {
+				f.called, f.calledAt = "b", now-2*time.Second
+			}
+			f.g.cfg.Promoter = promoter
+			assert.Assert(t, f.claim(t.Context()))
+			assert.Assert(t, f.promote(t.Context(), takeover.Step{Action: takeover.Promote, Targets: []string{"b"}}))
+			assert.Equal(t, f.unsettledCall(nil) == "b", c.known)
+			assert.Assert(t, f.claim(t.Context()))
+			assert.Equal(t, store.puts[len(store.puts)-1].Claim.Called != "", c.known)
+			now += callSettleTime
+			assert.Equal(t, f.unsettledCall(nil), "")
+		})
+	}
+}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -52,6 +52,10 @@
 	// maxHolderListAge is the age of the list of members up to which a holder promotes one of
 	// them. During a failover, lists are read every 0.3 s.
 	maxHolderListAge = 1300 * time.Millisecond
+	// callSettleTime is the time after which a promotion that was called for has taken effect
+	// or has failed, if nothing else shows that. It takes 0.3 to 1 s, or seconds if the call
+	// got no answer; connections of unreachable peers are dropped after 3 s.
+	callSettleTime = 15 * time.Second
 	// pollInterval separates two status queries to the members.
 	pollInterval = 30 * time.Millisecond
 	// claimJitter is the upper bound of the random delay before a claim. Of several
@@ -96,6 +100,9 @@
 	// primacy.Claim.PromoteAfter.
 	announced    string
 	promoteAfter time.Duration
+	// called and calledAt are primacy.Claim.Called and CalledAt.
+	called   string
+	calledAt time.Duration
 	// promotionPendingUntil is the time until which a promotion sent by this or an
 	// earlier holder may still take effect; ownPromotionUntil and earlierPromotionUntil
 	// are the same for this holder and for earlier ones only.
@@ -146,6 +153,7 @@
 		f.promoteAfter = record.Claim.PromoteAfter
 		if !claimEnded {
 			f.firstClaimStoredAt, f.announced = f.startedAt, record.Claim.Candidate
+			f.called, f.calledAt = record.Claim.Called, record.Claim.CalledAt
 		}
 	}
 	switch {
@@ -171,7 +179,7 @@
 		return false
 	}
 	r.Service = g.cfg.Service
-	claim := &primacy.Claim{Holder: g.cfg.Instance, Nonce: f.nonce, FirstClaimedAt: claimedAt, RenewedAt: claimedAt, OldPrimary: f.oldPrimary, Candidate: f.announced, PromoteAfter: f.promoteAfter}
+	claim := &primacy.Claim{Holder: g.cfg.Instance, Nonce: f.nonce, FirstClaimedAt: claimedAt, RenewedAt: claimedAt, OldPrimary: f.oldPrimary, Candidate: f.announced, PromoteAfter: f.promoteAfter, Called: f.called, CalledAt: f.calledAt}
 	if r.Claim != nil && r.Claim.OldPrimary == f.oldPrimary {
 		claim.FirstClaimedAt = min(claim.FirstClaimedAt, r.Claim.FirstClaimedAt)
 	}
@@ -257,7 +265,7 @@
 		f.membersReadAt = f.g.membersReadAt()
 		members := f.g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
 		in := takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed(), Unconfirmed: f.unconfirmed,
-			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown()}
+			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown(), Called: f.unsettledCall(members)}
 		step := takeover.Decide(in)
 		if f.promotionPending(step) {
 			f.restorePauses(in)
@@ -317,6 +325,23 @@
 	return claim.RenewedAt + promotionSendWindow + promoteTimeout + promotionTime - g.storeTime()
 }
 
+// unsettledCall returns the member that was called for, if the call may still take effect:
+// neither the bound has passed nor is the member's process known to have ended.
+func (f *failover) unsettledCall(members []takeover.Member) string {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	if f.called == "" || f.g.storeTime() >= f.calledAt+callSettleTime {
+		return ""
+	}
+	if m := f.g.members[f.called]; m != nil && m.evidence.Gone {
+		return ""
+	}
+	if slices.ContainsFunc(members, func(m takeover.Member) bool { return m.ID == f.called && m.LogLost }) {
+		return ""
+	}
+	return f.called
+}
+
 // groupSize returns the number of members of the complete group. While members are
 // replaced there may be more; with fewer, the group is incomplete.
 func groupSize(registered int) int {
@@ -375,7 +400,15 @@
 	if otherCandidate {
 		f.announced = ""
 	}
-	if (otherCandidate || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
+	g.mu.Lock()
+	earlier, earlierAt, now := f.called, f.calledAt, g.storeTime()
+	g.mu.Unlock()
+	// Each later holder must know of the call before it may take effect.
+	newCall := earlier != s.Targets[0] || now-earlierAt > claimRenewalAge
+	if newCall {
+		f.called, f.calledAt = s.Targets[0], now
+	}
+	if (otherCandidate || newCall || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
 		return false
 	}
 	maySend := func() bool {
@@ -390,6 +423,12 @@
 	if err != nil {
 		fields["error"] = err.Error()
 		f.log.WithFields(fields).Warn("promotion failed or was not answered")
+		switch {
+		case errors.Is(err, ErrNotRunning) || errors.Is(err, ErrNotCalled) && earlier != s.Targets[0]:
+			f.called, f.calledAt = "", 0
+		case errors.Is(err, ErrNotCalled):
+			f.calledAt = earlierAt
+		}
 		time.Sleep(pollInterval)
 		return true
 	}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -62,8 +64,20 @@
 	FencingToken storeversion.Version
 }
 
+var (
+	// ErrNotCalled means that the platform has not accepted a promotion: nothing was sent,
+	// or it refused the call.
+	ErrNotCalled = errors.New("promotion was not accepted")
+	// ErrNotRunning means that the platform refused a promotion because the member does not
+	// run.
+	ErrNotRunning = fmt.Errorf("%w: member does not run", ErrNotCalled)
+)
+
 // Promoter sends promotions to the platform.
 type Promoter interface {
+	// The error is ErrNotCalled if the promotion cannot take effect. After any other error
+	// it may do so later.
+	//
 	// Promote calls maySend once the connection is open, right before it sends, and
 	// fails without sending if that returns false.
 	// Nothing that it sent may reach the platform after it has returned.
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -123,7 +123,9 @@
 	violations []string             // violated guarantees
 	maxToken   storeversion.Version // highest fencing token of a promotion
 	calledFor  string               // member of the last promotion that was called
-	lastRow    int                  // number of reads executed
+	calls      int                  // promotions that were called
+	late       lateEffects
+	lastRow    int // number of reads executed
 	store      store
 	closed     bool // no more timers are set
 	// repliesToDrop is the number of further writes whose replies are lost.
@@ -319,7 +321,7 @@
 func (p promoter) Promote(promotion group.Promotion, maySend func() bool, timeout time.Duration) error {
 	c := p.cluster
 	if !maySend() {
-		return fmt.Errorf("claim is too old")
+		return group.ErrNotCalled
 	}
 	time.Sleep(roundTrip)
 	c.mu.Lock()
@@ -330,12 +332,21 @@
 	c.maxToken = max(c.maxToken, promotion.FencingToken)
 	m := c.member(promotion.Member)
 	if m == nil || m.down {
-		return fmt.Errorf("member is not running")
+		return group.ErrNotRunning
 	}
 	if m.primary && m == c.primaryMember() {
 		return nil
 	}
 	c.calledFor = m.ID
+	c.calls++
+	if c.late.promotions > 0 {
+		c.late.promotions--
+		c.late.hold(func() { c.completePromotion(m) })
+		c.mu.Unlock()
+		time.Sleep(timeout)
+		c.mu.Lock()
+		return errTimeout
+	}
 	time.AfterFunc(promoteTime, func() { c.completePromotion(m) })
 	return nil
 }
--- a/proxy/simulator/conn.go
+++ b/proxy/simulator/conn.go
@@ -236,7 +236,31 @@
 	}
 	c.cluster.mu.Lock()
 	m := c.member
+	if held, ok := c.cluster.late.commands[m.ID]; ok && held.kind == command.Kind {
+		c.cluster.late.hold(func() {
+			c.cluster.mu.Lock()
+			defer c.cluster.mu.Unlock()
+			if held.arrived || m.conns[c] {
+				m.control(command)
+			}
+		})
+		c.cluster.mu.Unlock()
+		time.Sleep(timeout)
+		return takeover.Status{}, &statement.ConnError{Sent: true, Timeout: true, Err: errTimeout}
+	}
+	m.control(command)
+	status := m.status()
+	c.cluster.mu.Unlock()
+	if err := c.oneWayTrip(timeout); err != nil {
+		return takeover.Status{}, err
+	}
+	return status, nil
+}
+
+// control executes a control command. Cluster.mu is held.
+func (m *Member) control(command statement.Control) {
 	switch {
+	case m.down:
 	case command.Kind == statement.PauseReplication && !m.primary && command.Term > m.term:
 		m.pausedTerm = command.Term
 	case command.Kind == statement.ResumeReplication:
@@ -244,12 +268,6 @@
 	case command.Kind == statement.StepDown && m.primary && m.term < command.Term:
 		m.stepDown()
 	}
-	status := m.status()
-	c.cluster.mu.Unlock()
-	if err := c.oneWayTrip(timeout); err != nil {
-		return takeover.Status{}, err
-	}
-	return status, nil
 }
 
 // Alive implements statement.Conn.
