Withdraw an aborted claim only once no RESUME can take effect later

Callers lost acknowledged commits when a RESUME of an aborted change took effect after the next holder had paused the member: it received entries from the primary behind the cut and acknowledged commits that the promoted member did not have. An instance without the store passed them on, because the member's process had run since before a reading without a claim and was not paused (takeover.Contains), which a RESUME out of turn makes wrong.

Cause: an aborted change sent RESUME and withdrew its claim whether the members had answered or not. RESUME carries no term, so that the next holder cannot tell a member that stays paused from one that will receive again.

The holder now stores in its claim that it is about to let members receive again (primacy.Claim.ResumedAt, one write per aborted change) and withdraws the claim at once if all of them have answered each attempt. Otherwise the claim stays, also across holders: paused members are resumed again, and nobody is promoted (takeover.Input.PausesUncertain) before 10 s have passed since; databases drop connections of unreachable peers after 3 s. The claim alone would not do, as an instance that reaches no store does not know it. While the store does not answer, an aborted change lets nobody receive, as no later holder would know.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -99,6 +99,10 @@
 	// CalledAt is a store time no later than the moment at which the claim with the last
 	// call for Called was stored.
 	CalledAt time.Duration `json:"called_at,omitempty"`
+	// ResumedAt is a store time no later than the moment at which the claim was stored under
+	// which a holder last let members receive again. Unless all of them have answered, one
+	// may do so later, after it has been paused once more. 0 if there is none.
+	ResumedAt time.Duration `json:"resumed_at,omitempty"`
 }
 
 // Successor returns the member that must have a commit before its acknowledgement may rest
@@ -158,7 +162,7 @@
 	if c.OldPrimary.Term > maxTerm {
 		return Class.New("claim against a primary of term %d", c.OldPrimary.Term)
 	}
-	for _, at := range []time.Duration{c.FirstClaimedAt, c.RenewedAt, c.PromoteAfter, c.CalledAt} {
+	for _, at := range []time.Duration{c.FirstClaimedAt, c.RenewedAt, c.PromoteAfter, c.CalledAt, c.ResumedAt} {
 		if at < -maxClockError || at > now+maxClockError {
 			return Class.New("claim of %s at %s", at, now)
 		}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -94,6 +94,8 @@
 	// MembersOutdated means that the list of members may lack one that instances count for
 	// acknowledgements.
 	MembersOutdated bool
+	// PausesUncertain means that a RESUME that got no answer may end the pause of a member.
+	PausesUncertain bool
 	// Called is the member that was called for, as long as the call may take effect.
 	Called string
 }
@@ -140,8 +142,12 @@
 // Decide returns the next step.
 func Decide(in Input) Step {
 	step := decide(in)
-	if step.Action == Promote && in.MembersOutdated {
+	switch {
+	case step.Action != Promote:
+	case in.MembersOutdated:
 		step = Step{Action: Wait, Reason: "the list of members is too old"}
+	case in.PausesUncertain:
+		step = Step{Action: Wait, Reason: "a member may receive again because of an earlier command"}
 	}
 	return keepCalled(in, step)
 }
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -245,7 +245,9 @@
 			assert.DeepEqual(t, kept.Targets, []string{"c"})
 			in.Called = "d"
 			assert.Equal(t, takeover.Decide(in).Action, takeover.Wait)
-			in.Members[2].LogLost, in.Called = true, "c"
+			in.Called, in.PausesUncertain = "", true
+			assert.Assert(t, takeover.Decide(in).Action != takeover.Promote, "a member may receive again")
+			in.Members[2].LogLost, in.Called, in.PausesUncertain = true, "c", false
 			assert.Assert(t, takeover.Decide(in).Action != takeover.Promote)
 		})
 	}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -56,6 +56,9 @@
 	// or has failed, if nothing else shows that. It takes 0.3 to 1 s, or seconds if the call
 	// got no answer; connections of unreachable peers are dropped after 3 s.
 	callSettleTime = 15 * time.Second
+	// resumeSettleTime is the time after which a RESUME without an answer has taken effect or
+	// has failed. Databases drop connections of unreachable peers after 3 s.
+	resumeSettleTime = 10 * time.Second
 	// pollInterval separates two status queries to the members.
 	pollInterval = 30 * time.Millisecond
 	// claimJitter is the upper bound of the random delay before a claim. Of several
@@ -103,6 +106,8 @@
 	// called and calledAt are primacy.Claim.Called and CalledAt.
 	called   string
 	calledAt time.Duration
+	// resumedAt is primacy.Claim.ResumedAt.
+	resumedAt time.Duration
 	// promotionPendingUntil is the time until which a promotion sent by this or an
 	// earlier holder may still take effect; ownPromotionUntil and earlierPromotionUntil
 	// are the same for this holder and for earlier ones only.
@@ -153,7 +158,7 @@
 		f.promoteAfter = record.Claim.PromoteAfter
 		if !claimEnded {
 			f.firstClaimStoredAt, f.announced = f.startedAt, record.Claim.Candidate
-			f.called, f.calledAt = record.Claim.Called, record.Claim.CalledAt
+			f.called, f.calledAt, f.resumedAt = record.Claim.Called, record.Claim.CalledAt, record.Claim.ResumedAt
 		}
 	}
 	switch {
@@ -179,7 +184,7 @@
 		return false
 	}
 	r.Service = g.cfg.Service
-	claim := &primacy.Claim{Holder: g.cfg.Instance, Nonce: f.nonce, FirstClaimedAt: claimedAt, RenewedAt: claimedAt, OldPrimary: f.oldPrimary, Candidate: f.announced, PromoteAfter: f.promoteAfter, Called: f.called, CalledAt: f.calledAt}
+	claim := &primacy.Claim{Holder: g.cfg.Instance, Nonce: f.nonce, FirstClaimedAt: claimedAt, RenewedAt: claimedAt, OldPrimary: f.oldPrimary, Candidate: f.announced, PromoteAfter: f.promoteAfter, Called: f.called, CalledAt: f.calledAt, ResumedAt: f.resumedAt}
 	if r.Claim != nil && r.Claim.OldPrimary == f.oldPrimary {
 		claim.FirstClaimedAt = min(claim.FirstClaimedAt, r.Claim.FirstClaimedAt)
 	}
@@ -265,7 +270,7 @@
 		f.membersReadAt = f.g.membersReadAt()
 		members := f.g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
 		in := takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed(), Unconfirmed: f.unconfirmed,
-			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown(), Called: f.unsettledCall(members)}
+			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown(), Called: f.unsettledCall(members), PausesUncertain: !f.resumesSettled()}
 		step := takeover.Decide(in)
 		if f.promotionPending(step) {
 			f.restorePauses(in)
@@ -369,9 +374,9 @@
 			time.Sleep(pollInterval)
 			break
 		}
-		f.g.controlAll(statement.Control{Kind: statement.ResumeReplication}, s.Targets, false)
-		f.withdraw(ctx)
-		return true
+		if f.abort(ctx, s.Targets) {
+			return true
+		}
 	case takeover.Pause:
 		f.g.controlAll(statement.Control{Kind: statement.PauseReplication, Term: s.Term}, s.Targets, false)
 	case takeover.StepDown:
@@ -391,6 +396,56 @@
 	return f.g.cfg.Clock()-f.claimSentAt > claimRenewalAge && !f.claim(ctx)
 }
 
+// abort lets the paused members receive again, and withdraws the claim once none of them can
+// do so later. It reports whether the failover has ended.
+func (f *failover) abort(ctx context.Context, paused []string) bool {
+	if len(paused) > 0 && !f.resume(ctx, paused) {
+		return true
+	}
+	if f.resumesSettled() {
+		f.withdraw(ctx)
+		return true
+	}
+	time.Sleep(pollInterval)
+	return false
+}
+
+// resume lets members receive again, and reports whether this instance holds the claim.
+// Later holders know of it unless all members have answered.
+func (f *failover) resume(ctx context.Context, ids []string) bool {
+	g := f.g
+	g.mu.Lock()
+	earlier, now := f.resumedAt, g.storeTime()
+	g.mu.Unlock()
+	if earlier == 0 || now-earlier > claimRenewalAge {
+		f.resumedAt = now
+		if !f.claim(ctx) {
+			return false
+		}
+	}
+	sentAt := g.cfg.Clock()
+	members := g.controlAll(statement.Control{Kind: statement.ResumeReplication}, ids, false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lost := slices.DeleteFunc(slices.Clone(ids), func(id string) bool {
+		answered := slices.ContainsFunc(members, func(m takeover.Member) bool { return m.ID == id && m.Status != nil })
+		return answered && g.members[id] != nil && g.members[id].resumeLostAt < sentAt
+	})
+	if len(lost) == 0 {
+		f.resumedAt = earlier
+		return true
+	}
+	f.log.WithFields(logrus.Fields{"event": "resume_unanswered", "members": lost}).Warn("members may receive log entries later")
+	return true
+}
+
+// resumesSettled reports whether no RESUME under the claim can take effect later.
+func (f *failover) resumesSettled() bool {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	return f.resumedAt == 0 || f.g.storeTime() >= f.resumedAt+resumeSettleTime
+}
+
 // promote sends the promotion and reports whether the failover goes on.
 func (f *failover) promote(ctx context.Context, s takeover.Step) bool {
 	g := f.g
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -56,8 +56,10 @@
 	leavingSince time.Duration // when it was first seen to be leaving or missing; 0 if it is neither
 	// departed means that it is no longer registered. It is kept until it is known
 	// to have stopped, because it may acknowledge commits until then.
-	departed      bool
-	unanswered    bool // it did not answer the last control command
+	departed   bool
+	unanswered bool // it did not answer the last control command
+	// resumeLostAt is when a RESUME that was sent to it last got no answer.
+	resumeLostAt  time.Duration
 	statusPending bool // a status query to the departed member is running
 	// catchUpFloor is the position that it must reach after a restart without its log
 	// before its log counts again; zero if none.
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -375,6 +375,12 @@
 	}
 }
 
+// sentUnanswered reports whether a command was sent that got no answer.
+func sentUnanswered(err error) bool {
+	var connErr *statement.ConnError
+	return errors.As(err, &connErr) && connErr.Sent
+}
+
 // control sends a control command on a pooled connection and, if that is silent or
 // broken, on a new one; if fresh is set, both attempts open a new one. The reply is nil
 // if the member did not answer; gone means that no process, or another member, listens
@@ -393,6 +399,11 @@
 			return &reply, false
 		}
 		gone = processGone(err)
+		if command.Kind == statement.ResumeReplication && sentUnanswered(err) {
+			g.mu.Lock()
+			m.resumeLostAt = g.cfg.Clock()
+			g.mu.Unlock()
+		}
 		reason, refused := statement.ReasonOf(err)
 		g.cfg.Log.WithFields(logrus.Fields{"event": "control_failed", "member": u.Member().ID, "order": command.Kind, "fresh": fresh, "error": err.Error()}).Info("member did not execute a control command")
 		if refused && reason != statement.WrongMember {
--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -6,6 +6,10 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/proxy/statement"
 )
 
 // Guards against a change that is aborted while a promotion that got no answer may still
@@ -54,3 +58,42 @@
 		})
 	}
 }
+
+// Guards against a RESUME of an aborted change that takes effect after the next holder has
+// paused the member: it acknowledges commits that the promoted one lacks.
+func TestLateResumeAfterNextPause(t *testing.T) {
+	for _, after := range []time.Duration{0, 200, 500, 900} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			underLoad(t, uint64(after), simulated("i1", "i2", "near"), func(t *testing.T, c *cluster) {
+				c.sim.Join("d")
+				time.Sleep(4 * time.Second)
+				// The first change pauses b and c, and is aborted before a call for a promotion.
+				c.sim.HoldCommands("d", statement.PauseReplication, true)
+				c.sim.Crash("a", true)
+				c.await(5*time.Second, "a PAUSE without an answer", func() bool { return c.sim.Held() > 0 })
+				c.sim.PassCommands("d")
+				c.sim.DropHeld()
+				c.sim.Restart("a", false)
+				c.sim.HoldCommands("b", statement.ResumeReplication, true)
+				c.await(30*time.Second, "a RESUME without an answer", func() bool { return c.sim.Held() > 1 })
+				c.sim.PassCommands("b")
+				time.Sleep(time.Second)
+				// The primary reaches the replicas and one instance, which does not reach the store.
+				calls := c.sim.Calls()
+				c.isolate([]string{"a", "near"}, []string{"i1", "i2", "store"})
+				for range 200 {
+					if c.sim.Calls() > calls {
+						break
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				time.Sleep(after * time.Millisecond)
+				c.sim.ReleaseHeld()
+				time.Sleep(9 * time.Second)
+				assert.Assert(t, c.sim.Promotions() > 0, "the lost primary was not replaced")
+				c.rejoin([]string{"a", "near"}, []string{"i1", "i2", "store"})
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
