Require the log of a member that a lost call may still promote

Callers lost acknowledged commits when a call for a promotion without an answer took effect after its member had been promoted by a second call, had led and had been replaced: it led again, with the log of a replica that lags behind its successor.

Cause: what a claim says of the call ends with the claim. The change that replaced the member knew nothing of it, and the platform cannot take a call back.

A holder that publishes a primary while a call without an answer is not settled now keeps its member in the record (primacy.Record.MayLead, until 15 s after the last call). The member may be replaced, which a leaving one needs, but instances pass on acknowledgements of other primaries only if its log has the commit too, or its process has ended (takeover.MayLack). The record that names its successor carries the member, so nobody writes there without knowing. Changes whose calls were answered write nothing more.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -123,6 +123,10 @@
 	// not known.
 	PromotedAt position.Position `json:"promoted_at,omitzero"`
 	Claim      *Claim            `json:"claim,omitempty"`
+	// MayLead is a member that a call without an answer may promote once more, until the
+	// store time MayLeadUntil, although it has led since or another member leads.
+	MayLead      string        `json:"may_lead,omitempty"`
+	MayLeadUntil time.Duration `json:"may_lead_until,omitempty"`
 	// Era is the era of the store in which Primary was last proven to be the primary: by
 	// a completed change or by the members. A claim keeps it.
 	Era uint64 `json:"era,omitempty"`
@@ -141,6 +145,8 @@
 	noEra = math.MaxUint64
 	// maxTerm is the greatest integer up to which a number of any JSON encoder is exact.
 	maxTerm = 1 << 53
+	// maxMayLead bounds the time until MayLeadUntil.
+	maxMayLead = time.Minute
 	// maxClockError bounds the difference between the times of a claim, which are estimates
 	// of the store's time, and the range from the start of the store to its present time.
 	maxClockError = 10 * time.Second
@@ -155,6 +161,9 @@
 	if r.PromotedAt.Term > maxTerm || r.PromotedAt.Offset > maxTerm {
 		return Class.New("primary promoted at %s", r.PromotedAt)
 	}
+	if r.MayLeadUntil > now+maxMayLead+maxClockError {
+		return Class.New("a member may lead until %s at %s", r.MayLeadUntil, now)
+	}
 	c := r.Claim
 	if c == nil {
 		return nil
--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/papayarail/papayarail/core/position"
@@ -85,6 +86,12 @@
 // a later term may have begun that term without the commit.
 func holds(last, p position.Position) bool { return last.Term == p.Term && last.AtLeast(p) }
 
+// MayLack reports whether the log of a member that may be promoted at any time is not known
+// to have the commit at p.
+func MayLack(member string, p position.Position, replicas []Evidence) bool {
+	return slices.ContainsFunc(replicas, func(e Evidence) bool { return e.Member == member && !e.Gone && !e.Holds(p) })
+}
+
 // Contains reports whether the commit at p, which the primary has acknowledged, is in the
 // log of whichever member is promoted next. claim is the claim against the primary, nil if
 // this instance knows of none, and replicas is what it knows of all other members.
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -264,3 +264,17 @@
 	assert.Equal(t, takeover.Contains(claim, p, []takeover.Evidence{with("b", 9), with("c", 8)}), takeover.Unproven)
 	assert.Equal(t, takeover.Contains(claim, p, []takeover.Evidence{with("b", 8), with("c", 9)}), takeover.Contained)
 }
+
+// Guards against an acknowledgement without the log of a member that may lead at any time.
+func TestMayLack(t *testing.T) {
+	p := position.Position{Term: 3, Offset: 9}
+	at := func(term, n uint64) takeover.Evidence {
+		return evidence("b", true, takeover.Status{Term: term, Received: position.Position{Term: term, Offset: n}}, 0)
+	}
+	assert.Assert(t, takeover.MayLack("b", p, []takeover.Evidence{at(3, 8)}))
+	assert.Assert(t, takeover.MayLack("b", p, []takeover.Evidence{at(4, 12)}), "it may have begun the term without the commit")
+	assert.Assert(t, takeover.MayLack("b", p, []takeover.Evidence{{Member: "b"}}))
+	assert.Assert(t, !takeover.MayLack("b", p, []takeover.Evidence{at(3, 9)}))
+	assert.Assert(t, !takeover.MayLack("b", p, []takeover.Evidence{{Member: "b", Gone: true}, {Member: "c"}}))
+	assert.Assert(t, !takeover.MayLack("", p, []takeover.Evidence{at(3, 8)}))
+}
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -135,7 +135,20 @@
 			replicas = append(replicas, g.evidenceOf(m))
 		}
 	}
-	return takeover.Contains(claim, p, replicas), claim != nil
+	c = takeover.Contains(claim, p, replicas)
+	if late := g.mayLead(); c == takeover.Contained && late != id && takeover.MayLack(late, p, replicas) {
+		c = takeover.Unproven
+	}
+	return c, claim != nil
+}
+
+// mayLead returns the member that a call without an answer may still promote, or an empty
+// string. g.mu is held.
+func (g *Group) mayLead() string {
+	if r := g.tracker.Record(); g.storeTime() < r.MayLeadUntil {
+		return r.MayLead
+	}
+	return ""
 }
 
 // describeEvidence formats what is known of the other members' logs for the log.
@@ -168,11 +181,11 @@
 	}
 	var replicas []*member
 	for id, m := range g.members {
-		if id != primary && (candidate == "" || id == candidate) {
+		if id != primary && (candidate == "" || id == candidate || id == g.mayLead()) {
 			replicas = append(replicas, m)
 		}
 	}
-	if len(replicas) > 1 && g.cfg.Clock() < ackedAt+proofHedge {
+	if candidate == "" && g.mayLead() == "" && len(replicas) > 1 && g.cfg.Clock() < ackedAt+proofHedge {
 		first := slices.MinFunc(replicas, g.compareWitnesses)
 		if g.evidenceOf(first).Counted && !first.unanswered {
 			replicas = []*member{first}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -106,6 +106,8 @@
 	// called and calledAt are primacy.Claim.Called and CalledAt.
 	called   string
 	calledAt time.Duration
+	// callUnanswered means that a call for the member may have got no answer.
+	callUnanswered bool
 	// resumedAt is primacy.Claim.ResumedAt.
 	resumedAt time.Duration
 	// promotionPendingUntil is the time until which a promotion sent by this or an
@@ -159,6 +161,7 @@
 		if !claimEnded {
 			f.firstClaimStoredAt, f.announced = f.startedAt, record.Claim.Candidate
 			f.called, f.calledAt, f.resumedAt = record.Claim.Called, record.Claim.CalledAt, record.Claim.ResumedAt
+			f.callUnanswered = f.called != ""
 		}
 	}
 	switch {
@@ -461,6 +464,7 @@
 	// Each later holder must know of the call before it may take effect.
 	newCall := earlier != s.Targets[0] || now-earlierAt > claimRenewalAge
 	if newCall {
+		f.callUnanswered = f.callUnanswered && earlier == s.Targets[0]
 		f.called, f.calledAt = s.Targets[0], now
 	}
 	if (otherCandidate || newCall || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
@@ -483,6 +487,8 @@
 			f.called, f.calledAt = "", 0
 		case errors.Is(err, ErrNotCalled):
 			f.calledAt = earlierAt
+		default:
+			f.callUnanswered = true
 		}
 		time.Sleep(pollInterval)
 		return true
@@ -503,6 +509,9 @@
 	if log.Term < primary.Term {
 		r.PromotedAt = log
 	}
+	if f.callUnanswered && f.called != "" {
+		r.MayLead, r.MayLeadUntil = f.called, f.calledAt+callSettleTime
+	}
 	for g.cfg.Clock()-seenAt < publishTimeout && ctx.Err() == nil && !f.superseded() {
 		sentAt := g.cfg.Clock()
 		version, storeNow, err := g.putRecord(ctx, r)
--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -59,6 +59,30 @@
 	}
 }
 
+// Guards against a call without an answer that takes effect when its member has led and has
+// been replaced since: it leads again, without the commits of its successor.
+func TestLatePromotionOfFormerPrimary(t *testing.T) {
+	for _, late := range []time.Duration{50, 200, 1000, 3000} {
+		t.Run(fmt.Sprintf("late=%dms", late), func(t *testing.T) {
+			underLoad(t, uint64(late), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				time.Sleep(4 * time.Second)
+				c.sim.HoldPromotions(1)
+				c.sim.Crash("a", true)
+				c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+				called := c.sim.CalledFor()
+				c.await(5*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
+				c.sim.Restart("a", false)
+				c.sim.SetReceiveLag(called, 60*time.Millisecond)
+				c.sim.Drain(called)
+				c.await(5*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
+				time.Sleep(late * time.Millisecond)
+				c.sim.ReleaseHeld()
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a RESUME of an aborted change that takes effect after the next holder has
 // paused the member: it acknowledges commits that the promoted one lacks.
 func TestLateResumeAfterNextPause(t *testing.T) {
