takeover: a primary that serves steps down only if the change can be finished

The holder now checks rule 3's conditions before that: at most one member does not answer, and a replica that receives and stays is close to the primary's log (a stalled primary that stays may be promoted again instead). Otherwise it waits while the primary serves; stepping down would not have ended the wait sooner. The check holds too for a primary whose commits are not acknowledged. A primary that a later term has deposed still steps down at once.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -183,6 +183,8 @@
 		return r.decideSteppedDown()
 	case r.laterTermSeen():
 		return Step{Action: StepDown, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "a member that does not answer is the primary of a later term"}
+	case in.StepDown && !r.canStepDown():
+		return Step{Action: Wait, Reason: "a change without the primary could not be finished"}
 	case in.StepDown:
 		return Step{Action: StepDown, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "the primary's commits are not acknowledged and a replica does not answer"}
 	case in.Unconfirmed && len(r.answered) < len(r.replicas)-1:
@@ -293,6 +295,20 @@
 	return step
 }
 
+// canStepDown reports whether rule 3 can be applied once a primary that serves has stepped
+// down: at most one member does not answer, and a replica that receives log entries and stays
+// is close to the primary's log. A primary whose commits reach no replica and that stays can
+// be promoted again instead.
+func (r *round) canStepDown() bool {
+	if len(r.answered) < len(r.replicas)-1 {
+		return false
+	}
+	stays := func(m *Member) bool { return !m.Draining && !m.LogLost }
+	return r.in.StepDown && stays(r.old) || slices.ContainsFunc(r.answered, func(m *Member) bool {
+		return stays(m) && m.Status.PausedTerm == 0 && isClose(m.Status.Received, r.old.Status.Received)
+	})
+}
+
 // laterTermSeen reports whether a replica is in a later term than the old
 // primary's: another member was promoted and does not answer.
 func (r *round) laterTermSeen() bool {
@@ -346,8 +362,12 @@
 		}
 		return Step{Action: Wait, Reason: "no replica can take over"}
 	}
-	if len(r.answered) < len(r.replicas) {
+	switch {
+	case len(r.answered) == len(r.replicas):
+	case r.canStepDown():
 		return Step{Action: StepDown, Targets: []string{r.old.ID}, Term: r.nextTerm, Reason: "a replica does not answer"}
+	default:
+		return Step{Action: Wait, Reason: "a change without the primary could not be finished"}
 	}
 	candidate := r.plannedCandidate(eligible)
 	switch {
--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -131,3 +131,26 @@
 		})
 	}
 }
+
+// Guards against a primary that steps down although its successor cannot be promoted because
+// two members have left and ended: the service had no primary until the others had left too
+// (review/1, 243 to 416 commits lost).
+func TestLeavingPrimaryServesUntilItCanBeReplaced(t *testing.T) {
+	underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+		c.sim.Join("d")
+		c.sim.Join("e")
+		time.Sleep(4 * time.Second)
+		for _, id := range []string{"d", "e"} {
+			c.sim.Crash(id, true)
+			c.sim.Deregister(id)
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.sim.Drain("a")
+		for drainedAt := time.Now(); time.Since(drainedAt) < 7*time.Second; time.Sleep(100 * time.Millisecond) {
+			gap := c.writeGap("i1", 10*time.Second)
+			assert.Check(t, gap < time.Second, "gap %s", gap)
+		}
+		time.Sleep(5 * time.Second)
+		assert.Check(t, c.sim.Primary() != "a")
+	})
+}
