group: forget a member that has left on its own, also while the primary is suspected

Instances pass it on with the delta that removes the member (relay.Delta.Left), so deltas do not grow with heartbeats and there is no further read; an instance of an earlier release ignores the field, and one that polls it keeps the old behaviour.

Evidence: TestMemberThatLeftDelaysNoFailover, the primary lost 0, 500 and 1,500 ms after the exit.

--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -118,8 +118,15 @@
 	// Version is that of the whole store, and StoreNow its clock at the time of the read.
 	Version  storeversion.Version
 	StoreNow time.Duration
+	// Left names the members whose rows are missing because they have left.
+	Left Departures
 }
 
+// Departures names members that have left the group on their own, by ID, with their Started:
+// they have ended their registration themselves, and end or have ended. The registration of a
+// member that has crashed or is cut off expires instead, which is no departure.
+type Departures map[string]int64
+
 // ByService returns the members of each service.
 func (all Members) ByService() map[string]Members {
 	byService := make(map[string]Members)
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -56,11 +56,14 @@
 	leavingSince time.Duration // when it was first seen to be leaving or missing; 0 if it is neither
 	// departed means that it is no longer registered. It is kept until it is known
 	// to have stopped, because it may acknowledge commits until then.
-	departed   bool
-	unanswered bool // it did not answer the last control command
+	departed bool
+	// left means that it has ended its registration itself, so that its log does not come
+	// back. leftUnanswered means that it has not answered since on a new connection either.
+	left, leftUnanswered bool
+	unanswered           bool // it did not answer the last control command
+	statusPending        bool // a status query to the departed member is running
 	// resumeLostAt is when a RESUME that was sent to it last got no answer.
-	resumeLostAt  time.Duration
-	statusPending bool // a status query to the departed member is running
+	resumeLostAt time.Duration
 	// catchUpFloor is the position that it must reach after a restart without its log
 	// before its log counts again; zero if none.
 	catchUpFloor position.Position
@@ -121,6 +124,17 @@
 	g.broadcast()
 }
 
+// ObserveDepartures handles the latest departures of members. It must be called before
+// UpdateMembers with the read that lacks them.
+func (g *Group) ObserveDepartures(left catalog.Departures) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, m := range g.members {
+		started, ok := left[id]
+		m.left = m.left || ok && started == m.Member().Started
+	}
+}
+
 // ObserveMembersRead handles a read of the members at readAt, of which UpdateMembers need
 // not be told if it shows no change.
 func (g *Group) ObserveMembersRead(readAt time.Duration) {
@@ -167,10 +181,12 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (readAt - m.missingSince).Milliseconds()}).Info("member is no longer registered")
 		g.signalRun()
 	}
-	if !m.departed || g.suspicion.firstFailureAt != 0 || id == g.tracker.Primary().Member {
+	// The suspicion keeps members that were cut off together with the primary.
+	if !m.left && (!m.departed || g.suspicion.firstFailureAt != 0) || id == g.tracker.Primary().Member {
 		return
 	}
 	switch {
+	case g.forgetLeft(id, m):
 	case m.unanswered && readAt-m.missingSince >= minMissingTime && readAt-m.leavingSince >= departedRetention:
 		g.removeMember(id, m, "primary_serves_without_it")
 	case !m.statusPending:
@@ -183,11 +199,29 @@
 // from the departure on, so that a member is not removed because of an unanswered
 // query that is older than two timeouts.
 func (g *Group) probeDeparted(m *member) {
+	g.mu.Lock()
+	left := m.left
+	g.mu.Unlock()
 	status, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, true)
 	g.recordAnswer(m, status != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.statusPending = false
+	m.leftUnanswered = left && m.left && status == nil
+	if id := m.Member().ID; g.members[id] == m {
+		g.forgetLeft(id, m)
+	}
+}
+
+// forgetLeft removes a member that has left and does not answer, and reports whether it did:
+// its process has ended. Until departedRetention is over, an instance may have counted it for
+// an acknowledgement, which the other replicas then need time to receive. g.mu is held.
+func (g *Group) forgetLeft(id string, m *member) bool {
+	if !m.leftUnanswered || id == g.tracker.Primary().Member || g.cfg.Clock()-m.leavingSince < departedRetention {
+		return false
+	}
+	g.removeMember(id, m, "left")
+	return true
 }
 
 // removeMember removes a member from the group. g.mu is held.
@@ -218,7 +252,7 @@
 		// Others may have forgotten it meanwhile.
 		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
 	}
-	known.missingSince, known.departed = 0, false
+	known.missingSince, known.departed, known.left, known.leftUnanswered = 0, false, false, false
 	// A restored store shows registrations that have been replaced since. A member does
 	// not become an earlier incarnation again, nor does it stop leaving.
 	if slices.Contains(known.formerStarts, m.Started) {
--- a/proxy/node/apply.go
+++ b/proxy/node/apply.go
@@ -28,7 +28,7 @@
 	}
 	if c.MembersRead || c.ConfigChanged || c.InstancesChanged {
 		if members, at := r.cache.Members(); r.cache.HasMembers() {
-			r.node.setMembers(members, at.Earliest, c.ConfigChanged || c.InstancesChanged)
+			r.node.setMembers(members, r.cache.Departures(), at.Earliest, c.ConfigChanged || c.InstancesChanged)
 		}
 	}
 	if c.RecordsRead || c.ConfigChanged {
@@ -61,12 +61,13 @@
 // setMembers passes the members, read at readAt, on to their groups. Groups whose
 // members are complete and unchanged are left out unless all is set. reader.applyMu is
 // held.
-func (n *Node) setMembers(members catalog.Members, readAt time.Duration, all bool) {
+func (n *Node) setMembers(members catalog.Members, left catalog.Departures, readAt time.Duration, all bool) {
 	byService := members.ByService()
 	groups := n.allGroups()
 	for _, g := range groups {
 		current := byService[g.Service()]
 		if all || g.MembersMissing() || !current.Equal(n.lastMembers[g.Service()]) {
+			g.ObserveDepartures(left)
 			g.UpdateMembers(current, readAt)
 		} else {
 			g.ObserveMembersRead(readAt)
--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -154,3 +154,26 @@
 		assert.Check(t, c.sim.Primary() != "a")
 	})
 }
+
+// Guards against a failover that waits for a member that has left and ended: while the primary
+// is suspected, no member was forgotten whose registration had only disappeared (review/1, no
+// primary for tens of seconds).
+func TestMemberThatLeftDelaysNoFailover(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for _, after := range []time.Duration{0, 500, 1500} {
+			t.Run(fmt.Sprintf("silent=%t,after=%dms", silent, after), func(t *testing.T) {
+				underLoad(t, uint64(after), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+					c.sim.Join("d")
+					time.Sleep(time.Second)
+					c.sim.Drain("d")
+					time.Sleep(8 * time.Second)
+					c.sim.Leave("d", silent)
+					time.Sleep(after * time.Millisecond)
+					c.sim.Crash("a", true)
+					gap := c.writeGap("i1", 10*time.Second)
+					assert.Check(t, gap < 4*time.Second, "gap %s", gap)
+				})
+			})
+		}
+	}
+}
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -45,6 +46,9 @@
 	Era       uint64                        `json:"era,omitempty"`
 	EraSeenAt time.Duration                 `json:"era_seen,omitempty"`
 	Records   *mirror.Delta[primacy.Record] `json:"records,omitempty"`
+	// Left names those of the members that Members removes that are known to have left. An
+	// instance of an earlier release does not send it.
+	Left catalog.Departures `json:"left,omitempty"`
 	// MembersAsOf is the same bound for the read of the members.
 	MembersAsOf time.Duration                   `json:"members_began"`
 	Members     *mirror.Delta[catalog.Member]   `json:"members,omitempty"`
@@ -109,8 +113,12 @@
 	workspaces      *mirror.Table[catalog.Workspace]
 	identified      bool // callers are identified; otherwise workspaces is empty
 	transactionIdle time.Duration
-	updated         chan struct{}           // closed and replaced when there is a newer read
-	encodedDeltas   map[Known]*encodedDelta // answers encoded since then
+	// left holds the departures that are no older than departureRetention, and leftSeenAt when
+	// this instance learned of each.
+	left          catalog.Departures
+	leftSeenAt    map[string]time.Duration
+	updated       chan struct{}           // closed and replaced when there is a newer read
+	encodedDeltas map[Known]*encodedDelta // answers encoded since then
 	// configDeltas holds the encoded changes of the configuration, by the version from
 	// which they start.
 	configDeltas map[uint64]*encodedConfigDelta
@@ -128,7 +136,7 @@
 
 // NewCache returns an empty Cache.
 func NewCache(clock boottime.Clock) *Cache {
-	return &Cache{clock: clock, updated: make(chan struct{}), encodedDeltas: make(map[Known]*encodedDelta), configDeltas: make(map[uint64]*encodedConfigDelta),
+	return &Cache{clock: clock, left: make(catalog.Departures), leftSeenAt: make(map[string]time.Duration), updated: make(chan struct{}), encodedDeltas: make(map[Known]*encodedDelta), configDeltas: make(map[uint64]*encodedConfigDelta),
 		records:   mirror.New(func(a, b primacy.Record) bool { return a.Version == b.Version }),
 		members:   mirror.New(catalog.SameMember),
 		instances: mirror.New(same[source.Candidate]),
@@ -204,9 +212,55 @@
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	changed, newer := setTable(cache, cache.members, &cache.membersAsOf, snapshot, sentAt, answeredAt)
+	cache.addDepartures(snapshot.Left)
 	return Changes{MembersRead: newer, MembersChanged: changed}
 }
 
+// departureRetention is how long a departure is passed on; all instances poll more often.
+const departureRetention = 30 * time.Second
+
+// addDepartures adds those of members that are not registered. cache.mu is held.
+func (cache *Cache) addDepartures(left catalog.Departures) {
+	now := cache.clock()
+	maps.DeleteFunc(cache.left, func(id string, _ int64) bool {
+		_, registered := cache.members.Get(id)
+		return registered || now-cache.leftSeenAt[id] > departureRetention
+	})
+	for id, started := range left {
+		if _, registered := cache.members.Get(id); !registered && cache.left[id] != started {
+			cache.left[id], cache.leftSeenAt[id] = started, now
+		}
+	}
+	maps.DeleteFunc(cache.leftSeenAt, func(id string, _ time.Duration) bool {
+		_, ok := cache.left[id]
+		return !ok
+	})
+}
+
+// departuresIn returns the departures of the members that a delta removes. cache.mu is held.
+func (cache *Cache) departuresIn(d *mirror.Delta[catalog.Member]) catalog.Departures {
+	if d == nil || len(cache.left) == 0 {
+		return nil
+	}
+	if d.Full {
+		return cache.left
+	}
+	left := make(catalog.Departures)
+	for _, id := range d.Removed {
+		if started, ok := cache.left[id]; ok {
+			left[id] = started
+		}
+	}
+	return left
+}
+
+// Departures returns the latest departures of members.
+func (cache *Cache) Departures() catalog.Departures {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	return maps.Clone(cache.left)
+}
+
 // SetInstances stores the announced instances that this instance read from the store.
 func (cache *Cache) SetInstances(snapshot catalog.Snapshot[source.Candidate]) Changes {
 	cache.mu.Lock()
@@ -258,6 +312,7 @@
 		leaveOut(d, func(id string, m catalog.Member) bool { return m.Check() != nil || m.ID != id })
 		c.MembersChanged = cache.members.ApplyDelta(*d)
 		membersCurrent = cache.members.Version() >= d.Version
+		cache.addDepartures(a.Delta.Left)
 	}
 	if membersCurrent && a.Delta.MembersAsOf > cache.membersAsOf {
 		cache.membersAsOf = a.Delta.MembersAsOf
@@ -448,6 +503,7 @@
 	}
 	d := Delta{RecordsAsOf: cache.recordsAsOf, Era: cache.era(), EraSeenAt: cache.eraSeenAt, MembersAsOf: cache.membersAsOf, Records: cache.records.DeltaSince(k.Records), Members: cache.members.DeltaSince(k.Members),
 		Instances: cache.instances.DeltaSince(k.Instances)}
+	d.Left = cache.departuresIn(d.Members)
 	d.ConfigVersion = cache.routes.Version()
 	if d.ConfigVersion > k.Config {
 		c, err := cache.encodeConfigSince(k.Config)
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -126,6 +126,35 @@
 	assert.Equal(t, len(members), 0)
 }
 
+// Guards against instances that do not learn that a member has left, and wait for it in a
+// failover; and against departures that are sent again with each answer, or of a member that
+// is registered again.
+func TestDeparturesArePassedOn(t *testing.T) {
+	src := newSource()
+	f := newFollower(t, serve(t, src))
+	member := func(id string) catalog.Member {
+		return catalog.Member{ID: id, Service: "s", FailureDomain: "z", Address: "10.1.0.9:80", Slots: 2, Started: 3}
+	}
+	read := func(version storeversion.Version, rows catalog.Members, left catalog.Departures) {
+		now := boottime.Now()
+		src.cache.SetMembers(catalog.Snapshot[catalog.Member]{Rows: rows, Version: version, StoreNow: now + time.Hour, Left: left}, now, now)
+		src.read(version+1, record(12))
+		f.poll()
+	}
+	read(11, catalog.Members{"a": member("a"), "b": member("b"), "c": member("c")}, nil)
+	assert.Equal(t, len(f.cache.Departures()), 0)
+	read(21, catalog.Members{"a": member("a")}, catalog.Departures{"b": 3})
+	assert.DeepEqual(t, f.cache.Departures(), catalog.Departures{"b": 3})
+	read(31, catalog.Members{"a": member("a"), "d": member("d")}, nil)
+	answer, _ := f.poll()
+	assert.Equal(t, len(answer.Delta.Left), 0)
+	late := newFollower(t, f.from)
+	late.poll()
+	assert.DeepEqual(t, late.cache.Departures(), catalog.Departures{"b": 3})
+	read(41, catalog.Members{"a": member("a"), "b": member("b")}, nil)
+	assert.Equal(t, len(f.cache.Departures()), 0)
+}
+
 // Guards the content of answers: everything at first, then only what has changed; the
 // version of a record, on which conditional writes depend, must be kept.
 func TestPoll(t *testing.T) {
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -51,6 +51,7 @@
 	silent     bool // if down: connections time out instead of being refused
 	draining   bool
 	registered bool
+	left       bool  // it has ended its registration itself
 	generation int64 // reported as catalog.Member.Started; grows with a start without the log or under another name
 	// applyLag is the delay after its commit with which reads on this member see an
 	// entry while the member is a replica.
@@ -500,5 +501,16 @@
 	return all
 }
 
+// departures returns the members that have left. c.mu is held.
+func (c *Cluster) departures() catalog.Departures {
+	left := make(catalog.Departures)
+	for _, m := range c.members {
+		if m.left {
+			left[m.ID] = m.generation
+		}
+	}
+	return left
+}
+
 // Dialer returns the Dialer of an instance.
 func (c *Cluster) Dialer(instance string) statement.Dialer { return dialer{c, instance} }
--- a/proxy/simulator/faults.go
+++ b/proxy/simulator/faults.go
@@ -38,12 +38,22 @@
 	m.conns = make(map[*conn]bool)
 }
 
+// Leave ends a member's process and its registration, as one does that leaves on its own;
+// silent is as in Crash. The registration of a member that is deregistered otherwise has expired.
+func (c *Cluster) Leave(id string, silent bool) {
+	c.Crash(id, silent)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.member(id)
+	m.registered, m.left = false, true
+}
+
 // Restart starts a member again, with its log, or without it if empty is set.
 func (c *Cluster) Restart(id string, empty bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.member(id)
-	m.down, m.silent = false, false
+	m.down, m.silent, m.left = false, false, false
 	for _, other := range c.members {
 		if other.primary && other.term > m.term {
 			m.stepDown()
@@ -78,7 +88,7 @@
 func (c *Cluster) setRegistered(id string, registered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.member(id).registered = registered
+	c.member(id).registered, c.member(id).left = registered, false
 }
 
 // IgnorePositions injects a fault: members execute reads even if they have not reached
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -239,7 +239,7 @@
 		return catalog.Snapshot[catalog.Member]{}, err
 	}
 	defer c.cluster.mu.Unlock()
-	return catalog.Snapshot[catalog.Member]{Rows: c.cluster.registered(), Version: c.cluster.store.nextVersion(), StoreNow: time.Since(c.cluster.start)}, nil
+	return catalog.Snapshot[catalog.Member]{Rows: c.cluster.registered(), Version: c.cluster.store.nextVersion(), StoreNow: time.Since(c.cluster.start), Left: c.cluster.departures()}, nil
 }
 
 // Instances implements node.Store.
