takeover: promote no log that lacks commits known to be acknowledged

A log is now promoted, under each rule, only from RequiredLog on: the highest commit that the holder has passed the acknowledgement of, in the old primary's term or before, and the position with which the old primary was promoted (Record.PromotedAt). What the old primary lacked then is lost already and is not asked for again. Positions of the primary that were only seen in a status do not count. Without a log that qualifies, nobody is paused and no primary steps down, so that the members can still receive what they lack.

Evidence: TestNoPromotionWithoutAcknowledgedCommits (the primary and the only replica with the last commits end). With it: no promotion in 10 s, each instance refuses within 200 ms, and the replica is promoted within 6 s after its return.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -195,6 +195,20 @@
 	return !r.PromotedAt.IsZero() && p.Term < r.Primary.Term && !r.PromotedAt.AtLeast(p)
 }
 
+// RequiredLog returns the position that a log must have reached to replace the primary old, if
+// an instance has passed on the acknowledgement of the commit at acked: a commit there is known
+// or was presumed to be acknowledged. The commits of earlier terms that old lacked when it was
+// promoted are lost already, so that no log has to have them.
+func (r Record) RequiredLog(old Primary, acked position.Position) position.Position {
+	if acked.Term > old.Term {
+		acked = position.Position{}
+	}
+	if acked.Term < old.Term && r.Primary == old && !r.PromotedAt.IsZero() {
+		return r.PromotedAt
+	}
+	return acked
+}
+
 // Confirmed reports whether Primary was proven in the store's present era. A missing
 // record is confirmed only if the store was never restored.
 func (r Record) Confirmed() bool { return r.Era == r.Version.Era() }
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -185,3 +185,28 @@
 	assert.Equal(t, r.WithPrimary(r.Primary).PromotedAt, r.PromotedAt)
 	assert.Assert(t, r.WithPrimary(primacy.Primary{Member: "c", Term: 3}).PromotedAt.IsZero())
 }
+
+// Guards against a bound that lets a log without acknowledged commits be promoted, and against
+// one that no log can reach, because the commits were lost in an earlier change.
+func TestRequiredLog(t *testing.T) {
+	at := func(term, offset uint64) position.Position { return position.Position{Term: term, Offset: offset} }
+	old := primacy.Primary{Member: "a", Term: 3}
+	known := primacy.Record{Primary: old, PromotedAt: at(2, 60)}
+	for _, test := range []struct {
+		name   string
+		record primacy.Record
+		acked  position.Position
+		want   position.Position
+	}{
+		{"acknowledged in the term of the old primary", known, at(3, 70), at(3, 70)},
+		{"the holder knows of none", known, position.Position{}, at(2, 60)},
+		{"the old primary began with it", known, at(2, 50), at(2, 60)},
+		{"lost when the old primary was promoted", known, at(2, 61), at(2, 60)},
+		{"of a later primary", known, at(4, 80), at(2, 60)},
+		{"the position of the promotion is not known", primacy.Record{Primary: old}, at(2, 50), at(2, 50)},
+		{"the record is of another primary", primacy.Record{Primary: primacy.Primary{Member: "b", Term: 2}, PromotedAt: at(1, 40)}, at(2, 50), at(2, 50)},
+		{"nothing is known", primacy.Record{}, position.Position{}, position.Position{}},
+	} {
+		assert.Equal(t, test.record.RequiredLog(old, test.acked), test.want, test.name)
+	}
+}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -17,6 +17,9 @@
 //     answer may have been promoted by an earlier holder of the claim; then one
 //     of the others has each of its acknowledged commits too.
 //
+// Under each rule, a log that has not reached RequiredLog is not promoted: members with
+// acknowledged commits are gone then, and what is missing may come back with one of them.
+//
 // A promotion takes effect up to a second after the call for it, and cannot be taken
 // back. Until then a paused member may restart, which ends its pause, and a member that
 // nobody has paused may join; either may acknowledge commits of a primary that serves.
@@ -98,6 +101,9 @@
 	PausesUncertain bool
 	// Called is the member that was called for, as long as the call may take effect.
 	Called string
+	// RequiredLog is the position that the log of a member must have reached to be promoted;
+	// see primacy.Record.RequiredLog.
+	RequiredLog position.Position
 }
 
 // Action is the kind of a step.
@@ -137,40 +143,61 @@
 	// action is Done.
 	Log    position.Position
 	Reason string
+	// LogsTooShort means that the old primary does not serve and no member can be promoted,
+	// because none that answers has reached RequiredLog.
+	LogsTooShort bool
 }
 
 // Decide returns the next step.
 func Decide(in Input) Step {
-	step := decide(in)
+	r := newRound(in)
+	step := r.decide()
 	switch {
 	case step.Action != Promote:
 	case in.MembersOutdated:
 		step = Step{Action: Wait, Reason: "the list of members is too old"}
 	case in.PausesUncertain:
 		step = Step{Action: Wait, Reason: "a member may receive again because of an earlier command"}
+	case !r.hasRequiredLog(step.Targets[0]):
+		step = r.waitForLog()
 	}
-	return keepCalled(in, step)
+	return r.keepCalled(step)
 }
 
 // keepCalled replaces a step that conflicts with a promotion that may take effect: another
 // member would be promoted or announced, or the old primary would go on. The called-for
 // member has every commit whose acknowledgement is passed on (Contains), so that it can be
 // called for again.
-func keepCalled(in Input, step Step) Step {
+func (r *round) keepCalled(step Step) Step {
+	in := r.in
 	conflicts := step.Action == Abort || (step.Action == Promote || step.Action == Announce) && step.Targets[0] != in.Called
 	if in.Called == "" || !conflicts {
 		return step
 	}
 	for _, m := range in.Members {
-		if m.ID == in.Called && m.Status != nil && !m.LogLost {
-			return Step{Action: Promote, Targets: []string{m.ID}, Term: newRound(in).nextTerm, Reason: "an earlier call for it may take effect"}
+		if m.ID == in.Called && m.Status != nil && !m.LogLost && r.hasRequiredLog(m.ID) {
+			return Step{Action: Promote, Targets: []string{m.ID}, Term: r.nextTerm, Reason: "an earlier call for it may take effect"}
 		}
 	}
 	return Step{Action: Wait, Reason: "a member that was called for may be promoted"}
 }
 
-func decide(in Input) Step {
-	r := newRound(in)
+// hasRequiredLog reports whether the log of an answering member has reached RequiredLog.
+func (r *round) hasRequiredLog(id string) bool {
+	return slices.ContainsFunc(r.in.Members, func(m Member) bool {
+		return m.ID == id && m.Status != nil && m.Status.Received.AtLeast(r.in.RequiredLog)
+	})
+}
+
+// waitForLog returns the step for a round in which the longest log that could be promoted has
+// not reached RequiredLog.
+func (r *round) waitForLog() Step {
+	serves := r.old != nil && r.old.Status != nil && r.old.Status.Primary && !r.old.LogLost
+	return Step{Action: Wait, Reason: "no log that could be promoted has all acknowledged commits", LogsTooShort: !serves}
+}
+
+func (r *round) decide() Step {
+	in := r.in
 	if primary := r.promoted(); primary != nil {
 		return Step{Action: Done, Targets: []string{primary.ID}, Term: primary.Status.Term, Log: primary.Status.Received, Reason: "a member is the primary of a later term"}
 	}
@@ -265,10 +292,13 @@
 	if withLog < r.in.GroupSize-1 || withLog < len(r.replicas) {
 		return Step{Action: Wait, Reason: "a replica that may have the longest log does not answer"}
 	}
+	candidate := r.longestLog(r.answered)
+	if !r.hasRequiredLog(candidate.ID) {
+		return r.waitForLog() // without a pause, they may still receive what they lack
+	}
 	if ids := r.unpausedIDs(nil); len(ids) > 0 {
 		return Step{Action: Pause, Targets: ids, Term: r.nextTerm, Reason: "the primary does not serve"}
 	}
-	candidate := r.longestLog(r.answered)
 	return Step{Action: Promote, Targets: []string{candidate.ID}, Term: r.nextTerm, Reason: "longest log of all replicas"}
 }
 
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -214,6 +214,35 @@
 	}
 }
 
+// Guards against the promotion of a log that lacks acknowledged commits after the members that
+// had them are gone (review/1, an empty log was promoted), and against a pause or a step down
+// that keeps the members from receiving them.
+func TestShortLogIsNotPromoted(t *testing.T) {
+	type members = []takeover.Member
+	for _, test := range []struct {
+		name     string
+		in       members
+		stepDown bool
+		want     takeover.Action
+		tooShort bool
+	}{
+		{"dead primary", members{{ID: "a"}, {ID: "b", Status: replica(7, 4)}, {ID: "c", Status: replica(6, 4)}}, false, takeover.Wait, true},
+		{"dead primary, the replicas receive", members{{ID: "a"}, {ID: "b", Status: replica(7, 0)}, {ID: "c", Status: replica(6, 0)}}, false, takeover.Wait, true},
+		{"dead primary, a replica has the commit", members{{ID: "a"}, {ID: "b", Status: replica(8, 4)}, {ID: "c", Status: replica(6, 4)}}, false, takeover.Promote, false},
+		{"primary that lost its log", members{{ID: "a", LogLost: true, Status: replica(0, 0)}, {ID: "b", Status: replica(7, 4)}, {ID: "c", Status: replica(7, 4)}}, false, takeover.Wait, true},
+		{"former primary", members{{ID: "a", Status: replica(7, 4)}, {ID: "b", Status: replica(7, 4)}, {ID: "c", Status: replica(7, 4)}}, false, takeover.Wait, true},
+		{"commits not acknowledged: the primary serves on", members{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(7, 4)}, {ID: "c", Status: replica(7, 4)}}, true, takeover.Wait, false},
+		{"leaving primary: the candidate receives the commit soon", members{{ID: "a", Draining: true, Status: primary(3, 9)}, {ID: "b", Status: replica(7, 0)}, {ID: "c", Status: replica(7, 4)}}, false, takeover.Wait, false},
+		{"an operator has promoted a member", members{{ID: "a"}, {ID: "b", Status: primary(4, 1)}, {ID: "c", Status: replica(6, 0)}}, false, takeover.Done, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			step := decideAnnounced(t, takeover.Input{OldPrimary: oldPrimary, Members: test.in, GroupSize: 3, StepDown: test.stepDown, RequiredLog: position.Position{Term: 3, Offset: 8}})
+			assert.Equal(t, step.Action, test.want, step.Reason)
+			assert.Equal(t, step.LogsTooShort, test.tooShort)
+		})
+	}
+}
+
 // Guards against a former primary that is kept although a restored store no longer knows
 // that another member was promoted: both members that would know do not answer.
 func TestUnconfirmedPrimaryNeedsAnotherMember(t *testing.T) {
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -46,6 +46,9 @@
 	// CountMissingCommits counts a promoted member whose log lacks a commit that this
 	// instance has acknowledged to a caller.
 	CountMissingCommits()
+	// CountBlockedChanges counts an attempt to replace the primary that found no member with
+	// all acknowledged commits.
+	CountBlockedChanges()
 	// ObserveCommitProof records how long the acknowledgement of a commit waited for proof
 	// that the commit survives a change of primary.
 	ObserveCommitProof(waited time.Duration)
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -286,6 +286,9 @@
 	if failedRounds < failedRoundLimit && g.ackBoundPossible(req) && len(excluded) < len(g.members)-1 {
 		return nil
 	}
+	if !g.missingLog.IsZero() && g.suspicion.confirmed {
+		return verdict.New(verdict.NoPrimary, "no member of service %s that runs has its acknowledged commits up to %s", g.cfg.Service, g.missingLog).WithRetryAfter(retryAfterNoPrimary)
+	}
 	if _, u := g.primaryLocked(); u != nil && excluded[u] && !g.tracker.ReplacementClaimed() && !g.suspicion.confirmed {
 		return verdict.New(verdict.ReplicaBehind, "no member of service %s could execute the request", g.cfg.Service).WithRetryAfter(g.retryAfterLocked())
 	}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -96,6 +96,7 @@
 	startedAt          time.Duration
 	promotedAt         time.Duration // when the last accepted promotion was sent; 0 if none
 	candidate          string        // member that it promotes
+	missingLogReported bool          // a line change_blocked was logged
 	unconfirmed        bool          // the record before the claim was of an earlier era of the store
 	// membersReadAt is when the list of members was read that the last round was sent to.
 	membersReadAt time.Duration
@@ -273,8 +274,10 @@
 		f.membersReadAt = f.g.membersReadAt()
 		members := f.g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
 		in := takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed(), Unconfirmed: f.unconfirmed,
-			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown(), Called: f.unsettledCall(members), PausesUncertain: !f.resumesSettled()}
+			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown(), Called: f.unsettledCall(members), PausesUncertain: !f.resumesSettled(),
+			RequiredLog: f.record.RequiredLog(f.oldPrimary, f.g.acknowledgedPosition())}
 		step := takeover.Decide(in)
+		f.observeMissingLog(in, step)
 		if f.promotionPending(step) {
 			f.restorePauses(in)
 			time.Sleep(pollInterval)
@@ -297,6 +300,26 @@
 	f.log.WithFields(logrus.Fields{"event": "change_unfinished"}).Warn("failover was not finished")
 }
 
+// observeMissingLog lets requests be refused at once while no member can be promoted, and
+// reports that once in an attempt.
+func (f *failover) observeMissingLog(in takeover.Input, step takeover.Step) {
+	missing := position.Position{}
+	if step.LogsTooShort {
+		missing = in.RequiredLog
+	}
+	f.g.mu.Lock()
+	if f.g.missingLog != missing {
+		f.g.missingLog = missing
+		f.g.broadcast()
+	}
+	f.g.mu.Unlock()
+	if step.LogsTooShort && !f.missingLogReported {
+		f.missingLogReported = true
+		f.g.cfg.Metrics.CountBlockedChanges()
+		f.log.WithFields(logrus.Fields{"event": "change_blocked", "required": in.RequiredLog.String(), "members": describeMembers(in.Members)}).Error("no member that answers has all acknowledged commits")
+	}
+}
+
 // restorePauses pauses replicas that receive log entries while a promotion is pending.
 // Acknowledgements through them would wait for the candidate.
 func (f *failover) restorePauses(in takeover.Input) {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -202,8 +202,11 @@
 	selfReported        primacy.Primary     // member that reports itself primary, with term 0 until learnPrimary knows it; used once a record shows no failover in progress
 	selfReportedAt      time.Duration
 
-	lastAttemptAt          time.Duration     // last failover attempt; used by Run only
-	lastAckSentAt          time.Duration     // when the last acknowledged write was sent to the primary
+	lastAttemptAt time.Duration // last failover attempt; used by Run only
+	lastAckSentAt time.Duration // when the last acknowledged write was sent to the primary
+	// missingLog is the position that no member had reached that this instance could have
+	// promoted, in its latest round as the holder of the claim; zero if one had.
+	missingLog             position.Position
 	ackedPosition          position.Position // highest position of an acknowledged write
 	firstPrimaryUnrecorded bool              // the first primary has yet to be recorded
 	suspicion              suspicion
@@ -384,7 +387,7 @@
 // g.mu is held.
 func (g *Group) observePrimaryChange(former primacy.Primary, source string) {
 	g.lastAckSentAt = 0 // acknowledgements of the former primary do not confirm the new one
-	g.primaryMissingSince = 0
+	g.primaryMissingSince, g.missingLog = 0, position.Position{}
 	g.silence.answeredAt = 0
 	g.switchover.Reset()
 	for _, m := range g.members {
--- a/proxy/group/health.go
+++ b/proxy/group/health.go
@@ -47,6 +47,9 @@
 // CountMissingCommits implements AcknowledgementMetrics.
 func (noMetrics) CountMissingCommits() {}
 
+// CountBlockedChanges implements AcknowledgementMetrics.
+func (noMetrics) CountBlockedChanges() {}
+
 // ObserveCommitProof implements AcknowledgementMetrics.
 func (noMetrics) ObserveCommitProof(time.Duration) {}
 
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -164,6 +164,12 @@
 	m.set.GetOrCreateCounter("papayarail_promotions_lacking_commits_total").Inc()
 }
 
+// CountBlockedChanges counts an attempt to replace a primary that found no member with all
+// acknowledged commits; see group.AcknowledgementMetrics.
+func (m *Metrics) CountBlockedChanges() {
+	m.set.GetOrCreateCounter("papayarail_blocked_primary_changes_total").Inc()
+}
+
 // ObserveCommitProof records the wait of an acknowledgement; see group.AcknowledgementMetrics.
 func (m *Metrics) ObserveCommitProof(waited time.Duration) {
 	m.set.GetOrCreateHistogram("papayarail_commit_proof_seconds").Update(waited.Seconds())
--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -6,10 +6,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/simulator"
 )
@@ -107,6 +113,39 @@
 	}
 }
 
+// Guards against the promotion of a log that lacks acknowledged commits, because the only
+// replica that had them has ended, and against callers that wait meanwhile. When that replica
+// returns, it is promoted.
+func TestNoPromotionWithoutAcknowledgedCommits(t *testing.T) {
+	underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+		c.sim.Join("d")
+		time.Sleep(5 * time.Second)
+		c.sim.SetReceiveLag("b", time.Minute)
+		c.sim.SetReceiveLag("c", time.Minute)
+		time.Sleep(time.Second)
+		c.sim.Crash("a", true)
+		c.sim.Crash("d", false)
+		time.Sleep(10 * time.Second)
+		assert.Check(t, c.sim.Promotions() == 0, "%s was promoted", c.sim.Primary())
+		refusedAs := make(map[string]bool)
+		for name := range c.nodes {
+			s := c.open(name, simulator.Database)
+			started := time.Now()
+			err := c.write(s)
+			assert.Check(t, time.Since(started) < 200*time.Millisecond, "refused after %s: %v", time.Since(started), err)
+			refusedAs[verdict.FromError(err).Error()] = true
+			s.leave()
+		}
+		assert.Check(t, slices.ContainsFunc(slices.Collect(maps.Keys(refusedAs)), func(s string) bool { return strings.Contains(s, "has its acknowledged commits") }), "%v", refusedAs)
+		c.sim.Restart("d", false)
+		c.await(6*time.Second, "the promotion of d", func() bool { return c.sim.Primary() == "d" })
+		c.sim.SetReceiveLag("b", 0)
+		c.sim.SetReceiveLag("c", 0)
+		gap := c.writeGap("i1", 2*time.Second)
+		assert.Check(t, gap < 2*time.Second, "gap %s", gap)
+	})
+}
+
 // isolate drops the traffic between each node of one list and each of the other.
 func (c *cluster) isolate(inside, outside []string) { c.eachPair(inside, outside, c.sim.Partition) }
 
