Ask the members as soon as the announced candidate is known everywhere

A planned change took up to 30 ms longer than its announcement: the holder asked the members every 30 ms while it waited for the leases without the announcement to end, and noticed the end with the next round. It now begins a round at that moment. The condition itself (announcement.known) is unchanged.

--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -225,6 +225,17 @@
 	return f.g.announcement.known(f.announced, f.g.cfg.Clock())
 }
 
+// untilNextRound returns how long the holder waits before it asks the members again: until
+// each instance knows the announced candidate, if that is soon.
+func (f *failover) untilNextRound() time.Duration {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	if left := f.g.announcement.storedAt + announcementTime - f.g.cfg.Clock(); f.announced != "" && left > 0 {
+		return min(left, pollInterval)
+	}
+	return pollInterval
+}
+
 // timestamp returns the time of a call to the store that was sent at sentAt and has just
 // been answered.
 func (g *Group) timestamp(storeNow, sentAt time.Duration) storetime.Timestamp {
@@ -431,7 +442,7 @@
 	case takeover.Promote:
 		return !f.promote(ctx, s)
 	case takeover.Wait:
-		time.Sleep(pollInterval)
+		time.Sleep(f.untilNextRound())
 	}
 	return f.g.cfg.Clock()-f.claimSentAt > claimRenewalAge && !f.claim(ctx)
 }
