Read the members no less often than every second

A planned change of a leaving primary sometimes took longer than the target of 3 s (TestManyInstancesReplaceLeavingPrimary). Tables are read together with the records, which are read every 300 ms, and a table was due once its interval had passed: so the members were read every 1.2 s instead of every 1 s, in calm times.

A table is now read at the last chance that is within its interval: the members every 0.9 s, every 1 s while a change goes on (records every 100 ms, as before). That is one more call to the store every 3.6 s for each instance that reads it, on 3.3 calls a second for the records. No rule of core/primacy or core/takeover is touched.

--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -19,9 +19,10 @@
 	running   bool
 }
 
-// begin reports whether the table is due, and if so marks it as being read.
-func (s *readSchedule) begin(now, interval time.Duration) bool {
-	if s.running || s.succeeded && now-s.startedAt < interval {
+// begin reports whether the table is due, and if so marks it as being read. The next chance to
+// read it is in the time next; it is due if that is later than the interval.
+func (s *readSchedule) begin(now, interval, next time.Duration) bool {
+	if s.running || s.succeeded && now+next <= s.startedAt+interval {
 		return false
 	}
 	s.running, s.startedAt = true, now
@@ -45,16 +46,16 @@
 	now := n.cfg.Clock()
 	r.mu.Lock()
 	r.readStartedAt = now
-	interval := membersInterval
+	next, interval := r.recordsInterval(now), membersInterval
 	if now < r.urgentUntil {
 		interval = urgentMembersInterval
 	}
-	membersDue := r.membersSchedule.begin(now, interval)
+	membersDue := r.membersSchedule.begin(now, interval, next)
 	interval = instancesInterval
 	if now-r.instancesChangedAt < settlePeriod {
 		interval = membersInterval
 	}
-	instancesDue := r.servesPeers() && r.instancesSchedule.begin(now, interval)
+	instancesDue := r.servesPeers() && r.instancesSchedule.begin(now, interval, next)
 	r.mu.Unlock()
 	var tables sync.WaitGroup
 	// The configuration may take longer to read than the snapshots of other instances may
@@ -110,6 +111,14 @@
 	r.instancesChangedAt = r.node.cfg.Clock()
 }
 
+// recordsInterval returns the interval between two reads of the records. r.mu is held.
+func (r *reader) recordsInterval(now time.Duration) time.Duration {
+	if now < r.urgentUntil {
+		return urgentInterval
+	}
+	return readInterval
+}
+
 // awaitNextRead waits for the next store read of this instance: at least for atLeast,
 // and then until the interval has passed, which a failover shortens.
 func (r *reader) awaitNextRead(ctx context.Context, atLeast time.Duration) {
@@ -117,11 +126,7 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		now := r.node.cfg.Clock()
-		interval := readInterval
-		if now < r.urgentUntil {
-			interval = urgentInterval
-		}
-		wait := r.readStartedAt + interval - now
+		wait := r.readStartedAt + r.recordsInterval(now) - now
 		r.mu.Unlock()
 		if wait <= 0 {
 			return
