Pass on the members with the records that were read at the same time

The members and the records are read concurrently, and the answer with the records wakes the instances that poll. It came first or at the same moment, so that the others got the members only with the next read of the records, 0.3 s later, and so did the first in turn to claim; the instance that had read the store was often a later one.

A read of the records that has been answered now waits up to 30 ms for that of the members, if one has begun with it, and both go out with one answer: no additional polls. The times of a read and its leases are those of its call, as before. Turns stay as they are.

--- a/proxy/node/gateway_test.go
+++ b/proxy/node/gateway_test.go
@@ -24,9 +24,12 @@
 const largeClusterSize = 10
 
 // newLargeCluster starts largeClusterSize instances in a synctest bubble.
-func newLargeCluster(t *testing.T) *cluster {
+func newLargeCluster(t *testing.T) *cluster { return newClusterOf(t, largeClusterSize) }
+
+// newClusterOf starts n instances in a synctest bubble.
+func newClusterOf(t *testing.T, n int) *cluster {
 	var names []string
-	for i := range largeClusterSize {
+	for i := range n {
 		names = append(names, fmt.Sprint("i", i))
 	}
 	c := startCluster(t, true, names)
@@ -127,9 +130,20 @@
 	manyInstancesChangePrimary(t, func(c *cluster) { c.sim.Drain("a") })
 }
 
+// Guards against the same with so many instances that they take turns to claim: all but
+// the one that reads the store knew of the report 0.3 s later, and the first in turn with them.
+func TestInstancesInTurnReplaceLeavingPrimary(t *testing.T) {
+	changePrimary(t, func(t *testing.T) *cluster { return newClusterOf(t, 2*largeClusterSize) }, func(c *cluster) { c.sim.Drain("a") })
+}
+
 func manyInstancesChangePrimary(t *testing.T, inject func(*cluster)) {
 	t.Helper()
-	underLoad(t, 4, newLargeCluster, func(t *testing.T, c *cluster) {
+	changePrimary(t, newLargeCluster, inject)
+}
+
+func changePrimary(t *testing.T, start func(*testing.T) *cluster, inject func(*cluster)) {
+	t.Helper()
+	underLoad(t, 4, start, func(t *testing.T, c *cluster) {
 		inject(c)
 		time.Sleep(50 * time.Millisecond)
 		gap := c.writeGap("i5", 5*time.Second)
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -39,6 +39,9 @@
 	// urgentMembersInterval replaces membersInterval during a failover: a member is promoted
 	// only with a recent list.
 	urgentMembersInterval = 300 * time.Millisecond
+	// membersWait limits how long a read of the records that has been answered waits for
+	// that of the members.
+	membersWait = 30 * time.Millisecond
 	// instancesInterval is the interval between reads of the announced instances;
 	// the loss of one is noticed when it does not answer. Until settlePeriod after
 	// a change of the list, it is read as often as the members.
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -63,8 +63,14 @@
 	if !n.Configured() && r.shouldReadConfig(now) {
 		go r.readConfig(ctx)
 	}
+	membersRead := make(chan struct{})
 	if membersDue {
-		tables.Go(func() { r.readMembers(ctx) })
+		tables.Go(func() {
+			defer close(membersRead)
+			r.readMembers(ctx)
+		})
+	} else {
+		close(membersRead)
 	}
 	if instancesDue {
 		tables.Go(func() { r.readInstances(ctx) })
@@ -91,6 +97,11 @@
 		return
 	}
 	n.isolation.recordAnswer()
+	// Instances that poll this one get both with one answer, which the records trigger.
+	select {
+	case <-membersRead:
+	case <-time.After(membersWait):
+	}
 	changes := r.cache.SetRecords(records, sentAt, answeredAt)
 	if !changes.RecordsRead {
 		n.cfg.Metrics.CountIgnoredSnapshot("records")
