takeover: model of members, instances and holders over all rules

A rapid model over Decide, RestorePauses, Contains and the records and leases of core/primacy. Members join, leave, end, crash, restart with and without their log, are cut off and lose pauses; instances have lists and records of different ages and count replicas as proxy/group/acknowledge.go does; holders freeze, are replaced and know only the record; promotions take effect late. The oracle: a promoted member has each commit whose acknowledgement was passed on, and a usable strict read position covers each of them.

Six faults are planted back one at a time through a switch of the model. Faults that the product has are listed in the model as situations that it leaves out or corrects.

--- /dev/null
+++ b/core/takeover/site_test.go
@@ -0,0 +1,158 @@
+package takeover_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// step performs one event.
+func (s *site) step(t *rapid.T) {
+	s.now += time.Microsecond
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0, 1, 2:
+		s.routine(t)
+	case 3:
+		s.commit(t)
+		s.commit(t)
+	case 4:
+		s.receiveSome(t)
+	case 5:
+		s.pass(t)
+	case 6:
+		s.strictRead(t)
+	default:
+		s.disturb(t)
+	}
+}
+
+// open brings about one of the situations that random events reach rarely.
+func (s *site) open(t *rapid.T) {
+	opening := rapid.SampledFrom([]string{"none", "none", "none", "newcomer", "release"}).Draw(t, "opening")
+	if opening == "none" {
+		return
+	}
+	// One instance does not read for some seconds that a replica has joined.
+	s.logf("opening: %s", opening)
+	i := s.instance(t)
+	i.listAfter, i.recordAfter = s.now+9*time.Second, s.now+time.Second
+	n := &siteMember{id: "n3", log: s.primary().log, up: true, registered: true, heardAt: s.now}
+	s.members = append(s.members, n)
+	if opening == "release" {
+		for _, m := range s.members[:3] {
+			m.draining, m.drainingAt = true, s.now+9*time.Second
+		}
+		for _, other := range s.instances {
+			if other != i {
+				s.readList(other)
+			}
+		}
+		return
+	}
+	for range rapid.IntRange(1, 30).Draw(t, "until_cut") {
+		if s.routine(t); s.counts.promotions > 0 || s.violation != "" {
+			return
+		}
+	}
+	s.failure = "cut"
+	inside := []string{"a", "n3", s.instance(t).id}
+	s.logf("cut %v", inside)
+	s.cut(inside)
+}
+
+// cut separates the members and instances inside from all others and the store.
+func (s *site) cut(inside []string) {
+	for _, n := range inside {
+		for _, o := range s.nodes() {
+			if !slices.Contains(inside, o) {
+				s.blocked[link(n, o)] = true
+			}
+		}
+	}
+}
+
+// siteRun is the result of one sequence.
+type siteRun struct {
+	counts    siteCounts
+	steps     int
+	violation string
+	trace     []string
+}
+
+func runSite(t *rapid.T, fault siteFault, steps int) siteRun {
+	s := newSite(fault)
+	s.open(t)
+	for n := range steps {
+		if s.step(t); s.violation != "" {
+			return siteRun{s.counts, n + 1, s.violation, s.trace}
+		}
+	}
+	return siteRun{s.counts, steps, "", nil}
+}
+
+const siteSteps = 250
+
+// findViolation runs sequences of events, and returns the number of the first one that
+// violates the invariant and its result.
+func findViolation(fault siteFault, from, sequences int) (n int, run siteRun, total siteCounts) {
+	runs := rapid.Custom(func(t *rapid.T) siteRun { return runSite(t, fault, siteSteps) })
+	for n = from; n < from+sequences; n++ {
+		run = runs.Example(n)
+		total.add(run.counts)
+		if run.violation != "" {
+			break
+		}
+	}
+	return n, run, total
+}
+
+func (c *siteCounts) add(o siteCounts) {
+	c.passed, c.promotions, c.planned, c.reads, c.aborted = c.passed+o.passed, c.promotions+o.promotions, c.planned+o.planned, c.reads+o.reads, c.aborted+o.aborted
+}
+
+// Each fault that is planted into the instances is found, so the model would find it in the
+// product.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for _, fault := range []siteFault{faultWord, faultUncounted, faultRestart, faultNonePaused, faultOldList, faultNoAnnounceWait} {
+		t.Run(string(fault), func(t *testing.T) {
+			const limit = 4000
+			n, run, _ := findViolation(fault, 0, limit)
+			if run.violation == "" {
+				t.Fatalf("not found in %d sequences", limit)
+			}
+			t.Logf("found in sequence %d at step %d: %s", n, run.steps, run.violation)
+		})
+	}
+}
+
+// expectNoViolation fails if a sequence of the range violates the invariant.
+func expectNoViolation(t *testing.T, fault siteFault, from, sequences int) {
+	n, run, total := findViolation(fault, from, sequences)
+	t.Logf("%+v", total)
+	if run.violation != "" {
+		t.Fatalf("sequence %d: %s\n%s", n, run.violation, strings.Join(run.trace, "\n"))
+	}
+}
+
+// Guards against promotions that lose commits whose acknowledgement was passed on, and
+// against strict reads that miss them, whatever happens to members, holders and instances.
+func TestChangesKeepAcknowledgedCommits(t *testing.T) {
+	expectNoViolation(t, faultNone, 0, 1000)
+	var total siteCounts
+	sequences := 0
+	rapid.Check(t, func(t *rapid.T) {
+		run := runSite(t, faultNone, siteSteps)
+		sequences++
+		total.add(run.counts)
+		if run.violation != "" {
+			t.Fatalf("%s\n%s", run.violation, strings.Join(run.trace, "\n"))
+		}
+	})
+	t.Logf("%d sequences: %+v", sequences, total)
+	if total.promotions == 0 || total.planned == 0 || total.passed == 0 || total.reads == 0 {
+		t.Errorf("the sequences reach too little: %+v", total)
+	}
+}
