takeover: the model leaves out replicas that leave unread by an instance

The fault is in proxy/group/acknowledge.go (maxCountedAge) and is now one of those that the model names and leaves out, so that longer runs find others.

--- a/core/takeover/site_events_test.go
+++ b/core/takeover/site_events_test.go
@@ -362,6 +362,10 @@
 		if !m.draining || !m.up || s.now-m.drainingAt < siteDrainTime {
 			return
 		}
+		counted := func(i *siteInstance) bool { v := i.views[m.id]; return v != nil && !v.draining && v.missingSince == 0 }
+		if s.fault != faultLeavingCounted && slices.ContainsFunc(s.instances, counted) {
+			return
+		}
 		// No rule helps if the last log with a commit leaves while the primary is lost.
 		a := s.primary()
 		if m != a && !(a.up && a.primary) && !slices.ContainsFunc(s.members, func(r *siteMember) bool { return r != m && r.up && r.log >= m.log }) {
--- a/core/takeover/site_model_test.go
+++ b/core/takeover/site_model_test.go
@@ -55,6 +55,7 @@
 	faultUnknownCandidate  siteFault = "a strict read does not count an announced candidate that the instance does not know"
 	faultCandidateNotAsked siteFault = "all known replicas have a commit, but the announced candidate is unknown"
 	faultUnknownMember     siteFault = "an instance never reads the entry of a member, which has expired and may have commits"
+	faultLeavingCounted    siteFault = "a replica that has left counts for an instance that has not read that it leaves"
 	faultUnreadRestart     siteFault = "a member restarts without its log, which a holder has not read of"
 )
 
