--- a/proxy/upstream/process_test.go
+++ b/proxy/upstream/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 // processModel is a member whose process restarts, with a clock that moves only with
 // events. during is called while a connection is opened and while a command is on its way.
 type processModel struct {
-	now       time.Duration
+	now       atomic.Int64  // a time.Duration; timers of the upstream read it too
 	startedAt time.Duration // of the process; it identifies it
 	during    func()
 }
@@ -36,8 +37,7 @@
 var errEnded = &statement.ConnError{Sent: true, Err: errors.New("the process has ended")}
 
 func (m *processModel) tick() time.Duration {
-	m.now += time.Millisecond
-	return m.now
+	return time.Duration(m.now.Add(int64(time.Millisecond)))
 }
 
 func (m *processModel) Dial(statement.Target, time.Duration) (statement.Conn, error) {
@@ -74,7 +74,8 @@
 }
 
 func newProcessModel(limits quota.Limits) (*upstream.Upstream, *processModel) {
-	m := &processModel{now: time.Hour, startedAt: time.Hour, during: func() {}}
+	m := &processModel{startedAt: time.Hour, during: func() {}}
+	m.now.Store(int64(time.Hour))
 	limits.MaxOpen, limits.MaxRunning, limits.ByWorkspace = 99, 8, true
 	return upstream.New(catalog.Member{ID: "m", Service: "s", Slots: 6}, limits, m, func() time.Duration { return m.tick() }), m
 }
@@ -93,7 +94,7 @@
 			case 0:
 				m.startedAt = m.tick()
 			case 1, 2, 3:
-				dialedAt := m.now
+				dialedAt := time.Duration(m.now.Load())
 				reply, err := u.Control(kind == 1, statement.Control{Kind: statement.GetStatus}, time.Second)
 				if err != nil {
 					return
@@ -127,7 +128,7 @@
 					u.Return(c)
 				}
 			case 7:
-				m.now += time.Duration(rapid.IntRange(1, 40).Draw(t, "ms")) * time.Millisecond
+				m.now.Add(int64(time.Duration(rapid.IntRange(1, 40).Draw(t, "ms")) * time.Millisecond))
 				u.CloseIdle()
 			case 8:
 				u.KeepOpen(time.Minute)
@@ -156,7 +157,7 @@
 			return reply
 		}
 		since := control().RunsSince
-		m.now += time.Second
+		m.now.Add(int64(time.Second))
 		older, err := u.Checkout("", nil, time.Second, nil)
 		assert.NilError(t, err)
 		newer, err := u.Checkout("", nil, time.Second, nil)
@@ -169,7 +170,7 @@
 			u.Return(older)
 		}
 		for range 3 {
-			m.now += time.Second
+			m.now.Add(int64(time.Second))
 			assert.Equal(t, control().RunsSince, since, "newer connection returned last: %v", newerLast)
 		}
 		m.startedAt = m.tick()
