Count a member only after a reading without a claim that came later

An instance counted a member 3.2 s after it had read of it. A holder of a claim made before that may not know the member, and once its promotion has taken effect, commits that only the old primary and the member have are lost however long the member has been known. The time now ends with a reading without a claim: each later claim's holder has a list in which the member is.

--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -26,10 +26,12 @@
 	proofHedge = 20 * time.Millisecond
 	// keepOpenTime is how long a connection to a replica is kept after the last query.
 	keepOpenTime = 10 * time.Second
-	// memberSettleTime is the time after which a promotion by an instance that does not
-	// know a member which this one knows has taken effect: it is called for only with a
-	// list that is no older than maxHolderListAge.
-	memberSettleTime = maxHolderListAge + promoteTimeout + promotionTime + 100*time.Millisecond
+	// memberSettleTime is the time after which an instance counts a member that it has read
+	// of. Reads without the primary use younger lists (maxMembersAge), so that they know it.
+	memberSettleTime = 3200 * time.Millisecond
+	// claimSettleTime is the time from then until a reading without a claim after which every
+	// holder of a later claim knows the member: its list is no older than maxHolderListAge.
+	claimSettleTime = maxHolderListAge + 100*time.Millisecond
 	// maxCountedAge is the age of the list of members up to which no other instance can have
 	// forgotten a member in it, which takes departedRetention, and a member that has
 	// said meanwhile that it leaves still runs, which it does for 7 s at least.
@@ -171,7 +173,7 @@
 	m.evidence.ObserveNoClaim(g.noClaimAt)
 	e, now := m.evidence, g.cfg.Clock()
 	e.Member = m.Member().ID
-	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && now-g.membersAsOf <= maxCountedAge
+	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge
 	return e
 }
 
