Confirm no primary by part of the members while it is being replaced

A planned change was under way when its zone was cut off; the promotion outside took effect, and ended the pause of a replica inside that did not learn of it. The former primary and this replica then passed for a quorum, as recent acknowledgements excuse members that do not answer.

While a claim against the primary is known, a member that does not answer may have been promoted, so that all have to answer.

--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -177,6 +177,9 @@
 	// entries, which no replica does after the promotion of another member.
 	synchronous := g.service.AcknowledgedBy > 0
 	partial := synchronous && g.lastAckSentAt > 0 && sentAt-g.lastAckSentAt < maxCommitEvidenceAge
+	// Under a claim, a member that does not answer may have been promoted. That ends the
+	// pauses of replicas that do not learn of it and still follow this primary.
+	partial = partial && !g.tracker.ReplacementClaimed()
 	primaryStatus, quorum := quorumConfirms(primary, members, partial)
 	c := Confirmation{Primary: primary, Received: primaryStatus.Received, Confirmed: quorum}
 	c.LaterPrimary, _ = laterPrimary(primary, members)
