--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -20,9 +20,9 @@
 // A third rule covers the commits that the old primary acknowledges while it serves on
 // and its successor is being promoted. The holder names the successor in its claim and
 // calls for the promotion no earlier than ReadLease after that. So when a promotion may
-// take effect, each instance either has read the claim, and passes on an acknowledgement
-// only with evidence that the successor has the commit (takeover.Contains), or holds no
-// lease on the primary any more.
+// take effect, each instance either has read the claim or holds no lease on the primary any
+// more. Either passes on an acknowledgement only with proof that the next primary has the
+// commit (takeover.Contains).
 //
 // Both rules rest on the store keeping the record. After a restore of the store from an
 // older copy (a new era, see storeversion), claims and primaries may be missing from it.
--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -32,10 +32,12 @@
 // A pause ends unseen if the replica restarts. So an answer proves that no pause by the
 // holder of a claim precedes it if it shows that the replica is not paused, and if its
 // process has run since before a reading of the record without that claim. Whoever holds
-// the claim then looks at the replica's log after this answer.
+// the claim then looks at the replica's log after this answer. A RESUME ends a pause as
+// well; nobody is promoted while one may arrive late (Input.PausesUncertain).
 type Evidence struct {
 	Member string
-	// Counted means that each holder of a claim waits for the replica's answer.
+	// Counted means that each holder of a later claim knows the replica. It waits for the
+	// replica's answer, or has that of the old primary, which has the commit as well.
 	Counted bool
 	// Gone means that the replica's process does not run.
 	Gone bool
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -28,11 +28,10 @@
 //	Every commit whose acknowledgement is passed on to a caller was in the log of the
 //	candidate when it was passed on.
 //
-// Instances enforce it for rule 2: they know the candidate before the call (Announce),
-// and pass on an acknowledgement only if Contains proves it. Pauses keep the candidate
-// close and are restored when they end (RestorePauses), but safety does not rest on them.
-// Under rules 1 and 3 the old primary does not serve. Acknowledgements that still arrive
-// from it need the same proof, of all replicas, at the instances that know the claim.
+// Instances enforce it: they pass on an acknowledgement only if Contains proves it. Under
+// rule 2 they know the candidate before the call (Announce); pauses keep it close and are
+// restored when they end (RestorePauses). Without an announcement, a replica that each
+// holder waits for proves the commit.
 package takeover
 
 import (
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -158,7 +158,7 @@
 }
 
 // guardCommit returns the result of an answered job. If the job has committed writes, it
-// first waits for evidence that a member that is replacing the primary has them.
+// first waits for proof that whichever member is promoted next has them.
 func (g *Group) guardCommit(u *upstream.Upstream, j upstream.Job, reply statement.Reply) upstream.Result {
 	if j.CommitsWrites && reply.Err == nil {
 		if err := g.confirmCommit(u, reply.Position, j.Deadline-answerMargin); err != nil {
