simulator: promotions of a settable time; a test of acknowledgements of an unknown term

Callers saw strict reads that miss acknowledged commits. The simulator had promotions of 1 s only, which is as long as a read lease, while the users' pages say some hundred milliseconds.

The time for which a replaced primary goes on is a constant of its own now; the value is the same.

--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -38,51 +38,81 @@
 	for _, late := range []time.Duration{0, 300, 1000, 2000} {
 		t.Run(fmt.Sprintf("late=%dms", late), func(t *testing.T) {
 			underLoad(t, uint64(late), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
-				c.sim.Join("d")
-				time.Sleep(4 * time.Second)
-				c.sim.HoldPromotions(9)
-				c.sim.Crash("a", true)
-				c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
-				called := c.sim.CalledFor()
-				// Among members with equal logs, one that is not leaving is preferred.
-				c.sim.Drain(called)
-				c.sim.SetReceiveLag(called, 60*time.Millisecond)
-				c.await(5*time.Second, "another call", func() bool { return c.sim.Calls() > 1 })
-				c.sim.HoldPromotions(0)
-				time.Sleep(late * time.Millisecond)
-				c.sim.ReleaseHeld()
-				time.Sleep(3 * time.Second)
-				c.sim.Restart("a", false)
-				time.Sleep(2 * time.Second)
+				promoteLateAfterAnother(c, late*time.Millisecond)
 			})
 		})
 	}
 }
 
+// promoteLateAfterAnother lets a promotion without an answer take effect after another one
+// was called for.
+func promoteLateAfterAnother(c *cluster, late time.Duration) {
+	c.sim.Join("d")
+	time.Sleep(4 * time.Second)
+	c.sim.HoldPromotions(9)
+	c.sim.Crash("a", true)
+	c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+	called := c.sim.CalledFor()
+	// Among members with equal logs, one that is not leaving is preferred.
+	c.sim.Drain(called)
+	c.sim.SetReceiveLag(called, 60*time.Millisecond)
+	c.await(5*time.Second, "another call", func() bool { return c.sim.Calls() > 1 })
+	c.sim.HoldPromotions(0)
+	time.Sleep(late)
+	c.sim.ReleaseHeld()
+	time.Sleep(3 * time.Second)
+	c.sim.Restart("a", false)
+	time.Sleep(2 * time.Second)
+}
+
 // Guards against a call without an answer that takes effect when its member has led and has
 // been replaced since: it leads again, without the commits of its successor.
 func TestLatePromotionOfFormerPrimary(t *testing.T) {
 	for _, late := range []time.Duration{50, 200, 1000, 3000} {
 		t.Run(fmt.Sprintf("late=%dms", late), func(t *testing.T) {
 			underLoad(t, uint64(late), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
-				time.Sleep(4 * time.Second)
-				c.sim.HoldPromotions(1)
-				c.sim.Crash("a", true)
-				c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
-				called := c.sim.CalledFor()
-				c.await(5*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
-				c.sim.Restart("a", false)
-				c.sim.SetReceiveLag(called, 60*time.Millisecond)
-				c.sim.Drain(called)
-				c.await(5*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
-				time.Sleep(late * time.Millisecond)
-				c.sim.ReleaseHeld()
-				time.Sleep(3 * time.Second)
+				promoteLateAgain(c, late*time.Millisecond)
 			})
 		})
 	}
 }
 
+// promoteLateAgain lets a promotion without an answer take effect after its member has led,
+// because of another call, and has been replaced.
+func promoteLateAgain(c *cluster, late time.Duration) {
+	time.Sleep(4 * time.Second)
+	c.sim.HoldPromotions(1)
+	c.sim.Crash("a", true)
+	c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+	called := c.sim.CalledFor()
+	c.await(5*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
+	c.sim.Restart("a", false)
+	c.sim.SetReceiveLag(called, 60*time.Millisecond)
+	c.sim.Drain(called)
+	c.await(5*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
+	time.Sleep(late)
+	c.sim.ReleaseHeld()
+	time.Sleep(3 * time.Second)
+}
+
+// Guards against acknowledgements of a term that the instance does not know: strict reads under
+// the lease on another primary miss them.
+func TestAcknowledgementOfUnknownTerm(t *testing.T) {
+	events := map[string]func(*cluster, time.Duration){"after another": promoteLateAfterAnother, "again": promoteLateAgain}
+	for name, promoteLate := range events {
+		for _, promoteTime := range []time.Duration{300, 500, 1000} {
+			for _, late := range []time.Duration{0, 50, 300} {
+				t.Run(fmt.Sprintf("%s/promote=%dms/late=%dms", name, promoteTime, late), func(t *testing.T) {
+					underLoad(t, uint64(late), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+						c.sim.SetPromoteTime(promoteTime * time.Millisecond)
+						promoteLate(c, late*time.Millisecond)
+					})
+				})
+			}
+		}
+	}
+}
+
 // Guards against a RESUME of an aborted change that takes effect after the next holder has
 // paused the member: it acknowledges commits that the promoted one lacks.
 func TestLateResumeAfterNextPause(t *testing.T) {
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -29,7 +29,8 @@
 	roundTrip     = 2 * time.Millisecond  // between an instance and a member, the store or the platform
 	statementTime = 3 * time.Millisecond  // execution time of a write, and of a read unless SetReadTime is called
 	replicaLag    = 10 * time.Millisecond // longest delay until a connected replica receives a commit
-	promoteTime   = time.Second           // from the request until the promotion takes effect
+	promoteTime   = time.Second           // from the request until the promotion takes effect, unless SetPromoteTime is called
+	demoteTime    = time.Second           // for which a replaced primary goes on after it can reach its successor
 	followTime    = 20 * time.Millisecond // from a promotion until the replicas follow the new primary
 )
 
@@ -133,6 +134,8 @@
 	repliesToDrop int
 	// readTime is the execution time of a read.
 	readTime time.Duration
+	// promoteTime is the time from the call for a promotion until it takes effect.
+	promoteTime time.Duration
 	// ignorePositions is an injected fault; see IgnorePositions.
 	ignorePositions bool
 	// connectionLimit is the limit of connections of each member that the configuration
@@ -150,7 +153,7 @@
 
 // NewCluster returns a cluster of members; the first one is the primary of term 1.
 func NewCluster(ids ...string) *Cluster {
-	c := &Cluster{start: time.Now(), readTime: statementTime, connectionLimit: defaultConnectionLimit, partitions: make(map[[2]string]bool), readLogs: make(map[string][]entry)}
+	c := &Cluster{start: time.Now(), readTime: statementTime, promoteTime: promoteTime, connectionLimit: defaultConnectionLimit, partitions: make(map[[2]string]bool), readLogs: make(map[string][]entry)}
 	for i, id := range ids {
 		c.members = append(c.members, &Member{ID: id, primary: i == 0, term: 1, registered: true, generation: 1, conns: make(map[*conn]bool)})
 	}
@@ -348,7 +351,7 @@
 		c.mu.Lock()
 		return errTimeout
 	}
-	time.AfterFunc(promoteTime, func() { c.completePromotion(m) })
+	time.AfterFunc(c.promoteTime, func() { c.completePromotion(m) })
 	return nil
 }
 
@@ -390,7 +393,7 @@
 		}
 	}
 	if old != m {
-		time.AfterFunc(promoteTime, func() { c.demote(m, old) })
+		time.AfterFunc(demoteTime, func() { c.demote(m, old) })
 	}
 }
 
@@ -409,7 +412,7 @@
 		return
 	}
 	if c.partitioned(p.ID, old.ID) || old.down {
-		time.AfterFunc(promoteTime, func() { c.demote(p, old) })
+		time.AfterFunc(demoteTime, func() { c.demote(p, old) })
 		return
 	}
 	old.stepDown()
--- a/proxy/simulator/faults.go
+++ b/proxy/simulator/faults.go
@@ -120,6 +120,13 @@
 	c.readTime = d
 }
 
+// SetPromoteTime sets the time from a call for a promotion until it takes effect.
+func (c *Cluster) SetPromoteTime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.promoteTime = d
+}
+
 // ReadFault is a fault of the reads of a member whose control commands and registration
 // report that it is well.
 type ReadFault struct {
