Acknowledge no commit of a term that the instance does not know

Callers saw strict reads that miss commits which had been acknowledged up to a second before.

Cause: a call for a promotion that took effect late made a member the primary of term 4, while the record named another one, of term 3, on which instances held read leases. An instance that still took the promoted member for the primary, of its earlier term 2, needed no publication to write there. The commit was proved to survive a change of primary (takeover.Contains), and its acknowledgement was passed on, while others read from the primary of term 3.

Now an acknowledgement waits until the instance knows that the member leads the term of the commit, which it learns from the record that is published once all leases on other primaries have ended.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -267,6 +267,14 @@
 	return c
 }
 
+// Establishes reports whether the member is known to lead the term of its commit at p, or to
+// have led it. Only then have all leases on other primaries ended, so that the commit may be
+// acknowledged: a call for a promotion that takes effect late makes a member the primary of a
+// term that no record names.
+func (t *Tracker) Establishes(member string, p position.Position) bool {
+	return p.Term < t.primary.Term || p.Term == t.primary.Term && member == t.primary.Member
+}
+
 // Replaced reports whether another member is known to be the primary of a later term
 // than that of the commit at p on a member.
 func (t *Tracker) Replaced(member string, p position.Position) bool {
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -210,3 +210,16 @@
 		assert.Equal(t, test.record.RequiredLog(old, test.acked), test.want, test.name)
 	}
 }
+
+// Guards against an acknowledgement by a member of a term that no record names.
+func TestUnknownTermIsNotEstablished(t *testing.T) {
+	var tr primacy.Tracker
+	tr.ObserveRecord(primacy.Record{Primary: primacy.Primary{Member: "b", Term: 2}, Version: 1}, 0, 0)
+	for _, test := range []struct {
+		member string
+		term   uint64
+		want   bool
+	}{{"b", 2, true}, {"b", 1, true}, {"b", 4, false}, {"a", 3, false}, {"a", 2, false}, {"a", 1, true}} {
+		assert.Equal(t, tr.Establishes(test.member, position.Position{Term: test.term, Offset: 7}), test.want, "%s in term %d", test.member, test.term)
+	}
+}
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -129,6 +129,8 @@
 func (g *Group) commitContainment(id string, p position.Position) (c takeover.Containment, claimed bool) {
 	claim := g.tracker.ClaimAgainst(id, p)
 	switch {
+	case !g.tracker.Establishes(id, p):
+		return takeover.Unestablished, claim != nil
 	case g.service.AcknowledgedBy == 0:
 		return takeover.Contained, false // an acknowledged commit may be on the primary alone
 	case g.tracker.Replaced(id, p):
