takeover: count no replica that is in a later term for a commit of an earlier one

Callers may lose a commit that was acknowledged while a planned change took effect: the promoted member lacks it.

Cause: a paused replica is no evidence, as the holder of a claim may have looked at its log already. A promotion ends the pauses. Until the replica has dropped the entries that its new primary lacks, it answers in the new term, without a pause, with a log that ends in the old one. Evidence.Observe took that for an answer from before the claim.

The new case of TestContains fails without the fix.

An answer counts only if the replica's log ends in the term that it is in.

--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -21,10 +21,15 @@
 	// Superseded means that a member is in a later term, so that no later answer can
 	// prove it.
 	Superseded
+	// Unestablished means that the instance does not know of the term of the commit, so that
+	// others may read from another primary until the record names this one.
+	Unestablished
 )
 
 // String returns the name of the result as it appears in logs and metrics.
-func (c Containment) String() string { return [...]string{"unproven", "contained", "superseded"}[c] }
+func (c Containment) String() string {
+	return [...]string{"unproven", "contained", "superseded", "unestablished"}[c]
+}
 
 // Evidence is what the answers of one replica prove of its log. The zero value proves
 // nothing.
@@ -56,7 +61,9 @@
 // registered, since the local time since.
 func (e *Evidence) Observe(s Status, since time.Duration) {
 	e.term, e.received, e.Gone = s.Term, s.Received, false
-	if s.PausedTerm == 0 && !s.Primary {
+	// A promotion ends the pauses of the replicas that follow it, before they drop the entries
+	// that the new primary lacks.
+	if s.PausedTerm == 0 && !s.Primary && s.Term == s.Received.Term {
 		e.unpaused, e.runsSince = s.Received, since
 	}
 }
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -93,6 +93,7 @@
 	later := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 4, Offset: 9}}
 	promotedWith := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 8}}
 	promotedWithout := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 7}}
+	follows := takeover.Status{Term: 4, Received: position.Position{Term: 3, Offset: 9}}
 	silent := takeover.Evidence{Member: "c"}
 	gone := takeover.Evidence{Member: "c", Gone: true}
 	toB, none := &primacy.Claim{OldPrimary: oldPrimary, Candidate: "b"}, &primacy.Claim{OldPrimary: oldPrimary}
@@ -114,6 +115,7 @@
 		{"a replica that is not counted has it", nil, []takeover.Evidence{evidence("b", false, has, after), evidence("c", counted, lacks, after)}, takeover.Unproven},
 		{"a pause of the replica may have ended", nil, []takeover.Evidence{evidence("b", counted, has, before), silent}, takeover.Unproven},
 		{"the replica is paused", none, []takeover.Evidence{evidence("b", counted, paused, after), silent}, takeover.Unproven},
+		{"a promotion has ended the pause of the replica", nil, []takeover.Evidence{evidence("b", counted, follows, after), silent}, takeover.Unproven},
 		{"no replica is paused, and none has it", none, []takeover.Evidence{evidence("b", counted, lacks, after), evidence("c", counted, lacks, after)}, takeover.Unproven},
 		{"all have it", none, []takeover.Evidence{evidence("b", false, paused, before), evidence("c", false, paused, before)}, takeover.Contained},
 		{"all whose processes run have it", none, []takeover.Evidence{evidence("b", false, paused, before), gone}, takeover.Contained},
