group: count no answer of a former replica as a position of the primary

A read that needs the session's own write could run on a replica without it, and a read with a staleness bound on one that lacks older commits.

Group.ObservePosition took the position in an answer as one of the primary if its member is the primary when the answer is handled. An answer that the member gave as a lagging replica, and that is handled after its promotion is known, became the first position of the new term and a watermark: the lease that came with the record covers the time at which that statement was sent as well. How long such an answer may be on its way does not depend on how long a promotion takes.

A position counts now if it is of the primary's term, in which only the primary adds entries, or if the statement was sent after this instance had learned of the primary.

--- /dev/null
+++ b/proxy/group/evidence_test.go
@@ -0,0 +1,74 @@
+package group
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/statement"
+)
+
+// statusDialer is a Dialer of members that answer with these statuses; others are silent.
+type statusDialer map[string]takeover.Status
+
+// statusConn answers control commands with a status.
+type statusConn struct {
+	healthyConn
+	status takeover.Status
+}
+
+// Dial implements statement.Dialer.
+func (d statusDialer) Dial(t statement.Target, _ time.Duration) (statement.Conn, error) {
+	s, ok := d[t.ID]
+	if !ok {
+		return nil, &statement.ConnError{Timeout: true, Err: errors.New("silent")}
+	}
+	return statusConn{status: s}, nil
+}
+
+// Control implements statement.Conn.
+func (c statusConn) Control(statement.Control, time.Duration) (takeover.Status, error) {
+	return c.status, nil
+}
+
+// newEvidenceGroup returns a group with the members a, b and c, of which a leads term 1.
+func newEvidenceGroup(now *time.Duration, d statement.Dialer) *Group {
+	g := newTestGroup(&fakeRecordStore{now: now}, func() time.Duration { return *now })
+	g.cfg.Dialer = d
+	g.service.AcknowledgedBy = 1
+	g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "a", Term: 1}, Version: 7}, exactTimestamp(*now))
+	all := make(catalog.Members)
+	for _, id := range []string{"a", "b", "c"} {
+		all[id] = catalog.Member{ID: id, Service: "s", Address: id, Slots: 2, Started: 7}
+	}
+	g.UpdateMembers(all, *now)
+	return g
+}
+
+// Guards against a read of own writes on a replica without them: the answer of a lagging
+// replica counted as one of the primary, because it had been promoted since.
+func TestAnswerFromBeforePromotionIsNoPositionOfPrimary(t *testing.T) {
+	now := 10 * time.Second
+	g := newEvidenceGroup(&now, statusDialer{})
+	own := position.Position{Term: 1, Offset: 105}
+	g.ObservePosition(g.members["a"].Upstream, own, now)
+	sentAt := now + 10*time.Millisecond
+	now += 500 * time.Millisecond
+	g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "b", Term: 2}, Version: 8}, exactTimestamp(now))
+	g.ObservePosition(g.members["b"].Upstream, position.Position{Term: 1, Offset: 100}, sentAt)
+	req := Requirements{Reads: true, Consistency: catalog.ReadYourWrites, Staleness: 2 * time.Second, Arrival: now, OwnWrite: own, OwnWriteAt: sentAt}
+	after, _, known := g.minReplicaPosition(req, now-req.Staleness)
+	assert.Assert(t, !known || after.AtLeast(own), "a replica at %s serves the read", after)
+
+	p := position.Position{Term: 1, Offset: 106}
+	g.ObservePosition(g.members["b"].Upstream, p, now)
+	after, _, known = g.minReplicaPosition(req, now-req.Staleness)
+	assert.Assert(t, known)
+	assert.Equal(t, after, p, "an answer of the primary in its term, before its first commit")
+}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -198,6 +198,7 @@
 	membersAsOf         time.Duration       // when the members were last read, changed or not
 	noClaimAt           time.Duration       // when the record was last read without a claim
 	primaryMissingSince time.Duration       // first read of the members without the primary; 0 if it is registered
+	primaryKnownAt      time.Duration       // when this instance learned of the present primary
 	lastRequestAt       time.Duration       // arrival of the last request of a caller of this instance
 	selfReported        primacy.Primary     // member that reports itself primary, with term 0 until learnPrimary knows it; used once a record shows no failover in progress
 	selfReportedAt      time.Duration
@@ -388,6 +389,7 @@
 func (g *Group) observePrimaryChange(former primacy.Primary, source string) {
 	g.lastAckSentAt = 0 // acknowledgements of the former primary do not confirm the new one
 	g.primaryMissingSince, g.missingLog = 0, position.Position{}
+	g.primaryKnownAt = g.cfg.Clock()
 	g.silence.answeredAt = 0
 	g.switchover.Reset()
 	for _, m := range g.members {
@@ -446,7 +448,10 @@
 	u.ObservePosition(p)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tracker.ObservePosition(u.Member().ID, p, sentAt)
+	// A member that was a replica when it answered may have lacked commits of an earlier term.
+	if p.Term == g.tracker.Primary().Term || sentAt >= g.primaryKnownAt {
+		g.tracker.ObservePosition(u.Member().ID, p, sentAt)
+	}
 	if u.Member().ID == g.tracker.Primary().Member {
 		g.silence.answeredAt = g.cfg.Clock()
 		g.suspicion.answered(g.silence.answeredAt)
