group: an acknowledgement of another term confirms no primary

While the store is away, an acknowledgement that is younger than 1.2 s replaces the answers of silent members in a quorum round: a replica receives the primary's entries, so no other member has been promoted. WriteAcknowledged kept the time of each acknowledgement by the present primary's member, whatever its term. With an acknowledgement of term 2 that was passed on late (a proof may take until the statement's deadline), a round confirmed the same member in term 4 with one replica, although the member that led term 3 did not answer and may lead again. With one of a term that the instance does not know, it confirmed the member in its earlier term.

An acknowledgement counts now only for the term that its position names.

--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -72,3 +72,23 @@
 	assert.Assert(t, known)
 	assert.Equal(t, after, p, "an answer of the primary in its term, before its first commit")
 }
+
+// Guards against a quorum by one replica on the word of an acknowledgement that the primary
+// gave in an earlier term: another member may have been promoted between the two.
+func TestAcknowledgementOfEarlierTermConfirmsNoPrimary(t *testing.T) {
+	now := 10 * time.Second
+	primary := primacy.Primary{Member: "b", Term: 4}
+	g := newEvidenceGroup(&now, statusDialer{
+		"b": {Primary: true, Term: 4, Received: position.Position{Term: 4, Offset: 9}},
+		"c": {Term: 4, Received: position.Position{Term: 4, Offset: 9}},
+	})
+	g.UpdateRecord(primacy.Record{Service: "s", Primary: primary, Version: 8}, exactTimestamp(now))
+	for _, c := range []struct {
+		term uint64
+		want bool
+	}{{2, false}, {5, false}, {4, true}} {
+		g.WriteAcknowledged(g.members["b"].Upstream, position.Position{Term: c.term, Offset: 5}, now)
+		g.confirmByMembers(primary, now)
+		assert.Equal(t, g.rounds.last.Confirmed, c.want, "acknowledged in term %d", c.term)
+	}
+}
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -150,7 +150,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ackedPosition = position.Max(g.ackedPosition, p)
-	if _, primary := g.primaryLocked(); primary == u {
+	// Between two terms of one member, another one may have led.
+	if primary, leads := g.primaryLocked(); leads == u && p.Term == primary.Term {
 		g.suspicion.unansweredWrites = 0
 		g.lastAckSentAt = max(g.lastAckSentAt, sentAt)
 	}
