group: end the mark of a restart without its log once the log counts again

Once a replica that had restarted without its log became the primary, its service served no more writes: "no quorum confirms its primary", "the primary is being replaced", for as long as it led.

A member that restarts without its log must reach a position before its log counts (catchUpFloor). Answers are compared with it, but it was never cleared, and failoverReason took a floor on the primary's member for a restart of the primary: "restarted", not serving.

failoverReason now asks such a primary for its position: the floor ends if the position has reached it and the member has not restarted meanwhile. A primary that restarted as such does not reach it, and is replaced as before. The floor is also read with the lock held, which it was not.

--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -337,6 +337,7 @@
 	unfinished := record.Claim != nil && !g.claimOfEarlierEra(record)
 	suspected := g.suspicion
 	m := g.members[primary.Member]
+	restarted := m != nil && !m.catchUpFloor.IsZero()
 	g.mu.Unlock()
 	switch {
 	case unfinished:
@@ -347,7 +348,7 @@
 		return failoverReason{}, false
 	case u.Member().Draining:
 		return failoverReason{text: "leaving", visibleToAll: true}, true
-	case !m.catchUpFloor.IsZero():
+	case restarted && !g.hasCaughtUp(m):
 		return failoverReason{text: "restarted", notServing: true, visibleToAll: true}, true
 	case g.switchoverDue():
 		return failoverReason{text: "replicas_behind", switchover: true}, g.canSwitchOver(primary)
@@ -377,6 +378,23 @@
 	return failoverReason{}, false
 }
 
+// hasCaughtUp asks a member that has restarted without its log whether that counts again, as
+// that of a replica which has been promoted since.
+func (g *Group) hasCaughtUp(m *member) bool {
+	g.mu.Lock()
+	knownSince, floor := m.knownSince, m.catchUpFloor
+	g.mu.Unlock()
+	status, _ := g.control(m, statement.Control{Kind: statement.GetStatus}, false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// The answer may be that of an earlier incarnation.
+	if status == nil || m.knownSince != knownSince || !status.Received.AtLeast(floor) {
+		return false
+	}
+	m.catchUpFloor = position.Position{}
+	return true
+}
+
 // probeResult is what a probe shows of the primary.
 type probeResult uint8
 
--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -280,6 +280,28 @@
 	}
 }
 
+// Guards against the endless replacement of a primary that had lost its log as a replica and has
+// caught up since: no write was served any more.
+func TestReplicaThatRestartedWithoutLogLeads(t *testing.T) {
+	underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+		time.Sleep(4 * time.Second)
+		c.sim.Crash("b", false)
+		c.sim.Restart("b", true)
+		time.Sleep(5 * time.Second)
+		c.sim.SetReceiveLag("c", 60*time.Millisecond)
+		c.sim.Drain("a")
+		c.await(5*time.Second, "b as the primary", func() bool { return c.sim.Primary() == "b" })
+		time.Sleep(5 * time.Second)
+		s := c.open("i1", simulator.Database)
+		for range 20 {
+			assert.Check(t, c.write(s))
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.leave()
+		assert.Check(t, c.sim.Promotions() == 1)
+	})
+}
+
 // Guards against a failover by an instance that has never read the entries of the primary and
 // of a replica, which are behind a cut.
 func TestNewInstanceReplacesPrimary(t *testing.T) {
