primacy, takeover: say what proved a primary and a commit

Tracker.ProvenByRecord tells a lease from a quorum round, and Prove returns the proof that Contains has found. No decision changes.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -229,7 +229,9 @@
 type Tracker struct {
 	primary         Primary
 	record          Record
-	provenUntil     time.Duration // local time until which the primary is proven
+	provenUntil     time.Duration        // local time until which the primary is proven
+	provenBy        storeversion.Version // record whose lease ends at provenUntil
+	provenByMembers bool                 // a quorum has proven the primary until provenUntil, later than any lease
 	watermarks      []Watermark
 	watermarkWindow time.Duration     // how far watermarks reach back; 0: defaultWatermarkWindow
 	readPosition    Watermark         // latest position that covers all acknowledged writes whichever member is the primary
@@ -251,6 +253,12 @@
 // primary is proven.
 func (t *Tracker) ProvenUntil() time.Duration { return t.provenUntil }
 
+// ProvenByRecord returns the version of the record whose lease ends at ProvenUntil. It is
+// false if a quorum of the members has proven the primary later than any lease.
+func (t *Tracker) ProvenByRecord() (storeversion.Version, bool) {
+	return t.provenBy, !t.provenByMembers
+}
+
 // ReplacementClaimed reports whether an instance, this one or another, has a claim to
 // replace the primary.
 func (t *Tracker) ReplacementClaimed() bool {
@@ -300,6 +308,9 @@
 	// A record of another primary is no evidence for the tracker's primary, which
 	// was learned from the members while the store was unavailable.
 	if r.Primary.Member == "" || r.Primary == t.primary {
+		if until-LeaseMargin >= t.provenUntil {
+			t.provenBy, t.provenByMembers = r.Version, false
+		}
 		t.provenUntil = max(t.provenUntil, until-LeaseMargin)
 	}
 	return changed
@@ -325,6 +336,7 @@
 	if primary != t.primary {
 		return
 	}
+	t.provenByMembers = t.provenByMembers || sentAt > t.provenUntil
 	t.provenUntil = max(t.provenUntil, sentAt)
 	t.ObservePosition(primary.Member, log, sentAt)
 }
@@ -339,7 +351,7 @@
 		return false
 	}
 	t.primary = primary
-	t.provenUntil = 0
+	t.provenUntil, t.provenBy, t.provenByMembers = 0, 0, false
 	t.watermarks = t.watermarks[:0]
 	t.firstPosition, t.lastPosition = position.Position{}, position.Position{}
 	return true
--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -106,17 +106,46 @@
 //   - All replicas whose processes may run have it.
 //   - The claim announces a candidate or names a called-for member, which has it.
 func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
+	c, _ := Prove(claim, p, replicas)
+	return c
+}
+
+// ProofKind is which evidence proves that a commit is contained.
+type ProofKind uint8
+
+const (
+	// NoProof means that there is none, or that none is needed.
+	NoProof ProofKind = iota
+	// ByCounted means that a counted replica has the commit.
+	ByCounted
+	// ByAll means that all replicas whose processes may run have it.
+	ByAll
+	// ByAnnounced means that the member has it that the claim announces or names as called.
+	ByAnnounced
+)
+
+// String returns the name of the kind as it appears in logs and metrics.
+func (k ProofKind) String() string { return [...]string{"none", "counted", "all", "announced"}[k] }
+
+// Proof is what proves that a commit is contained.
+type Proof struct {
+	Kind   ProofKind
+	Member string // that has the commit; empty for ByAll
+}
+
+// Prove is Contains that also returns what proves a contained commit.
+func Prove(claim *primacy.Claim, p position.Position, replicas []Evidence) (Containment, Proof) {
 	known, all, later := false, true, false
 	for _, e := range replicas {
 		if e.Counted && holds(e.anchored, p) {
-			return Contained
+			return Contained, Proof{ByCounted, e.Member}
 		}
 		if claim != nil && claim.Successor() == e.Member {
 			switch {
 			case e.Holds(p):
-				return Contained
+				return Contained, Proof{ByAnnounced, e.Member}
 			case e.term > p.Term:
-				return Superseded
+				return Superseded, Proof{}
 			}
 		}
 		if e.Gone {
@@ -128,10 +157,10 @@
 	}
 	switch {
 	case known && all:
-		return Contained
+		return Contained, Proof{Kind: ByAll}
 	case later && (claim == nil || claim.Successor() == ""):
-		return Superseded
+		return Superseded, Proof{}
 	default:
-		return Unproven
+		return Unproven, Proof{}
 	}
 }
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -128,6 +128,30 @@
 	}
 }
 
+// Guards against an acknowledgement whose log names the wrong proof.
+func TestProve(t *testing.T) {
+	const since, anchor = 11 * time.Second, true
+	has, lacks := *replica(8, 0), *replica(7, 0)
+	toB := &primacy.Claim{OldPrimary: oldPrimary, Candidate: "b"}
+	for _, test := range []struct {
+		name  string
+		claim *primacy.Claim
+		in    []takeover.Evidence
+		want  takeover.Proof
+	}{
+		{"counted", nil, []takeover.Evidence{evidence("c", anchor, has, since), evidence("b", false, lacks, since)}, takeover.Proof{Kind: takeover.ByCounted, Member: "c"}},
+		{"all", nil, []takeover.Evidence{evidence("c", false, has, since), evidence("b", false, has, since)}, takeover.Proof{Kind: takeover.ByAll}},
+		{"announced", toB, []takeover.Evidence{evidence("b", false, has, since), evidence("c", false, lacks, since)}, takeover.Proof{Kind: takeover.ByAnnounced, Member: "b"}},
+		{"none", toB, []takeover.Evidence{evidence("b", false, lacks, since)}, takeover.Proof{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, proof := takeover.Prove(test.claim, position.Position{Term: 3, Offset: 8}, test.in)
+			assert.Equal(t, proof, test.want)
+			assert.Equal(t, c == takeover.Contained, proof.Kind != takeover.NoProof)
+		})
+	}
+}
+
 // Each case guards against one way in which a failover or planned switchover could
 // lose an acknowledged commit or never end.
 func TestDecide(t *testing.T) {
