group: log and count what strict reads and acknowledgements rely on

Choice has a Basis: lease, quorum round, bound or watermark, with the term, the record's version, and the members and age of list that a round used; a gateway's answer to a round carries the latter. Lines read_decision and commit_decision, with the request id, are written for each unusual decision (rate-limited; those beyond share a line by cause that lists their ids), and for one ordinary decision of each service, event and second at debug level. Metrics count the bases, the proofs, and answers of another term than that of the choice. No decision changes.

--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -83,14 +83,18 @@
 // confirmCommit returns nil once it is proved that a commit at p, which the member has
 // acknowledged, survives each change of primary, so that the acknowledgement may be passed
 // on. The error is a *verdict.Error that says that the outcome is unknown. It does not wait
-// longer than until the deadline.
-func (g *Group) confirmCommit(u *upstream.Upstream, p position.Position, deadline time.Duration) error {
+// longer than until the deadline. request is the caller's request ID, for the log.
+func (g *Group) confirmCommit(u *upstream.Upstream, request string, p position.Position, deadline time.Duration) error {
 	id, ackedAt, guarded := u.Member().ID, g.cfg.Clock(), false
 	for {
 		g.mu.Lock()
-		containment, claimed := g.commitContainment(id, p)
-		if containment == takeover.Unproven {
+		containment, claimed, proof := g.commitContainment(id, p)
+		var basis commitBasis
+		switch containment {
+		case takeover.Unproven:
 			g.askReplicas(id, p, ackedAt)
+		case takeover.Contained:
+			basis = g.commitBasis(id, p, proof)
 		}
 		changed := g.changed
 		g.mu.Unlock()
@@ -98,6 +102,7 @@
 		switch {
 		case containment == takeover.Contained:
 			g.cfg.Metrics.ObserveCommitProof(now - ackedAt)
+			g.noteCommit(basis, request, id, p, now-ackedAt)
 			switch {
 			case claimed:
 				g.cfg.Metrics.CountGuardedCommit(containment.String())
@@ -125,14 +130,14 @@
 }
 
 // commitContainment returns what is known of a commit at p that a member has acknowledged,
-// and whether an instance is replacing the member. g.mu is held.
-func (g *Group) commitContainment(id string, p position.Position) (c takeover.Containment, claimed bool) {
+// whether an instance is replacing the member, and the proof of a contained commit. g.mu is held.
+func (g *Group) commitContainment(id string, p position.Position) (c takeover.Containment, claimed bool, proof takeover.Proof) {
 	claim := g.tracker.ClaimAgainst(id, p)
 	switch {
 	case g.service.AcknowledgedBy == 0:
-		return takeover.Contained, false // an acknowledged commit may be on the primary alone
+		return takeover.Contained, false, proof // an acknowledged commit may be on the primary alone
 	case g.tracker.Replaced(id, p):
-		return takeover.Superseded, false
+		return takeover.Superseded, false, proof
 	}
 	var replicas []takeover.Evidence
 	for other, m := range g.members {
@@ -140,11 +145,11 @@
 			replicas = append(replicas, g.evidenceOf(m))
 		}
 	}
-	c = takeover.Contains(claim, p, replicas)
+	c, proof = takeover.Prove(claim, p, replicas)
 	if late := g.mayLead(); c == takeover.Contained && late != id && takeover.MayLack(late, p, replicas) {
 		c = takeover.Unproven
 	}
-	return c, claim != nil
+	return c, claim != nil, proof
 }
 
 // mayLead returns the member that a call without an answer may still promote, or an empty
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -69,6 +69,7 @@
 	// OnlyCandidate means that all other members are probably behind the position
 	// that a read requires.
 	OnlyCandidate bool
+	Basis         Basis
 }
 
 // Choose returns the member that is to execute a request. It waits for a primary or
@@ -150,7 +151,7 @@
 	if after.Term != primary.Term || !req.Reads {
 		after = position.Position{}
 	}
-	return Choice{Upstream: u, Primary: true, MinPosition: after, EvidenceAge: req.Arrival - g.tracker.ProvenUntil()}, true
+	return Choice{Upstream: u, Primary: true, MinPosition: after, EvidenceAge: req.Arrival - g.tracker.ProvenUntil(), Basis: g.primaryBasis(req, after)}, true
 }
 
 // chooseForRead returns the cheapest member that can meet the staleness bound: a
@@ -159,6 +160,7 @@
 func (g *Group) chooseForRead(req Requirements, excluded map[*upstream.Upstream]bool) (Choice, bool) {
 	since := req.Arrival - req.Staleness
 	after, at, known := g.minReplicaPosition(req, since)
+	replicaBasis := g.replicaBasis(req, after, at)
 	var choices []Choice
 	var candidates []replicaselect.Candidate
 	noGateway := make(map[string]bool) // members that no gateway serves at present
@@ -182,7 +184,7 @@
 		} else if gw != nil {
 			c.Wait, c.NeedsConnection = gw.ExpectedWait(req.Rank), false
 		}
-		choice := Choice{Upstream: m.Upstream, MinPosition: after, MinPositionAt: at, EvidenceAge: req.Arrival - at}
+		choice := Choice{Upstream: m.Upstream, MinPosition: after, MinPositionAt: at, EvidenceAge: req.Arrival - at, Basis: replicaBasis}
 		switch {
 		case id == primary.Member && req.Consistency == catalog.Strict:
 			continue // choosePrimary has already rejected it
@@ -191,7 +193,7 @@
 				continue
 			}
 			c.Primary = true
-			choice = Choice{Upstream: m.Upstream, Primary: true, EvidenceAge: since - g.tracker.ProvenUntil()}
+			choice = Choice{Upstream: m.Upstream, Primary: true, EvidenceAge: since - g.tracker.ProvenUntil(), Basis: g.primaryBasis(req, position.Position{})}
 		case !known || entry.Draining:
 			continue
 		default:
--- a/proxy/group/execute.go
+++ b/proxy/group/execute.go
@@ -28,6 +28,7 @@
 func (g *Group) Execute(c Choice, j upstream.Job) upstream.Result {
 	sentAt := g.cfg.Clock()
 	r := g.executeRouted(c, j)
+	g.noteAnswer(c.Basis, c.Upstream, j, r)
 	g.observeResult(c.Upstream, j, r, sentAt)
 	return r
 }
@@ -62,8 +63,9 @@
 	if tx == nil {
 		return nil, o
 	}
+	g.noteAnswer(c.Basis, c.Upstream, j, o.First)
 	g.observeResult(c.Upstream, j, o.First, sentAt)
-	return &observedTx{g, c.Upstream, gw, tx}, o
+	return &observedTx{g, c.Upstream, gw, tx, c.Basis}, o
 }
 
 // openRouted opens a transaction at the member's gateway, which it returns, or here if it
@@ -161,7 +163,7 @@
 // first waits for proof that whichever member is promoted next has them.
 func (g *Group) guardCommit(u *upstream.Upstream, j upstream.Job, reply statement.Reply) upstream.Result {
 	if j.CommitsWrites && reply.Err == nil {
-		if err := g.confirmCommit(u, reply.Position, j.Deadline-answerMargin); err != nil {
+		if err := g.confirmCommit(u, j.Statement.ID, reply.Position, j.Deadline-answerMargin); err != nil {
 			return upstream.Result{Err: err, Sent: true}
 		}
 	}
@@ -341,6 +343,7 @@
 	upstream *upstream.Upstream
 	gateway  Gateway // nil if the connection is here
 	upstream.Tx
+	basis Basis // of the choice; zero for another instance's transaction
 }
 
 // Run implements upstream.Tx.
@@ -348,6 +351,9 @@
 	sentAt := t.g.cfg.Clock()
 	t.g.reportRequest(t.upstream, t.gateway)
 	r := t.Tx.Run(j)
+	if j.CommitsWrites {
+		t.g.noteAnswer(t.basis, t.upstream, j, r)
+	}
 	t.g.observeResult(t.upstream, j, r, sentAt)
 	return r
 }
@@ -387,7 +393,7 @@
 	}
 	g.observeResult(u, j, o.First, sentAt)
 	g.logForPeer(member, j, o.First)
-	return &observedTx{g, u, nil, tx}, o, true
+	return &observedTx{g, u, nil, tx, Basis{}}, o, true
 }
 
 // logForPeer logs a job of another instance that was not answered.
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -151,9 +151,10 @@
 type Metrics interface {
 	HealthMetrics
 	AcknowledgementMetrics
+	DecisionMetrics
 }
 
-// Config holds the dependencies of a Group. Gateways, Reachability, PoolCounters, Metrics and RoundTrip are
+// Config holds the dependencies of a Group. Gateways, Reachability, PoolCounters, Metrics, DecisionLog and RoundTrip are
 // optional: without Gateways, the instance connects to all members directly.
 type Config struct {
 	Service       string
@@ -173,6 +174,8 @@
 	Log         *logrus.Entry
 	// QueueMetrics receives the metrics of the queues for the members; it is optional.
 	QueueMetrics upstream.QueueMetrics
+	// DecisionLog receives the unusual decisions; it is optional.
+	DecisionLog DecisionLog
 }
 
 // Group is one database group as seen by this instance. It is safe for concurrent use.
@@ -213,6 +216,7 @@
 	silence                silenceWatch
 	switchover             handover.Detector
 	rounds                 quorumRounds
+	samples                decisionSamples
 	announcement           announcement
 	wake                   chan struct{} // of capacity 1; makes Run check the group at once
 	finished               chan struct{} // closed when Run has returned
@@ -230,6 +234,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = noMetrics{}
 	}
+	if cfg.DecisionLog == nil {
+		cfg.DecisionLog = noDecisionLog{}
+	}
 	return &Group{
 		cfg: cfg, service: service, health: newHealthMonitor(&cfg),
 		members: make(map[string]*member), fleet: gateway.NewStandalone(cfg.Instance),
--- a/proxy/group/health.go
+++ b/proxy/group/health.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/health"
+	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
@@ -50,6 +51,15 @@
 // CountBlockedChanges implements AcknowledgementMetrics.
 func (noMetrics) CountBlockedChanges() {}
 
+// CountStrictRead implements DecisionMetrics.
+func (noMetrics) CountStrictRead(BasisKind) {}
+
+// CountCommitProof implements DecisionMetrics.
+func (noMetrics) CountCommitProof(takeover.ProofKind) {}
+
+// CountOtherTerm implements DecisionMetrics.
+func (noMetrics) CountOtherTerm(kind, direction string) {}
+
 // ObserveCommitProof implements AcknowledgementMetrics.
 func (noMetrics) ObserveCommitProof(time.Duration) {}
 
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -56,6 +56,8 @@
 	HasAckBound bool              `json:"covers,omitempty"`
 	// LaterPrimary is a primary of a later term that the members report, if any.
 	LaterPrimary primacy.Primary `json:"later"`
+	// Answers are those that the result relies on, for the log; nil if they are not known.
+	Answers *RoundAnswers `json:"answers,omitempty"`
 }
 
 // quorumRounds coalesces concurrent requests for a quorum round.
@@ -68,6 +70,9 @@
 	// lastStartedAt.
 	last          Confirmation
 	lastStartedAt time.Duration
+	// confirmedBy and boundBy are those of the last round that confirmed the primary, and of
+	// the one with the present bound.
+	confirmedBy, boundBy *round
 }
 
 // startRound starts a quorum round, at the primary's gateway if it has one, unless a
@@ -171,6 +176,7 @@
 
 // confirmByMembers asks all members for their status and evaluates the quorum.
 func (g *Group) confirmByMembers(primary primacy.Primary, sentAt time.Duration) {
+	listedAt := g.membersReadAt()
 	members := g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, true)
 	g.mu.Lock()
 	// A recently acknowledged commit shows that a replica receives the primary's
@@ -189,6 +195,7 @@
 		// and the bound is then too low.
 		c.HasAckBound = c.HasAckBound && c.AckBound.AtLeast(g.ackedPosition)
 	}
+	c.Answers = describeAnswers(members, sentAt-listedAt, sentAt-g.membersAsOf)
 	g.rounds.last, g.rounds.lastStartedAt = c, sentAt
 	if !quorum {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "no_quorum", "lead": primary.Member, "term": primary.Term, "members": describeMembers(members)}).Warn("members do not confirm the primary")
@@ -202,6 +209,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rounds.running = false
+	g.keepAnswers(c, sentAt)
 	if c.Confirmed {
 		g.tracker.ObserveQuorum(c.Primary, c.Received, sentAt)
 	} else {
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -11,8 +11,10 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/papayarail/papayarail/core/schedule"
+	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/core/verdict"
 	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
@@ -175,6 +177,22 @@
 	m.set.GetOrCreateHistogram("papayarail_commit_proof_seconds").Update(waited.Seconds())
 }
 
+// CountStrictRead counts an answered strict read; see group.DecisionMetrics.
+func (m *Metrics) CountStrictRead(basis group.BasisKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_strict_reads_total{basis=%q}`, basis)).Inc()
+}
+
+// CountCommitProof counts an acknowledgement that was passed on; see group.DecisionMetrics.
+func (m *Metrics) CountCommitProof(by takeover.ProofKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_commit_proofs_total{proof=%q}`, by)).Inc()
+}
+
+// CountOtherTerm counts an answer of another term than that of the primary that its choice
+// rests on; see group.DecisionMetrics.
+func (m *Metrics) CountOtherTerm(kind, direction string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_answers_of_other_term_total{kind=%q,direction=%q}`, kind, direction)).Inc()
+}
+
 // RegisterPaceGauges registers the gauges of the members below full use: how many there
 // are, the statements in flight that this instance allows for them together, and the
 // number at full use. They have no label, as the IDs of members are not bounded.
--- a/proxy/metrics/metrics_test.go
+++ b/proxy/metrics/metrics_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/group"
 	"github.com/papayarail/papayarail/proxy/metrics"
 )
 
@@ -34,3 +36,26 @@
 	assert.Assert(t, strings.Contains(out.String(), `{workspace="other",outcome="failed"} `))
 	assert.Assert(t, !strings.Contains(out.String(), `"w44"`), "a workspace that is no longer among the highest keeps its series")
 }
+
+// Guards the names of the series of decisions, which OPERATIONS.md lists.
+func TestDecisionSeries(t *testing.T) {
+	m := metrics.New()
+	var decisions group.DecisionMetrics = m
+	decisions.CountStrictRead(group.ByLease)
+	decisions.CountStrictRead(group.ByRound)
+	decisions.CountStrictRead(group.ByBound)
+	decisions.CountCommitProof(takeover.NoProof)
+	decisions.CountCommitProof(takeover.ByCounted)
+	decisions.CountCommitProof(takeover.ByAll)
+	decisions.CountCommitProof(takeover.ByAnnounced)
+	decisions.CountOtherTerm("commit", "above")
+	var out bytes.Buffer
+	m.Write(&out)
+	for _, series := range []string{
+		`papayarail_strict_reads_total{basis="lease"} 1`, `papayarail_strict_reads_total{basis="round"} 1`, `papayarail_strict_reads_total{basis="bound"} 1`,
+		`papayarail_commit_proofs_total{proof="none"} 1`, `papayarail_commit_proofs_total{proof="counted"} 1`, `papayarail_commit_proofs_total{proof="all"} 1`, `papayarail_commit_proofs_total{proof="announced"} 1`,
+		`papayarail_answers_of_other_term_total{kind="commit",direction="above"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(out.String(), series+"\n"), "%s is missing in %s", series, out.String())
+	}
+}
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -42,6 +42,9 @@
 	nextID atomic.Uint64
 	// pace waits between the statements of the load; nil means no wait.
 	pace func(time.Duration)
+	// hook sees the log of the instances that start after it is set; nil means none.
+	hook    logrus.Hook
+	metrics map[string]*metrics.Metrics // by instance
 }
 
 func newCluster(t *testing.T, instances ...string) *cluster {
@@ -80,11 +83,15 @@
 	if c.peers {
 		settings.PeerAddress = name
 	}
+	if c.metrics == nil {
+		c.metrics = make(map[string]*metrics.Metrics)
+	}
+	c.metrics[name] = metrics.New()
 	n := node.New(node.Config{
 		Settings: settings,
 		DialPeer: func(ctx context.Context, to string) (net.Conn, error) { return c.network.Dial(ctx, name, to) },
 		Store:    store, Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
-		Clock: c.sim.Clock, Log: c.log(name), Metrics: metrics.New(),
+		Clock: c.sim.Clock, Log: c.log(name), Metrics: c.metrics[name],
 	})
 	c.nodes[name] = n
 	if c.peers {
@@ -103,6 +110,9 @@
 		log.SetOutput(c.t.Output())
 		log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "05.000"})
 	}
+	if c.hook != nil {
+		log.AddHook(c.hook)
+	}
 	return log.WithField("instance", instance)
 }
 
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -109,6 +109,7 @@
 	router    *hop.Router
 	limiter   *limits.Limiter
 	failures  *failurelog.Log
+	decisions *failurelog.Decisions
 	isolation isolation
 	// roundTrips are the measured round trips to other failure domains.
 	roundTrips roundTrips
@@ -119,6 +120,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, groups: make(map[string]*group.Group), sessions: make(map[*openSession]struct{}), started: make(chan struct{})}
 	n.failures = failurelog.New(cfg.Log)
+	n.decisions = failurelog.NewDecisions(cfg.Log)
 	n.reader = newReader(n)
 	n.fleet = n.fleetOf(nil)
 	n.router = hop.NewRouter(cfg.Settings.Instance, cfg.Settings.FailureDomain, cfg.DialPeer, cfg.Clock, cfg.Log)
@@ -250,7 +252,7 @@
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
 		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, PoolCounters: n.cfg.Metrics, RoundTrip: n.roundTrips.get, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Metrics: n.cfg.Metrics, Clock: n.cfg.Clock,
-		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics,
+		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics, DecisionLog: n.decisions,
 	}, s)
 	g.SetFleet(n.fleet)
 	n.groups[s.Name] = g
