group: judge a quorum round by the list that its members were taken from

Strict reads missed commits that had been acknowledged 2.6 s before while the store was away from their instance.

Cause: confirmByMembers took the members, waited for their answers, and then looked at the time of the last list, which may have become fresh meanwhile. A bound over three members, without the fourth through which commits were acknowledged, then counted as one with a list of now. While the store is away rounds run all the time, so that one is nearly always under way when the list comes back. The class: state read before a wait, judged by newer state beside it.

TestBoundIsJudgedByListOfItsMembers fails without the change.

The members and the age of their list are one value now (takeover.Round), taken under one lock. The holder of a claim uses the same value.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -37,6 +37,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
@@ -72,6 +73,14 @@
 	Status *Status
 }
 
+// Round is the answers to one round of status queries, with the age of the list of members
+// that were asked: a list that is read later may have others.
+type Round struct {
+	Members []Member
+	// ListReadAt is the local time at which the list was read.
+	ListReadAt time.Duration
+}
+
 // Input is one round of answers.
 type Input struct {
 	OldPrimary primacy.Primary
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -92,3 +92,49 @@
 		assert.Equal(t, g.rounds.last.Confirmed, c.want, "acknowledged in term %d", c.term)
 	}
 }
+
+// listingDialer is a statusDialer that lets a list of members arrive before a member answers.
+type listingDialer struct {
+	statusDialer
+	arrive func()
+}
+
+// listingConn is a connection of a listingDialer.
+type listingConn struct {
+	statement.Conn
+	arrive *func()
+}
+
+// Dial implements statement.Dialer.
+func (d *listingDialer) Dial(t statement.Target, timeout time.Duration) (statement.Conn, error) {
+	c, err := d.statusDialer.Dial(t, timeout)
+	return listingConn{c, &d.arrive}, err
+}
+
+// Control implements statement.Conn.
+func (c listingConn) Control(command statement.Control, timeout time.Duration) (takeover.Status, error) {
+	(*c.arrive)()
+	return c.Conn.Control(command, timeout)
+}
+
+// Guards against a bound of acknowledged commits over fewer members than the list that it is
+// judged by has.
+func TestBoundIsJudgedByListOfItsMembers(t *testing.T) {
+	now := 10 * time.Second
+	replica := takeover.Status{Term: 1, Received: position.Position{Term: 1, Offset: 9}}
+	d := &listingDialer{statusDialer{"b": replica, "c": replica}, func() {}}
+	g := newEvidenceGroup(&now, d)
+	g.confirmByMembers(g.tracker.Primary(), now)
+	assert.Assert(t, g.rounds.last.HasAckBound, "a recent list")
+
+	now += maxMembersAge + time.Second
+	listed := make(catalog.Members)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		listed[id] = catalog.Member{ID: id, Service: "s", Address: id, Slots: 2, Started: 7}
+	}
+	d.arrive = func() { g.UpdateMembers(listed, now) }
+	g.confirmByMembers(g.tracker.Primary(), now)
+	assert.Assert(t, !g.rounds.last.HasAckBound, "the members were taken from a list that is too old")
+	g.confirmByMembers(g.tracker.Primary(), now)
+	assert.Assert(t, !g.rounds.last.HasAckBound, "two of four members do not answer")
+}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -282,11 +282,12 @@
 		if f.superseded() {
 			return
 		}
-		f.membersReadAt = f.g.membersReadAt()
 		// While the primary serves, a commit that is acknowledged after a member's answer is not
 		// in it.
 		required := f.requiredLog()
-		members := f.g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
+		round := f.g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, false)
+		members := round.Members
+		f.membersReadAt = round.ListReadAt
 		in := takeover.Input{OldPrimary: f.oldPrimary, Members: members, GroupSize: groupSize(len(members)), StepDown: f.reason.stepDown, HandOver: f.switchoverAllowed(), Unconfirmed: f.unconfirmed,
 			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown(), Called: f.unsettledCall(members), PausesUncertain: !f.resumesSettled(),
 			RequiredLog: required}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -409,13 +409,6 @@
 	g.cfg.Log.WithFields(logrus.Fields{"event": "lead", "member": primary.Member, "term": primary.Term, "before": former.Member, "source": source}).Info("primary changed")
 }
 
-// membersReadAt returns when the list of members was last read.
-func (g *Group) membersReadAt() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.membersAsOf
-}
-
 // acknowledgedPosition returns the highest position of a commit whose acknowledgement this
 // instance has passed on.
 func (g *Group) acknowledgedPosition() position.Position {
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -176,8 +176,8 @@
 
 // confirmByMembers asks all members for their status and evaluates the quorum.
 func (g *Group) confirmByMembers(primary primacy.Primary, sentAt time.Duration) {
-	listedAt := g.membersReadAt()
-	members := g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, true)
+	round := g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, true)
+	members := round.Members
 	g.mu.Lock()
 	// A recently acknowledged commit shows that a replica receives the primary's
 	// entries, which no replica does after the promotion of another member.
@@ -189,13 +189,13 @@
 	primaryStatus, quorum := quorumConfirms(primary, members, partial)
 	c := Confirmation{Primary: primary, Received: primaryStatus.Received, Confirmed: quorum}
 	c.LaterPrimary, _ = laterPrimary(primary, members)
-	if synchronous && sentAt-g.membersAsOf < maxMembersAge {
+	if synchronous && sentAt-round.ListReadAt < maxMembersAge {
 		c.AckBound, c.HasAckBound = takeover.ReadPosition(members, groupSize(len(members)))
 		// A member that lost its log during a partition may not have reported that yet,
 		// and the bound is then too low.
 		c.HasAckBound = c.HasAckBound && c.AckBound.AtLeast(g.ackedPosition)
 	}
-	c.Answers = describeAnswers(members, sentAt-listedAt, sentAt-g.membersAsOf)
+	c.Answers = describeAnswers(members, sentAt-round.ListReadAt, sentAt-g.membersAsOf)
 	g.rounds.last, g.rounds.lastStartedAt = c, sentAt
 	if !quorum {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "no_quorum", "lead": primary.Member, "term": primary.Term, "members": describeMembers(members)}).Warn("members do not confirm the primary")
@@ -288,13 +288,14 @@
 // for members that probably do not serve only stragglerTimeout longer than for the
 // others. fresh opens a new connection to each member.
 func (g *Group) controlAll(command statement.Control, ids []string, fresh bool) []takeover.Member {
-	return g.controlMembers(command, ids, fresh, false)
+	return g.controlMembers(command, ids, fresh, false).Members
 }
 
 // controlMembers is controlAll with an option: if quorum is set, it waits only
 // stragglerTimeout for the others after quorumSize answers.
-func (g *Group) controlMembers(command statement.Control, ids []string, fresh, quorum bool) []takeover.Member {
+func (g *Group) controlMembers(command statement.Control, ids []string, fresh, quorum bool) takeover.Round {
 	g.mu.Lock()
+	round := takeover.Round{ListReadAt: g.membersAsOf}
 	primary := g.tracker.Primary().Member
 	members := make([]takeover.Member, 0, len(g.members))
 	upstreams := make([]*member, 0, len(g.members))
@@ -343,7 +344,8 @@
 		}
 		members[i].LogShrunk = !s.Received.AtLeast(m.maxPosition)
 	}
-	return members
+	round.Members = members
+	return round
 }
 
 // answer is the status of the member at an index, nil if it did not answer.
