owner: a committed write never counts as not run

A caller of the PostgreSQL interface could be told not_run for a write that had committed, and the proxy itself runs such a write again (core/retry: NotRun permits another attempt of any request).

A status of the primary can show that a quorum has confirmed a commit before the answer to the write is handled. The owner then lets the write wait for the next confirmation, as a strict read does, because a statement that changed nothing looks the same. If the primary is replaced meanwhile, or had been replaced when the answer was handled, core/confirm ends it like a read: not run.

The owner now answers outcome_unknown for what its command tags show as committed.

How often callers saw it was not measured.

--- a/instance/owner/monitor.go
+++ b/instance/owner/monitor.go
@@ -343,6 +343,10 @@
 func (u *Upstream) awaitConfirmation(ctx context.Context, id uint64, ch <-chan confirmation, write bool) (position.Position, error) {
 	select {
 	case c := <-ch:
+		// A write that waits for the primary to be confirmed, as a read does, has committed.
+		if write && c.err != nil && verdict.FromError(c.err).Verdict == verdict.NotRun {
+			return c.position, verdict.New(verdict.OutcomeUnknown, "the write on %q is not confirmed: %v", u.cfg.Name, c.err)
+		}
 		return c.position, c.err
 	case <-ctx.Done():
 	}
