group: a refused connection of a former incarnation ends no member

An acknowledgement could be passed on without proof by a replica that runs, and the call for a promotion of a member that runs could count as settled.

A refused connection, or MOVED, shows that the process of a member has ended, so that it need not prove commits and cannot be promoted by an earlier call. recordAnswer kept that for the member as known when the attempt ended. If the member had been registered again meanwhile, started anew or at another address, the mark was that of the new registration, and updateMember had just cleared it.

An answer, or the lack of one, now counts only if the member is still registered with the start and the address that were asked.

--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -241,8 +241,9 @@
 	m.askedAt = g.cfg.Clock()
 	g.mu.Unlock()
 	g.reportRequest(m.Upstream, nil)
+	entry := m.Member()
 	reply, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, false)
-	g.recordAnswer(m, reply != nil, gone)
+	g.recordAnswer(m, entry, reply != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.asking = false
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -92,3 +92,63 @@
 		assert.Equal(t, g.rounds.last.Confirmed, c.want, "acknowledged in term %d", c.term)
 	}
 }
+
+// heldDialer is a Dialer of a member that answers a control command once release is closed.
+type heldDialer struct {
+	statusDialer
+	asked, release chan struct{}
+}
+
+// heldConn is a connection to such a member.
+type heldConn struct {
+	statusConn
+	d *heldDialer
+}
+
+// Dial implements statement.Dialer.
+func (d *heldDialer) Dial(t statement.Target, timeout time.Duration) (statement.Conn, error) {
+	c, err := d.statusDialer.Dial(t, timeout)
+	if t.ID != "b" {
+		return c, err
+	}
+	if err != nil {
+		d.asked <- struct{}{}
+		<-d.release
+		return nil, &statement.ConnError{Refused: true, Err: errors.New("refused")}
+	}
+	return heldConn{c.(statusConn), d}, nil
+}
+
+// Control implements statement.Conn.
+func (c heldConn) Control(statement.Control, time.Duration) (takeover.Status, error) {
+	c.d.asked <- struct{}{}
+	<-c.d.release
+	return c.status, nil
+}
+
+// restartB is a read of the members that shows another incarnation of b.
+func restartB(g *Group, now time.Duration) {
+	all := make(catalog.Members)
+	for id, m := range g.members {
+		all[id] = m.Member()
+	}
+	b := all["b"]
+	b.Started, b.Address = 8, "moved"
+	all["b"] = b
+	g.UpdateMembers(all, now)
+}
+
+// Guards against a proof without a replica that runs: the refused connection of its former
+// incarnation counted as the end of the present one.
+func TestRefusalOfFormerIncarnationIsNoEndOfMember(t *testing.T) {
+	now := 10 * time.Second
+	d := &heldDialer{statusDialer{}, make(chan struct{}, 9), make(chan struct{})}
+	g := newEvidenceGroup(&now, d)
+	done := make(chan struct{})
+	go func() { g.askReplica(g.members["b"]); close(done) }()
+	<-d.asked
+	restartB(g, now)
+	close(d.release)
+	<-done
+	assert.Assert(t, !g.members["b"].evidence.Gone)
+}
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -202,8 +202,9 @@
 	g.mu.Lock()
 	left := m.left
 	g.mu.Unlock()
+	entry := m.Member()
 	status, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, true)
-	g.recordAnswer(m, status != nil, gone)
+	g.recordAnswer(m, entry, status != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.statusPending = false
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -290,10 +290,12 @@
 	primary := g.tracker.Primary().Member
 	members := make([]takeover.Member, 0, len(g.members))
 	upstreams := make([]*member, 0, len(g.members))
+	entries := make([]catalog.Member, 0, len(g.members))
 	asked, awaited := 0, 0
 	for id, m := range g.members {
-		members = append(members, takeover.Member{ID: id, FailureDomain: m.Member().FailureDomain, Draining: m.Member().Draining, Deregistered: m.departed})
-		upstreams = append(upstreams, m)
+		entry := m.Member()
+		members = append(members, takeover.Member{ID: id, FailureDomain: entry.FailureDomain, Draining: entry.Draining, Deregistered: m.departed})
+		upstreams, entries = append(upstreams, m), append(entries, entry)
 		if ids != nil && !slices.Contains(ids, id) {
 			continue
 		}
@@ -311,7 +313,7 @@
 		if ids == nil || slices.Contains(ids, members[i].ID) {
 			go func() {
 				reply, gone := g.control(m, command, fresh)
-				g.recordAnswer(m, reply != nil, gone)
+				g.recordAnswer(m, entries[i], reply != nil, gone)
 				a := answer{member: i}
 				if reply != nil {
 					a.status = &reply.Status
@@ -367,11 +369,20 @@
 	return all
 }
 
-// recordAnswer records whether a member answered, and removes a departed member if gone
-// is set, which means that its process is not running.
-func (g *Group) recordAnswer(m *member, answered, gone bool) {
+// sameProcess reports whether an answer to a command that was sent to the member as registered
+// by asked says something of it as registered by now.
+func sameProcess(asked, now catalog.Member) bool {
+	return asked.Started == now.Started && asked.Address == now.Address
+}
+
+// recordAnswer records whether a member, asked as it was registered by entry, answered, and
+// removes a departed member if gone is set, which means that its process is not running.
+func (g *Group) recordAnswer(m *member, entry catalog.Member, answered, gone bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !sameProcess(entry, m.Member()) {
+		return
+	}
 	m.unanswered, m.evidence.Gone = !answered, gone
 	if id := m.Member().ID; gone && m.departed && g.members[id] == m {
 		g.removeMember(id, m, "not_running")
