group: an answer of a former incarnation is no log of a member

A bound of acknowledged commits, a quorum or the choice of a candidate could rest on the log that a member had before it lost it.

controlMembers takes the members, waits for their answers, and then compares each position with the one that a member must reach after a restart without its log. If the restart becomes known during the wait, the answer of the process before it was compared with the floor of the one after it, which it has reached. observeStatus already leaves such an answer out of the proofs.

Such an answer now counts as none. A longer wait or a slower list does not matter.

--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -152,3 +152,21 @@
 	<-done
 	assert.Assert(t, !g.members["b"].evidence.Gone)
 }
+
+// Guards against a bound of acknowledged commits by the log of a former incarnation: its answer
+// was compared with what the present one, which has no log, must reach.
+func TestAnswerOfFormerIncarnationIsNoLogOfMember(t *testing.T) {
+	now := 10 * time.Second
+	p := position.Position{Term: 1, Offset: 90}
+	d := &heldDialer{statusDialer{"b": {Term: 1, Received: p}, "c": {Term: 1, Received: p}}, make(chan struct{}, 9), make(chan struct{})}
+	g := newEvidenceGroup(&now, d)
+	g.ObservePosition(g.members["a"].Upstream, position.Position{Term: 1, Offset: 80}, now)
+	done := make(chan []takeover.Member)
+	go func() { done <- g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false) }()
+	<-d.asked
+	restartB(g, now)
+	close(d.release)
+	for _, m := range <-done {
+		assert.Assert(t, m.ID != "b" || m.Status == nil || m.LogLost, "the log of b counts: %+v", m)
+	}
+}
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -332,6 +332,10 @@
 		if s == nil {
 			continue
 		}
+		if !sameProcess(entries[i], m.Member()) {
+			members[i].Status = nil
+			continue
+		}
 		if !m.catchUpFloor.IsZero() {
 			members[i].LogLost = !s.Received.AtLeast(m.catchUpFloor)
 		}
