group: read on the primary only if it has the position that it had

Reads with a staleness bound, and reads of a session's own writes, ran on an empty log: a primary that had restarted without its log served them, for up to a second, while its lease lasted and until a write or the list of members showed the restart.

Choose sends a strict read to the primary with a position that the primary has reached in its term, so that one without its log answers that it is behind. chooseForRead, which the other reads use, sent no position to the primary.

Both now use the same position.

--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -134,7 +134,7 @@
 // choosePrimary returns the primary if it serves and its last confirmation is recent
 // enough. g.mu is held.
 func (g *Group) choosePrimary(req Requirements, excluded map[*upstream.Upstream]bool) (Choice, bool) {
-	primary, u := g.primaryLocked()
+	_, u := g.primaryLocked()
 	if u == nil || excluded[u] || g.suspicion.confirmed {
 		return Choice{}, false
 	}
@@ -145,14 +145,22 @@
 	if !g.tracker.Proven(req.Arrival - maxAge) {
 		return Choice{}, false
 	}
-	// The position detects a primary that restarted without its log.
-	after := g.tracker.LastPosition()
-	if after.Term != primary.Term || !req.Reads {
-		after = position.Position{}
+	after := position.Position{}
+	if req.Reads {
+		after = g.primaryPosition()
 	}
 	return Choice{Upstream: u, Primary: true, MinPosition: after, EvidenceAge: req.Arrival - g.tracker.ProvenUntil()}, true
 }
 
+// primaryPosition returns a position that the primary has reached in its term, which a primary
+// that has restarted without its log lacks; zero if none is known. g.mu is held.
+func (g *Group) primaryPosition() position.Position {
+	if after := g.tracker.LastPosition(); after.Term == g.tracker.Primary().Term {
+		return after
+	}
+	return position.Position{}
+}
+
 // chooseForRead returns the cheapest member that can meet the staleness bound: a
 // replica that has reached the required position, or the primary if it was
 // confirmed recently enough. g.mu is held.
@@ -191,7 +199,7 @@
 				continue
 			}
 			c.Primary = true
-			choice = Choice{Upstream: m.Upstream, Primary: true, EvidenceAge: since - g.tracker.ProvenUntil()}
+			choice = Choice{Upstream: m.Upstream, Primary: true, MinPosition: g.primaryPosition(), EvidenceAge: since - g.tracker.ProvenUntil()}
 		case !known || entry.Draining:
 			continue
 		default:
--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -302,6 +302,28 @@
 	})
 }
 
+// Guards against reads with a staleness bound on a primary that has restarted without its log: they
+// were sent there without a position until it was replaced.
+func TestPrimaryRestartsWithoutLog(t *testing.T) {
+	behind := func(t *testing.T) *cluster {
+		c := newSimulated(t, "i1", "i2", "i3")
+		c.sim.SetApplyLag("b", time.Minute)
+		c.sim.SetApplyLag("c", time.Minute)
+		return c
+	}
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			underLoad(t, seed, behind, func(t *testing.T, c *cluster) {
+				time.Sleep(4 * time.Second)
+				c.sim.Crash("a", false)
+				time.Sleep(50 * time.Millisecond) // its statements end without an answer
+				c.sim.Restart("a", true)
+				time.Sleep(6 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a failover by an instance that has never read the entries of the primary and
 // of a replica, which are behind a cut.
 func TestNewInstanceReplacesPrimary(t *testing.T) {
