group: require the promoted log of reads on a new primary

A strict read on a primary that had not committed in its term was sent without a position, so that it ran on an empty log if the member had restarted without its log since its promotion. The same held for other reads before the first answer of the primary was known.

Positions of the primary are its own now, whatever their term, and the record names the last one with which it was promoted. A read requires the higher of both.

--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -152,13 +152,14 @@
 	return Choice{Upstream: u, Primary: true, MinPosition: after, EvidenceAge: req.Arrival - g.tracker.ProvenUntil()}, true
 }
 
-// primaryPosition returns a position that the primary has reached in its term, which a primary
-// that has restarted without its log lacks; zero if none is known. g.mu is held.
+// primaryPosition returns a position that the primary has reached, which a primary that has
+// restarted without its log lacks; zero if none is known. g.mu is held.
 func (g *Group) primaryPosition() position.Position {
-	if after := g.tracker.LastPosition(); after.Term == g.tracker.Primary().Term {
-		return after
+	after := g.tracker.LastPosition()
+	if r := g.tracker.Record(); r.Primary == g.tracker.Primary() {
+		after = position.Max(after, r.PromotedAt)
 	}
-	return position.Position{}
+	return after
 }
 
 // chooseForRead returns the cheapest member that can meet the staleness bound: a
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -12,6 +12,7 @@
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 // statusDialer is a Dialer of members that answer with these statuses; others are silent.
@@ -170,3 +171,25 @@
 		assert.Assert(t, m.ID != "b" || m.Status == nil || m.LogLost, "the log of b counts: %+v", m)
 	}
 }
+
+// Guards against a strict read on a primary that restarts without its log before its first commit:
+// no position of its term was known, and the read ran without one.
+func TestReadOnNewPrimaryRequiresItsLog(t *testing.T) {
+	now := 10 * time.Second
+	g := newEvidenceGroup(&now, statusDialer{})
+	promoted := position.Position{Term: 1, Offset: 90}
+	g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "b", Term: 2}, PromotedAt: promoted, Version: 8}, exactTimestamp(now))
+	for i, want := range []position.Position{promoted, {Term: 1, Offset: 95}, {Term: 2, Offset: 96}} {
+		if i > 0 {
+			g.ObservePosition(g.members["b"].Upstream, want, now)
+		}
+		for _, consistency := range []catalog.Consistency{catalog.Strict, catalog.BoundedStaleness} {
+			req := Requirements{Reads: true, Consistency: consistency, Arrival: now, Deadline: now + time.Second}
+			excluded := map[*upstream.Upstream]bool{g.members["a"].Upstream: true, g.members["c"].Upstream: true}
+			c, err := g.Choose(req, excluded)
+			assert.NilError(t, err)
+			assert.Assert(t, c.Primary)
+			assert.Equal(t, c.MinPosition, want, "%s", consistency)
+		}
+	}
+}
