group: a restarted member must reach the log that the primary was promoted with

A bound of acknowledged commits could lack commits which a member had acknowledged before it lost its log.

A member that restarts without its log counts again once it has reached the last known position of the primary. Right after a change of primary none was known, and its log counted at once. The record names the position with which the primary was promoted; the member must reach that one at least.

The last known position may still be older than the last commits before the restart.

--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -193,3 +193,16 @@
 		}
 	}
 }
+
+// Guards against a log that counts although its member has lost it: right after a change of primary
+// no position was known that it must reach.
+func TestMemberRestartsBeforeFirstAnswerOfPrimary(t *testing.T) {
+	now := 10 * time.Second
+	behind := position.Position{Term: 1, Offset: 60}
+	g := newEvidenceGroup(&now, statusDialer{"b": {Term: 1}, "c": {Term: 1, Received: behind}})
+	g.ObservePosition(g.members["a"].Upstream, position.Position{Term: 1, Offset: 80}, now)
+	g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "a", Term: 3}, PromotedAt: position.Position{Term: 1, Offset: 90}, Version: 8}, exactTimestamp(now))
+	restartB(g, now)
+	g.confirmByMembers(g.tracker.Primary(), now)
+	assert.Assert(t, !g.rounds.last.HasAckBound, "bound %s", g.rounds.last.AckBound)
+}
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -262,7 +262,7 @@
 	m.Draining = m.Draining || old.Draining && old.Started == m.Started
 	if old.Started != m.Started && old.Started != 0 {
 		known.formerStarts = append(known.formerStarts, old.Started)
-		known.catchUpFloor = g.tracker.LastPosition()
+		known.catchUpFloor = g.primaryPosition()
 		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
 		g.signalRun()
