group: a gateway's bound must include the own acknowledgements

A strict read could miss a commit whose acknowledgement the same instance had passed on: it took the bound of a round that another instance ran, its gateway. That one compares the bound with its own acknowledgements only, as a member that has lost its log may not have reported that yet.

The instance now compares the bound also with what it had acknowledged when the round began; later commits are no part of the bound.

TestBoundOfGatewayIncludesOwnAcknowledgements: without the change it fails in 3 of 3 runs (a bound of 1.50 after an acknowledgement at 1.90); with it, it passes in 3 of 3 with -race, as does proxy/group.

--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -206,3 +206,25 @@
 	g.confirmByMembers(g.tracker.Primary(), now)
 	assert.Assert(t, !g.rounds.last.HasAckBound, "bound %s", g.rounds.last.AckBound)
 }
+
+// Guards against a bound of a gateway that does not know a commit whose acknowledgement this
+// instance has passed on.
+func TestBoundOfGatewayIncludesOwnAcknowledgements(t *testing.T) {
+	for offset, want := range map[uint64]bool{50: false, 90: true} {
+		now := 10 * time.Second
+		g := newEvidenceGroup(&now, statusDialer{})
+		g.WriteAcknowledged(g.members["a"].Upstream, position.Position{Term: 1, Offset: 90}, now)
+		done := make(chan struct{})
+		g.mu.Lock()
+		g.runRound(func(primary primacy.Primary, sentAt time.Duration) {
+			defer close(done)
+			// One that comes later is no part of the bound.
+			g.WriteAcknowledged(g.members["a"].Upstream, position.Position{Term: 1, Offset: 91}, now)
+			g.finishRound(Confirmation{Primary: primary, AckBound: position.Position{Term: 1, Offset: offset}, HasAckBound: true}, sentAt)
+		})
+		g.mu.Unlock()
+		<-done
+		_, known := g.tracker.ReadPosition(now)
+		assert.Equal(t, known, want, "bound 1.%d", offset)
+	}
+}
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -64,6 +64,9 @@
 	startedAt    time.Duration
 	failed       int // rounds without a quorum so far
 	inconclusive int // rounds with neither a quorum nor an AckBound so far
+	// acked is the position up to which this instance had passed on acknowledgements when the
+	// present round began.
+	acked position.Position
 	// last is the result of the last round of this instance, which began at
 	// lastStartedAt.
 	last          Confirmation
@@ -90,7 +93,7 @@
 		time.Sleep(delay)
 		g.mu.Lock()
 		primary := g.tracker.Primary()
-		g.rounds.startedAt = g.cfg.Clock()
+		g.rounds.startedAt, g.rounds.acked = g.cfg.Clock(), g.ackedPosition
 		sentAt := g.rounds.startedAt
 		g.mu.Unlock()
 		ask(primary, sentAt)
@@ -202,6 +205,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rounds.running = false
+	// A gateway does not know what others have acknowledged.
+	c.HasAckBound = c.HasAckBound && c.AckBound.AtLeast(g.rounds.acked)
 	if c.Confirmed {
 		g.tracker.ObserveQuorum(c.Primary, c.Received, sentAt)
 	} else {
