--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -12,6 +12,7 @@
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 // statusDialer is a Dialer of members that answer with these statuses; others are silent.
@@ -138,3 +139,138 @@
 	g.confirmByMembers(g.tracker.Primary(), now)
 	assert.Assert(t, !g.rounds.last.HasAckBound, "two of four members do not answer")
 }
+
+// heldDialer is a Dialer of a member that answers a control command once release is closed.
+type heldDialer struct {
+	statusDialer
+	asked, release chan struct{}
+}
+
+// heldConn is a connection to such a member.
+type heldConn struct {
+	statusConn
+	d *heldDialer
+}
+
+// Dial implements statement.Dialer.
+func (d *heldDialer) Dial(t statement.Target, timeout time.Duration) (statement.Conn, error) {
+	c, err := d.statusDialer.Dial(t, timeout)
+	if t.ID != "b" {
+		return c, err
+	}
+	if err != nil {
+		d.asked <- struct{}{}
+		<-d.release
+		return nil, &statement.ConnError{Refused: true, Err: errors.New("refused")}
+	}
+	return heldConn{c.(statusConn), d}, nil
+}
+
+// Control implements statement.Conn.
+func (c heldConn) Control(statement.Control, time.Duration) (takeover.Status, error) {
+	c.d.asked <- struct{}{}
+	<-c.d.release
+	return c.status, nil
+}
+
+// restartB is a read of the members that shows another incarnation of b.
+func restartB(g *Group, now time.Duration) {
+	all := make(catalog.Members)
+	for id, m := range g.members {
+		all[id] = m.Member()
+	}
+	b := all["b"]
+	b.Started, b.Address = 8, "moved"
+	all["b"] = b
+	g.UpdateMembers(all, now)
+}
+
+// Guards against a proof without a replica that runs: the refused connection of its former
+// incarnation counted as the end of the present one.
+func TestRefusalOfFormerIncarnationIsNoEndOfMember(t *testing.T) {
+	now := 10 * time.Second
+	d := &heldDialer{statusDialer{}, make(chan struct{}, 9), make(chan struct{})}
+	g := newEvidenceGroup(&now, d)
+	done := make(chan struct{})
+	go func() { g.askReplica(g.members["b"]); close(done) }()
+	<-d.asked
+	restartB(g, now)
+	close(d.release)
+	<-done
+	assert.Assert(t, !g.members["b"].evidence.Gone)
+}
+
+// Guards against a bound of acknowledged commits by the log of a former incarnation: its answer
+// was compared with what the present one, which has no log, must reach.
+func TestAnswerOfFormerIncarnationIsNoLogOfMember(t *testing.T) {
+	now := 10 * time.Second
+	p := position.Position{Term: 1, Offset: 90}
+	d := &heldDialer{statusDialer{"b": {Term: 1, Received: p}, "c": {Term: 1, Received: p}}, make(chan struct{}, 9), make(chan struct{})}
+	g := newEvidenceGroup(&now, d)
+	g.ObservePosition(g.members["a"].Upstream, position.Position{Term: 1, Offset: 80}, now)
+	done := make(chan []takeover.Member)
+	go func() { done <- g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false) }()
+	<-d.asked
+	restartB(g, now)
+	close(d.release)
+	for _, m := range <-done {
+		assert.Assert(t, m.ID != "b" || m.Status == nil || m.LogLost, "the log of b counts: %+v", m)
+	}
+}
+
+// Guards against a strict read on a primary that restarts without its log before its first commit:
+// no position of its term was known, and the read ran without one.
+func TestReadOnNewPrimaryRequiresItsLog(t *testing.T) {
+	now := 10 * time.Second
+	g := newEvidenceGroup(&now, statusDialer{})
+	promoted := position.Position{Term: 1, Offset: 90}
+	g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "b", Term: 2}, PromotedAt: promoted, Version: 8}, exactTimestamp(now))
+	for i, want := range []position.Position{promoted, {Term: 1, Offset: 95}, {Term: 2, Offset: 96}} {
+		if i > 0 {
+			g.ObservePosition(g.members["b"].Upstream, want, now)
+		}
+		for _, consistency := range []catalog.Consistency{catalog.Strict, catalog.BoundedStaleness} {
+			req := Requirements{Reads: true, Consistency: consistency, Arrival: now, Deadline: now + time.Second}
+			excluded := map[*upstream.Upstream]bool{g.members["a"].Upstream: true, g.members["c"].Upstream: true}
+			c, err := g.Choose(req, excluded)
+			assert.NilError(t, err)
+			assert.Assert(t, c.Primary)
+			assert.Equal(t, c.MinPosition, want, "%s", consistency)
+		}
+	}
+}
+
+// Guards against a log that counts although its member has lost it: right after a change of primary
+// no position was known that it must reach.
+func TestMemberRestartsBeforeFirstAnswerOfPrimary(t *testing.T) {
+	now := 10 * time.Second
+	behind := position.Position{Term: 1, Offset: 60}
+	g := newEvidenceGroup(&now, statusDialer{"b": {Term: 1}, "c": {Term: 1, Received: behind}})
+	g.ObservePosition(g.members["a"].Upstream, position.Position{Term: 1, Offset: 80}, now)
+	g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "a", Term: 3}, PromotedAt: position.Position{Term: 1, Offset: 90}, Version: 8}, exactTimestamp(now))
+	restartB(g, now)
+	g.confirmByMembers(g.tracker.Primary(), now)
+	assert.Assert(t, !g.rounds.last.HasAckBound, "bound %s", g.rounds.last.AckBound)
+}
+
+// Guards against a bound of a gateway that does not know a commit whose acknowledgement this
+// instance has passed on.
+func TestBoundOfGatewayIncludesOwnAcknowledgements(t *testing.T) {
+	for offset, want := range map[uint64]bool{50: false, 90: true} {
+		now := 10 * time.Second
+		g := newEvidenceGroup(&now, statusDialer{})
+		g.WriteAcknowledged(g.members["a"].Upstream, position.Position{Term: 1, Offset: 90}, now)
+		done := make(chan struct{})
+		g.mu.Lock()
+		g.runRound(func(primary primacy.Primary, sentAt time.Duration) {
+			defer close(done)
+			// One that comes later is no part of the bound.
+			g.WriteAcknowledged(g.members["a"].Upstream, position.Position{Term: 1, Offset: 91}, now)
+			g.finishRound(Confirmation{Primary: primary, AckBound: position.Position{Term: 1, Offset: offset}, HasAckBound: true}, sentAt)
+		})
+		g.mu.Unlock()
+		<-done
+		_, known := g.tracker.ReadPosition(now)
+		assert.Equal(t, known, want, "bound 1.%d", offset)
+	}
+}
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -202,8 +202,9 @@
 	g.mu.Lock()
 	left := m.left
 	g.mu.Unlock()
+	entry := m.Member()
 	status, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, true)
-	g.recordAnswer(m, status != nil, gone)
+	g.recordAnswer(m, entry, status != nil, gone)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.statusPending = false
@@ -261,7 +262,7 @@
 	m.Draining = m.Draining || old.Draining && old.Started == m.Started
 	if old.Started != m.Started && old.Started != 0 {
 		known.formerStarts = append(known.formerStarts, old.Started)
-		known.catchUpFloor = g.tracker.LastPosition()
+		known.catchUpFloor = g.primaryPosition()
 		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
 		g.signalRun()
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -66,6 +66,9 @@
 	startedAt    time.Duration
 	failed       int // rounds without a quorum so far
 	inconclusive int // rounds with neither a quorum nor an AckBound so far
+	// acked is the position up to which this instance had passed on acknowledgements when the
+	// present round began.
+	acked position.Position
 	// last is the result of the last round of this instance, which began at
 	// lastStartedAt.
 	last          Confirmation
@@ -95,7 +98,7 @@
 		time.Sleep(delay)
 		g.mu.Lock()
 		primary := g.tracker.Primary()
-		g.rounds.startedAt = g.cfg.Clock()
+		g.rounds.startedAt, g.rounds.acked = g.cfg.Clock(), g.ackedPosition
 		sentAt := g.rounds.startedAt
 		g.mu.Unlock()
 		ask(primary, sentAt)
@@ -209,6 +212,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rounds.running = false
+	// A gateway does not know what others have acknowledged.
+	c.HasAckBound = c.HasAckBound && c.AckBound.AtLeast(g.rounds.acked)
 	g.keepAnswers(c, sentAt)
 	if c.Confirmed {
 		g.tracker.ObserveQuorum(c.Primary, c.Received, sentAt)
@@ -299,10 +304,12 @@
 	primary := g.tracker.Primary().Member
 	members := make([]takeover.Member, 0, len(g.members))
 	upstreams := make([]*member, 0, len(g.members))
+	entries := make([]catalog.Member, 0, len(g.members))
 	asked, awaited := 0, 0
 	for id, m := range g.members {
-		members = append(members, takeover.Member{ID: id, FailureDomain: m.Member().FailureDomain, Draining: m.Member().Draining, Deregistered: m.departed})
-		upstreams = append(upstreams, m)
+		entry := m.Member()
+		members = append(members, takeover.Member{ID: id, FailureDomain: entry.FailureDomain, Draining: entry.Draining, Deregistered: m.departed})
+		upstreams, entries = append(upstreams, m), append(entries, entry)
 		if ids != nil && !slices.Contains(ids, id) {
 			continue
 		}
@@ -320,7 +327,7 @@
 		if ids == nil || slices.Contains(ids, members[i].ID) {
 			go func() {
 				reply, gone := g.control(m, command, fresh)
-				g.recordAnswer(m, reply != nil, gone)
+				g.recordAnswer(m, entries[i], reply != nil, gone)
 				a := answer{member: i}
 				if reply != nil {
 					a.status = &reply.Status
@@ -339,6 +346,10 @@
 		if s == nil {
 			continue
 		}
+		if !sameProcess(entries[i], m.Member()) {
+			members[i].Status = nil
+			continue
+		}
 		if !m.catchUpFloor.IsZero() {
 			members[i].LogLost = !s.Received.AtLeast(m.catchUpFloor)
 		}
@@ -377,11 +388,20 @@
 	return all
 }
 
-// recordAnswer records whether a member answered, and removes a departed member if gone
-// is set, which means that its process is not running.
-func (g *Group) recordAnswer(m *member, answered, gone bool) {
+// sameProcess reports whether an answer to a command that was sent to the member as registered
+// by asked says something of it as registered by now.
+func sameProcess(asked, now catalog.Member) bool {
+	return asked.Started == now.Started && asked.Address == now.Address
+}
+
+// recordAnswer records whether a member, asked as it was registered by entry, answered, and
+// removes a departed member if gone is set, which means that its process is not running.
+func (g *Group) recordAnswer(m *member, entry catalog.Member, answered, gone bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !sameProcess(entry, m.Member()) {
+		return
+	}
 	m.unanswered, m.evidence.Gone = !answered, gone
 	if id := m.Member().ID; gone && m.departed && g.members[id] == m {
 		g.removeMember(id, m, "not_running")
