--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -136,6 +136,8 @@
 	readTime time.Duration
 	// promoteTime is the time from the call for a promotion until it takes effect.
 	promoteTime time.Duration
+	// unawareReplicas is a property of promotions; see EndPausesBehindCuts.
+	unawareReplicas bool
 	// ignorePositions is an injected fault; see IgnorePositions.
 	ignorePositions bool
 	// connectionLimit is the limit of connections of each member that the configuration
@@ -198,6 +200,13 @@
 	return c.primaryMember().ID
 }
 
+// IsReplica reports whether a member is a replica.
+func (c *Cluster) IsReplica(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.member(id).primary
+}
+
 // primaryMember returns the primary of the latest term or, if it has stepped down, the
 // member with the longest log of that term. c.mu is held.
 func (c *Cluster) primaryMember() *Member {
@@ -386,7 +395,8 @@
 	// so that they receive no more entries of the old primary.
 	for _, r := range c.members {
 		r.pausedTerm = 0
-		if r != m && r != old && !r.down {
+		unaware := c.unawareReplicas && c.partitioned(m.ID, r.ID)
+		if r != m && r != old && !r.down && !unaware {
 			r.term = term
 
 			time.AfterFunc(followTime, func() { c.followPrimary(m, r) })
--- a/proxy/simulator/faults.go
+++ b/proxy/simulator/faults.go
@@ -127,6 +127,15 @@
 	c.promoteTime = d
 }
 
+// EndPausesBehindCuts makes promotions end the pauses of replicas that are cut off from the new
+// primary without moving them to its term: they receive from the old primary again until they
+// reach the new one. Otherwise a promotion moves all replicas that run to its term.
+func (c *Cluster) EndPausesBehindCuts() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unawareReplicas = true
+}
+
 // ReadFault is a fault of the reads of a member whose control commands and registration
 // report that it is well.
 type ReadFault struct {
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -95,6 +95,16 @@
 	c.store.rows[Service] = primacy.Unreadable(c.store.nextVersion())
 }
 
+// Claim returns the claim in the record of the group; zero if there is none.
+func (c *Cluster) Claim() primacy.Claim {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if claim := c.store.rows[Service].Claim; claim != nil {
+		return *claim
+	}
+	return primacy.Claim{}
+}
+
 // ForgetInstances removes all announcements of instances.
 func (c *Cluster) ForgetInstances() {
 	c.mu.Lock()
