--- a/proxy/node/adoption_test.go
+++ b/proxy/node/adoption_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/papayarail/papayarail/proxy/simulator"
 )
 
 // promoteTimes are times from a call for a promotion until it takes effect.
@@ -56,3 +58,44 @@
 		}
 	}
 }
+
+// Guards against the same after a promotion without an answer has taken effect late, with a
+// record without a claim that goes on granting leases on the other primary.
+func TestAdoptedPrimaryBesideRecord(t *testing.T) {
+	for _, promoteTime := range promoteTimes {
+		for _, late := range []time.Duration{0, 1200, 2000} {
+			t.Run(fmt.Sprintf("promote=%s/late=%dms", promoteTime, late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newSimulated(t, "i1", "i2")
+					c.sim.SetPromoteTime(promoteTime)
+					c.sim.Join("d")
+					c.writeFor("i1", 4*time.Second)
+					c.sim.HoldPromotions(1)
+					c.sim.Crash("a", true)
+					stop := c.loadOn(uint64(late), "i1")
+					c.await(9*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+					called := c.sim.CalledFor()
+					c.await(9*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
+					c.sim.Restart("a", false)
+					stop() // so that the position of its log does not tell the former primary
+					c.sim.Drain(called)
+					c.await(9*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
+					other := c.sim.Primary()
+					c.await(9*time.Second, "its record", func() bool { return c.nodes["i1"].State().Groups[simulator.Service].Primary.Member == other })
+					c.sim.Partition("i1", "store")
+					time.Sleep(late * time.Millisecond)
+					c.sim.ReleaseHeld()
+					c.sim.SetReceiveLag(other, 2*time.Second)
+					stops := []func(){c.loadOn(uint64(late), "i1"), c.readStrictly("i2")}
+					time.Sleep(5 * time.Second)
+					c.sim.Heal("i1", "store")
+					time.Sleep(2 * time.Second)
+					for _, stop := range stops {
+						stop()
+					}
+					c.closeSimulated()
+				})
+			})
+		}
+	}
+}
