group: adopt a primary from the members only if it was called for under the known claim

Strict reads missed commits that an instance without the store had acknowledged at a primary which it had learned of from the members.

Cause: without the store, an instance adopted a later primary 1 s after it had first seen it. Leases on the old primary have ended by then only if they were granted before the promotion. They last until 1 s after PromoteAfter if a change was announced and went on without the old primary, and are renewed for ever if a promotion took effect late, after the record had gone on without a claim.

A primary is adopted now if the claim that the instance has read last names it as called for, and once the leases that readings of this claim grant have ended. An announcement does not extend them while an earlier call may take effect. An instance that lost the store before the claim waits for a record, which its peers pass on.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -349,9 +349,17 @@
 	t.ObservePosition(primary.Member, log, sentAt)
 }
 
+// MayAdopt reports whether a member that the members report as the primary of a later term may
+// be used at the store time now without a record that names it: it was called for under the
+// claim that the tracker has read, and the leases that readings of this claim grant have ended.
+// Beside any other record, instances may go on renewing leases on another primary.
+func (t *Tracker) MayAdopt(member string, now time.Duration) bool {
+	c := t.record.Claim
+	return c != nil && t.record.Confirmed() && c.Called == member && now >= c.LeasesEnd()
+}
+
 // AdoptPromoted sets a primary that was established by the members while the store
-// does not answer, and reports whether the primary changed. It must not be called
-// earlier than ReadLease after the member was first seen as the primary.
+// does not answer, and reports whether the primary changed; see MayAdopt.
 func (t *Tracker) AdoptPromoted(primary Primary) bool { return t.adopt(primary) }
 
 func (t *Tracker) adopt(primary Primary) bool {
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -223,3 +223,24 @@
 		assert.Equal(t, tr.Establishes(test.member, position.Position{Term: test.term, Offset: 7}), test.want, "%s in term %d", test.member, test.term)
 	}
 }
+
+// Guards against a primary that is adopted from the members' answers while others hold leases.
+func TestAdoptionNeedsClaimWithCall(t *testing.T) {
+	claim := primacy.Claim{OldPrimary: primaryA, FirstClaimedAt: 10 * time.Second, PromoteAfter: 11 * time.Second, Called: "b"}
+	for _, test := range []struct {
+		name  string
+		claim *primacy.Claim
+		now   time.Duration
+		want  bool
+	}{
+		{"leases of the announcement have ended", &claim, 12 * time.Second, true},
+		{"they have not", &claim, 12*time.Second - ms, false},
+		{"another member was called for", &primacy.Claim{OldPrimary: primaryA, Called: "c"}, time.Minute, false},
+		{"none was called for", &primacy.Claim{OldPrimary: primaryA, Candidate: "b"}, time.Minute, false},
+		{"no claim", nil, time.Minute, false},
+	} {
+		var tr primacy.Tracker
+		tr.ObserveRecord(primacy.Record{Primary: primaryA, Claim: test.claim, Version: 1}, 0, 0)
+		assert.Equal(t, tr.MayAdopt("b", test.now), test.want, test.name)
+	}
+}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -211,9 +211,12 @@
 
 // announce names a candidate in the claim, and reports whether the failover goes on.
 func (f *failover) announce(ctx context.Context, candidate string) bool {
-	f.g.mu.Lock()
-	f.promoteAfter = max(f.promoteAfter, f.g.storeTime()+announcementTime)
-	f.g.mu.Unlock()
+	// An earlier call may replace the old primary at any time, so that leases are not extended.
+	if f.called == "" {
+		f.g.mu.Lock()
+		f.promoteAfter = max(f.promoteAfter, f.g.storeTime()+announcementTime)
+		f.g.mu.Unlock()
+	}
 	f.announced = candidate
 	return f.claim(ctx)
 }
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -268,7 +268,7 @@
 }
 
 // observeLaterPrimary adopts a primary that the members report while the store is
-// unreachable, once all read leases on the former one have expired. g.mu is held.
+// unreachable, once all read leases on the former one have ended. g.mu is held.
 func (g *Group) observeLaterPrimary(later primacy.Primary) {
 	if later.Member == "" {
 		return
@@ -278,7 +278,7 @@
 		g.suspicion.laterPrimary, g.suspicion.laterPrimarySince = later, now
 		return
 	}
-	if now-g.suspicion.laterPrimarySince < primacy.ReadLease {
+	if now-g.suspicion.laterPrimarySince < primacy.ReadLease || !g.tracker.MayAdopt(later.Member, g.storeTime()) {
 		return
 	}
 	before := g.tracker.Primary()
