group: publish a new primary only once the former one cannot be confirmed any more

Strict reads ran on a former primary behind a cut and missed what its successor had acknowledged.

Cause: while the store is away, a primary and one replica of its term are a quorum if a commit was acknowledged up to 1.2 s ago. The holder of a claim pauses the replicas before it calls for a promotion, but the promotion ends the pauses, and a replica that is cut off from the new primary follows the old one again. That the evidence expires before the new primary is published relied on a promotion that takes 1 s.

The two sides meet now without a bound on time: a quorum needs the primary and a replica of its term, and the holder publishes the new primary once the old one does not lead any more, or once each replica has been seen in a later term or does not run (takeover.Abandoned). Members do not return to an earlier term. A replica that vanishes between its pause and the publication delays it until it answers or has ended.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -69,6 +69,8 @@
 	// LogShrunk means that the member's log is shorter than in an earlier answer
 	// under the same primary: it may have lost commits that it had confirmed.
 	LogShrunk bool
+	// Gone means that its process is known not to run.
+	Gone bool
 	// Status is nil if the member did not answer in this round.
 	Status *Status
 }
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -550,13 +550,16 @@
 	return true
 }
 
-// publish records the new primary once all read leases on the old one have expired. log is
-// the last position of its log as first seen.
+// publish records the new primary once all read leases on the old one have ended and no quorum
+// of the members can confirm that one. log is the last position of its log as first seen.
 func (f *failover) publish(ctx context.Context, primary primacy.Primary, log position.Position) {
 	g := f.g
 	go g.controlAll(statement.Control{Kind: statement.StepDown, Term: primary.Term}, []string{f.oldPrimary.Member}, false)
 	seenAt := g.cfg.Clock()
 	f.awaitEndOfLeases()
+	if !f.awaitAbandoned(ctx) {
+		return
+	}
 	r := f.record.WithPrimary(primary)
 	if log.Term < primary.Term {
 		r.PromotedAt = log
@@ -591,6 +594,29 @@
 	time.Sleep(max(granted, f.firstClaimStoredAt+primacy.ReadLease-g.cfg.Clock(), 0))
 }
 
+// awaitAbandoned waits until no instance can find a quorum for the old primary, and reports
+// whether this instance still holds the claim.
+func (f *failover) awaitAbandoned(ctx context.Context) bool {
+	g := f.g
+	since, reported := g.cfg.Clock(), false
+	for ctx.Err() == nil && !f.superseded() {
+		members := g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
+		if takeover.Abandoned(f.oldPrimary, members) {
+			return true
+		}
+		now := g.cfg.Clock()
+		if now-since > publishTimeout || now-f.claimSentAt > claimRenewalAge && !f.claim(ctx) {
+			return false
+		}
+		if !reported && now-since > promotionTime {
+			reported = true
+			f.log.WithFields(logrus.Fields{"event": "publication_waits", "members": describeMembers(members)}).Warn("members may still confirm the former primary")
+		}
+		time.Sleep(pollInterval)
+	}
+	return false
+}
+
 // adoptWithoutStore lets this instance use the new primary although it could not be
 // recorded: all read leases on the old one have expired.
 func (f *failover) adoptWithoutStore(primary primacy.Primary) {
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -343,6 +343,7 @@
 	defer g.mu.Unlock()
 	for i, m := range upstreams {
 		s := members[i].Status
+		members[i].Gone = s == nil && m.evidence.Gone
 		if s == nil {
 			continue
 		}
