Pass on no commit that a replica may have received after a promotion ended its pause

Commits that callers had an acknowledgement of were missing on the new primary, and strict reads there missed them.

Cause: a commit counts as proved once a replica that every holder of a claim waits for shows it in an answer without a pause. A promotion ends the pauses. A replica that cannot learn of the new primary follows the old one again, and its answers look like those from before the claim. The last reading of the record without a claim could be 6.5 s old, so that an instance whose store is away passed on commits of a primary that had been replaced for seconds.

The holder now notes the call for a promotion in its claim 0.5 s before it makes the call, if the old primary may still serve and the member was not announced to all. An instance counts a replica only if it has read the record within 0.5 s and no member was announced or called for, or if it has watched the replica since: status queries every 50 ms while the record is not read, of which the pause of at least 0.5 s cannot go unseen. With a member announced or called for, only its log counts, while the record is read; proof by all replicas holds as before. No bound depends on how long a promotion takes. A failover from a primary that does not answer takes 0.45 s longer; one whose process has ended does not.

While the list of members is recent, a quorum round no longer needs a commit of this instance, since Abandoned guards the other side. TestStoreAway opens its session after the store is back: an instance without a confirmed primary closes its sessions, and has none now that it does not adopt one; the bound on time is the same. called_test and claim_test pass the round that promote takes now.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -352,10 +352,11 @@
 // MayAdopt reports whether a member that the members report as the primary of a later term may
 // be used at the store time now without a record that names it: it was called for under the
 // claim that the tracker has read, and the leases that readings of this claim grant have ended.
-// Beside any other record, instances may go on renewing leases on another primary.
+// Beside any other record, instances may go on renewing leases on another primary. A record of
+// an earlier era grants none.
 func (t *Tracker) MayAdopt(member string, now time.Duration) bool {
 	c := t.record.Claim
-	return c != nil && t.record.Confirmed() && c.Called == member && now >= c.LeasesEnd()
+	return !t.record.Confirmed() || c != nil && c.Called == member && now >= c.LeasesEnd()
 }
 
 // AdoptPromoted sets a primary that was established by the members while the store
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -243,4 +243,7 @@
 		tr.ObserveRecord(primacy.Record{Primary: primaryA, Claim: test.claim, Version: 1}, 0, 0)
 		assert.Equal(t, tr.MayAdopt("b", test.now), test.want, test.name)
 	}
+	var tr primacy.Tracker
+	tr.ObserveRecord(primacy.Record{Primary: primaryA, Era: 1, Version: 1}, 0, 0)
+	assert.Assert(t, tr.MayAdopt("b", 0), "a record of an earlier era")
 }
--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -109,7 +109,9 @@
 // partition, and that no holder of a claim knows, or one that is leaving with its log. So
 // its word is no evidence. One of these is:
 //
-//   - A counted replica has the commit, and any holder looks at its log after that.
+//   - A counted replica has the commit, and any holder looks at its log after that. Once a
+//     member is announced or called for, the replica may have been paused before its answer:
+//     a promotion ends pauses.
 //   - All replicas whose processes may run have it.
 //   - The claim announces a candidate or names a called-for member, which has it.
 func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
@@ -144,7 +146,7 @@
 func Prove(claim *primacy.Claim, p position.Position, replicas []Evidence) (Containment, Proof) {
 	known, all, later := false, true, false
 	for _, e := range replicas {
-		if e.Counted && holds(e.anchored, p) {
+		if e.Counted && holds(e.anchored, p) && (claim == nil || claim.Successor() == "") {
 			return Contained, Proof{ByCounted, e.Member}
 		}
 		if claim != nil && claim.Successor() == e.Member {
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -36,6 +36,10 @@
 	// forgotten a member in it, which takes departedRetention, and a member that has
 	// said meanwhile that it leaves still runs, which it does for 7 s at least.
 	maxCountedAge = departedRetention - 500*time.Millisecond
+	// callNoticeTime is the age of the last reading of the record up to which an instance passes on
+	// acknowledgements that rest on what it says of a call for a promotion. While the old
+	// primary may serve, a holder waits that long between noting a call in its claim and making it.
+	callNoticeTime = 500 * time.Millisecond
 	// goneInterval replaces proofInterval for a replica that did not answer the last query.
 	goneInterval = 250 * time.Millisecond
 )
@@ -86,6 +90,9 @@
 // longer than until the deadline. request is the caller's request ID, for the log.
 func (g *Group) confirmCommit(u *upstream.Upstream, request string, p position.Position, deadline time.Duration) error {
 	id, ackedAt, guarded := u.Member().ID, g.cfg.Clock(), false
+	g.mu.Lock()
+	g.observeCommit()
+	g.mu.Unlock()
 	for {
 		g.mu.Lock()
 		containment, claimed, proof := g.commitContainment(id, p)
@@ -132,7 +139,7 @@
 // commitContainment returns what is known of a commit at p that a member has acknowledged,
 // whether an instance is replacing the member, and the proof of a contained commit. g.mu is held.
 func (g *Group) commitContainment(id string, p position.Position) (c takeover.Containment, claimed bool, proof takeover.Proof) {
-	claim := g.tracker.ClaimAgainst(id, p)
+	claim, now := g.tracker.ClaimAgainst(id, p), g.cfg.Clock()
 	switch {
 	case !g.tracker.Establishes(id, p):
 		return takeover.Unestablished, claim != nil, proof
@@ -147,7 +154,16 @@
 			replicas = append(replicas, g.evidenceOf(m))
 		}
 	}
-	c, proof = takeover.Prove(claim, p, replicas)
+	known := claim
+	if claim != nil && claim.Successor() != "" && now-g.lastRecordsRead.Earliest > callNoticeTime {
+		// Another member may have been called for since, and replicas that were paused for the
+		// one that is known may receive again.
+		known = nil
+		for i := range replicas {
+			replicas[i].Counted = false
+		}
+	}
+	c, proof = takeover.Prove(known, p, replicas)
 	if late := g.mayLead(); c == takeover.Contained && late != id && takeover.MayLack(late, p, replicas) {
 		c = takeover.Unproven
 	}
@@ -180,7 +196,8 @@
 	m.evidence.ObserveNoClaim(g.noClaimAt)
 	e, now := m.evidence, g.cfg.Clock()
 	e.Member = m.Member().ID
-	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge
+	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge &&
+		(now-g.noCallAt <= callNoticeTime || m.watch.covers(g.noCallAt+callNoticeTime, now))
 	return e
 }
 
@@ -258,11 +275,12 @@
 }
 
 // observeStatus keeps what a status proves of a member's log. knownSince is that of the
-// member before it was asked: the answer may be that of an earlier incarnation.
-func (g *Group) observeStatus(m *member, reply upstream.StatusReply, knownSince time.Duration) {
+// member before it was asked, at sentAt: the answer may be that of an earlier incarnation.
+func (g *Group) observeStatus(m *member, reply upstream.StatusReply, knownSince, sentAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.maxPosition = position.Max(m.maxPosition, reply.Received)
+	m.watch.observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock())
 	if m.knownSince != knownSince || !m.catchUpFloor.IsZero() && !reply.Received.AtLeast(m.catchUpFloor) {
 		return
 	}
--- a/proxy/group/called_test.go
+++ b/proxy/group/called_test.go
@@ -46,7 +46,7 @@
 			}
 			f.g.cfg.Promoter = promoter
 			assert.Assert(t, f.claim(t.Context()))
-			assert.Assert(t, f.promote(t.Context(), takeover.Step{Action: takeover.Promote, Targets: []string{"b"}}))
+			assert.Assert(t, f.promote(t.Context(), takeover.Step{Action: takeover.Promote, Targets: []string{"b"}}, takeover.Input{}))
 			assert.Equal(t, f.unsettledCall(nil) == "b", c.known)
 			assert.Assert(t, f.claim(t.Context()))
 			assert.Equal(t, store.puts[len(store.puts)-1].Claim.Called != "", c.known)
--- a/proxy/group/claim_test.go
+++ b/proxy/group/claim_test.go
@@ -132,11 +132,11 @@
 	f.earlierPromotionUntil, f.promotionPendingUntil = now+time.Second, now+promotionResendDelay
 	step := takeover.Step{Action: takeover.Announce, Targets: []string{"b"}}
 	f.claimSentAt = now
-	assert.Assert(t, !f.performStep(t.Context(), step))
+	assert.Assert(t, !f.performStep(t.Context(), step, takeover.Input{}))
 	assert.Equal(t, len(store.puts), 0, "an earlier promotion may take effect")
 	now = f.earlierPromotionUntil
 	f.claimSentAt = now
-	assert.Assert(t, !f.performStep(t.Context(), step))
+	assert.Assert(t, !f.performStep(t.Context(), step, takeover.Input{}))
 	assert.Equal(t, len(store.puts), 1)
 	assert.Equal(t, store.puts[0].Claim.Candidate, "b")
 }
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -84,6 +84,7 @@
 		"c": {Term: 4, Received: position.Position{Term: 4, Offset: 9}},
 	})
 	g.UpdateRecord(primacy.Record{Service: "s", Primary: primary, Version: 8}, exactTimestamp(now))
+	now += maxCountedAge + time.Second // so that the list alone does not do
 	for _, c := range []struct {
 		term uint64
 		want bool
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -107,6 +107,8 @@
 	// called and calledAt are primacy.Claim.Called and CalledAt.
 	called   string
 	calledAt time.Duration
+	// callNotedAt is a local time at which the claim with the call was stored.
+	callNotedAt time.Duration
 	// callUnanswered means that a call for the member may have got no answer.
 	callUnanswered bool
 	// resumedAt is primacy.Claim.ResumedAt.
@@ -162,7 +164,7 @@
 		if !claimEnded {
 			f.firstClaimStoredAt, f.announced = f.startedAt, record.Claim.Candidate
 			f.called, f.calledAt, f.resumedAt = record.Claim.Called, record.Claim.CalledAt, record.Claim.ResumedAt
-			f.callUnanswered = f.called != ""
+			f.callUnanswered, f.callNotedAt = f.called != "", f.startedAt
 		}
 	}
 	switch {
@@ -311,7 +313,7 @@
 			f.log.WithFields(fields).Info("step of a change of primary")
 		}
 		last = step
-		if f.performStep(ctx, step) {
+		if f.performStep(ctx, step, in) {
 			return
 		}
 	}
@@ -417,7 +419,7 @@
 }
 
 // performStep executes a step and reports whether the failover has ended.
-func (f *failover) performStep(ctx context.Context, s takeover.Step) bool {
+func (f *failover) performStep(ctx context.Context, s takeover.Step, in takeover.Input) bool {
 	switch s.Action {
 	case takeover.Done:
 		f.publish(ctx, primacy.Primary{Member: s.Targets[0], Term: s.Term}, s.Log)
@@ -444,7 +446,7 @@
 		}
 		time.Sleep(pollInterval)
 	case takeover.Promote:
-		return !f.promote(ctx, s)
+		return !f.promote(ctx, s, in)
 	case takeover.Wait:
 		time.Sleep(f.untilNextRound())
 	}
@@ -501,12 +503,15 @@
 	return f.resumedAt == 0 || f.g.storeTime() >= f.resumedAt+resumeSettleTime
 }
 
-// promote sends the promotion and reports whether the failover goes on.
-func (f *failover) promote(ctx context.Context, s takeover.Step) bool {
+// promote notes the call for the promotion in the claim, makes it once each instance that may
+// pass on acknowledgements of the old primary knows of it, and reports whether the failover
+// goes on.
+func (f *failover) promote(ctx context.Context, s takeover.Step, in takeover.Input) bool {
 	g := f.g
 	// A candidate that was not announced is promoted only after the old primary has
 	// stopped; the announced one is no evidence for its acknowledgements then.
-	otherCandidate := f.announced != "" && f.announced != s.Targets[0]
+	announced := f.announced == s.Targets[0]
+	otherCandidate := f.announced != "" && !announced
 	if otherCandidate {
 		f.announced = ""
 	}
@@ -522,6 +527,13 @@
 	if (otherCandidate || newCall || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
 		return false
 	}
+	if newCall && earlier != s.Targets[0] {
+		f.callNotedAt = g.cfg.Clock()
+	}
+	if !announced && !takeover.Abandoned(f.oldPrimary, in.Members) && g.cfg.Clock() < f.callNotedAt+callNoticeTime {
+		time.Sleep(pollInterval)
+		return true
+	}
 	maySend := func() bool {
 		now := g.cfg.Clock()
 		return now-f.claimSentAt < promotionSendWindow && now-f.membersReadAt <= maxHolderListAge
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -74,6 +74,7 @@
 	// knownSince is the local time since which it has been registered, in this incarnation.
 	knownSince time.Duration
 	evidence   takeover.Evidence
+	watch      pauseWatch
 	asking     bool          // a status query for an acknowledgement is due or running
 	askedAt    time.Duration // start of the last one
 }
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -182,16 +182,20 @@
 	round := g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, true)
 	members := round.Members
 	g.mu.Lock()
-	// A recently acknowledged commit shows that a replica receives the primary's
-	// entries, which no replica does after the promotion of another member.
+	// Whoever replaces the primary waits for each member that it may know, until that has left
+	// the primary's term; see takeover.Abandoned. With an older list, a recently acknowledged
+	// commit shows that all members receive the primary's entries.
 	synchronous := g.service.AcknowledgedBy > 0
-	partial := synchronous && g.lastAckSentAt > 0 && sentAt-g.lastAckSentAt < maxCommitEvidenceAge
+	recentCommit := g.lastAckSentAt > 0 && sentAt-g.lastAckSentAt < maxCommitEvidenceAge
+	partial := synchronous && (sentAt-round.ListReadAt <= maxCountedAge || recentCommit)
 	// Under a claim, a member that does not answer may have been promoted. That ends the
 	// pauses of replicas that do not learn of it and still follow this primary.
 	partial = partial && !g.tracker.ReplacementClaimed()
 	primaryStatus, quorum := quorumConfirms(primary, members, partial)
 	c := Confirmation{Primary: primary, Received: primaryStatus.Received, Confirmed: quorum}
-	c.LaterPrimary, _ = laterPrimary(primary, members)
+	if takeover.Abandoned(primary, members) {
+		c.LaterPrimary, _ = laterPrimary(primary, members)
+	}
 	if synchronous && sentAt-round.ListReadAt < maxMembersAge {
 		c.AckBound, c.HasAckBound = takeover.ReadPosition(members, groupSize(len(members)))
 		// A member that lost its log during a partition may not have reported that yet,
@@ -425,11 +429,12 @@
 	knownSince := m.knownSince
 	g.mu.Unlock()
 	for _, fresh := range []bool{fresh, true} {
+		sentAt := g.cfg.Clock()
 		reply, err := u.Control(fresh, command, statusTimeout)
 		if err == nil {
 			g.reportAnswer(u)
 			u.ObservePosition(reply.Received)
-			g.observeStatus(m, reply, knownSince)
+			g.observeStatus(m, reply, knownSince, sentAt)
 			return &reply, false
 		}
 		gone = processGone(err)
--- a/proxy/node/simulated_test.go
+++ b/proxy/node/simulated_test.go
@@ -251,14 +251,16 @@
 		// again when its store is back.
 		c.sim.Crash("a", false)
 		time.Sleep(4 * time.Second)
-		s2 := c.open("i2", simulator.Database)
 		c.sim.Heal("i2", "store")
 		// The store is read again 1 s after a failed read; that read and the write
 		// take 20 ms.
-		c.eventually(time.Second+50*time.Millisecond, func() error { return c.write(s2) })
+		c.eventually(time.Second+50*time.Millisecond, func() error {
+			s2 := c.open("i2", simulator.Database)
+			defer s2.leave()
+			return c.write(s2)
+		})
 		stop()
 		s.leave()
-		s2.leave()
 		c.closeSimulated()
 	})
 }
