primacy: name the members in the record; takeover: decide which

An instance that starts while the primary and a replica are behind a cut knows neither, and does not wait for them (TestNewInstanceReplacesPrimary). The record of a group gets a list of the members that acknowledgements may rest on. Proof by all replicas needs one that is named.

Not used yet.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -127,6 +127,10 @@
 	// store time MayLeadUntil, although it has led since or another member leads.
 	MayLead      string        `json:"may_lead,omitempty"`
 	MayLeadUntil time.Duration `json:"may_lead_until,omitempty"`
+	// Members are the members that acknowledgements may rest on, in the order of their IDs.
+	// Whoever claims the group asks all of them for their logs. Empty if they are not known,
+	// as in a record of an earlier release. The slice is never modified.
+	Members []NamedMember `json:"members,omitempty"`
 	// Era is the era of the store in which Primary was last proven to be the primary: by
 	// a completed change or by the members. A claim keeps it.
 	Era uint64 `json:"era,omitempty"`
@@ -164,6 +168,9 @@
 	if r.MayLeadUntil > now+maxMayLead+maxClockError {
 		return Class.New("a member may lead until %s at %s", r.MayLeadUntil, now)
 	}
+	if err := checkMembers(r.Members); err != nil {
+		return err
+	}
 	c := r.Claim
 	if c == nil {
 		return nil
--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -39,6 +39,9 @@
 	// Counted means that each holder of a later claim knows the replica. It waits for the
 	// replica's answer, or has that of the old primary, which has the commit as well.
 	Counted bool
+	// Unnamed means that the record names other members but not this one, so that a holder
+	// of a later claim need not know it.
+	Unnamed bool
 	// Gone means that the replica's process does not run.
 	Gone bool
 
@@ -103,7 +106,7 @@
 // its word is no evidence. One of these is:
 //
 //   - A counted replica has the commit, and any holder looks at its log after that.
-//   - All replicas whose processes may run have it.
+//   - All replicas whose processes may run have it, and the record names one of them.
 //   - The claim announces a candidate or names a called-for member, which has it.
 func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
 	known, all, later := false, true, false
@@ -122,7 +125,7 @@
 		if e.Gone {
 			continue
 		}
-		known = true
+		known = known || !e.Unnamed
 		all = all && e.Holds(p)
 		later = later || e.term > p.Term && !e.Holds(p)
 	}
