Wait for each member that the record names

Callers lost acknowledged commits, and strict reads missed them, when an instance started while the primary and a replica were behind a cut and their entries had expired: it knew neither and promoted another member.

The record now names the members that acknowledgements may rest on. The instance whose turn it is (Fleet.Precedence) writes the names after a member has joined, or has left for good, while the primary serves and nobody has a claim; changes within 0.5 s share a write. A claim names the members that have joined with it, so that neither they nor a candidate need a write of their own. A replica counts for an acknowledgement only if it is named, and proof by all replicas needs a named one. An instance that reads the name of a member that it has never read of treats it like one that has departed: rounds wait for it, and bounds of acknowledged commits count it as not answering, until its address refuses it, the record no longer names it, or the primary serves without it. For the last, the primary itself must have answered within 1 s if it is being replaced, or if the member was never read: the absence of a suspicion is no evidence on an instance that has just started. The bound also needs a recent reading of the records, as that of the members does not show the names.

TestJoinsAndLeavesNeedFewWrites: 20 instances write once for four members that join, and once when they leave.

--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -173,7 +173,8 @@
 	m.evidence.ObserveNoClaim(g.noClaimAt)
 	e, now := m.evidence, g.cfg.Clock()
 	e.Member = m.Member().ID
-	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge
+	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge && g.named(e.Member)
+	e.Unnamed = !g.named(e.Member)
 	return e
 }
 
@@ -255,6 +256,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.maxPosition = position.Max(m.maxPosition, reply.Received)
+	g.observeServing(m, reply.Status)
 	if m.knownSince != knownSince || !m.catchUpFloor.IsZero() && !reply.Received.AtLeast(m.catchUpFloor) {
 		return
 	}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -192,7 +192,7 @@
 	if r.Claim != nil && r.Claim.OldPrimary == f.oldPrimary {
 		claim.FirstClaimedAt = min(claim.FirstClaimedAt, r.Claim.FirstClaimedAt)
 	}
-	r.Claim = claim
+	r.Claim, r.Members = claim, f.namesForClaim(r)
 	f.claimSentAt = now
 	version, storeNow, err := g.putRecord(ctx, r)
 	if err != nil {
@@ -269,7 +269,7 @@
 
 // sameRecord reports whether stored is the record that this instance wrote as r.
 func sameRecord(stored, r primacy.Record) bool {
-	if stored.Primary != r.Primary || stored.Era != r.Era || (stored.Claim == nil) != (r.Claim == nil) {
+	if stored.Primary != r.Primary || stored.Era != r.Era || (stored.Claim == nil) != (r.Claim == nil) || !slices.Equal(stored.Members, r.Members) {
 		return false
 	}
 	return r.Claim == nil || *stored.Claim == *r.Claim
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -214,6 +214,7 @@
 	switchover             handover.Detector
 	rounds                 quorumRounds
 	announcement           announcement
+	roster                 roster
 	wake                   chan struct{} // of capacity 1; makes Run check the group at once
 	finished               chan struct{} // closed when Run has returned
 	startedAt              time.Duration // when the group was created
@@ -330,6 +331,7 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "acknowledged_commit_missing", "lead": r.Primary.Member, "term": r.Primary.Term, "promoted_at": r.PromotedAt.String(), "acknowledged": g.ackedPosition.String()}).Error("the promoted member lacks a commit that was acknowledged to a caller")
 	}
 	g.announcement.observe(g.tracker.Record(), at.Latest)
+	g.observeNames()
 	if r.Version >= oldRecord.Version && r.Claim == nil && r.Confirmed() {
 		g.noClaimAt = max(g.noClaimAt, sentAt)
 	}
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -57,6 +57,8 @@
 	// departed means that it is no longer registered. It is kept until it is known
 	// to have stopped, because it may acknowledge commits until then.
 	departed bool
+	// unread means that this instance knows it from the record only.
+	unread bool
 	// left means that it has ended its registration itself, so that its log does not come
 	// back. leftUnanswered means that it has not answered since on a new connection either.
 	left, leftUnanswered bool
@@ -121,6 +123,7 @@
 	}
 	g.observePrimaryEntry(all, readAt)
 	g.lastMembersRead, g.membersAsOf = readAt, max(g.membersAsOf, readAt)
+	g.addUnread()
 	g.broadcast()
 }
 
@@ -182,7 +185,7 @@
 		g.signalRun()
 	}
 	// The suspicion keeps members that were cut off together with the primary.
-	if !m.left && (!m.departed || g.suspicion.firstFailureAt != 0) || id == g.tracker.Primary().Member {
+	if !m.left && (!m.departed || g.suspicion.firstFailureAt != 0 || !g.servesWithout(m)) || id == g.tracker.Primary().Member {
 		return
 	}
 	switch {
@@ -228,22 +231,33 @@
 func (g *Group) removeMember(id string, m *member, reason string) {
 	g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "reason": reason}).Info("member removed")
 	delete(g.members, id)
+	g.roster.forget(id)
 	g.health.remove(id)
 	m.Close()
 	g.signalRun()
 }
 
+// addMember adds a member that is not known yet. g.mu is held.
+func (g *Group) addMember(m catalog.Member) *member {
+	added := &member{Upstream: upstream.New(m, g.connLimits(m), g.cfg.Dialer, g.cfg.Clock)}
+	added.SetPoolCounters(g.cfg.PoolCounters)
+	added.SetQueueMetrics(g.cfg.QueueMetrics)
+	added.SetProfile(g.expectedProfile())
+	added.knownSince = g.cfg.Clock()
+	g.members[m.ID] = added
+	return added
+}
+
 // updateMember handles the entry of a registered member. g.mu is held.
 func (g *Group) updateMember(id string, m catalog.Member, readAt time.Duration) {
 	known := g.members[id]
 	joined := known == nil || known.departed
-	if known == nil {
-		known = &member{Upstream: upstream.New(m, g.connLimits(m), g.cfg.Dialer, g.cfg.Clock)}
-		known.SetPoolCounters(g.cfg.PoolCounters)
-		known.SetQueueMetrics(g.cfg.QueueMetrics)
-		known.SetProfile(g.expectedProfile())
-		known.knownSince = g.cfg.Clock()
-		g.members[id] = known
+	g.roster.remember(id)
+	if known == nil || known.unread {
+		if known == nil {
+			known = g.addMember(m)
+		}
+		known.unread = false
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_joined", "member": id, "address": m.Address, "failure_domain": m.FailureDomain, "primary": m.Primary}).Info("member joined")
 		g.signalRun()
 	}
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -198,7 +198,7 @@
 		}
 	}
 	if !ok {
-		return g.primarySuspected()
+		return g.updateRoster(ctx, primary) || g.primarySuspected()
 	}
 	g.mu.Lock()
 	// A probe takes up to 0.5 s. If the primary has changed meanwhile, its result says
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -183,7 +183,7 @@
 	primaryStatus, quorum := quorumConfirms(primary, members, partial)
 	c := Confirmation{Primary: primary, Received: primaryStatus.Received, Confirmed: quorum}
 	c.LaterPrimary, _ = laterPrimary(primary, members)
-	if synchronous && sentAt-g.membersAsOf < maxMembersAge {
+	if synchronous && sentAt-g.membersAsOf < maxMembersAge && sentAt-g.lastRecordsRead.Earliest < maxMembersAge {
 		c.AckBound, c.HasAckBound = takeover.ReadPosition(members, groupSize(len(members)))
 		// A member that lost its log during a partition may not have reported that yet,
 		// and the bound is then too low.
--- a/proxy/group/restore.go
+++ b/proxy/group/restore.go
@@ -91,7 +91,7 @@
 		return reason, overdue
 	}
 	record = record.WithPrimary(primary)
-	record.Service = g.cfg.Service
+	record.Service, record.Members = g.cfg.Service, g.namesOfConfirmed(record)
 	sentAt := g.cfg.Clock()
 	version, storeNow, err := g.putRecord(ctx, record)
 	if err != nil {
