group: ask an idle primary before a named member is forgotten

A silent member stayed in the record for good if all instances that had read of it had ended and no caller used the group: the successors have no answer of the primary, without which a member that was never read is kept. A failover would wait for it.

--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -185,12 +185,12 @@
 		g.signalRun()
 	}
 	// The suspicion keeps members that were cut off together with the primary.
-	if !m.left && (!m.departed || g.suspicion.firstFailureAt != 0 || !g.servesWithout(m)) || id == g.tracker.Primary().Member {
+	if !m.left && (!m.departed || g.suspicion.firstFailureAt != 0) || id == g.tracker.Primary().Member {
 		return
 	}
 	switch {
 	case g.forgetLeft(id, m):
-	case m.unanswered && readAt-m.missingSince >= minMissingTime && readAt-m.leavingSince >= departedRetention:
+	case m.unanswered && readAt-m.missingSince >= minMissingTime && readAt-m.leavingSince >= departedRetention && g.servesWithout(m):
 		g.removeMember(id, m, "primary_serves_without_it")
 	case !m.statusPending:
 		m.statusPending = true
@@ -205,6 +205,7 @@
 	g.mu.Lock()
 	left := m.left
 	g.mu.Unlock()
+	g.askServing(m)
 	status, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, true)
 	g.recordAnswer(m, status != nil, gone)
 	g.mu.Lock()
--- a/proxy/node/roster_test.go
+++ b/proxy/node/roster_test.go
@@ -207,3 +207,21 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Guards against a record that names a silent member for good after all instances that have read
+// of it have ended: without callers, a new instance asks the primary for nothing.
+func TestIdleNewInstanceForgetsNamedMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSimulated(t, "i1")
+		c.sim.Join("d")
+		c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+		c.sim.Partition("i1", "store") // i1 ends; new is its successor
+		c.sim.Crash("d", true)
+		c.sim.Deregister("d")
+		c.start("new", c.sim.Store("new"))
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, c.named(), []string{"a", "b", "c", "d"})
+		c.awaitNamed(10*time.Second, "a", "b", "c")
+		c.closeSimulated()
+	})
+}
