--- a/proxy/node/roster_test.go
+++ b/proxy/node/roster_test.go
@@ -225,3 +225,30 @@
 		c.closeSimulated()
 	})
 }
+
+// Guards against commits that only a member has which joined shortly before a cut, when a new
+// instance fails over without having read its entry: it counts only once it is named.
+func TestNewInstanceAfterReplicaJoinsBehindCut(t *testing.T) {
+	for _, after := range []time.Duration{200, 500, 700, 1500, 3000, 3500, 4500, 6000} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			underLoad(t, uint64(after), simulated("i1", "near"), func(t *testing.T, c *cluster) {
+				time.Sleep(3 * time.Second)
+				c.sim.Join("d")
+				time.Sleep(after * time.Millisecond)
+				c.isolate([]string{"a", "d", "near"}, []string{"b", "c", "i1", "new", "store"})
+				c.sim.Partition("i1", "store") // i1 ends; new is its successor
+				time.Sleep(3 * time.Second)
+				c.sim.Deregister("a")
+				c.sim.Deregister("d")
+				time.Sleep(100 * time.Millisecond)
+				c.start("new", c.sim.Store("new"))
+				time.Sleep(10 * time.Second)
+				c.sim.Register("a")
+				c.sim.Register("d")
+				c.sim.Heal("i1", "store")
+				c.rejoin([]string{"a", "d", "near"}, []string{"b", "c", "i1", "new", "store"})
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
