takeover: name no member that makes the record unreadable

A member registered with an ID or failure domain of more than 256 bytes would be written into the record, which every instance then takes for no evidence of the primary. Such a member stays unnamed and does not count. Found by reading; TestRosterIsBounded covers it.

--- a/core/primacy/members.go
+++ b/core/primacy/members.go
@@ -27,6 +27,16 @@
 	return len(named) == 0 || slices.ContainsFunc(named, func(m NamedMember) bool { return m.ID == id })
 }
 
+// Check returns an error if no record can name the member.
+func (m NamedMember) Check() error {
+	for _, text := range []string{m.ID, m.Address, m.FailureDomain} {
+		if text == "" || len(text) > maxNameLength {
+			return Class.New("record names a member with a text of %d bytes", len(text))
+		}
+	}
+	return nil
+}
+
 // checkMembers returns an error if no instance can have named these members.
 func checkMembers(named []NamedMember) error {
 	if len(named) > MaxNamedMembers {
@@ -34,10 +44,8 @@
 	}
 	seen := make(map[string]bool, len(named))
 	for _, m := range named {
-		for _, text := range []string{m.ID, m.Address, m.FailureDomain} {
-			if text == "" || len(text) > maxNameLength {
-				return Class.New("record names a member with a text of %d bytes", len(text))
-			}
+		if err := m.Check(); err != nil {
+			return err
 		}
 		if seen[m.ID] {
 			return Class.New("record names member %q twice", m.ID)
--- a/core/takeover/roster.go
+++ b/core/takeover/roster.go
@@ -26,7 +26,7 @@
 	for _, m := range named {
 		i := slices.IndexFunc(known, func(k KnownMember) bool { return k.ID == m.ID })
 		switch {
-		case i >= 0 && known[i].Registered:
+		case i >= 0 && known[i].Registered && known[i].Check() == nil:
 			next = append(next, known[i].NamedMember) // it may have moved
 		case i >= 0 || !forgotten(m.ID):
 			next = append(next, m)
@@ -47,7 +47,7 @@
 func AddNames(named, joined []primacy.NamedMember) []primacy.NamedMember {
 	all := slices.SortedFunc(slices.Values(named), compareNames)
 	for _, m := range slices.SortedFunc(slices.Values(joined), compareNames) {
-		if len(all) < primacy.MaxNamedMembers && !slices.ContainsFunc(all, func(n primacy.NamedMember) bool { return n.ID == m.ID }) {
+		if len(all) < primacy.MaxNamedMembers && m.Check() == nil && !slices.ContainsFunc(all, func(n primacy.NamedMember) bool { return n.ID == m.ID }) {
 			all = append(all, m)
 		}
 	}
--- a/core/takeover/roster_test.go
+++ b/core/takeover/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -73,6 +74,14 @@
 	next, changed := takeover.NextRoster(named, known(true, "a"), func(string) bool { return false })
 	assert.Assert(t, !changed)
 	assert.NilError(t, primacy.Record{Members: next}.Check(0))
+	long := strings.Repeat("a", 1000)
+	moved := known(true, "a", long)
+	moved[0].Address = long
+	for _, before := range [][]primacy.NamedMember{nil, names("a")} {
+		next, _ = takeover.NextRoster(before, moved, func(string) bool { return false })
+		assert.NilError(t, primacy.Record{Members: next}.Check(0))
+		assert.DeepEqual(t, next, before)
+	}
 }
 
 func TestUnreadMembers(t *testing.T) {
