--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -79,8 +79,9 @@
 // that were asked: a list that is read later may have others.
 type Round struct {
 	Members []Member
-	// ListReadAt is the local time at which the list was read.
-	ListReadAt time.Duration
+	// ListReadAt and RecordReadAt are the local times at which the list and the record, which
+	// names members too, were read.
+	ListReadAt, RecordReadAt time.Duration
 }
 
 // Input is one round of answers.
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -196,8 +196,9 @@
 	m.evidence.ObserveNoClaim(g.noClaimAt)
 	e, now := m.evidence, g.cfg.Clock()
 	e.Member = m.Member().ID
-	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge &&
+	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge && g.named(e.Member) &&
 		(now-g.noCallAt <= callNoticeTime || m.watch.covers(g.noCallAt+callNoticeTime, now))
+	e.Unnamed = !g.named(e.Member)
 	return e
 }
 
@@ -281,6 +282,7 @@
 	defer g.mu.Unlock()
 	m.maxPosition = position.Max(m.maxPosition, reply.Received)
 	m.watch.observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock())
+	g.observeServing(m, reply.Status)
 	if m.knownSince != knownSince || !m.catchUpFloor.IsZero() && !reply.Received.AtLeast(m.catchUpFloor) {
 		return
 	}
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -196,7 +196,7 @@
 	if takeover.Abandoned(primary, members) {
 		c.LaterPrimary, _ = laterPrimary(primary, members)
 	}
-	if synchronous && sentAt-round.ListReadAt < maxMembersAge {
+	if synchronous && sentAt-round.ListReadAt < maxMembersAge && sentAt-round.RecordReadAt < maxMembersAge {
 		c.AckBound, c.HasAckBound = takeover.ReadPosition(members, groupSize(len(members)))
 		// A member that lost its log during a partition may not have reported that yet,
 		// and the bound is then too low.
@@ -304,7 +304,7 @@
 // stragglerTimeout for the others after quorumSize answers.
 func (g *Group) controlMembers(command statement.Control, ids []string, fresh, quorum bool) takeover.Round {
 	g.mu.Lock()
-	round := takeover.Round{ListReadAt: g.membersAsOf}
+	round := takeover.Round{ListReadAt: g.membersAsOf, RecordReadAt: g.lastRecordsRead.Earliest}
 	primary := g.tracker.Primary().Member
 	members := make([]takeover.Member, 0, len(g.members))
 	upstreams := make([]*member, 0, len(g.members))
