--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/papayarail/papayarail/proxy/catalog"
@@ -44,6 +46,9 @@
 	pace func(time.Duration)
 }
 
+// promoteTimeVariable is the time that promotions take in tests that do not set it, e.g. 200ms.
+const promoteTimeVariable = "PAPAYARAIL_PROMOTE_TIME"
+
 func newCluster(t *testing.T, instances ...string) *cluster {
 	return startCluster(t, false, instances)
 }
@@ -51,6 +56,11 @@
 // startCluster starts instances; with peers they discover and call each other.
 func startCluster(t *testing.T, peers bool, instances []string) *cluster {
 	c := &cluster{t: t, sim: simulator.NewCluster("a", "b", "c"), nodes: make(map[string]*node.Node), peers: peers}
+	if text := os.Getenv(promoteTimeVariable); text != "" {
+		promoteTime, err := time.ParseDuration(text)
+		assert.NilError(t, err)
+		c.sim.SetPromoteTime(promoteTime)
+	}
 	c.ctx, c.cancel = context.WithCancel(t.Context())
 	c.network = c.sim.NewNetwork()
 	for _, name := range instances {
