simulator: a crashed primary comes back as a replica if another one was promoted

One that came back after its successor had stepped down stayed a primary, and the next promotion moved it, as a primary, to the new term: two members led it.

--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -396,7 +396,7 @@
 	for _, r := range c.members {
 		r.pausedTerm = 0
 		unaware := c.unawareReplicas && c.partitioned(m.ID, r.ID)
-		if r != m && r != old && !r.down && !unaware {
+		if r != m && r != old && !r.primary && !r.down && !unaware {
 			r.term = term
 
 			time.AfterFunc(followTime, func() { c.followPrimary(m, r) })
--- a/proxy/simulator/faults.go
+++ b/proxy/simulator/faults.go
@@ -54,10 +54,8 @@
 	defer c.mu.Unlock()
 	m := c.member(id)
 	m.down, m.silent, m.left = false, false, false
-	for _, other := range c.members {
-		if other.primary && other.term > m.term {
-			m.stepDown()
-		}
+	if c.primaryMember().term > m.term {
+		m.stepDown() // another member was promoted, and may have stepped down since
 	}
 	if empty {
 		m.log, m.primary, m.generation = nil, false, m.generation+1
