--- a/core/takeover/terms_model_test.go
+++ b/core/takeover/terms_model_test.go
@@ -112,6 +112,7 @@
 	pendingUntil, ownUntil, earlier time.Duration
 	stepDown, handOver, asked       bool
 	step                            takeover.Step
+	pending                         bool // the last round waited for the effect of a call
 	publishing                      bool
 	next                            primacy.Record // to be stored at publishAt
 	publishAt                       time.Duration
