proxy/node: a test of two late promotions of former primaries

Found by the model of several changes: the record notes one member that a call without an answer may promote once more (MayLead).

--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -151,3 +151,32 @@
 		})
 	}
 }
+
+// Guards against the same after a second call without an answer, for its successor, whose note in
+// the record replaces that of the first one.
+func TestTwoLatePromotionsOfFormerPrimaries(t *testing.T) {
+	for _, promoteTime := range promoteTimes {
+		for _, late := range []time.Duration{300, 1000, 2000} {
+			t.Run(fmt.Sprintf("promote=%s/late=%dms", promoteTime, late), func(t *testing.T) {
+				underLoad(t, uint64(late), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+					c.sim.SetPromoteTime(promoteTime)
+					time.Sleep(4 * time.Second)
+					c.sim.HoldPromotions(1)
+					c.sim.Crash("a", true)
+					c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+					called := c.sim.CalledFor()
+					c.await(9*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
+					c.sim.Restart("a", false)
+					c.sim.HoldPromotions(1)
+					c.sim.Drain(called)
+					c.await(9*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
+					time.Sleep(1500 * time.Millisecond)
+					c.sim.SetReceiveLag(called, 60*time.Millisecond)
+					time.Sleep(late * time.Millisecond)
+					c.sim.ReleaseHeld()
+					time.Sleep(3 * time.Second)
+				})
+			})
+		}
+	}
+}
