Bound acknowledged commits only by members that each reader knows

Strict reads without a confirmed primary ran on replicas that lack acknowledged commits.

The bound is the highest position of all members but one. A commit is on the primary and on one replica at least, so the bound covers it if both are among the members that the reading instance knows.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -282,12 +282,11 @@
 	return c
 }
 
-// Establishes reports whether the member is known to lead the term of its commit at p, or to
-// have led it. Only then have all leases on other primaries ended, so that the commit may be
-// acknowledged: a call for a promotion that takes effect late makes a member the primary of a
-// term that no record names.
+// Establishes reports whether the member is known to lead the term of its commit at p. Only then
+// have all leases on other primaries ended, so that the commit may be acknowledged: a call for a
+// promotion that takes effect late makes a member the primary of a term that no record names.
 func (t *Tracker) Establishes(member string, p position.Position) bool {
-	return p.Term < t.primary.Term || p.Term == t.primary.Term && member == t.primary.Member
+	return t.primary == Primary{Member: member, Term: p.Term}
 }
 
 // Replaced reports whether another member is known to be the primary of a later term
@@ -296,6 +295,16 @@
 	return t.primary.Member != member && t.primary.Term > p.Term
 }
 
+// Leaders returns the members that may lead now or next: the primary, that of the record, those
+// that the claim names, and one that a call without an answer may promote.
+func (t *Tracker) Leaders() []string {
+	all := []string{t.primary.Member, t.record.Primary.Member, t.record.MayLead}
+	if c := t.record.Claim; c != nil {
+		all = append(all, c.OldPrimary.Member, c.Candidate, c.Called)
+	}
+	return all
+}
+
 // RecordOutdated reports whether the record is no evidence of the primary and is to be
 // written again: it is of an earlier era of the store, or it names a primary of an earlier
 // term and no claim.
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -219,7 +219,7 @@
 		member string
 		term   uint64
 		want   bool
-	}{{"b", 2, true}, {"b", 1, true}, {"b", 4, false}, {"a", 3, false}, {"a", 2, false}, {"a", 1, true}} {
+	}{{"b", 2, true}, {"b", 1, false}, {"b", 4, false}, {"a", 3, false}, {"a", 2, false}, {"a", 1, false}} {
 		assert.Equal(t, tr.Establishes(test.member, position.Position{Term: test.term, Offset: 7}), test.want, "%s in term %d", test.member, test.term)
 	}
 }
--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -47,6 +47,8 @@
 	// Unnamed means that the record names other members but not this one, so that a holder
 	// of a later claim need not know it.
 	Unnamed bool
+	// Unsettled means that an instance that reads without a primary may not know the replica.
+	Unsettled bool
 	// Gone means that the replica's process does not run.
 	Gone bool
 
@@ -116,7 +118,7 @@
 //     member is announced or called for, the replica may have been paused before its answer:
 //     a promotion ends pauses.
 //   - All replicas whose processes may run have it, and the record names one of them.
-//   - The claim announces a candidate or names a called-for member, which has it.
+//   - The claim announces a candidate or names a called-for member, which has it and is known to all readers.
 func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
 	c, _ := Prove(claim, p, replicas)
 	return c
@@ -154,9 +156,9 @@
 		}
 		if claim != nil && claim.Successor() == e.Member {
 			switch {
-			case e.Holds(p):
+			case e.Holds(p) && !e.Unsettled:
 				return Contained, Proof{ByAnnounced, e.Member}
-			case e.term > p.Term:
+			case e.term > p.Term && !e.Holds(p):
 				return Superseded, Proof{}
 			}
 		}
--- a/core/takeover/read_position.go
+++ b/core/takeover/read_position.go
@@ -1,6 +1,10 @@
 package takeover
 
-import "github.com/papayarail/papayarail/core/position"
+import (
+	"slices"
+
+	"github.com/papayarail/papayarail/core/position"
+)
 
 // ReadPosition returns a position that covers every commit acknowledged before the
 // members were asked, whether or not a primary answers. A read on a member that
@@ -24,3 +28,14 @@
 	}
 	return p, len(members) >= size && answered >= len(members)-1
 }
+
+// Lists reports whether members with all of these IDs are in the list; empty IDs are ignored. A
+// bound of acknowledged commits has to consider the primary and those that may follow it.
+func Lists(members []Member, ids ...string) bool {
+	for _, id := range ids {
+		if id != "" && !slices.ContainsFunc(members, func(m Member) bool { return m.ID == id }) {
+			return false
+		}
+	}
+	return true
+}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -71,6 +71,8 @@
 	LogShrunk bool
 	// Gone means that its process is known not to run.
 	Gone bool
+	// Settled means that acknowledgements may rest on it; see Evidence.Unsettled.
+	Settled bool
 	// Status is nil if the member did not answer in this round.
 	Status *Status
 }
@@ -410,7 +412,7 @@
 	default:
 		return Step{Action: Wait, Reason: "a change without the primary could not be finished"}
 	}
-	candidate := r.plannedCandidate(eligible)
+	candidate := r.plannedCandidate(settledFirst(eligible))
 	switch {
 	case candidate.ID != r.in.Candidate:
 		return Step{Action: Announce, Targets: []string{candidate.ID}, Term: r.nextTerm, Reason: "planned switchover from a primary that serves"}
@@ -428,6 +430,25 @@
 	return Step{Action: Promote, Targets: []string{candidate.ID}, Term: r.nextTerm, Reason: "every commit of the primary is acknowledged through the candidate"}
 }
 
+// settledFirst returns the settled ones of the eligible members whose logs are close to the
+// longest; all of them if there is none. Commits wait for the candidate until it is settled.
+func settledFirst(eligible []*Member) []*Member {
+	var longest position.Position
+	for _, m := range eligible {
+		longest = position.Max(longest, m.Status.Received)
+	}
+	var out []*Member
+	for _, m := range eligible {
+		if m.Settled && isClose(m.Status.Received, longest) {
+			out = append(out, m)
+		}
+	}
+	if len(out) == 0 {
+		return eligible
+	}
+	return out
+}
+
 // plannedCandidate returns the announced candidate if it is eligible and its log is close
 // to the longest, because another one has to be announced first. Otherwise it returns the
 // eligible member with the longest log.
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -141,17 +141,21 @@
 func (g *Group) commitContainment(id string, p position.Position) (c takeover.Containment, claimed bool, proof takeover.Proof) {
 	claim, now := g.tracker.ClaimAgainst(id, p), g.cfg.Clock()
 	switch {
+	case p.Term < g.tracker.Primary().Term:
+		return takeover.Superseded, false, proof
 	case !g.tracker.Establishes(id, p):
 		return takeover.Unestablished, claim != nil, proof
 	case g.service.AcknowledgedBy == 0:
 		return takeover.Contained, false, proof // an acknowledged commit may be on the primary alone
-	case g.tracker.Replaced(id, p):
-		return takeover.Superseded, false, proof
 	}
 	var replicas []takeover.Evidence
+	primary := g.members[id]
 	for other, m := range g.members {
 		if other != id {
-			replicas = append(replicas, g.evidenceOf(m))
+			e := g.evidenceOf(m)
+			// A read without the primary may miss the only replica that has the commit.
+			e.Counted = e.Counted && primary != nil && g.settled(primary)
+			replicas = append(replicas, e)
 		}
 	}
 	known := claim
@@ -170,6 +174,12 @@
 	return c, claim != nil, proof
 }
 
+// settled reports whether each instance that bounds the position of acknowledged commits by
+// the members' answers knows the member: lists younger than maxMembersAge have it. g.mu is held.
+func (g *Group) settled(m *member) bool {
+	return m.missingSince == 0 && g.cfg.Clock()-m.knownSince >= memberSettleTime
+}
+
 // mayLead returns the member that a call without an answer may still promote, or an empty
 // string. g.mu is held.
 func (g *Group) mayLead() string {
@@ -199,6 +209,7 @@
 	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge && g.named(e.Member) &&
 		(now-g.noCallAt <= callNoticeTime || m.watch.covers(g.noCallAt+callNoticeTime, now))
 	e.Unnamed = !g.named(e.Member)
+	e.Unsettled = !g.settled(m)
 	return e
 }
 
--- a/proxy/group/decision_test.go
+++ b/proxy/group/decision_test.go
@@ -293,8 +293,7 @@
 		{"counted", primacy.Record{Primary: primaryA}, []string{"b"}, true, "counted", "", nil},
 		{"all", primacy.Record{Primary: primaryA}, []string{"b", "c"}, false, "all", "all", []string{"b", "c"}},
 		{"counted under a claim", primacy.Record{Primary: primaryA, Claim: &primacy.Claim{Holder: "i2", OldPrimary: primaryA}}, []string{"b"}, true, "counted", "claimed", []string{"b"}},
-		{"announced", primacy.Record{Primary: primaryA, Claim: &primacy.Claim{Holder: "i2", OldPrimary: primaryA, Candidate: "c"}}, []string{"c"}, false, "announced", "claimed", []string{"c"}},
-		{"of a term below", primacy.Record{Primary: primacy.Primary{Member: "a", Term: 4}}, []string{"b"}, true, "counted", "term_below", []string{"b"}},
+		{"announced", primacy.Record{Primary: primaryA, Claim: &primacy.Claim{Holder: "i2", OldPrimary: primaryA, Candidate: "c"}}, []string{"c"}, true, "announced", "claimed", []string{"c"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := 100 * time.Second
@@ -333,14 +332,16 @@
 	}
 }
 
-// Guards against an acknowledgement of a term that the instance does not know.
-func TestCommitOfUnknownTermIsNotPassedOn(t *testing.T) {
-	now := 100 * time.Second
-	g, r := newDecisionGroup(&now, &bytes.Buffer{})
-	m := g.members["b"]
-	m.evidence.Observe(takeover.Status{Term: 5, Received: at(5, 8)}, m.knownSince)
-	m.evidence.ObserveNoClaim(now)
-	err := g.confirmCommit(g.members["a"].Upstream, "5b50", at(5, 8), now)
-	assert.Equal(t, verdict.FromError(err).Verdict, verdict.MayHaveRun)
-	assert.Equal(t, len(r.counts), 0)
+// Guards against an acknowledgement of another term than the one that the instance knows.
+func TestCommitOfOtherTermIsNotPassedOn(t *testing.T) {
+	for _, term := range []uint64{2, 4} {
+		now := 100 * time.Second
+		g, r := newDecisionGroup(&now, &bytes.Buffer{})
+		m := g.members["b"]
+		m.evidence.Observe(takeover.Status{Term: term, Received: at(term, 8)}, m.knownSince)
+		m.evidence.ObserveNoClaim(now)
+		err := g.confirmCommit(g.members["a"].Upstream, "5b50", at(term, 8), now)
+		assert.Equal(t, verdict.FromError(err).Verdict, verdict.MayHaveRun)
+		assert.Equal(t, len(r.counts), 0)
+	}
 }
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -182,6 +182,7 @@
 	round := g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, true)
 	members := round.Members
 	g.mu.Lock()
+	leaders, record := g.tracker.Leaders(), g.tracker.Record()
 	// Whoever replaces the primary waits for each member that it may know, until that has left
 	// the primary's term; see takeover.Abandoned. With an older list, a recently acknowledged
 	// commit shows that all members receive the primary's entries.
@@ -198,6 +199,9 @@
 	}
 	if synchronous && sentAt-round.ListReadAt < maxMembersAge && sentAt-round.RecordReadAt < maxMembersAge {
 		c.AckBound, c.HasAckBound = takeover.ReadPosition(members, groupSize(len(members)))
+		// The former primary, which may have left with its log, and the present one may be the
+		// only members with the last commits of the former term.
+		c.HasAckBound = c.HasAckBound && takeover.Lists(members, leaders...) && c.AckBound.AtLeast(record.PromotedAt)
 		// A member that lost its log during a partition may not have reported that yet,
 		// and the bound is then too low.
 		c.HasAckBound = c.HasAckBound && c.AckBound.AtLeast(g.ackedPosition)
@@ -348,6 +352,7 @@
 	for i, m := range upstreams {
 		s := members[i].Status
 		members[i].Gone = s == nil && m.evidence.Gone
+		members[i].Settled = g.settled(m)
 		if s == nil {
 			continue
 		}
--- a/proxy/node/readbound_test.go
+++ b/proxy/node/readbound_test.go
@@ -28,7 +28,9 @@
 					c.sim.SetReceiveLag("c", 300*time.Millisecond)
 					c.isolate([]string{"i2"}, []string{"a", "d", "store"})
 					c.sim.Join("d")
-					c.sim.Drain("a")
+					for _, id := range []string{"b", "c", "a"} { // so that no other member can be announced
+						c.sim.Drain(id)
+					}
 					c.await(5*time.Second, "an announcement", func() bool { return c.sim.Claim().Candidate != "" })
 					assert.Check(t, c.sim.Claim().Candidate == "d")
 					time.Sleep(4 * time.Second)
