--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -228,3 +228,23 @@
 		assert.Equal(t, known, want, "bound 1.%d", offset)
 	}
 }
+
+// Guards against a bound of acknowledged commits that lacks those of a member which has lost its
+// log, because this instance knew no position of the primary when it learned of that.
+func TestRestartedMemberCountsOnceItHasPositionOfPrimary(t *testing.T) {
+	for name, observed := range map[string]position.Position{"no position known": {}, "position from before": {Term: 1, Offset: 40}} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			dialer := statusDialer{"b": {Term: 1, Received: position.Position{Term: 1, Offset: 50}}, "c": {Term: 1, Received: position.Position{Term: 1, Offset: 60}}}
+			g := newEvidenceGroup(&now, dialer)
+			g.ObservePosition(g.members["a"].Upstream, observed, now)
+			now += time.Second
+			// Others have acknowledged commits up to 1.100, which a and b had.
+			g.UpdateMembers(catalog.Members{
+				"a": g.members["a"].Member(), "b": {ID: "b", Service: "s", Address: "b", Slots: 2, Started: 8}, "c": g.members["c"].Member(),
+			}, now)
+			g.confirmByMembers(g.tracker.Primary(), now)
+			assert.Assert(t, !g.rounds.last.HasAckBound, "bound %s", g.rounds.last.AckBound)
+		})
+	}
+}
