--- a/proxy/peer/peer.go
+++ b/proxy/peer/peer.go
@@ -165,14 +165,18 @@
 // TCP.
 func NewClient(address string, compression Compression, dial DialFunc, log *logrus.Entry) *Client {
 	if dial == nil {
-		dial = dialTCP
+		dial = DialFrom(nil)
 	}
 	return &Client{address: address, dial: dial, log: log, compress: bool(compression)}
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1}}
-	return dialer.DialContext(ctx, "tcp", address)
+// DialFrom returns a DialFunc that connects over TCP from a local address; nil means that the
+// system chooses.
+func DialFrom(source net.Addr) DialFunc {
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: source, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1}}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
 }
 
 // Address returns the address of the called instance.
--- a/proxy/simulator/faults.go
+++ b/proxy/simulator/faults.go
@@ -36,6 +36,7 @@
 	m := c.member(id)
 	m.down, m.silent, m.pausedTerm = true, silent, 0
 	m.conns = make(map[*conn]bool)
+	m.incarnation++
 }
 
 // Leave ends a member's process and its registration, as one does that leaves on its own;
