Let pauses be seen by those who rely on replicas, and publish without a wait

Both sides rest on the same evidence now (group.watched): a replica counts for an acknowledgement, and for a quorum that lacks a member, if the record was read without a claim within 0.35 s, or if the replica has been watched since; and if its process, and that of the primary, have run since before that reading. The holder does not wait for replicas before it publishes. It makes the call no earlier than 0.35 s after its claim and 0.3 s after the pauses, unless the member was announced to all or the old primary has ended. The notice counts from the claim, not from the call, so that a failover takes 0.3 s longer instead of 0.5 s and more.

A primary that the record has named for long is settled although its registration has expired for a while.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -295,10 +295,13 @@
 	return t.primary.Member != member && t.primary.Term > p.Term
 }
 
-// Leaders returns the members that may lead now or next: the primary, that of the record, those
-// that the claim names, and one that a call without an answer may promote.
-func (t *Tracker) Leaders() []string {
-	all := []string{t.primary.Member, t.record.Primary.Member, t.record.MayLead}
+// Leaders returns the members that may lead at the store time now, or next: the primary, that of
+// the record, those that the claim names, and one that a call without an answer may promote.
+func (t *Tracker) Leaders(now time.Duration) []string {
+	all := []string{t.primary.Member, t.record.Primary.Member}
+	if now < t.record.MayLeadUntil {
+		all = append(all, t.record.MayLead)
+	}
 	if c := t.record.Claim; c != nil {
 		all = append(all, c.OldPrimary.Member, c.Candidate, c.Called)
 	}
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -1,6 +1,7 @@
 package primacy_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -247,3 +248,11 @@
 	tr.ObserveRecord(primacy.Record{Primary: primaryA, Era: 1, Version: 1}, 0, 0)
 	assert.Assert(t, tr.MayAdopt("b", 0), "a record of an earlier era")
 }
+
+// Guards against a bound of acknowledged commits that waits for a member which can lead no more.
+func TestLeadersOmitExpiredCall(t *testing.T) {
+	var tr primacy.Tracker
+	tr.ObserveRecord(primacy.Record{Primary: primaryA, MayLead: "x", MayLeadUntil: 5 * time.Second, Version: 7}, 0, 0)
+	assert.Assert(t, slices.Contains(tr.Leaders(5*time.Second-1), "x"))
+	assert.Assert(t, !slices.Contains(tr.Leaders(5*time.Second), "x"))
+}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -69,8 +69,10 @@
 	// LogShrunk means that the member's log is shorter than in an earlier answer
 	// under the same primary: it may have lost commits that it had confirmed.
 	LogShrunk bool
-	// Gone means that its process is known not to run.
+	// Gone means that it did not answer and that no instance finds a quorum with it any more.
 	Gone bool
+	// Watched means that it answered and that no promotion can have ended a pause of it unseen.
+	Watched bool
 	// Settled means that acknowledgements may rest on it; see Evidence.Unsettled.
 	Settled bool
 	// Status is nil if the member did not answer in this round.
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -36,10 +36,10 @@
 	// forgotten a member in it, which takes departedRetention, and a member that has
 	// said meanwhile that it leaves still runs, which it does for 7 s at least.
 	maxCountedAge = departedRetention - 500*time.Millisecond
-	// callNoticeTime is the age of the last reading of the record up to which an instance passes on
-	// acknowledgements that rest on what it says of a call for a promotion. While the old
-	// primary may serve, a holder waits that long between noting a call in its claim and making it.
-	callNoticeTime = 500 * time.Millisecond
+	// claimNoticeTime is the age of the last reading of the record without a claim up to which an
+	// instance passes on acknowledgements as if there were none. While the old primary may serve,
+	// a holder calls for a promotion no earlier than that after its claim was stored.
+	claimNoticeTime = 350 * time.Millisecond
 	// goneInterval replaces proofInterval for a replica that did not answer the last query.
 	goneInterval = 250 * time.Millisecond
 )
@@ -90,9 +90,6 @@
 // longer than until the deadline. request is the caller's request ID, for the log.
 func (g *Group) confirmCommit(u *upstream.Upstream, request string, p position.Position, deadline time.Duration) error {
 	id, ackedAt, guarded := u.Member().ID, g.cfg.Clock(), false
-	g.mu.Lock()
-	g.observeCommit()
-	g.mu.Unlock()
 	for {
 		g.mu.Lock()
 		containment, claimed, proof := g.commitContainment(id, p)
@@ -154,12 +151,12 @@
 		if other != id {
 			e := g.evidenceOf(m)
 			// A read without the primary may miss the only replica that has the commit.
-			e.Counted = e.Counted && primary != nil && g.settled(primary)
+			e.Counted = e.Counted && primary != nil && g.settled(primary) && primary.runsSince <= g.noClaimAt
 			replicas = append(replicas, e)
 		}
 	}
 	known := claim
-	if claim != nil && claim.Successor() != "" && now-g.lastRecordsRead.Earliest > callNoticeTime {
+	if claim != nil && claim.Successor() != "" && now-g.lastRecordsRead.Earliest > claimNoticeTime {
 		// Another member may have been called for since, and replicas that were paused for the
 		// one that is known may receive again.
 		known = nil
@@ -175,9 +172,11 @@
 }
 
 // settled reports whether each instance that bounds the position of acknowledged commits by
-// the members' answers knows the member: lists younger than maxMembersAge have it. g.mu is held.
+// the members' answers knows the member: its lists and its reading of the record are younger than
+// maxMembersAge. g.mu is held.
 func (g *Group) settled(m *member) bool {
-	return m.missingSince == 0 && g.cfg.Clock()-m.knownSince >= memberSettleTime
+	now := g.cfg.Clock()
+	return m.namedSince != 0 && now-m.namedSince >= memberSettleTime || m.missingSince == 0 && now-m.knownSince >= memberSettleTime
 }
 
 // mayLead returns the member that a call without an answer may still promote, or an empty
@@ -207,7 +206,7 @@
 	e, now := m.evidence, g.cfg.Clock()
 	e.Member = m.Member().ID
 	e.Counted = m.missingSince == 0 && !m.Member().Draining && now-m.knownSince >= memberSettleTime && g.noClaimAt-m.knownSince >= claimSettleTime && now-g.membersAsOf <= maxCountedAge && g.named(e.Member) &&
-		(now-g.noCallAt <= callNoticeTime || m.watch.covers(g.noCallAt+callNoticeTime, now))
+		g.watched(m)
 	e.Unnamed = !g.named(e.Member)
 	e.Unsettled = !g.settled(m)
 	return e
@@ -292,6 +291,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.maxPosition = position.Max(m.maxPosition, reply.Received)
+	m.runsSince = max(reply.RunsSince, knownSince)
 	m.watch.observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock())
 	g.observeServing(m, reply.Status)
 	if m.knownSince != knownSince || !m.catchUpFloor.IsZero() && !reply.Received.AtLeast(m.catchUpFloor) {
--- a/proxy/group/called_test.go
+++ b/proxy/group/called_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/takeover"
 )
 
@@ -42,11 +43,11 @@
 				assert.Assert(t, now-stored.CalledAt <= claimRenewalAge)
 			}}
 			if c.again {
-				f.called, f.calledAt = "b", now-2*time.Second
+				f.called, f.calledAt, f.callMade = "b", now-2*time.Second, true
 			}
 			f.g.cfg.Promoter = promoter
 			assert.Assert(t, f.claim(t.Context()))
-			assert.Assert(t, f.promote(t.Context(), takeover.Step{Action: takeover.Promote, Targets: []string{"b"}}, takeover.Input{}))
+			assert.Assert(t, f.promote(t.Context(), takeover.Step{Action: takeover.Promote, Targets: []string{"b"}}, steppedDown(f)))
 			assert.Equal(t, f.unsettledCall(nil) == "b", c.known)
 			assert.Assert(t, f.claim(t.Context()))
 			assert.Equal(t, store.puts[len(store.puts)-1].Claim.Called != "", c.known)
@@ -55,3 +56,29 @@
 		})
 	}
 }
+
+// steppedDown is a round in which the old primary has stepped down.
+func steppedDown(f *failover) takeover.Input {
+	old := takeover.Member{ID: f.oldPrimary.Member, Status: &takeover.Status{Term: f.oldPrimary.Term}}
+	return takeover.Input{OldPrimary: f.oldPrimary, Members: []takeover.Member{old}}
+}
+
+// Guards against a noted call that was never made but keeps other members from being promoted.
+func TestCallThatWasNotMadeIsForgottenAfterItsNotice(t *testing.T) {
+	now := 10 * time.Second
+	store := &fakeRecordStore{now: &now}
+	f := newTestFailover(store, &now)
+	calls := 0
+	f.g.cfg.Promoter = fakePromoter{err: ErrNotCalled, before: func(Promotion) { calls++ }}
+	old := takeover.Member{ID: f.oldPrimary.Member}
+	b := takeover.Member{ID: "b", Status: &takeover.Status{Term: f.oldPrimary.Term, Received: position.Position{Term: f.oldPrimary.Term, Offset: 5}, PausedTerm: f.oldPrimary.Term + 1}}
+	in := takeover.Input{OldPrimary: f.oldPrimary, Members: []takeover.Member{old, b}}
+	step := takeover.Step{Action: takeover.Promote, Targets: []string{"b"}}
+	assert.Assert(t, f.claim(t.Context()))
+	assert.Assert(t, f.promote(t.Context(), step, in))
+	assert.Equal(t, calls, 0, "instances may not know of the claim yet")
+	now += claimNoticeTime
+	assert.Assert(t, f.promote(t.Context(), step, in))
+	assert.Equal(t, calls, 1)
+	assert.Equal(t, f.unsettledCall(nil), "")
+}
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -85,6 +85,7 @@
 	})
 	g.UpdateRecord(primacy.Record{Service: "s", Primary: primary, Version: 8}, exactTimestamp(now))
 	now += maxCountedAge + time.Second // so that the list alone does not do
+	g.noClaimAt = now
 	for _, c := range []struct {
 		term uint64
 		want bool
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -107,8 +107,11 @@
 	// called and calledAt are primacy.Claim.Called and CalledAt.
 	called   string
 	calledAt time.Duration
-	// callNotedAt is a local time at which the claim with the call was stored.
-	callNotedAt time.Duration
+	// ownClaimStoredAt is a local time at which this instance's first claim was stored, and
+	// pausedAt that of its last command to pause replicas.
+	ownClaimStoredAt, pausedAt time.Duration
+	// callMade means that a call for the member may have been sent under this or an earlier claim.
+	callMade bool
 	// callUnanswered means that a call for the member may have got no answer.
 	callUnanswered bool
 	// resumedAt is primacy.Claim.ResumedAt.
@@ -164,7 +167,7 @@
 		if !claimEnded {
 			f.firstClaimStoredAt, f.announced = f.startedAt, record.Claim.Candidate
 			f.called, f.calledAt, f.resumedAt = record.Claim.Called, record.Claim.CalledAt, record.Claim.ResumedAt
-			f.callUnanswered, f.callNotedAt = f.called != "", f.startedAt
+			f.callUnanswered, f.callMade = f.called != "", f.called != ""
 		}
 	}
 	switch {
@@ -206,6 +209,9 @@
 	if f.firstClaimStoredAt == 0 {
 		f.firstClaimStoredAt = g.cfg.Clock()
 	}
+	if f.ownClaimStoredAt == 0 {
+		f.ownClaimStoredAt = g.cfg.Clock()
+	}
 	g.UpdateRecord(r, g.timestamp(storeNow, f.claimSentAt))
 	f.log.WithFields(logrus.Fields{"event": "claimed", "reason": f.reason.text, "token": version, "candidate": f.announced}).Info("replacing the primary")
 	return true
@@ -436,6 +442,7 @@
 		}
 	case takeover.Pause:
 		f.g.controlAll(statement.Control{Kind: statement.PauseReplication, Term: s.Term}, s.Targets, false)
+		f.pausedAt = f.g.cfg.Clock()
 	case takeover.StepDown:
 		f.g.controlAll(statement.Control{Kind: statement.StepDown, Term: s.Term}, s.Targets, false)
 	case takeover.Announce:
@@ -522,16 +529,14 @@
 	newCall := earlier != s.Targets[0] || now-earlierAt > claimRenewalAge
 	if newCall {
 		f.callUnanswered = f.callUnanswered && earlier == s.Targets[0]
+		f.callMade = f.callMade && earlier == s.Targets[0]
 		f.called, f.calledAt = s.Targets[0], now
 	}
 	if (otherCandidate || newCall || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
 		return false
 	}
-	if newCall && earlier != s.Targets[0] {
-		f.callNotedAt = g.cfg.Clock()
-	}
-	if !announced && !takeover.Abandoned(f.oldPrimary, in.Members) && g.cfg.Clock() < f.callNotedAt+callNoticeTime {
-		time.Sleep(pollInterval)
+	if wait := f.untilCall(announced, in.Members); wait > 0 {
+		time.Sleep(min(wait, pollInterval))
 		return true
 	}
 	maySend := func() bool {
@@ -547,31 +552,38 @@
 		fields["error"] = err.Error()
 		f.log.WithFields(fields).Warn("promotion failed or was not answered")
 		switch {
-		case errors.Is(err, ErrNotRunning) || errors.Is(err, ErrNotCalled) && earlier != s.Targets[0]:
+		case errors.Is(err, ErrNotRunning) || errors.Is(err, ErrNotCalled) && !f.callMade:
 			f.called, f.calledAt = "", 0
 		case errors.Is(err, ErrNotCalled):
 			f.calledAt = earlierAt
 		default:
-			f.callUnanswered = true
+			f.callUnanswered, f.callMade = true, true
 		}
 		time.Sleep(pollInterval)
 		return true
 	}
-	f.promotedAt, f.candidate = sentAt, s.Targets[0]
+	f.promotedAt, f.candidate, f.callMade = sentAt, s.Targets[0], true
 	f.log.WithFields(fields).Info("promotion accepted")
 	return true
 }
 
-// publish records the new primary once all read leases on the old one have ended and no quorum
-// of the members can confirm that one. log is the last position of its log as first seen.
+// untilCall returns how long the holder waits before it calls for a promotion: until each
+// instance that may pass on acknowledgements of the old primary knows of the claim, or has seen
+// the pauses.
+func (f *failover) untilCall(announced bool, members []takeover.Member) time.Duration {
+	if announced || len(members) > 0 && takeover.Abandoned(f.oldPrimary, members) {
+		return 0
+	}
+	return max(f.ownClaimStoredAt+claimNoticeTime, f.pausedAt+maxWatchGap) - f.g.cfg.Clock()
+}
+
+// publish records the new primary once all read leases on the old one have ended. log is
+// the last position of its log as first seen.
 func (f *failover) publish(ctx context.Context, primary primacy.Primary, log position.Position) {
 	g := f.g
 	go g.controlAll(statement.Control{Kind: statement.StepDown, Term: primary.Term}, []string{f.oldPrimary.Member}, false)
 	seenAt := g.cfg.Clock()
 	f.awaitEndOfLeases()
-	if !f.awaitAbandoned(ctx) {
-		return
-	}
 	r := f.record.WithPrimary(primary)
 	if log.Term < primary.Term {
 		r.PromotedAt = log
@@ -606,29 +618,6 @@
 	time.Sleep(max(granted, f.firstClaimStoredAt+primacy.ReadLease-g.cfg.Clock(), 0))
 }
 
-// awaitAbandoned waits until no instance can find a quorum for the old primary, and reports
-// whether this instance still holds the claim.
-func (f *failover) awaitAbandoned(ctx context.Context) bool {
-	g := f.g
-	since, reported := g.cfg.Clock(), false
-	for ctx.Err() == nil && !f.superseded() {
-		members := g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
-		if takeover.Abandoned(f.oldPrimary, members) {
-			return true
-		}
-		now := g.cfg.Clock()
-		if now-since > publishTimeout || now-f.claimSentAt > claimRenewalAge && !f.claim(ctx) {
-			return false
-		}
-		if !reported && now-since > promotionTime {
-			reported = true
-			f.log.WithFields(logrus.Fields{"event": "publication_waits", "members": describeMembers(members)}).Warn("members may still confirm the former primary")
-		}
-		time.Sleep(pollInterval)
-	}
-	return false
-}
-
 // adoptWithoutStore lets this instance use the new primary although it could not be
 // recorded: all read leases on the old one have expired.
 func (f *failover) adoptWithoutStore(primary primacy.Primary) {
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -200,9 +200,8 @@
 	lastMembersRead     time.Duration       // when the members were last read, of the reads passed to UpdateMembers
 	membersAsOf         time.Duration       // when the members were last read, changed or not
 	noClaimAt           time.Duration       // when the record was last read without a claim
-	noCallAt            time.Duration       // when it was last read without a member that is announced or called for
-	lastCommitAt        time.Duration       // last commit of a member that this instance connects to
-	watching            bool                // watchReplicas runs
+	primaryUsedAt       time.Duration       // last statement that this instance ran on the primary
+	watching            bool                // watchMembers runs
 	primaryMissingSince time.Duration       // first read of the members without the primary; 0 if it is registered
 	primaryKnownAt      time.Duration       // when this instance learned of the present primary
 	lastRequestAt       time.Duration       // arrival of the last request of a caller of this instance
@@ -346,9 +345,6 @@
 	if r.Version >= oldRecord.Version && r.Claim == nil && r.Confirmed() {
 		g.noClaimAt = max(g.noClaimAt, sentAt)
 	}
-	if r.Version >= oldRecord.Version && (r.Claim == nil || r.Claim.Successor() == "") && r.Confirmed() {
-		g.noCallAt = max(g.noCallAt, sentAt)
-	}
 	if r.Version != oldRecord.Version {
 		g.logRecord(r)
 		g.signalRun()
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -75,8 +75,10 @@
 	maxPosition position.Position
 	// knownSince is the local time since which it has been registered, in this incarnation.
 	knownSince time.Duration
+	namedSince time.Duration // since when the record has named it; 0 if it does not
 	evidence   takeover.Evidence
 	watch      pauseWatch
+	runsSince  time.Duration // since when the process of its last answer is known to run
 	asking     bool          // a status query for an acknowledgement is due or running
 	askedAt    time.Duration // start of the last one
 }
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -90,6 +90,7 @@
 		g.silence.since = g.cfg.Clock()
 	}
 	g.silence.outstanding++
+	g.observePrimaryUse()
 	if !g.silence.watching {
 		g.silence.watching = true
 		time.AfterFunc(silenceLimit, g.checkSilence)
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -182,10 +182,10 @@
 	round := g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, true)
 	members := round.Members
 	g.mu.Lock()
-	leaders, record := g.tracker.Leaders(), g.tracker.Record()
-	// Whoever replaces the primary waits for each member that it may know, until that has left
-	// the primary's term; see takeover.Abandoned. With an older list, a recently acknowledged
-	// commit shows that all members receive the primary's entries.
+	leaders, record := g.tracker.Leaders(g.storeTime()), g.tracker.Record()
+	// Whoever replaces the primary pauses each member that it may know, long enough for the watch
+	// of a replica to see it. With an older list, a recently acknowledged commit shows that
+	// all members receive the primary's entries.
 	synchronous := g.service.AcknowledgedBy > 0
 	recentCommit := g.lastAckSentAt > 0 && sentAt-g.lastAckSentAt < maxCommitEvidenceAge
 	partial := synchronous && (sentAt-round.ListReadAt <= maxCountedAge || recentCommit)
@@ -240,20 +240,24 @@
 
 // quorumConfirms reports whether the members confirm the primary: it reports itself
 // primary of its term, and the replicas of that term receive its entries. If partial
-// is set, one such replica is enough and the others need not answer; an answer that
-// contradicts the primary counts in any case.
+// is set, the primary and one such replica that are watched are enough and the others need not
+// answer; an answer that contradicts the primary counts in any case.
 func quorumConfirms(primary primacy.Primary, members []takeover.Member, partial bool) (primaryStatus takeover.Status, ok bool) {
-	replicas := 0
+	replicas, silent := 0, false
+	for _, m := range members {
+		silent = silent || m.Status == nil && !m.Deregistered
+	}
+	partial = partial && silent
 	for _, m := range members {
 		switch {
 		case m.Deregistered || m.Status == nil && partial:
 		case m.Status == nil || m.Status.Term != primary.Term || m.LogLost || m.Status.PausedTerm != 0:
 			return primaryStatus, false
 		case m.ID == primary.Member:
-			primaryStatus, ok = *m.Status, m.Status.Primary
+			primaryStatus, ok = *m.Status, m.Status.Primary && (m.Watched || !partial)
 		case m.Status.Primary:
 			return primaryStatus, false
-		default:
+		case m.Watched || !partial:
 			replicas++
 		}
 	}
@@ -351,8 +355,9 @@
 	defer g.mu.Unlock()
 	for i, m := range upstreams {
 		s := members[i].Status
-		members[i].Gone = s == nil && m.evidence.Gone
+		members[i].Gone = s == nil && g.confirmsNobody(m)
 		members[i].Settled = g.settled(m)
+		members[i].Watched = s != nil && g.watched(m)
 		if s == nil {
 			continue
 		}
@@ -369,6 +374,12 @@
 	return round
 }
 
+// confirmsNobody reports whether no instance finds a quorum with a member that does not answer: it
+// does not run, or each list that has it is older than those that quorums rest on. g.mu is held.
+func (g *Group) confirmsNobody(m *member) bool {
+	return m.evidence.Gone || m.left || m.missingSince != 0 && g.lastMembersRead-m.missingSince > maxCountedAge
+}
+
 // answer is the status of the member at an index, nil if it did not answer.
 type answer struct {
 	member int
--- a/proxy/group/roster.go
+++ b/proxy/group/roster.go
@@ -81,6 +81,14 @@
 	if r := g.tracker.Record(); r.Confirmed() {
 		g.roster.observe(r)
 	}
+	for id, m := range g.members {
+		switch {
+		case len(g.roster.names) == 0 || !g.named(id):
+			m.namedSince = 0
+		case m.namedSince == 0:
+			m.namedSince = g.cfg.Clock()
+		}
+	}
 	g.addUnread()
 }
 
--- a/proxy/group/watch.go
+++ b/proxy/group/watch.go
@@ -3,20 +3,23 @@
 import "time"
 
 const (
-	// watchInterval separates two status queries to a replica while the record is not read.
+	// watchInterval separates two status queries to a replica while there is no recent reading without a
+	// claim.
 	watchInterval = 50 * time.Millisecond
-	// watchAfter is the age of the last reading of the record from which replicas are watched.
-	watchAfter = 350 * time.Millisecond
+	// watchAfter is the age of the last reading of the record without a claim from which replicas
+	// are watched.
+	watchAfter = claimNoticeTime - 2*watchInterval
 	// maxWatchGap is the time between two answers of a watched replica within which it may have
-	// been paused and resumed unseen. A holder pauses it for longer than callNoticeTime before
-	// the old primary, if that may serve, is replaced.
+	// been paused and resumed unseen. While the old primary may serve, a holder keeps the
+	// replicas paused for that long before it calls for a promotion.
 	maxWatchGap = 300 * time.Millisecond
-	// watchedUse is the time since its last commit for which an instance watches replicas.
-	watchedUse = 10 * time.Second
+	// watchedUse is the time since its last statement on the primary for which an instance
+	// watches the members.
+	watchedUse = time.Minute
 )
 
 // pauseWatch is the time for which a replica is known not to have been paused for longer than
-// maxWatchGap. While the record is not read, a promotion may end a pause unseen.
+// maxWatchGap: a promotion ends pauses.
 type pauseWatch struct {
 	since time.Duration // of the first answer
 	until time.Duration // when the query was sent that the last answer belongs to
@@ -39,22 +42,30 @@
 	return w.since != 0 && w.since <= from && now-w.until <= maxWatchGap
 }
 
-// watchReplicas asks the replicas for their status while the record is not read, until no commit
-// has needed proof for watchedUse or Run has returned.
-func (g *Group) watchReplicas() {
+// watched reports whether no promotion can have taken effect since a holder of a claim paused
+// the replica: there was no claim when the record was last read, a short time ago, or the
+// replica has been watched since, in one process. g.mu is held.
+func (g *Group) watched(m *member) bool {
+	now := g.cfg.Clock()
+	return m.runsSince <= g.noClaimAt && (now-g.noClaimAt <= claimNoticeTime || m.watch.covers(g.noClaimAt+claimNoticeTime, now))
+}
+
+// watchMembers asks the members for their status while there is no recent reading of the record
+// without a claim, until no commit has needed proof for watchedUse or Run has returned.
+func (g *Group) watchMembers() {
 	for {
 		g.mu.Lock()
 		now := g.cfg.Clock()
-		if now-g.lastCommitAt > watchedUse {
+		if now-g.primaryUsedAt > watchedUse {
 			g.watching = false
 			g.mu.Unlock()
 			return
 		}
-		wait := g.noCallAt + watchAfter - now
+		wait := g.noClaimAt + watchAfter - now
 		if wait <= 0 {
 			wait = watchInterval
-			for id, m := range g.members {
-				if id != g.tracker.Primary().Member && !m.asking && !m.unanswered {
+			for _, m := range g.members {
+				if !m.asking && !m.unanswered {
 					m.asking = true
 					go g.askReplica(m)
 				}
@@ -69,11 +80,11 @@
 	}
 }
 
-// observeCommit notes a commit that needs proof. g.mu is held.
-func (g *Group) observeCommit() {
-	g.lastCommitAt = g.cfg.Clock()
+// observePrimaryUse notes a statement that this instance runs on the primary. g.mu is held.
+func (g *Group) observePrimaryUse() {
+	g.primaryUsedAt = g.cfg.Clock()
 	if !g.watching && g.service.AcknowledgedBy > 0 {
 		g.watching = true
-		go g.watchReplicas()
+		go g.watchMembers()
 	}
 }
