--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -39,7 +39,7 @@
 	// claimNoticeTime is the age of the last reading of the record without a claim up to which an
 	// instance passes on acknowledgements as if there were none. While the old primary may serve,
 	// a holder calls for a promotion no earlier than that after its claim was stored.
-	claimNoticeTime = 350 * time.Millisecond
+	claimNoticeTime = 400 * time.Millisecond
 	// goneInterval replaces proofInterval for a replica that did not answer the last query.
 	goneInterval = 250 * time.Millisecond
 )
--- a/proxy/group/watch.go
+++ b/proxy/group/watch.go
@@ -8,7 +8,7 @@
 	watchInterval = 50 * time.Millisecond
 	// watchAfter is the age of the last reading of the record without a claim from which replicas
 	// are watched.
-	watchAfter = claimNoticeTime - 2*watchInterval
+	watchAfter = claimNoticeTime - watchInterval
 	// maxWatchGap is the time between two answers of a watched replica within which it may have
 	// been paused and resumed unseen. While the old primary may serve, a holder keeps the
 	// replicas paused for that long before it calls for a promotion.
