group: log reads of older data that rest on a bound, and what was known of a forgotten member

Such reads are now logged if a bound chose their replica, or a watermark under a claim or less than 2 s after a change of primary. papayarail_members_forgotten_total counts by reason.

--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -93,6 +93,9 @@
 	return text
 }
 
+// Log returns the last position of the member's log in its last answer; zero if there was none.
+func (e Evidence) Log() position.Position { return e.received }
+
 // Holds reports whether the replica has the commit at p.
 func (e Evidence) Holds(p position.Position) bool { return holds(e.received, p) }
 
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -55,6 +55,8 @@
 	// CountBlockedChanges counts an attempt to replace the primary that found no member with
 	// all acknowledged commits.
 	CountBlockedChanges()
+	// CountForgottenMember counts a member that this instance waits for no longer, by the reason.
+	CountForgottenMember(reason string)
 	// ObserveCommitProof records how long the acknowledgement of a commit waited for proof
 	// that the commit survives a change of primary.
 	ObserveCommitProof(waited time.Duration)
--- a/proxy/group/decision.go
+++ b/proxy/group/decision.go
@@ -97,6 +97,8 @@
 	Kind BasisKind
 	// Strict means that the request is a strict read, or a transaction that may read.
 	Strict bool
+	// Consistency is that of the request.
+	Consistency catalog.Consistency
 	// Claimed means that the record had a claim against the primary.
 	Claimed bool
 	// Primary is the known primary. The choice rests on it if Kind is ByLease or ByRound.
@@ -161,7 +163,7 @@
 
 // newBasis returns the part of a Basis that does not depend on its kind. g.mu is held.
 func (g *Group) newBasis(req Requirements, p position.Position) Basis {
-	return Basis{Strict: req.Reads && req.Consistency == catalog.Strict, Claimed: g.tracker.ReplacementClaimed(), Primary: g.tracker.Primary(),
+	return Basis{Strict: req.Reads && req.Consistency == catalog.Strict, Consistency: req.Consistency, Claimed: g.tracker.ReplacementClaimed(), Primary: g.tracker.Primary(),
 		RecordVersion: g.tracker.Record().Version, Position: p, SinceChange: g.cfg.Clock() - g.suspicion.primaryChangedAt}
 }
 
@@ -204,12 +206,13 @@
 	}
 }
 
-// unusual returns why a choice is unusual, or an empty string.
+// unusual returns why a choice is unusual, or an empty string. Reads that need not see the latest
+// commits rest on a lease or a watermark as a rule, all others on a lease.
 func (b Basis) unusual() string {
 	switch {
-	case b.Kind != ByLease:
+	case b.Kind != ByLease && b.Kind != ByWatermark:
 		return b.Kind.String()
-	case b.Left < 0:
+	case b.Kind == ByLease && b.Left < 0:
 		return "lease_ended"
 	case b.Claimed:
 		return "claimed"
@@ -222,7 +225,7 @@
 
 // fields returns what a line says of the basis.
 func (b Basis) fields() logrus.Fields {
-	f := logrus.Fields{"basis": b.Kind.String(), "lead": b.Primary.Member, "term": b.Primary.Term, "record_version": b.RecordVersion, "claimed": b.Claimed,
+	f := logrus.Fields{"basis": b.Kind.String(), "consistency": b.Consistency.String(), "lead": b.Primary.Member, "term": b.Primary.Term, "record_version": b.RecordVersion, "claimed": b.Claimed,
 		"required": b.Position.String(), "lead_known_ms": b.SinceChange.Milliseconds()}
 	if b.Kind == ByLease || b.Kind == ByRound {
 		f["proven_for_ms"] = b.Left.Milliseconds()
@@ -236,8 +239,9 @@
 	return f
 }
 
-// noteAnswer counts and logs the answer to a strict read or a commit, with the basis of the
-// choice of its member.
+// noteAnswer counts and logs the answer to a read or a commit, with the basis of the choice of
+// its member. Of reads that need not see the latest commits, those on a replica that rest on
+// something unusual are logged.
 func (g *Group) noteAnswer(b Basis, u *upstream.Upstream, j upstream.Job, r upstream.Result) {
 	p := r.Reply.Position
 	if b.Kind == NoBasis || r.Err != nil || r.Reply.Err != nil || p.IsZero() {
@@ -250,6 +254,11 @@
 	case b.Strict && reads:
 		event, kind = "read_decision", "read"
 		g.cfg.Metrics.CountStrictRead(b.Kind)
+	case reads && (b.Kind == ByBound || b.Kind == ByWatermark):
+		if cause := b.unusual(); cause != "" {
+			g.logChoice(Decision{Event: "read_decision", Request: j.Statement.ID, Cause: cause, Position: p}, b, u.Member().ID, j.Caller, r.Gateway)
+		}
+		return
 	default:
 		return
 	}
--- a/proxy/group/decision_test.go
+++ b/proxy/group/decision_test.go
@@ -277,6 +277,53 @@
 	assert.Equal(t, out.Len(), 0)
 }
 
+// Guards against a read of older data whose replica was chosen by a bound, or around a change of
+// primary, that leaves no trace, and against a line for each ordinary one.
+func TestUnusualReadsOfOlderDataAreNoted(t *testing.T) {
+	for _, consistency := range []catalog.Consistency{catalog.BoundedStaleness, catalog.ReadYourWrites} {
+		for cause, change := range map[string]func(*Basis){
+			"":                func(*Basis) {},
+			"bound":           func(b *Basis) { b.Kind = ByBound },
+			"claimed":         func(b *Basis) { b.Claimed = true },
+			"primary_changed": func(b *Basis) { b.SinceChange = time.Second },
+		} {
+			now := 100 * time.Second
+			g, r := newDecisionGroup(&now, new(bytes.Buffer))
+			b := Basis{Kind: ByWatermark, Consistency: consistency, Primary: g.tracker.Primary(), Position: at(3, 8), SinceChange: time.Hour}
+			change(&b)
+			g.noteAnswer(b, g.members["b"].Upstream, readJob("r"), answeredAt(at(3, 9)))
+			assert.Equal(t, len(r.counts), 0, "they are no strict reads")
+			if cause == "" {
+				assert.Equal(t, len(r.noted), 0)
+				continue
+			}
+			assert.Equal(t, len(r.noted), 1, cause)
+			assert.Equal(t, r.noted[0].Cause, cause)
+			assert.Equal(t, r.fields[0]["consistency"], consistency.String())
+			assert.Equal(t, r.fields[0]["required"], "3.8")
+		}
+	}
+}
+
+// Guards against a member that is forgotten without a trace of what the others had then.
+func TestForgottenMemberIsExplained(t *testing.T) {
+	now := 100 * time.Second
+	out := new(bytes.Buffer)
+	g, _ := newDecisionGroup(&now, out)
+	g.members["b"].evidence.Observe(takeover.Status{Term: 3, Received: at(3, 8)}, now)
+	g.members["c"].evidence.Observe(takeover.Status{Term: 3, Received: at(3, 6)}, now)
+	g.mu.Lock()
+	g.members["a"].unanswered = true
+	g.removeMember("b", g.members["b"], "left")
+	g.mu.Unlock()
+	var f map[string]any
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &f))
+	assert.Equal(t, f["event"], "member_gone")
+	assert.Equal(t, f["reason"], "left")
+	assert.Equal(t, f["last_log"], "3.8")
+	assert.DeepEqual(t, f["remaining"], []any{"a 0.0 no answer", "c 3.6"})
+}
+
 // Guards against an acknowledgement that is passed on without a record of its proof.
 func TestProofOfAcknowledgementIsNoted(t *testing.T) {
 	primaryA := primacy.Primary{Member: "a", Term: 3}
--- a/proxy/group/health.go
+++ b/proxy/group/health.go
@@ -51,6 +51,9 @@
 // CountBlockedChanges implements AcknowledgementMetrics.
 func (noMetrics) CountBlockedChanges() {}
 
+// CountForgottenMember implements AcknowledgementMetrics.
+func (noMetrics) CountForgottenMember(string) {}
+
 // CountStrictRead implements DecisionMetrics.
 func (noMetrics) CountStrictRead(BasisKind) {}
 
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -234,7 +234,14 @@
 
 // removeMember removes a member from the group. g.mu is held.
 func (g *Group) removeMember(id string, m *member, reason string) {
-	g.cfg.Log.WithFields(logrus.Fields{"event": "member_gone", "member": id, "reason": reason}).Info("member removed")
+	now, primary := g.cfg.Clock(), g.tracker.Primary()
+	fields := logrus.Fields{"event": "member_gone", "member": id, "reason": reason, "lead": primary.Member, "term": primary.Term, "leaving_ms": (now - m.leavingSince).Milliseconds(),
+		"last_log": m.evidence.Log().String(), "remaining": g.remainingLogs(id), "suspected": g.suspicion.firstFailureAt != 0, "claimed": g.tracker.ReplacementClaimed()}
+	if g.roster.servedAt != 0 {
+		fields["lead_served_ms"] = (now - g.roster.servedAt).Milliseconds()
+	}
+	g.cfg.Log.WithFields(fields).Info("member removed")
+	g.cfg.Metrics.CountForgottenMember(reason)
 	delete(g.members, id)
 	g.roster.forget(id)
 	g.health.remove(id)
@@ -242,6 +249,23 @@
 	g.signalRun()
 }
 
+// remainingLogs formats where the logs of the members but one ended in their last answers, for the log.
+// g.mu is held.
+func (g *Group) remainingLogs(without string) (all []string) {
+	for id, m := range g.members {
+		if id == without {
+			continue
+		}
+		text := id + " " + m.evidence.Log().String()
+		if m.unanswered {
+			text += " no answer"
+		}
+		all = append(all, text)
+	}
+	slices.Sort(all)
+	return all
+}
+
 // addMember adds a member that is not known yet. g.mu is held.
 func (g *Group) addMember(m catalog.Member) *member {
 	added := &member{Upstream: upstream.New(m, g.connLimits(m), g.cfg.Dialer, g.cfg.Clock)}
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -172,6 +172,12 @@
 	m.set.GetOrCreateCounter("papayarail_blocked_primary_changes_total").Inc()
 }
 
+// CountForgottenMember counts a member that this instance waits for no longer; see
+// group.AcknowledgementMetrics.
+func (m *Metrics) CountForgottenMember(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayarail_members_forgotten_total{reason=%q}`, reason)).Inc()
+}
+
 // ObserveCommitProof records the wait of an acknowledgement; see group.AcknowledgementMetrics.
 func (m *Metrics) ObserveCommitProof(waited time.Duration) {
 	m.set.GetOrCreateHistogram("papayarail_commit_proof_seconds").Update(waited.Seconds())
--- a/proxy/metrics/metrics_test.go
+++ b/proxy/metrics/metrics_test.go
@@ -49,12 +49,14 @@
 	decisions.CountCommitProof(takeover.ByAll)
 	decisions.CountCommitProof(takeover.ByAnnounced)
 	decisions.CountOtherTerm("commit", "above")
+	m.CountForgottenMember("left")
 	var out bytes.Buffer
 	m.Write(&out)
 	for _, series := range []string{
 		`papayarail_strict_reads_total{basis="lease"} 1`, `papayarail_strict_reads_total{basis="round"} 1`, `papayarail_strict_reads_total{basis="bound"} 1`,
 		`papayarail_commit_proofs_total{proof="none"} 1`, `papayarail_commit_proofs_total{proof="counted"} 1`, `papayarail_commit_proofs_total{proof="all"} 1`, `papayarail_commit_proofs_total{proof="announced"} 1`,
 		`papayarail_answers_of_other_term_total{kind="commit",direction="above"} 1`,
+		`papayarail_members_forgotten_total{reason="left"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(out.String(), series+"\n"), "%s is missing in %s", series, out.String())
 	}
