proxy/node: failing tests of members that are forgotten while the primary is silent

Three ways to forget the only member beside a silent primary that has acknowledged commits: it left behind a cut, its registration expired there, or it crashed and its address refuses connections.

--- /dev/null
+++ b/proxy/node/forgotten_test.go
@@ -0,0 +1,104 @@
+//go:build !race
+
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against reads and promotions without the commits of a primary behind a cut, after the
+// only other member that has them has left there.
+func TestReplicaLeavesBehindCut(t *testing.T) {
+	for _, after := range []time.Duration{500, 2000, 5000} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			underLoad(t, 1, simulated("i1", "near", "i3"), func(t *testing.T, c *cluster) {
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				time.Sleep(4 * time.Second)
+				inside, outside := []string{"a", "b", "near"}, []string{"c", "d", "i1", "i3", "store"}
+				c.isolate(inside, outside)
+				time.Sleep(after * time.Millisecond)
+				c.sim.Drain("b")
+				time.Sleep(7 * time.Second)
+				c.sim.Leave("b", false)
+				time.Sleep(8 * time.Second)
+				c.rejoin(inside, outside)
+				gap := c.writeGap("i1", 5*time.Second)
+				assert.Check(t, gap < 3*time.Second, "gap %s after the end of the cut", gap)
+				c.awaitNamed(20*time.Second, "a", "c", "d")
+			})
+		})
+	}
+}
+
+// Guards against the same after the registrations behind the cut have expired, on an instance that
+// suspects no failure of the primary because it has no callers.
+func TestIdleInstanceBesideExpiredRegistrations(t *testing.T) {
+	for _, idle := range []time.Duration{9, 12} {
+		t.Run(fmt.Sprintf("idle=%ds", idle), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "near")
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				stopNear := c.loadOn(2, "near")
+				time.Sleep(4 * time.Second)
+				inside, outside := []string{"a", "b", "near"}, []string{"c", "d", "i1", "store"}
+				c.isolate(inside, outside)
+				c.sim.Deregister("b")
+				time.Sleep(3 * time.Second)
+				stopNear()
+				time.Sleep((idle - 3) * time.Second)
+				stop := c.loadOn(1, "i1")
+				time.Sleep(4 * time.Second)
+				c.sim.Register("b")
+				c.rejoin(inside, outside)
+				gap := c.writeGap("i1", 5*time.Second)
+				assert.Check(t, gap < 3*time.Second, "gap %s after the end of the cut", gap)
+				stop()
+				c.closeSimulated()
+			})
+		})
+	}
+}
+
+// Guards against the same when a replica crashes, so that connections to it are refused, and the
+// primary stops answering: both come back with their logs.
+func TestReplicaCrashesBeforeSilentPrimary(t *testing.T) {
+	for _, newInstance := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new instance=%t", newInstance), func(t *testing.T) {
+			underLoad(t, 1, simulated("i1", "i2"), func(t *testing.T, c *cluster) {
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+				time.Sleep(4 * time.Second)
+				c.sim.SetReceiveLag("c", 20*time.Second)
+				c.sim.SetReceiveLag("d", 20*time.Second)
+				time.Sleep(500 * time.Millisecond)
+				c.sim.Crash("b", false)
+				c.sim.Crash("a", true)
+				c.sim.Deregister("b")
+				if newInstance {
+					time.Sleep(3 * time.Second)
+					c.start("new", c.sim.Store("new"))
+					stop := c.loadOn(2, "new")
+					defer stop()
+				}
+				time.Sleep(12 * time.Second)
+				assert.Check(t, c.sim.Promotions() == 0, "a member without the commits of the primary was promoted")
+				c.sim.SetReceiveLag("c", 0)
+				c.sim.SetReceiveLag("d", 0)
+				c.sim.Restart("b", false)
+				c.sim.Register("b")
+				gap := c.writeGap("i1", 8*time.Second)
+				assert.Check(t, gap < 4*time.Second, "gap %s after the replica is back", gap)
+				c.sim.Restart("a", false)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
