failover: withdraw a claim at once if no member was called for under it

Callers saw: after a cut that had ended, a service without writes for 2.5 s longer than needed. The next holder of an unfinished claim found that the primary serves again and waited, because the earlier holder might have called for another member.

Cause: the wait dates from before claims note the member that is called for. A holder stores the claim with the call first, and the next claim is conditional on that version, so a claim without a call shows that none was made.

TestClaimWithoutCallIsWithdrawnAtOnce failed before.

--- a/proxy/group/claim_test.go
+++ b/proxy/group/claim_test.go
@@ -110,6 +110,20 @@
 	assert.Equal(t, taken.PromoteAfter, first.PromoteAfter)
 }
 
+// Guards against a primary that serves again and stays claimed for 2.5 s, because an earlier holder of
+// the claim may have called for another member: it would have noted that.
+func TestClaimWithoutCallIsWithdrawnAtOnce(t *testing.T) {
+	for called, wait := range map[string]bool{"": false, "b": true} {
+		now := 10 * time.Second
+		f := newTestFailover(&fakeRecordStore{now: &now}, &now)
+		record := f.record
+		record.Claim = &primacy.Claim{Holder: "other", FirstClaimedAt: now, RenewedAt: now, OldPrimary: f.oldPrimary, Called: called, CalledAt: now}
+		next := f.g.newFailover(record, f.oldPrimary, failoverReason{text: "unfinished_change"}, false)
+		assert.Equal(t, next.promotionPendingUntil > now, wait, "called for %q", called)
+		assert.Equal(t, next.earlierPromotionUntil > now, wait, "called for %q", called)
+	}
+}
+
 // Guards against a service without a primary for good because its commits need no replica's
 // acknowledgement, so that the last ones may have been on the lost primary alone.
 func TestLogIsRequiredOfSynchronousServicesOnly(t *testing.T) {
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -156,9 +156,24 @@
 	g.lastAttemptAt = g.cfg.Clock()
 	// The claim is conditional on the record that the decision is based on: it fails
 	// if another instance has claimed the group meanwhile.
+	f := g.newFailover(record, oldPrimary, reason, claimEnded)
+	switch {
+	case f.claim(ctx):
+		f.run(ctx)
+	case reason.switchover:
+		g.mu.Lock()
+		g.switchover.RecordFailedStart(g.cfg.Clock())
+		g.mu.Unlock()
+	}
+}
+
+// newFailover returns an attempt to replace a primary, based on a record. Its claim, if it has one, is
+// taken over; claimEnded means that it has no effect any more.
+func (g *Group) newFailover(record primacy.Record, oldPrimary primacy.Primary, reason failoverReason, claimEnded bool) *failover {
 	f := &failover{g: g, reason: reason, oldPrimary: oldPrimary, nonce: rand.Uint64(), startedAt: g.cfg.Clock(), record: record, unconfirmed: !record.Confirmed(),
 		log: g.cfg.Log.WithFields(logrus.Fields{"change_of": oldPrimary.Member, "old_term": oldPrimary.Term})}
-	if record.Claim != nil && !claimEnded {
+	// A holder notes its call in the claim first.
+	if record.Claim != nil && !claimEnded && record.Claim.Called != "" {
 		f.promotionPendingUntil = f.startedAt + promotionResendDelay
 		f.earlierPromotionUntil = f.startedAt + g.untilPromotionSettled(*record.Claim)
 	}
@@ -170,14 +185,7 @@
 			f.callUnanswered, f.callMade = f.called != "", f.called != ""
 		}
 	}
-	switch {
-	case f.claim(ctx):
-		f.run(ctx)
-	case reason.switchover:
-		g.mu.Lock()
-		g.switchover.RecordFailedStart(g.cfg.Clock())
-		g.mu.Unlock()
-	}
+	return f
 }
 
 // claim stores or renews this instance's claim, and reports whether it holds the claim.
