group: leave out a departed member only once the remaining ones have its commits

Cause: a departed member was forgotten because time had passed (7 s), because no failure of the primary was suspected, which an instance without callers never does, or because its address refused connections. None of these shows that another member has what rested on its log. From then on the bound of acknowledged commits and the choice of a primary were computed with one member less, so that the silent primary was the one that need not answer.

Fix: takeover.Departure. Once nobody counts the member any more, the primary is asked for its log, under a record that was read since and that shows nobody called for; when a replica that every instance knows has reached it, each commit that may rest on the member is on two remaining ones. Members that leave are followed before they end and named no longer as soon as that holds, so that the primary may fail right after.

TestDepartedMemberIsForgottenByEvidenceOnly has a case for each condition.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -308,6 +308,17 @@
 	return all
 }
 
+// Undisputed reports whether the newest record shows that the primary leads and that nobody was
+// called for to replace it, so that no commit of a later term had been acknowledged when the record
+// was read.
+func (t *Tracker) Undisputed() bool {
+	r := t.record
+	if !r.Confirmed() || r.Primary.Member != "" && r.Primary != t.primary {
+		return false
+	}
+	return r.Claim == nil || r.Claim.OldPrimary == t.primary && r.Claim.Called == ""
+}
+
 // RecordOutdated reports whether the record is no evidence of the primary and is to be
 // written again: it is of an earlier era of the store, or it names a primary of an earlier
 // term and no claim.
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -256,3 +256,40 @@
 	assert.Assert(t, slices.Contains(tr.Leaders(5*time.Second-1), "x"))
 	assert.Assert(t, !slices.Contains(tr.Leaders(5*time.Second), "x"))
 }
+
+// Guards against a primary whose answer counts as that of the only one, although the record shows that
+// another member leads or may have been promoted.
+func TestPrimaryIsDisputed(t *testing.T) {
+	a, b := primacy.Primary{Member: "a", Term: 1}, primacy.Primary{Member: "b", Term: 2}
+	of := func(p primacy.Primary, c *primacy.Claim) primacy.Record {
+		return primacy.Record{Primary: p, Claim: c, Version: 7}
+	}
+	earlierEra := of(a, nil)
+	earlierEra.Era = 3
+	for name, test := range map[string]struct {
+		record primacy.Record
+		want   bool
+	}{
+		"no claim":                 {of(a, nil), true},
+		"claim without a call":     {of(a, &primacy.Claim{OldPrimary: a, Candidate: "b"}), true},
+		"claim with a call":        {of(a, &primacy.Claim{OldPrimary: a, Called: "b"}), false},
+		"claim against a later":    {of(a, &primacy.Claim{OldPrimary: b}), false},
+		"of an earlier era":        {earlierEra, false},
+		"no primary is recorded":   {primacy.Record{Version: 7}, true},
+		"record of an earlier one": {of(a, nil), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tracker primacy.Tracker
+			tracker.ObserveRecord(of(a, nil), 0, 0)
+			if name == "no primary is recorded" {
+				tracker = primacy.Tracker{}
+				tracker.ObserveRole(a)
+			}
+			tracker.ObserveRecord(test.record, 0, 0)
+			if name == "record of an earlier one" {
+				tracker.AdoptPromoted(b)
+			}
+			assert.Equal(t, tracker.Undisputed(), test.want)
+		})
+	}
+}
--- a/core/takeover/roster.go
+++ b/core/takeover/roster.go
@@ -14,18 +14,21 @@
 	// Registered means that it is in the latest list of the registered members.
 	Registered bool
 	Draining   bool
+	// Covered is Departure.Covered.
+	Covered bool
 }
 
 // NextRoster returns the members that the record is to name instead of named, and whether
 // that is a change. forgotten reports that the instance knew a member that has left for good.
 //
-// The members that join are added, and those are removed that have left for good. A member
-// that another instance has removed already is not added again while it is not registered. A
+// The members that join are added, and those are removed that have left for good, or leave while the
+// remaining ones have all commits that rest on them. A member that another instance has removed already is not added again while it is not registered. A
 // record that names none rules out no member, so that the first roster has each known member.
 func NextRoster(named []primacy.NamedMember, known []KnownMember, forgotten func(id string) bool) (next []primacy.NamedMember, changed bool) {
 	for _, m := range named {
 		i := slices.IndexFunc(known, func(k KnownMember) bool { return k.ID == m.ID })
 		switch {
+		case i >= 0 && known[i].Draining && known[i].Covered:
 		case i >= 0 && known[i].Registered && known[i].Check() == nil:
 			next = append(next, known[i].NamedMember) // it may have moved
 		case i >= 0 || !forgotten(m.ID):
--- a/core/takeover/roster_test.go
+++ b/core/takeover/roster_test.go
@@ -37,6 +37,8 @@
 	moved[1].Address = "elsewhere:1"
 	leaving := known(true, "a", "b", "d")
 	leaving[1].Draining, leaving[2].Draining = true, true
+	covered := known(true, "a", "b")
+	covered[0].Covered, covered[1].Draining, covered[1].Covered = true, true, true
 	tests := []struct {
 		name      string
 		named     []primacy.NamedMember
@@ -54,6 +56,7 @@
 		{"one has left that another instance has removed", names("a"), append(known(true, "a"), known(false, "b")...), "", names("a")},
 		{"one moves", names("a", "b"), moved, "", []primacy.NamedMember{name("a"), {ID: "b", Address: "elsewhere:1", FailureDomain: "z"}}},
 		{"leaving ones stay, and are not added", names("a", "b"), leaving, "", names("a", "b")},
+		{"one leaves whose commits are on the others", names("a", "b"), covered, "", names("a")},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -161,6 +161,9 @@
 	// LogsTooShort means that the old primary does not serve and no member can be promoted,
 	// because none that answers has reached RequiredLog.
 	LogsTooShort bool
+	// Departed are members that are no longer registered, do not answer, and may have the longest
+	// log, if the action waits for them.
+	Departed []string
 }
 
 // Decide returns the next step.
@@ -305,7 +308,7 @@
 		}
 	}
 	if withLog < r.in.GroupSize-1 || withLog < len(r.replicas) {
-		return Step{Action: Wait, Reason: "a replica that may have the longest log does not answer"}
+		return r.waitForReplicas()
 	}
 	candidate := r.longestLog(r.answered)
 	if !r.hasRequiredLog(candidate.ID) {
@@ -317,6 +320,22 @@
 	return Step{Action: Promote, Targets: []string{candidate.ID}, Term: r.nextTerm, Reason: "longest log of all replicas"}
 }
 
+// waitForReplicas returns the step for a round in which a replica does not answer, or has lost its
+// log, while the primary does not serve.
+func (r *round) waitForReplicas() Step {
+	step := Step{Action: Wait, Reason: "a replica that may have the longest log does not answer"}
+	for _, m := range r.replicas {
+		switch {
+		case m.Status == nil && m.Deregistered:
+			step.Departed = append(step.Departed, m.ID)
+		case m.Status == nil || r.hasRequiredLog(m.ID):
+			return Step{Action: Wait, Reason: step.Reason, Departed: step.Departed}
+		}
+	}
+	step.LogsTooShort = len(step.Departed) > 0
+	return step
+}
+
 // sameTermPrimary returns a member that is the primary in the old primary's term:
 // one that was started in its place, with its log. It cannot be paused until it
 // steps down.
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -32,9 +32,9 @@
 	// claimSettleTime is the time from then until a reading without a claim after which every
 	// holder of a later claim knows the member: its list is no older than maxHolderListAge.
 	claimSettleTime = maxHolderListAge + 100*time.Millisecond
-	// maxCountedAge is the age of the list of members up to which no other instance can have
-	// forgotten a member in it, which takes departedRetention, and a member that has
-	// said meanwhile that it leaves still runs, which it does for 7 s at least.
+	// maxCountedAge is the age of the list of members up to which an instance counts a member in
+	// it for acknowledgements. Others rely on that from departedRetention after it was missing from
+	// theirs, or said there that it leaves.
 	maxCountedAge = departedRetention - 500*time.Millisecond
 	// claimNoticeTime is the age of the last reading of the record without a claim up to which an
 	// instance passes on acknowledgements as if there were none. While the old primary may serve,
@@ -300,4 +300,5 @@
 		return
 	}
 	m.evidence.Observe(reply.Status, max(reply.RunsSince, knownSince))
+	g.observeRemaining(m, reply.Status, sentAt)
 }
--- /dev/null
+++ b/proxy/group/departure_test.go
@@ -0,0 +1,115 @@
+package group
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/core/gateway"
+	"github.com/papayarail/papayarail/core/position"
+	"github.com/papayarail/papayarail/core/primacy"
+	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/catalog"
+)
+
+// Guards against many instances that ask a primary for its log at the same time, and against one
+// that never does: all others may be cut off from it.
+func TestFewInstancesAskRemainingMembers(t *testing.T) {
+	const instances = 61
+	var all []source.Candidate
+	for i := range instances {
+		all = append(all, source.Candidate{Name: fmt.Sprintf("i%02d", i), Address: "x"})
+	}
+	now := 10 * time.Second
+	asked := make(map[string]int)
+	for range instances {
+		asking := 0
+		for _, c := range all {
+			g := newTestGroup(&fakeRecordStore{now: &now}, func() time.Duration { return now })
+			g.fleet = gateway.NewFleet(c.Name, all)
+			if g.asksRemaining() {
+				asking++
+				asked[c.Name]++
+			}
+		}
+		assert.Assert(t, asking >= 1 && asking <= departureAskers, "%d ask", asking)
+		now += departureTurn
+	}
+	assert.Equal(t, len(asked), instances)
+}
+
+// newDepartureGroup returns a group whose members a, the primary, b, c and d have been known for 10 s and
+// named for as long.
+func newDepartureGroup(now *time.Duration, d statusDialer) (*Group, primacy.Record, catalog.Members) {
+	g := newEvidenceGroup(now, d)
+	all := make(catalog.Members)
+	record := primacy.Record{Service: "s", Primary: primacy.Primary{Member: "a", Term: 1}, Version: 8}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		all[id] = catalog.Member{ID: id, Service: "s", Address: id, FailureDomain: "z", Slots: 2, Started: 7}
+		record.Members = append(record.Members, nameOf(all[id]))
+	}
+	g.UpdateMembers(all, *now)
+	g.UpdateRecord(record, exactTimestamp(*now))
+	*now += 10 * time.Second
+	g.UpdateRecord(record, exactTimestamp(*now))
+	return g, record, all
+}
+
+// Guards against a member that is forgotten on the word of a primary which may have been replaced, of
+// a replica that others need not know, or of a record that was read before the member left.
+func TestDepartedMemberIsForgottenByEvidenceOnly(t *testing.T) {
+	log := position.Position{Term: 1, Offset: 20}
+	primary := takeover.Status{Primary: true, Term: 1, Received: log}
+	replica, behind := takeover.Status{Term: 1, Received: log}, takeover.Status{Term: 1, Received: position.Position{Term: 1, Offset: 19}}
+	for name, test := range map[string]struct {
+		answers   statusDialer
+		change    func(r *primacy.Record, g *Group)
+		oldRecord bool
+		forgotten bool
+	}{
+		"all remaining members answer":      {answers: statusDialer{"a": primary, "c": replica, "d": behind}, forgotten: true},
+		"the primary is silent":             {answers: statusDialer{"c": replica, "d": replica}},
+		"no replica has the primary's log":  {answers: statusDialer{"a": primary, "c": behind, "d": behind}},
+		"the record is from before":         {answers: statusDialer{"a": primary, "c": replica, "d": replica}, oldRecord: true},
+		"a member was called for":           {answers: statusDialer{"a": primary, "c": replica, "d": replica}, change: func(r *primacy.Record, _ *Group) { r.Claim = &primacy.Claim{OldPrimary: r.Primary, Called: "c"} }},
+		"a change has begun without a call": {answers: statusDialer{"a": primary, "c": replica, "d": behind}, change: func(r *primacy.Record, _ *Group) { r.Claim = &primacy.Claim{OldPrimary: r.Primary} }, forgotten: true},
+		"another instance has removed it":   {answers: statusDialer{}, change: func(r *primacy.Record, _ *Group) { r.Members = append(r.Members[:1:1], r.Members[2:]...) }, forgotten: true},
+		"only one with the log is known to few": {answers: statusDialer{"a": primary, "c": replica, "d": behind}, change: func(_ *primacy.Record, g *Group) {
+			c := g.members["c"]
+			c.namedSince, c.knownSince = g.cfg.Clock(), g.cfg.Clock()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			g, record, all := newDepartureGroup(&now, test.answers)
+			delete(all, "b")
+			g.members["b"].statusPending = true // so that only the test asks it
+			for range 11 {
+				g.UpdateMembers(all, now)
+				now += time.Second
+			}
+			record.Version++
+			if test.change != nil {
+				test.change(&record, g)
+			}
+			readAt := now
+			if test.oldRecord {
+				readAt = now - 5*time.Second
+			}
+			g.UpdateRecord(record, exactTimestamp(readAt))
+			for range 2 {
+				g.probeDeparted(g.members["b"])
+				for _, id := range []string{"c", "d"} {
+					g.askReplica(g.members[id])
+				}
+				if g.members["b"] == nil {
+					break
+				}
+			}
+			assert.Equal(t, g.members["b"] == nil, test.forgotten)
+		})
+	}
+}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -96,7 +96,7 @@
 	startedAt          time.Duration
 	promotedAt         time.Duration // when the last accepted promotion was sent; 0 if none
 	candidate          string        // member that it promotes
-	missingLogReported bool          // a line change_blocked was logged
+	blockedReported    bool          // a line change_blocked was logged
 	unconfirmed        bool          // the record before the claim was of an earlier era of the store
 	// membersReadAt is when the list of members was read that the last round was sent to.
 	membersReadAt time.Duration
@@ -311,7 +311,7 @@
 			MembersOutdated: f.g.cfg.Clock()-f.membersReadAt > maxHolderListAge, Candidate: f.announced, CandidateKnown: f.candidateKnown(), Called: f.unsettledCall(members), PausesUncertain: !f.resumesSettled(),
 			RequiredLog: required}
 		step := takeover.Decide(in)
-		f.observeMissingLog(in, step)
+		f.observeBlocked(in, step)
 		if f.promotionPending(step) {
 			f.restorePauses(in)
 			time.Sleep(pollInterval)
@@ -345,9 +345,9 @@
 	return f.record.RequiredLog(f.oldPrimary, f.g.ackedPosition)
 }
 
-// observeMissingLog lets requests be refused at once while no member can be promoted, and
-// reports that once in an attempt.
-func (f *failover) observeMissingLog(in takeover.Input, step takeover.Step) {
+// observeBlocked lets requests be refused at once while no member can be promoted, and reports once
+// in an attempt that the change waits for members that may not come back.
+func (f *failover) observeBlocked(in takeover.Input, step takeover.Step) {
 	missing := position.Position{}
 	if step.LogsTooShort {
 		missing = in.RequiredLog
@@ -358,10 +358,10 @@
 		f.g.broadcast()
 	}
 	f.g.mu.Unlock()
-	if step.LogsTooShort && !f.missingLogReported {
-		f.missingLogReported = true
+	if (step.LogsTooShort || len(step.Departed) > 0) && !f.blockedReported {
+		f.blockedReported = true
 		f.g.cfg.Metrics.CountBlockedChanges()
-		f.log.WithFields(logrus.Fields{"event": "change_blocked", "required": in.RequiredLog.String(), "members": describeMembers(in.Members)}).Error("no member that answers has all acknowledged commits")
+		f.log.WithFields(logrus.Fields{"event": "change_blocked", "required": in.RequiredLog.String(), "departed": step.Departed, "members": describeMembers(in.Members)}).Error("no member that answers is known to have all acknowledged commits")
 	}
 }
 
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -24,14 +24,18 @@
 	// missing entry may have expired during an outage of the store. Its
 	// missingEntryTimeout then starts again.
 	maxMembersReadGap = 2200 * time.Millisecond
-	// departedRetention is how long a member that is no longer registered and does not
-	// answer is kept, while the primary serves, after it was first seen to leave or to be
-	// missing. Until then an instance may count it for acknowledgements; see maxCountedAge.
+	// departedRetention is the time after which no instance counts a member for acknowledgements
+	// that this one has first seen to leave or to be missing; see maxCountedAge.
 	departedRetention = 7 * time.Second
-	// minMissingTime is how long its entry must be missing in any case. The other replicas then
-	// have every commit that it acknowledged, unless they lag by more. In the users' site
-	// files (see deploy/compare), a replica that receives anything lags by 2 s at most.
-	minMissingTime = 4 * time.Second
+	// departureAskers is the number of instances that ask the remaining members at a time
+	// whether they have the commits of a departed one.
+	departureAskers = 3
+	// departureTurn is how long these instances ask before others do. A departed member is looked
+	// at after each reading of the members, 1 s apart at most.
+	departureTurn = time.Second
+	// leavingInterval separates two attempts to find out whether the remaining members have the
+	// commits of one that leaves. The record, which has to be read first, is read every 0.4 s.
+	leavingInterval = 200 * time.Millisecond
 )
 
 // startQuotaPeriod is the time after the start of a group during which this instance uses
@@ -60,10 +64,11 @@
 	// unread means that this instance knows it from the record only.
 	unread bool
 	// left means that it has ended its registration itself, so that its log does not come
-	// back. leftUnanswered means that it has not answered since on a new connection either.
-	left, leftUnanswered bool
-	unanswered           bool // it did not answer the last control command
-	statusPending        bool // a status query to the departed member is running
+	// back.
+	left          bool
+	unanswered    bool // it did not answer the last control command
+	statusPending bool // a status query to the departed member is running
+	departure     takeover.Departure
 	// resumeLostAt is when a RESUME that was sent to it last got no answer.
 	resumeLostAt time.Duration
 	// catchUpFloor is the position that it must reach after a restart without its log
@@ -187,48 +192,148 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_departed", "member": id, "missing_ms": (readAt - m.missingSince).Milliseconds()}).Info("member is no longer registered")
 		g.signalRun()
 	}
-	// The suspicion keeps members that were cut off together with the primary.
-	if !m.left && (!m.departed || g.suspicion.firstFailureAt != 0) || id == g.tracker.Primary().Member {
+	if !m.left && !m.departed || id == g.tracker.Primary().Member {
 		return
 	}
-	switch {
-	case g.forgetLeft(id, m):
-	case m.unanswered && readAt-m.missingSince >= minMissingTime && readAt-m.leavingSince >= departedRetention && g.servesWithout(m):
-		g.removeMember(id, m, "primary_serves_without_it")
-	case !m.statusPending:
+	if !g.forgetDeparted(id, m) && !m.statusPending {
 		m.statusPending = true
 		go g.probeDeparted(m)
 	}
 }
 
-// probeDeparted checks whether a departed member still runs. It is called repeatedly
-// from the departure on, so that a member is not removed because of an unanswered
-// query that is older than two timeouts.
+// probeDeparted checks whether a departed member still runs and, if it does not answer, whether
+// the remaining ones have its commits. It is called repeatedly from the departure on.
 func (g *Group) probeDeparted(m *member) {
-	g.mu.Lock()
-	left := m.left
-	g.mu.Unlock()
-	g.askServing(m)
 	entry := m.Member()
 	status, gone := g.control(m, statement.Control{Kind: statement.GetStatus}, true)
 	g.recordAnswer(m, entry, status != nil, gone)
+	g.askRemaining(m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.statusPending = false
-	m.leftUnanswered = left && m.left && status == nil
-	if id := m.Member().ID; g.members[id] == m {
-		g.forgetLeft(id, m)
+}
+
+// askRemaining asks the primary and then the replicas for their logs, if they are not known to
+// have the commits of a departed member and it is this instance's turn.
+func (g *Group) askRemaining(m *member) {
+	g.mu.Lock()
+	primaryID := g.tracker.Primary().Member
+	primary := g.members[primaryID]
+	due := g.members[m.Member().ID] == m && m.departure.BegunBefore(g.lastRecordsRead.Earliest) && !m.departure.Covered() && primary != nil && primary != m && !primary.departed && g.asksRemaining()
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	if status, _ := g.control(primary, statement.Control{Kind: statement.GetStatus}, false); status == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.departure.Covered() {
+		return
+	}
+	for id, r := range g.members {
+		if id != primaryID && !r.departed && !r.asking {
+			r.asking = true
+			go g.askReplica(r)
+		}
+	}
+}
+
+// asksRemaining reports whether it is this instance's turn to ask the remaining members. The others
+// learn from the record that the member is no longer named. All have turns, because some may be cut off
+// from the primary. g.mu is held.
+func (g *Group) asksRemaining() bool {
+	turn, announced := g.fleet.Precedence(g.cfg.Service)
+	if turns := (g.fleet.Size() + departureAskers - 1) / departureAskers; g.fleet.Size() > claimTurnsAbove {
+		return announced && int(g.cfg.Clock()/departureTurn)%turns == turn/departureAskers
+	}
+	return true
+}
+
+// observeRemaining handles what a status shows of the departures of other members. g.mu is held.
+func (g *Group) observeRemaining(m *member, s takeover.Status, sentAt time.Duration) {
+	primary := g.tracker.Primary()
+	leads := m.Member().ID == primary.Member && s.Primary && s.Term == primary.Term && g.tracker.Undisputed()
+	for id, other := range g.members {
+		if other == m || !other.departure.Begun() {
+			continue
+		}
+		if leads {
+			other.departure.ObservePrimary(s.Received, min(sentAt, g.lastRecordsRead.Earliest))
+		}
+		for replicaID, r := range g.members {
+			if r != other && replicaID != primary.Member && g.named(replicaID) && g.settled(r) {
+				other.departure.ObserveReplica(r.evidence.Log())
+			}
+		}
+		g.forgetDeparted(id, other)
+	}
+}
+
+// uncounted reports whether no instance counts a member for acknowledgements, because it has left or
+// been missing for longer than any list is used. g.mu is held.
+func (g *Group) uncounted(m *member) bool {
+	return m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= departedRetention
+}
+
+// beginDeparture notes that nothing rests on a member any more, or on its process, which has ended.
+// g.mu is held.
+func (g *Group) beginDeparture(m *member) {
+	if m.evidence.Gone || g.uncounted(m) {
+		m.departure.Begin(g.cfg.Clock())
+	}
+}
+
+// followLeaving finds out whether the remaining members have the commits of one that leaves before it
+// has ended: the primary may fail right after that.
+func (g *Group) followLeaving(m *member) {
+	select {
+	case <-g.finished:
+		return
+	default:
+	}
+	g.mu.Lock()
+	leaves := g.members[m.Member().ID] == m && m.Member().Draining
+	if leaves {
+		g.beginDeparture(m)
+	}
+	g.mu.Unlock()
+	if !leaves {
+		return
+	}
+	g.askRemaining(m)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.departure.Covered() {
+		g.signalRun()
+	} else {
+		time.AfterFunc(leavingInterval, func() { g.followLeaving(m) })
 	}
 }
 
-// forgetLeft removes a member that has left and does not answer, and reports whether it did:
-// its process has ended. Until departedRetention is over, an instance may have counted it for
-// an acknowledgement, which the other replicas then need time to receive. g.mu is held.
-func (g *Group) forgetLeft(id string, m *member) bool {
-	if !m.leftUnanswered || id == g.tracker.Primary().Member || g.cfg.Clock()-m.leavingSince < departedRetention {
+// forgetDeparted removes a departed member that does not answer once the remaining ones are known
+// to have each acknowledged commit that may rest on it, and reports whether it did: this instance has
+// seen their logs, or the record, read since, names it no longer because another one has. g.mu is held.
+func (g *Group) forgetDeparted(id string, m *member) bool {
+	if !m.left && !m.departed || !m.unanswered || id == g.tracker.Primary().Member {
 		return false
 	}
-	g.removeMember(id, m, "left")
+	g.beginDeparture(m)
+	dropped := !g.named(id) && g.lastRecordsRead.Earliest >= m.leavingSince
+	onPrimaryOnly := g.service.AcknowledgedBy == 0 && m.departure.Begun()
+	switch {
+	case !m.departure.Covered() && !dropped && !onPrimaryOnly:
+		return false
+	case dropped:
+		g.removeMember(id, m, "no_longer_named")
+	case m.left:
+		g.removeMember(id, m, "left")
+	case m.evidence.Gone:
+		g.removeMember(id, m, "not_running")
+	default:
+		g.removeMember(id, m, "silent")
+	}
 	return true
 }
 
@@ -295,7 +400,10 @@
 		// Others may have forgotten it meanwhile.
 		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
 	}
-	known.missingSince, known.departed, known.left, known.leftUnanswered = 0, false, false, false
+	if known.missingSince != 0 || !g.uncounted(known) {
+		known.departure = takeover.Departure{}
+	}
+	known.missingSince, known.departed, known.left = 0, false, false
 	// A restored store shows registrations that have been replaced since. A member does
 	// not become an earlier incarnation again, nor does it stop leaving.
 	if slices.Contains(known.formerStarts, m.Started) {
@@ -305,7 +413,7 @@
 	if old.Started != m.Started && old.Started != 0 {
 		known.formerStarts = append(known.formerStarts, old.Started)
 		known.catchUpFloor = g.primaryPosition()
-		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
+		known.knownSince, known.evidence, known.departure = g.cfg.Clock(), takeover.Evidence{}, takeover.Departure{}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
 		g.signalRun()
 	}
@@ -318,6 +426,9 @@
 		known.leavingSince = 0
 	case known.leavingSince == 0:
 		known.leavingSince = g.cfg.Clock()
+		if g.service.AcknowledgedBy > 0 {
+			time.AfterFunc(departedRetention, func() { g.followLeaving(known) })
+		}
 	}
 	known.Update(m, g.connLimits(m))
 	g.observeMemberStart(known, old, m, joined)
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -415,8 +415,8 @@
 	return asked.Started == now.Started && asked.Address == now.Address
 }
 
-// recordAnswer records whether a member, asked as it was registered by entry, answered, and
-// removes a departed member if gone is set, which means that its process is not running.
+// recordAnswer records whether a member, asked as it was registered by entry, answered; gone means
+// that its process is not running. It forgets a departed member if it may.
 func (g *Group) recordAnswer(m *member, entry catalog.Member, answered, gone bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -424,8 +424,12 @@
 		return
 	}
 	m.unanswered, m.evidence.Gone = !answered, gone
-	if id := m.Member().ID; gone && m.departed && g.members[id] == m {
-		g.removeMember(id, m, "not_running")
+	if answered && !g.uncounted(m) {
+		m.departure = takeover.Departure{}
+	}
+	g.beginDeparture(m)
+	if id := m.Member().ID; g.members[id] == m {
+		g.forgetDeparted(id, m)
 	}
 }
 
--- a/proxy/group/roster.go
+++ b/proxy/group/roster.go
@@ -22,11 +22,6 @@
 	// rosterTurnInterval is the time between the turns of two instances to write the names.
 	// The record stored by one instance is read by the next within 0.4 s.
 	rosterTurnInterval = 500 * time.Millisecond
-	// maxServingAge is the age up to which an answer of the primary shows that it serves. It is
-	// asked after each reading of the members, 1 s apart.
-	maxServingAge = 1500 * time.Millisecond
-	// servingAskers is the number of instances that ask an idle primary whether it serves.
-	servingAskers = 3
 	// maxForgotten bounds the number of members that have left and are remembered, because a
 	// record may still name them.
 	maxForgotten = 4 * primacy.MaxNamedMembers
@@ -123,40 +118,12 @@
 	}
 }
 
-// servesWithout reports whether a departed member may be forgotten as far as the primary is
-// concerned. While it is being replaced, and for a member that this instance has never read of,
-// the absence of a suspicion proves nothing: the instance may have just started. g.mu is held.
-func (g *Group) servesWithout(m *member) bool {
-	servedAt := g.roster.servedAt
-	if !g.tracker.ReplacementClaimed() {
-		if !m.unread {
-			return true
-		}
-		servedAt = max(servedAt, g.silence.answeredAt)
-	}
-	return servedAt != 0 && g.cfg.Clock()-servedAt < maxServingAge
-}
-
-// askServing asks the primary whether it serves, because that decides whether a member that was
-// never read is forgotten, and without callers nothing else shows it. The instances that write
-// the names first do so.
-func (g *Group) askServing(m *member) {
-	g.mu.Lock()
-	turn, _ := g.fleet.Precedence(g.cfg.Service)
-	primary := g.members[g.tracker.Primary().Member]
-	ask := m.unread && turn < servingAskers && primary != nil && !primary.departed && m != primary
-	g.mu.Unlock()
-	if ask {
-		_, _ = g.control(primary, statement.Control{Kind: statement.GetStatus}, false)
-	}
-}
-
 // knownMembers returns the members for takeover.NextRoster. g.mu is held.
 func (g *Group) knownMembers() []takeover.KnownMember {
 	all := make([]takeover.KnownMember, 0, len(g.members))
 	for _, m := range g.members {
 		entry := m.Member()
-		all = append(all, takeover.KnownMember{NamedMember: nameOf(entry), Registered: m.missingSince == 0, Draining: entry.Draining})
+		all = append(all, takeover.KnownMember{NamedMember: nameOf(entry), Registered: m.missingSince == 0, Draining: entry.Draining, Covered: m.departure.Covered()})
 	}
 	return all
 }
--- a/proxy/node/roster_test.go
+++ b/proxy/node/roster_test.go
@@ -190,22 +190,29 @@
 	}
 }
 
-// Guards against a failover by a new instance that waits for a named member which has ended.
+// Guards against a failover by a new instance that waits for a named member which ended while the
+// primary served. One that ended together with the primary may be the only other one with its last
+// commits; see TestReplicaCrashesBeforeSilentPrimary.
 func TestNewInstanceWaitsForNoEndedMember(t *testing.T) {
-	underLoad(t, 9, simulated("i1"), func(t *testing.T, c *cluster) {
-		c.sim.Join("d")
-		c.awaitNamed(5*time.Second, "a", "b", "c", "d")
-		c.sim.Partition("i1", "store") // i1 ends; new is its successor
-		c.sim.Crash("b", false)
-		c.sim.Crash("a", true)
-		c.sim.Deregister("a")
-		c.sim.Deregister("b")
-		time.Sleep(4 * time.Second)
-		c.start("new", c.sim.Store("new"))
-		c.await(8*time.Second, "a new primary", func() bool { return c.sim.Promotions() > 0 })
-		c.sim.Heal("i1", "store")
-		time.Sleep(2 * time.Second)
-	})
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent=%t", silent), func(t *testing.T) {
+			underLoad(t, 9, simulated("i1"), func(t *testing.T, c *cluster) {
+				c.sim.Join("d")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+				c.sim.Partition("i1", "store") // i1 ends; new is its successor
+				c.sim.Crash("b", silent)
+				c.sim.Deregister("b")
+				time.Sleep(4 * time.Second)
+				c.start("new", c.sim.Store("new"))
+				c.awaitNamed(12*time.Second, "a", "c", "d")
+				c.sim.Crash("a", true)
+				c.sim.Deregister("a")
+				c.await(8*time.Second, "a new primary", func() bool { return c.sim.Promotions() > 0 })
+				c.sim.Heal("i1", "store")
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
 }
 
 // Guards against a record that names a silent member for good after all instances that have read
