--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -31,6 +31,7 @@
 type cluster struct {
 	t         *testing.T
 	sim       *simulator.Cluster
+	nodesMu   sync.Mutex // guards nodes while instances start beside sessions that open
 	nodes     map[string]*node.Node
 	listeners []net.Listener
 	cancel    context.CancelFunc
@@ -103,7 +104,9 @@
 		Store:    store, Dialer: c.sim.Dialer(name), Promoter: c.sim.Promoter(name),
 		Clock: c.sim.Clock, Log: c.log(name), Metrics: c.metrics[name],
 	})
+	c.nodesMu.Lock()
 	c.nodes[name] = n
+	c.nodesMu.Unlock()
 	if c.peers {
 		l := c.network.Listen(name)
 		c.listeners = append(c.listeners, l)
@@ -201,9 +204,12 @@
 // openWithKey starts a session of a caller that presents a key.
 func (c *cluster) openWithKey(instance, database, key string) *callerStub {
 	s := &callerStub{statements: make(chan statement.Statement, 1), replies: make(chan statement.Reply, 1), wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	c.nodesMu.Lock()
+	n := c.nodes[instance]
+	c.nodesMu.Unlock()
 	c.wait.Go(func() {
 		defer close(s.ended)
-		_ = c.nodes[instance].Serve(s, session.Client{Address: "caller", Credential: catalog.NewCredential([]byte(key))}, database) // ends with io.EOF, or because the instance is isolated
+		_ = n.Serve(s, session.Client{Address: "caller", Credential: catalog.NewCredential([]byte(key))}, database) // ends with io.EOF, or because the instance is isolated
 	})
 	return s
 }
