group: count a restarted member once it has what the primary reports since

Callers could see: reads that miss acknowledged commits after a replica has restarted without its log. It counted again once it had reached the last position of the primary that this instance happened to know, at once if it knew none. That position may precede commits that others have acknowledged through the lost log.

The restart ends what rests on the old log like a departure.

Fix: takeover.Departure for restarts: the log counts again once it has reached a position that the primary has reported since, or if the member was promoted since. Under load the answers to statements tell that position; otherwise instances ask the primary in turns.

--- a/core/takeover/departure.go
+++ b/core/takeover/departure.go
@@ -32,13 +32,19 @@
 func (d *Departure) Begun() bool   { return d.begun }
 func (d *Departure) Covered() bool { return d.covered }
 
-// BegunBefore reports whether Begin was called before the local time at.
-func (d *Departure) BegunBefore(at time.Duration) bool { return d.begun && at >= d.since }
+// Since returns the local time at which Begin was called first.
+func (d *Departure) Since() time.Duration { return d.since }
+
+// AwaitsAnswers reports whether answers of the remaining members may change Covered, if the record was
+// last read at the local time readAt.
+func (d *Departure) AwaitsAnswers(readAt time.Duration) bool {
+	return d.begun && !d.covered && readAt >= d.since
+}
 
 // ObservePrimary handles the last position of the primary's log. At the local time at or later it
 // was the primary of the latest term in which commits were acknowledged.
 func (d *Departure) ObservePrimary(log position.Position, at time.Duration) {
-	if d.BegunBefore(at) && (!d.seen || log.Term > d.floor.Term) {
+	if d.begun && at >= d.since && (!d.seen || log.Term > d.floor.Term) {
 		d.seen, d.floor = true, log
 	}
 }
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -304,7 +304,10 @@
 	m.runsSince = max(reply.RunsSince, knownSince)
 	m.watch.observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock())
 	g.observeServing(m, reply.Status)
-	if m.knownSince != knownSince || !m.catchUpFloor.IsZero() && !reply.Received.AtLeast(m.catchUpFloor) {
+	if m.knownSince != knownSince {
+		return
+	}
+	if g.observeRestarted(m, reply.Status); m.logLost() {
 		return
 	}
 	m.evidence.Observe(reply.Status, max(reply.RunsSince, knownSince))
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -296,3 +296,36 @@
 		})
 	}
 }
+
+// Guards against a member that does not count for good after a restart without its log, although it
+// has received what the primary had, or was promoted since.
+func TestRestartedMemberCountsAgain(t *testing.T) {
+	log, later := position.Position{Term: 1, Offset: 90}, position.Position{Term: 2, Offset: 91}
+	for name, test := range map[string]struct {
+		answers statusDialer
+		before  func(g *Group, now time.Duration)
+	}{
+		"the primary reports its log": {statusDialer{"a": {Primary: true, Term: 1, Received: log}, "b": {Term: 1, Received: log}}, func(*Group, time.Duration) {}},
+		"the primary executes a statement": {statusDialer{"b": {Term: 1, Received: log}}, func(g *Group, now time.Duration) {
+			g.ObservePosition(g.members["a"].Upstream, log, now)
+		}},
+		"it was promoted": {statusDialer{"b": {Primary: true, Term: 2, Received: later}}, func(g *Group, now time.Duration) {
+			g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "b", Term: 2}, PromotedAt: log, Version: 9}, exactTimestamp(now))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			g := newEvidenceGroup(&now, test.answers)
+			g.ObservePosition(g.members["a"].Upstream, position.Position{Term: 1, Offset: 80}, now)
+			restartB(g, now)
+			assert.Assert(t, g.members["b"].logLost())
+			now += 100 * time.Millisecond
+			g.UpdateRecord(primacy.Record{Service: "s", Primary: primacy.Primary{Member: "a", Term: 1}, Version: 8}, exactTimestamp(now))
+			test.before(g, now)
+			for range 2 {
+				g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
+			}
+			assert.Assert(t, !g.members["b"].logLost())
+		})
+	}
+}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -223,6 +223,7 @@
 	announcement           announcement
 	roster                 roster
 	wake                   chan struct{} // of capacity 1; makes Run check the group at once
+	running                bool          // Run runs
 	finished               chan struct{} // closed when Run has returned
 	startedAt              time.Duration // when the group was created
 }
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -33,9 +33,10 @@
 	// departureTurn is how long these instances ask before others do. A departed member is looked
 	// at after each reading of the members, 1 s apart at most.
 	departureTurn = time.Second
-	// leavingInterval separates two attempts to find out whether the remaining members have the
-	// commits of one that leaves. The record, which has to be read first, is read every 0.4 s.
-	leavingInterval = 200 * time.Millisecond
+	// followInterval separates two attempts to find out whether the remaining members have the
+	// commits of one that leaves or has restarted. The record, which has to be read first, is read
+	// every 0.4 s.
+	followInterval = 200 * time.Millisecond
 )
 
 // startQuotaPeriod is the time after the start of a group during which this instance uses
@@ -71,9 +72,12 @@
 	departure     takeover.Departure
 	// resumeLostAt is when a RESUME that was sent to it last got no answer.
 	resumeLostAt time.Duration
-	// catchUpFloor is the position that it must reach after a restart without its log
-	// before its log counts again; zero if none.
+	// restart tracks whether it has the commits that rested on its log before it has restarted
+	// without it. catchUpFloor is a position that the primary of restartTerm had reached then; zero if
+	// none was known.
+	restart      takeover.Departure
 	catchUpFloor position.Position
+	restartTerm  uint64
 	// formerStarts are the values of catalog.Member.Started of its former incarnations.
 	formerStarts []int64
 	// maxPosition is its highest position under the present primary.
@@ -213,13 +217,14 @@
 	m.statusPending = false
 }
 
-// askRemaining asks the primary and then the replicas for their logs, if they are not known to
-// have the commits of a departed member and it is this instance's turn.
+// askRemaining asks the primary and then the replicas for their logs, if that may show that they have
+// the commits of a member which has departed or restarted, and it is this instance's turn.
 func (g *Group) askRemaining(m *member) {
 	g.mu.Lock()
-	primaryID := g.tracker.Primary().Member
+	primaryID, readAt := g.tracker.Primary().Member, g.lastRecordsRead.Earliest
 	primary := g.members[primaryID]
-	due := g.members[m.Member().ID] == m && m.departure.BegunBefore(g.lastRecordsRead.Earliest) && !m.departure.Covered() && primary != nil && primary != m && !primary.departed && g.asksRemaining()
+	awaited := m.departure.AwaitsAnswers(readAt) || m.restart.AwaitsAnswers(readAt)
+	due := awaited && g.members[m.Member().ID] == m && primary != nil && primary != m && !primary.departed && g.asksRemaining()
 	g.mu.Unlock()
 	if !due {
 		return
@@ -229,7 +234,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m.departure.Covered() {
+	if !m.departure.AwaitsAnswers(readAt) && !m.restart.AwaitsAnswers(readAt) {
 		return
 	}
 	for id, r := range g.members {
@@ -246,22 +251,25 @@
 func (g *Group) asksRemaining() bool {
 	turn, announced := g.fleet.Precedence(g.cfg.Service)
 	if turns := (g.fleet.Size() + departureAskers - 1) / departureAskers; g.fleet.Size() > claimTurnsAbove {
-		return announced && int(g.cfg.Clock()/departureTurn)%turns == turn/departureAskers
+		return announced && int(g.storeTime()/departureTurn)%turns == turn/departureAskers
 	}
 	return true
 }
 
-// observeRemaining handles what a status shows of the departures of other members. g.mu is held.
+// observeRemaining handles what a status shows of the departures and restarts of other members. g.mu is
+// held.
 func (g *Group) observeRemaining(m *member, s takeover.Status, sentAt time.Duration) {
 	primary := g.tracker.Primary()
 	leads := m.Member().ID == primary.Member && s.Primary && s.Term == primary.Term && g.tracker.Undisputed()
 	for id, other := range g.members {
-		if other == m || !other.departure.Begun() {
+		if other == m || !other.departure.Begun() && !other.restart.Begun() {
 			continue
 		}
-		if leads {
-			other.departure.ObservePrimary(s.Received, min(sentAt, g.lastRecordsRead.Earliest))
+		if at := min(sentAt, g.lastRecordsRead.Earliest); leads {
+			other.departure.ObservePrimary(s.Received, at)
+			other.restart.ObservePrimary(s.Received, at)
 		}
+		g.observeStatements(&other.departure)
 		for replicaID, r := range g.members {
 			if r != other && replicaID != primary.Member && g.named(replicaID) && g.settled(r) {
 				other.departure.ObserveReplica(r.evidence.Log())
@@ -271,6 +279,33 @@
 	}
 }
 
+// observeStatements handles what the answers of the proven primary to statements show of a departure or
+// restart: under load, they tell its position without a query. g.mu is held.
+func (g *Group) observeStatements(d *takeover.Departure) {
+	if w, ok := g.tracker.OldestWatermark(d.Since()); ok {
+		d.ObservePrimary(w.Position, w.At)
+	}
+}
+
+// observeRestarted handles the status of a member that has restarted without its log. That counts again
+// once it has reached what the primary has reported since, or if the member was promoted since. g.mu is held.
+func (g *Group) observeRestarted(m *member, s takeover.Status) {
+	if !m.logLost() || !s.Received.AtLeast(m.catchUpFloor) {
+		return
+	}
+	g.observeStatements(&m.restart)
+	m.restart.ObserveReplica(s.Received)
+	primary, record := g.tracker.Primary(), g.tracker.Record()
+	promoted := m.Member().ID == primary.Member && primary.Term > m.restartTerm && s.Primary && s.Term == primary.Term
+	if promoted && (record.Primary != primary || s.Received.AtLeast(record.PromotedAt)) || m.restart.Covered() {
+		m.restart = takeover.Departure{}
+	}
+}
+
+// logLost reports whether the log of a member says nothing about commits from before its restart.
+// g.mu is held.
+func (m *member) logLost() bool { return m.restart.Begun() }
+
 // uncounted reports whether no instance counts a member for acknowledgements, because it has left or
 // been missing for longer than any list is used. g.mu is held.
 func (g *Group) uncounted(m *member) bool {
@@ -285,30 +320,26 @@
 	}
 }
 
-// followLeaving finds out whether the remaining members have the commits of one that leaves before it
-// has ended: the primary may fail right after that.
-func (g *Group) followLeaving(m *member) {
-	select {
-	case <-g.finished:
-		return
-	default:
-	}
+// followMember finds out whether the remaining members have the commits of one that leaves before it
+// has ended, as the primary may fail right after that, and whether one that has restarted has them.
+func (g *Group) followMember(m *member) {
 	g.mu.Lock()
-	leaves := g.members[m.Member().ID] == m && m.Member().Draining
-	if leaves {
+	known, leaves := g.running && g.members[m.Member().ID] == m, m.Member().Draining
+	if known && leaves {
 		g.beginDeparture(m)
 	}
 	g.mu.Unlock()
-	if !leaves {
+	if !known {
 		return
 	}
 	g.askRemaining(m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m.departure.Covered() {
+	switch {
+	case leaves && m.departure.Covered() && !m.logLost():
 		g.signalRun()
-	} else {
-		time.AfterFunc(leavingInterval, func() { g.followLeaving(m) })
+	case leaves || m.logLost():
+		time.AfterFunc(followInterval, func() { g.followMember(m) })
 	}
 }
 
@@ -412,7 +443,9 @@
 	m.Draining = m.Draining || old.Draining && old.Started == m.Started
 	if old.Started != m.Started && old.Started != 0 {
 		known.formerStarts = append(known.formerStarts, old.Started)
-		known.catchUpFloor = g.primaryPosition()
+		known.restart, known.catchUpFloor, known.restartTerm = takeover.Departure{}, g.primaryPosition(), g.tracker.Primary().Term
+		known.restart.Begin(g.cfg.Clock())
+		time.AfterFunc(followInterval, func() { g.followMember(known) })
 		known.knownSince, known.evidence, known.departure = g.cfg.Clock(), takeover.Evidence{}, takeover.Departure{}
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
 		g.signalRun()
@@ -427,7 +460,7 @@
 	case known.leavingSince == 0:
 		known.leavingSince = g.cfg.Clock()
 		if g.service.AcknowledgedBy > 0 {
-			time.AfterFunc(departedRetention, func() { g.followLeaving(known) })
+			time.AfterFunc(departedRetention, func() { g.followMember(known) })
 		}
 	}
 	known.Update(m, g.connLimits(m))
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -163,6 +163,8 @@
 
 // Run monitors the primary and fails over when needed, until ctx ends.
 func (g *Group) Run(ctx context.Context) {
+	g.setRunning(true)
+	defer g.setRunning(false)
 	defer close(g.finished)
 	endOfStart := time.AfterFunc(startQuotaPeriod, g.endStartQuota)
 	defer endOfStart.Stop()
@@ -181,6 +183,12 @@
 	}
 }
 
+func (g *Group) setRunning(running bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running = running
+}
+
 // runOnce performs one check of the group, and reports whether another one is due
 // after monitorInterval even if nothing wakes Run.
 func (g *Group) runOnce(ctx context.Context) bool {
@@ -338,7 +346,7 @@
 	unfinished := record.Claim != nil && !g.claimOfEarlierEra(record)
 	suspected := g.suspicion
 	m := g.members[primary.Member]
-	restarted := m != nil && !m.catchUpFloor.IsZero()
+	restarted := m != nil && m.logLost()
 	g.mu.Unlock()
 	switch {
 	case unfinished:
@@ -382,18 +390,10 @@
 // hasCaughtUp asks a member that has restarted without its log whether that counts again, as
 // that of a replica which has been promoted since.
 func (g *Group) hasCaughtUp(m *member) bool {
-	g.mu.Lock()
-	knownSince, floor := m.knownSince, m.catchUpFloor
-	g.mu.Unlock()
-	status, _ := g.control(m, statement.Control{Kind: statement.GetStatus}, false)
+	_, _ = g.control(m, statement.Control{Kind: statement.GetStatus}, false)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// The answer may be that of an earlier incarnation.
-	if status == nil || m.knownSince != knownSince || !status.Received.AtLeast(floor) {
-		return false
-	}
-	m.catchUpFloor = position.Position{}
-	return true
+	return !m.logLost()
 }
 
 // probeResult is what a probe shows of the primary.
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -365,9 +365,7 @@
 			members[i].Status = nil
 			continue
 		}
-		if !m.catchUpFloor.IsZero() {
-			members[i].LogLost = !s.Received.AtLeast(m.catchUpFloor)
-		}
+		members[i].LogLost = m.logLost()
 		members[i].LogShrunk = !s.Received.AtLeast(m.maxPosition)
 	}
 	round.Members = members
--- a/proxy/group/restore_test.go
+++ b/proxy/group/restore_test.go
@@ -9,6 +9,7 @@
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/storeversion"
+	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/catalog"
 )
 
@@ -101,10 +102,10 @@
 		g.UpdateMembers(catalog.Members{"a": {ID: "a", Service: "s", Address: "127.0.0.1:1", Started: started}}, now)
 	}
 	present := g.members["a"].Member()
-	g.members["a"].catchUpFloor = position.Position{} // it has caught up since
+	g.members["a"].restart = takeover.Departure{} // it has caught up since
 	g.tracker.ObserveRecord(primacy.Record{Primary: primacy.Primary{Member: "a", Term: 1}, Version: 1}, now, now)
 	g.tracker.ObservePosition("a", position.Position{Term: 1, Offset: 5}, now)
 	g.UpdateMembers(catalog.Members{"a": {ID: "a", Service: "s", Address: "127.0.0.1:2", Started: 7}}, now)
 	assert.Equal(t, g.members["a"].Member(), present)
-	assert.Assert(t, g.members["a"].catchUpFloor.IsZero())
+	assert.Assert(t, !g.members["a"].logLost())
 }
