primacy: keep every call for a promotion that got no answer

Callers saw: acknowledged commits that were lost when a second call without an answer took effect late, for the successor of a member that an earlier one may promote.

Cause: the record keeps one member that may lead late, and the next change of primary overwrote it. It is evidence that is dropped because something else happened.

Fix: the record keeps each call until it is settled, as also_may_lead beside the fields that an earlier release reads, and a commit is passed on only once each of these members has it.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -127,6 +127,9 @@
 	// store time MayLeadUntil, although it has led since or another member leads.
 	MayLead      string        `json:"may_lead,omitempty"`
 	MayLeadUntil time.Duration `json:"may_lead_until,omitempty"`
+	// AlsoMayLead are those of earlier changes, which an instance of an earlier release drops. The
+	// slice is never modified.
+	AlsoMayLead []LateCall `json:"also_may_lead,omitempty"`
 	// Members are the members that acknowledgements may rest on, in the order of their IDs.
 	// Whoever claims the group asks all of them for their logs. Empty if they are not known,
 	// as in a record of an earlier release. The slice is never modified.
@@ -165,8 +168,10 @@
 	if r.PromotedAt.Term > maxTerm || r.PromotedAt.Offset > maxTerm {
 		return Class.New("primary promoted at %s", r.PromotedAt)
 	}
-	if r.MayLeadUntil > now+maxMayLead+maxClockError {
-		return Class.New("a member may lead until %s at %s", r.MayLeadUntil, now)
+	for _, c := range r.lateCalls() {
+		if c.Until > now+maxMayLead+maxClockError {
+			return Class.New("a member may lead until %s at %s", c.Until, now)
+		}
 	}
 	if err := checkMembers(r.Members); err != nil {
 		return err
@@ -186,6 +191,46 @@
 	return nil
 }
 
+// LateCall is a call for a promotion that got no answer: it may promote Member until the store time
+// Until, whoever leads then.
+type LateCall struct {
+	Member string        `json:"member"`
+	Until  time.Duration `json:"until"`
+}
+
+func (r Record) lateCalls() []LateCall {
+	if r.MayLead == "" {
+		return r.AlsoMayLead
+	}
+	return append([]LateCall{{r.MayLead, r.MayLeadUntil}}, r.AlsoMayLead...)
+}
+
+// MayLeadAt returns the members that calls without an answer may promote at the store time now.
+func (r Record) MayLeadAt(now time.Duration) (members []string) {
+	for _, c := range r.lateCalls() {
+		if now < c.Until {
+			members = append(members, c.Member)
+		}
+	}
+	return members
+}
+
+// WithLateCall returns the record with another call without an answer. Those that have ended by the
+// store time now are left out.
+func (r Record) WithLateCall(call LateCall, now time.Duration) Record {
+	var others []LateCall
+	for _, c := range r.lateCalls() {
+		switch {
+		case c.Member == call.Member:
+			call.Until = max(call.Until, c.Until)
+		case now < c.Until:
+			others = append(others, c)
+		}
+	}
+	r.MayLead, r.MayLeadUntil, r.AlsoMayLead = call.Member, call.Until, others
+	return r
+}
+
 // WithPrimary returns the record of a primary without a claim, proven in the present era of
 // the store.
 func (r Record) WithPrimary(p Primary) Record {
@@ -296,12 +341,9 @@
 }
 
 // Leaders returns the members that may lead at the store time now, or next: the primary, that of
-// the record, those that the claim names, and one that a call without an answer may promote.
+// the record, those that the claim names, and those that calls without an answer may promote.
 func (t *Tracker) Leaders(now time.Duration) []string {
-	all := []string{t.primary.Member, t.record.Primary.Member}
-	if now < t.record.MayLeadUntil {
-		all = append(all, t.record.MayLead)
-	}
+	all := append([]string{t.primary.Member, t.record.Primary.Member}, t.record.MayLeadAt(now)...)
 	if c := t.record.Claim; c != nil {
 		all = append(all, c.OldPrimary.Member, c.Candidate, c.Called)
 	}
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -293,3 +293,18 @@
 		})
 	}
 }
+
+// Guards against a call without an answer that a later one replaces in the record, or that stays there
+// for good, and against a record that an earlier release reads otherwise.
+func TestLateCallsAreKept(t *testing.T) {
+	r := primacy.Record{}.WithLateCall(primacy.LateCall{Member: "a", Until: 10}, 0).WithLateCall(primacy.LateCall{Member: "b", Until: 20}, 5)
+	assert.Equal(t, r.MayLead, "b")
+	assert.DeepEqual(t, r.MayLeadAt(9), []string{"b", "a"})
+	assert.DeepEqual(t, r.MayLeadAt(10), []string{"b"})
+	again := r.WithLateCall(primacy.LateCall{Member: "a", Until: 8}, 6)
+	assert.DeepEqual(t, again.MayLeadAt(9), []string{"a", "b"})
+	assert.DeepEqual(t, r.MayLeadAt(9), []string{"b", "a"}) // the former record is as it was
+	assert.DeepEqual(t, r.WithLateCall(primacy.LateCall{Member: "c", Until: 30}, 15).MayLeadAt(0), []string{"c", "b"})
+	r.AlsoMayLead = []primacy.LateCall{{Member: "a", Until: time.Hour}}
+	assert.Assert(t, r.Check(0) != nil, "no instance has noted such a call")
+}
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -167,8 +167,10 @@
 		}
 	}
 	c, proof = takeover.Prove(known, p, replicas)
-	if late := g.mayLead(); c == takeover.Contained && late != id && takeover.MayLack(late, p, replicas) {
-		c = takeover.Unproven
+	for _, late := range g.mayLead() {
+		if c == takeover.Contained && late != id && takeover.MayLack(late, p, replicas) {
+			c = takeover.Unproven
+		}
 	}
 	return c, claim != nil, proof
 }
@@ -181,14 +183,8 @@
 	return m.namedSince != 0 && now-m.namedSince >= memberSettleTime || m.missingSince == 0 && now-m.knownSince >= memberSettleTime
 }
 
-// mayLead returns the member that a call without an answer may still promote, or an empty
-// string. g.mu is held.
-func (g *Group) mayLead() string {
-	if r := g.tracker.Record(); g.storeTime() < r.MayLeadUntil {
-		return r.MayLead
-	}
-	return ""
-}
+// mayLead returns the members that calls without an answer may still promote. g.mu is held.
+func (g *Group) mayLead() []string { return g.tracker.Record().MayLeadAt(g.storeTime()) }
 
 // describeEvidence formats what is known of the other members' logs for the log.
 func (g *Group) describeEvidence(primary string) (all []string) {
@@ -230,12 +226,13 @@
 		candidate = claim.Successor()
 	}
 	var replicas []*member
+	late := g.mayLead()
 	for id, m := range g.members {
-		if id != primary && (candidate == "" || id == candidate || id == g.mayLead()) {
+		if id != primary && (candidate == "" || id == candidate || slices.Contains(late, id)) {
 			replicas = append(replicas, m)
 		}
 	}
-	if candidate == "" && g.mayLead() == "" && len(replicas) > 1 && g.cfg.Clock() < ackedAt+proofHedge {
+	if candidate == "" && len(late) == 0 && len(replicas) > 1 && g.cfg.Clock() < ackedAt+proofHedge {
 		first := slices.MinFunc(replicas, g.compareWitnesses)
 		if g.evidenceOf(first).Counted && !first.unanswered {
 			replicas = []*member{first}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -597,7 +597,9 @@
 		r.PromotedAt = log
 	}
 	if f.callUnanswered && f.called != "" {
-		r.MayLead, r.MayLeadUntil = f.called, f.calledAt+callSettleTime
+		g.mu.Lock()
+		r = r.WithLateCall(primacy.LateCall{Member: f.called, Until: f.calledAt + callSettleTime}, g.storeTime())
+		g.mu.Unlock()
 	}
 	for g.cfg.Clock()-seenAt < publishTimeout && ctx.Err() == nil && !f.superseded() {
 		sentAt := g.cfg.Clock()
