group: leave out a member that was replaced at its address, and ask it seldom

Cause: since departed members are left out by evidence only, both former names stayed in the list, as their primary is gone as well. Each query to them opened a connection to the successor at the address, which refused it as the wrong member. 9 instances made 260 of these a second, so that the successors answered their own status queries as busy, which the change of primary needs.

Fix: a member is not asked again for a second after another one has answered at its address. Once every instance knows that other member, the former one is left out: the platform hands the log of a database to the one that it starts in its place.

TestReplacedMemberIsLeftOut covers both parts.

--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -13,6 +13,7 @@
 	"github.com/papayarail/papayarail/core/source"
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/catalog"
+	"github.com/papayarail/papayarail/proxy/statement"
 )
 
 // Guards against many instances that ask a primary for its log at the same time, and against one
@@ -41,9 +42,64 @@
 	assert.Equal(t, len(asked), instances)
 }
 
+// replacedDialer is a statusDialer that counts the connections to each member, and refuses those to b
+// because another member listens at its address.
+type replacedDialer struct {
+	statusDialer
+	dials map[string]int
+}
+
+// Dial implements statement.Dialer.
+func (d replacedDialer) Dial(t statement.Target, timeout time.Duration) (statement.Conn, error) {
+	d.dials[t.ID]++
+	if t.ID == "b" {
+		return nil, &statement.UpstreamError{Reason: statement.WrongMember}
+	}
+	return d.statusDialer.Dial(t, timeout)
+}
+
+// Guards against a change of primary that waits for a member which the platform has replaced by one with
+// its log, and against queries to it that use up the connections and slots of that one (macaskill-tags,
+// replica-restarts-during-change, seed 901638401844).
+func TestReplacedMemberIsLeftOut(t *testing.T) {
+	for name, known := range map[string]bool{"its successor is known to all": true, "its successor has just joined": false} {
+		t.Run(name, func(t *testing.T) {
+			now := 10 * time.Second
+			d := replacedDialer{statusDialer{"c": {Term: 1}, "d": {Term: 1}}, make(map[string]int)}
+			g, record, all := newDepartureGroup(&now, d)
+			b, successor := g.members["b"], all["b"]
+			successor.ID = "e"
+			all["e"] = successor
+			record.Members, record.Version = append(record.Members[:4:4], nameOf(successor)), record.Version+1
+			b.statusPending = true // so that only the test asks it
+			delete(all, "b")
+			if known {
+				g.UpdateMembers(all, now)
+				g.UpdateRecord(record, exactTimestamp(now))
+			}
+			for range 8 {
+				g.UpdateMembers(all, now)
+				now += 500 * time.Millisecond
+			}
+			if !known {
+				e := g.members["e"]
+				e.knownSince, e.namedSince = now, now
+			}
+			for range 50 {
+				if g.members["b"] == b {
+					g.probeDeparted(b)
+				}
+				now += 10 * time.Millisecond
+			}
+			assert.Equal(t, g.members["b"] == nil, known)
+			assert.Assert(t, d.dials["b"] <= 2, "%d connections", d.dials["b"])
+		})
+	}
+}
+
 // newDepartureGroup returns a group whose members a, the primary, b, c and d have been known for 10 s and
 // named for as long.
-func newDepartureGroup(now *time.Duration, d statusDialer) (*Group, primacy.Record, catalog.Members) {
+func newDepartureGroup(now *time.Duration, d statement.Dialer) (*Group, primacy.Record, catalog.Members) {
 	g := newEvidenceGroup(now, d)
 	all := make(catalog.Members)
 	record := primacy.Record{Service: "s", Primary: primacy.Primary{Member: "a", Term: 1}, Version: 8}
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -69,7 +69,9 @@
 	left          bool
 	unanswered    bool // it did not answer the last control command
 	statusPending bool // a status query to the departed member is running
-	departure     takeover.Departure
+	// replacedAt is when another member or service last answered at its address; 0 if none has.
+	replacedAt time.Duration
+	departure  takeover.Departure
 	// resumeLostAt is when a RESUME that was sent to it last got no answer.
 	resumeLostAt time.Duration
 	// restart tracks whether it has the commits that rested on its log before it has restarted
@@ -343,9 +345,24 @@
 	}
 }
 
+// replaced reports whether a member has ended and another one, which every instance knows, runs at its
+// address: the platform hands the log of a database to the one that it starts there. g.mu is held.
+func (g *Group) replaced(m *member) bool {
+	if m.replacedAt == 0 || !m.evidence.Gone {
+		return false
+	}
+	for id, other := range g.members {
+		if other != m && other.missingSince == 0 && other.Member().Address == m.Member().Address && !other.logLost() && g.named(id) && g.settled(other) {
+			return true
+		}
+	}
+	return false
+}
+
 // forgetDeparted removes a departed member that does not answer once the remaining ones are known
 // to have each acknowledged commit that may rest on it, and reports whether it did: this instance has
-// seen their logs, or the record, read since, names it no longer because another one has. g.mu is held.
+// seen their logs, the record, read since, names it no longer because another one has, or a member has
+// its log. g.mu is held.
 func (g *Group) forgetDeparted(id string, m *member) bool {
 	if !m.left && !m.departed || !m.unanswered || id == g.tracker.Primary().Member {
 		return false
@@ -353,9 +370,12 @@
 	g.beginDeparture(m)
 	dropped := !g.named(id) && g.lastRecordsRead.Earliest >= m.leavingSince
 	onPrimaryOnly := g.service.AcknowledgedBy == 0 && m.departure.Begun()
+	replaced := g.replaced(m)
 	switch {
-	case !m.departure.Covered() && !dropped && !onPrimaryOnly:
+	case !m.departure.Covered() && !dropped && !onPrimaryOnly && !replaced:
 		return false
+	case replaced:
+		g.removeMember(id, m, "replaced")
 	case dropped:
 		g.removeMember(id, m, "no_longer_named")
 	case m.left:
@@ -450,6 +470,9 @@
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
 		g.signalRun()
 	}
+	if old.Started != m.Started || old.Address != m.Address {
+		known.replacedAt = 0
+	}
 	if m.Draining && !old.Draining {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_draining", "member": id}).Info("member is draining")
 		g.signalRun()
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -37,6 +37,9 @@
 	maxMembersAge = memberSettleTime - 300*time.Millisecond
 	// quorumSize is the number of members in a quorum: the primary and one replica.
 	quorumSize = 2
+	// replacedInterval separates two commands to a member at whose address another one has
+	// answered: each would take a connection and a slot of that one.
+	replacedInterval = time.Second
 	// stragglerTimeout is how long to wait for members that probably do not serve
 	// after the others have answered; a live member answers in 5 ms.
 	stragglerTimeout = 20 * time.Millisecond
@@ -445,7 +448,11 @@
 	u := m.Upstream
 	g.mu.Lock()
 	knownSince := m.knownSince
+	replaced := m.replacedAt != 0 && g.cfg.Clock()-m.replacedAt < replacedInterval
 	g.mu.Unlock()
+	if replaced {
+		return nil, true
+	}
 	for _, fresh := range []bool{fresh, true} {
 		sentAt := g.cfg.Clock()
 		reply, err := u.Control(fresh, command, statusTimeout)
@@ -456,6 +463,11 @@
 			return &reply, false
 		}
 		gone = processGone(err)
+		if reason, _ := statement.ReasonOf(err); reason == statement.WrongMember {
+			g.mu.Lock()
+			m.replacedAt = g.cfg.Clock()
+			g.mu.Unlock()
+		}
 		if command.Kind == statement.ResumeReplication && sentUnanswered(err) {
 			g.mu.Lock()
 			m.resumeLostAt = g.cfg.Clock()
