group: send no statements to a leaving primary after its drain time

Cause: a leaving primary was used for as long as it answered. Behind a cut, or while replicas restart, the change waits for members that do not answer, and the database ends at any time after its drain time.

Fix: DrainTime, from the settings of the platform. 0.3 s before its end, counted from the last list that does not show the report, the primary gets no more single statements or first ones of a transaction. Writes are refused at once with a retry delay; reads go to replicas.

TestLeavingPrimaryTakesStatementsForItsDrainTime.

--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -135,8 +135,8 @@
 // choosePrimary returns the primary if it serves and its last confirmation is recent
 // enough. g.mu is held.
 func (g *Group) choosePrimary(req Requirements, excluded map[*upstream.Upstream]bool) (Choice, bool) {
-	_, u := g.primaryLocked()
-	if u == nil || excluded[u] || g.suspicion.confirmed {
+	primary, u := g.primaryLocked()
+	if u == nil || excluded[u] || g.suspicion.confirmed || !g.takesStatements(g.members[primary.Member]) {
 		return Choice{}, false
 	}
 	maxAge := req.Staleness
@@ -198,7 +198,7 @@
 		case id == primary.Member && req.Consistency == catalog.Strict:
 			continue // choosePrimary has already rejected it
 		case id == primary.Member:
-			if m.Upstream != primaryUpstream || g.suspicion.confirmed || !g.tracker.Proven(since) {
+			if m.Upstream != primaryUpstream || g.suspicion.confirmed || !g.tracker.Proven(since) || !g.takesStatements(m) {
 				continue
 			}
 			c.Primary = true
@@ -295,6 +295,9 @@
 	if len(g.members) == 0 {
 		return verdict.New(verdict.CutOff, "no member of service %s is registered", g.cfg.Service).WithRetryAfter(retryAfterNoPrimary)
 	}
+	if primary, u := g.primaryLocked(); u != nil && req.Writes && !g.takesStatements(g.members[primary.Member]) {
+		return verdict.New(verdict.NoPrimary, "the primary of service %s leaves and takes no more statements", g.cfg.Service).WithRetryAfter(g.retryAfterLocked())
+	}
 	if failedRounds < failedRoundLimit && g.ackBoundPossible(req) && len(excluded) < len(g.members)-1 {
 		return nil
 	}
--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -169,3 +169,36 @@
 		})
 	}
 }
+
+// Guards against statements that reach a primary later than its drain time after it has reported that
+// it leaves, when it may end while it executes them, and against callers that wait for it
+// (release-before-a-long-cut, seeds 204 to 206).
+func TestLeavingPrimaryTakesStatementsForItsDrainTime(t *testing.T) {
+	now := 10 * time.Second
+	g, record, all := newDepartureGroup(&now, statusDialer{})
+	g.cfg.DrainTime = 7 * time.Second
+	g.UpdateMembers(all, now)
+	reportedAfter := now
+	leaving := all["a"]
+	leaving.Draining = true
+	all["a"] = leaving
+	now += 600 * time.Millisecond
+	g.UpdateMembers(all, now)
+	for ; now < reportedAfter+9*time.Second; now += 100 * time.Millisecond {
+		record.Version++
+		g.UpdateRecord(record, exactTimestamp(now))
+		for _, req := range []Requirements{
+			{Writes: true, Consistency: catalog.Strict, Arrival: now, Deadline: now + time.Second},
+			{Reads: true, Consistency: catalog.BoundedStaleness, Staleness: time.Second, Arrival: now, Deadline: now + time.Second},
+		} {
+			g.mu.Lock()
+			c, ok := g.choose(req, nil)
+			err := g.refusal(req, nil, 0)
+			g.mu.Unlock()
+			takes := ok && c.Primary
+			assert.Assert(t, takes || now > reportedAfter+6*time.Second, "refused %s after the report", now-reportedAfter)
+			assert.Assert(t, !takes || now < reportedAfter+g.cfg.DrainTime, "sent %s after the report", now-reportedAfter)
+			assert.Assert(t, takes || !req.Writes || err != nil, "a write waits for a primary that leaves")
+		}
+	}
+}
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -176,6 +176,9 @@
 	QueueMetrics upstream.QueueMetrics
 	// DecisionLog receives the unusual decisions; it is optional.
 	DecisionLog DecisionLog
+	// DrainTime is the time for which a member takes statements after it has reported that it
+	// leaves; 0 means that it takes them until it ends.
+	DrainTime time.Duration
 }
 
 // Group is one database group as seen by this instance. It is safe for concurrent use.
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -59,6 +59,7 @@
 	*upstream.Upstream
 	missingSince time.Duration // first read without its entry; 0 if it is registered
 	leavingSince time.Duration // when it was first seen to be leaving or missing; 0 if it is neither
+	reportedAt   time.Duration // no later than its report that it leaves, unless the store could not be read; 0 if it does not leave
 	// departed means that it is no longer registered. It is kept until it is known
 	// to have stopped, because it may acknowledge commits until then.
 	departed bool
@@ -94,6 +95,15 @@
 	askedAt    time.Duration // start of the last one
 }
 
+// drainMargin covers the queue for a member and the way to it.
+const drainMargin = 300 * time.Millisecond
+
+// takesStatements reports whether a member that leaves may still be sent statements: it may end at any
+// time after its drain time. g.mu is held.
+func (g *Group) takesStatements(m *member) bool {
+	return g.cfg.DrainTime == 0 || m.reportedAt == 0 || g.cfg.Clock() < m.reportedAt+g.cfg.DrainTime-drainMargin
+}
+
 // connLimits returns this instance's quota of a member's connections and slots. g.mu is
 // held.
 func (g *Group) connLimits(m catalog.Member) quota.Limits {
@@ -473,6 +483,15 @@
 	if old.Started != m.Started || old.Address != m.Address {
 		known.replacedAt = 0
 	}
+	switch {
+	case !m.Draining:
+		known.reportedAt = 0
+	case old.Draining:
+	case joined:
+		known.reportedAt = readAt
+	default:
+		known.reportedAt = max(g.membersAsOf, readAt-maxHolderListAge)
+	}
 	if m.Draining && !old.Draining {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_draining", "member": id}).Info("member is draining")
 		g.signalRun()
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -71,6 +71,9 @@
 	QuotaOverrun, QuotaSlack float64
 	// GracePeriod is the time from the request to stop until the process must have exited.
 	GracePeriod time.Duration
+	// DrainTime is the time for which a member takes statements after it has reported that it
+	// leaves; 0 means that it takes them until it ends.
+	DrainTime time.Duration
 }
 
 // Config holds the dependencies and settings of a Node.
@@ -252,7 +255,7 @@
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
 		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, PoolCounters: n.cfg.Metrics, RoundTrip: n.roundTrips.get, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Metrics: n.cfg.Metrics, Clock: n.cfg.Clock,
-		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics, DecisionLog: n.decisions,
+		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics, DecisionLog: n.decisions, DrainTime: n.cfg.Settings.DrainTime,
 	}, s)
 	g.SetFleet(n.fleet)
 	n.groups[s.Name] = g
