--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -257,8 +257,7 @@
 	assert.Assert(t, !slices.Contains(tr.Leaders(5*time.Second), "x"))
 }
 
-// Guards against a primary whose answer counts as that of the only one, although the record shows that
-// another member leads or may have been promoted.
+// Guards against an answer of the primary that counts although the record shows that another member may lead.
 func TestPrimaryIsDisputed(t *testing.T) {
 	a, b := primacy.Primary{Member: "a", Term: 1}, primacy.Primary{Member: "b", Term: 2}
 	of := func(p primacy.Primary, c *primacy.Claim) primacy.Record {
@@ -294,8 +293,7 @@
 	}
 }
 
-// Guards against a call without an answer that a later one replaces in the record, or that stays there
-// for good, and against a record that an earlier release reads otherwise.
+// Guards against a call without an answer that a later one replaces in the record.
 func TestLateCallsAreKept(t *testing.T) {
 	r := primacy.Record{}.WithLateCall(primacy.LateCall{Member: "a", Until: 10}, 0).WithLateCall(primacy.LateCall{Member: "b", Until: 20}, 5)
 	assert.Equal(t, r.MayLead, "b")
--- a/core/takeover/departure_test.go
+++ b/core/takeover/departure_test.go
@@ -13,8 +13,7 @@
 	"github.com/papayarail/papayarail/core/primacy"
 )
 
-// Guards against a departure that is covered by answers from before it, by the primary alone, or by a
-// replica on another branch.
+// Guards against a departure that is covered by answers from before it or from another branch.
 func TestDepartureIsCoveredByLaterAnswers(t *testing.T) {
 	at := func(term, offset uint64) position.Position { return position.Position{Term: term, Offset: offset} }
 	var d Departure
@@ -38,9 +37,7 @@
 	assert.Assert(t, d.Covered())
 }
 
-// Guards against a departure that is covered while a commit that may rest on the member is on the
-// primary alone: commits, answers and the end of the last lease come in any order, and replicas stop
-// receiving and go on at any time.
+// Guards against a covered departure that leaves an acknowledged commit on the primary alone.
 func TestCoveredDepartureLeavesCommitsOnTwoMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var d Departure
@@ -104,8 +101,7 @@
 	})
 }
 
-// Guards against a change of primary that waits for departed members without saying so, and against
-// callers that wait meanwhile although no log that answers is long enough.
+// Guards against a change of primary that waits for departed members without saying so.
 func TestBlockedChangeNamesDepartedMembers(t *testing.T) {
 	required := position.Position{Term: 1, Offset: 9}
 	replica := func(id string, offset uint64) Member {
--- a/core/takeover/roster_test.go
+++ b/core/takeover/roster_test.go
@@ -92,8 +92,7 @@
 	assert.DeepEqual(t, unread, names("b"))
 }
 
-// Guards against an acknowledgement that rests on members only which another instance may have left
-// out, although all that this instance knows have the commit.
+// Guards against an acknowledgement that rests only on members which another instance may have left out.
 func TestReplicasLeftOutByOthersAloneProveNothing(t *testing.T) {
 	p := position.Position{Term: 1, Offset: 5}
 	evidence := func(id string, mayBeLeftOut bool) takeover.Evidence {
--- a/proxy/group/claim_test.go
+++ b/proxy/group/claim_test.go
@@ -110,8 +110,7 @@
 	assert.Equal(t, taken.PromoteAfter, first.PromoteAfter)
 }
 
-// Guards against a primary that serves again and stays claimed for 2.5 s, because an earlier holder of
-// the claim may have called for another member: it would have noted that.
+// Guards against a primary that serves again and stays claimed for 2.5 s.
 func TestClaimWithoutCallIsWithdrawnAtOnce(t *testing.T) {
 	for called, wait := range map[string]bool{"": false, "b": true} {
 		now := 10 * time.Second
--- a/proxy/group/decision_test.go
+++ b/proxy/group/decision_test.go
@@ -277,8 +277,7 @@
 	assert.Equal(t, out.Len(), 0)
 }
 
-// Guards against a read of older data whose replica was chosen by a bound, or around a change of
-// primary, that leaves no trace, and against a line for each ordinary one.
+// Guards against a read of older data that rests on something unusual and leaves no trace.
 func TestUnusualReadsOfOlderDataAreNoted(t *testing.T) {
 	for _, consistency := range []catalog.Consistency{catalog.BoundedStaleness, catalog.ReadYourWrites} {
 		for cause, change := range map[string]func(*Basis){
--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -16,8 +16,7 @@
 	"github.com/papayarail/papayarail/proxy/statement"
 )
 
-// Guards against many instances that ask a primary for its log at the same time, and against one
-// that never does: all others may be cut off from it.
+// Guards against many instances that ask a primary for its log at a time, and against one that never does.
 func TestFewInstancesAskRemainingMembers(t *testing.T) {
 	const instances = 61
 	var all []source.Candidate
@@ -58,9 +57,7 @@
 	return d.statusDialer.Dial(t, timeout)
 }
 
-// Guards against a change of primary that waits for a member which the platform has replaced by one with
-// its log, and against queries to it that use up the connections and slots of that one (macaskill-tags,
-// replica-restarts-during-change, seed 901638401844).
+// Guards against waiting for a member that was replaced at its address, and against queries that burden its successor.
 func TestReplacedMemberIsLeftOut(t *testing.T) {
 	for name, known := range map[string]bool{"its successor is known to all": true, "its successor has just joined": false} {
 		t.Run(name, func(t *testing.T) {
@@ -114,8 +111,7 @@
 	return g, record, all
 }
 
-// Guards against a member that is forgotten on the word of a primary which may have been replaced, of
-// a replica that others need not know, or of a record that was read before the member left.
+// Guards against a member that is left out without evidence of the remaining logs.
 func TestDepartedMemberIsForgottenByEvidenceOnly(t *testing.T) {
 	log := position.Position{Term: 1, Offset: 20}
 	primary := takeover.Status{Primary: true, Term: 1, Received: log}
@@ -170,9 +166,7 @@
 	}
 }
 
-// Guards against statements that reach a primary later than its drain time after it has reported that
-// it leaves, when it may end while it executes them, and against callers that wait for it
-// (release-before-a-long-cut, seeds 204 to 206).
+// Guards against statements that reach a leaving primary later than its drain time.
 func TestLeavingPrimaryTakesStatementsForItsDrainTime(t *testing.T) {
 	now := 10 * time.Second
 	g, record, all := newDepartureGroup(&now, statusDialer{})
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -297,8 +297,7 @@
 	}
 }
 
-// Guards against a member that does not count for good after a restart without its log, although it
-// has received what the primary had, or was promoted since.
+// Guards against a member that never counts again after a restart without its log.
 func TestRestartedMemberCountsAgain(t *testing.T) {
 	log, later := position.Position{Term: 1, Offset: 90}, position.Position{Term: 2, Offset: 91}
 	for name, test := range map[string]struct {
--- a/proxy/node/degraded_test.go
+++ b/proxy/node/degraded_test.go
@@ -89,8 +89,7 @@
 	}
 }
 
-// Guards against writes that end during an outage of the store because a replica crashes: the other
-// one has run since before the list that shows it.
+// Guards against writes that end during an outage of the store because a replica crashes.
 func TestReplicaCrashesDuringStoreOutage(t *testing.T) {
 	underLoad(t, 3, simulated("i1", "i2"), func(t *testing.T, c *cluster) {
 		c.sim.ModelBranches()
--- a/proxy/node/forgotten_test.go
+++ b/proxy/node/forgotten_test.go
@@ -11,8 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against reads and promotions without the commits of a primary behind a cut, after the
-// only other member that has them has left there.
+// Guards against reads and promotions that miss commits of a replica which has left behind a cut.
 func TestReplicaLeavesBehindCut(t *testing.T) {
 	for _, after := range []time.Duration{500, 2000, 5000} {
 		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
@@ -36,8 +35,7 @@
 	}
 }
 
-// Guards against the same after the registrations behind the cut have expired, on an instance that
-// suspects no failure of the primary because it has no callers.
+// Guards against the same after registrations have expired, on an instance without callers.
 func TestIdleInstanceBesideExpiredRegistrations(t *testing.T) {
 	for _, idle := range []time.Duration{9, 12} {
 		t.Run(fmt.Sprintf("idle=%ds", idle), func(t *testing.T) {
@@ -66,8 +64,7 @@
 	}
 }
 
-// Guards against the same when a replica crashes, so that connections to it are refused, and the
-// primary stops answering: both come back with their logs.
+// Guards against the same after a replica has crashed, whose address refuses connections.
 func TestReplicaCrashesBeforeSilentPrimary(t *testing.T) {
 	for _, newInstance := range []bool{false, true} {
 		t.Run(fmt.Sprintf("new instance=%t", newInstance), func(t *testing.T) {
--- a/proxy/node/roster_test.go
+++ b/proxy/node/roster_test.go
@@ -190,9 +190,7 @@
 	}
 }
 
-// Guards against a failover by a new instance that waits for a named member which ended while the
-// primary served. One that ended together with the primary may be the only other one with its last
-// commits; see TestReplicaCrashesBeforeSilentPrimary.
+// Guards against a failover by a new instance that waits for a named member which ended while the primary served.
 func TestNewInstanceWaitsForNoEndedMember(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("silent=%t", silent), func(t *testing.T) {
