group: take the end of a process for a moment, not for good

A replica crashes, and the remaining members are seen to have its commits. It comes back with its log, other instances count it, and it ends or is cut off together with the primary. An instance that had noted the first end only forgot it on that evidence.

A refused connection began a departure, and nothing but an answer to this instance ended it.

Fix: the end of a process counts as long as the member is asked and refuses connections at least every 1.5 s; a departed member is asked every second. Silence, an answer or a longer pause ends it, and evidence from before the lease has ended does not count then.

--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -20,6 +20,9 @@
 	// departureTurn is how long these instances ask before others do. A departed member is looked
 	// at after each reading of the members, 1 s apart at most.
 	departureTurn = time.Second
+	// maxGoneGap is the time between two refused connections within which a process of the member
+	// is taken not to have run. A departed member is asked every second.
+	maxGoneGap = 1500 * time.Millisecond
 	// followInterval separates two attempts to find out whether the remaining members have the
 	// commits of one that leaves or has restarted. The record, which has to be read first, is read
 	// every 0.4 s.
@@ -143,11 +146,29 @@
 	return m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= departedRetention
 }
 
-// beginDeparture notes that nothing rests on a member any more, or on its process, which has ended.
-// g.mu is held.
-func (g *Group) beginDeparture(m *member) {
-	if m.evidence.Gone || g.uncounted(m) {
-		m.departure.Begin(g.cfg.Clock())
+// observeGone notes that a member's process does not run. Unless it is asked often, another one may
+// have run since the last time, and others may have counted it. g.mu is held.
+func (g *Group) observeGone(m *member) {
+	now := g.cfg.Clock()
+	if now-m.goneAt > maxGoneGap && !g.uncounted(m) {
+		m.departure = takeover.Departure{}
+	}
+	m.goneAt = now
+}
+
+// trackDeparture begins the departure of a member once nothing rests on it any more, or on its process,
+// which has ended; it ends that of one whose process may run again. g.mu is held.
+func (g *Group) trackDeparture(m *member) {
+	now := g.cfg.Clock()
+	gone := m.evidence.Gone && now-m.goneAt <= maxGoneGap
+	switch uncounted := g.uncounted(m); {
+	case !uncounted && !gone:
+		m.departure = takeover.Departure{}
+	case uncounted && !gone && m.departure.Since() < m.leavingSince+departedRetention:
+		m.departure = takeover.Departure{}
+		m.departure.Begin(now)
+	default:
+		m.departure.Begin(now)
 	}
 }
 
@@ -157,7 +178,7 @@
 	g.mu.Lock()
 	known, leaves := g.running && g.members[m.Member().ID] == m, m.Member().Draining
 	if known && leaves {
-		g.beginDeparture(m)
+		g.trackDeparture(m)
 	}
 	g.mu.Unlock()
 	if !known {
@@ -196,7 +217,7 @@
 	if !m.left && !m.departed || !m.unanswered || id == g.tracker.Primary().Member {
 		return false
 	}
-	g.beginDeparture(m)
+	g.trackDeparture(m)
 	dropped := !g.named(id) && g.lastRecordsRead.Earliest >= m.leavingSince
 	onPrimaryOnly := g.service.AcknowledgedBy == 0 && m.departure.Begun()
 	replaced := g.replaced(m)
--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -196,3 +197,70 @@
 		}
 	}
 }
+
+// refusingDialer is a statusDialer that refuses connections to b while refuses is set.
+type refusingDialer struct {
+	statusDialer
+	refuses *bool
+}
+
+// Dial implements statement.Dialer.
+func (d refusingDialer) Dial(t statement.Target, timeout time.Duration) (statement.Conn, error) {
+	if t.ID == "b" && *d.refuses {
+		return nil, &statement.ConnError{Refused: true, Err: errors.New("refused")}
+	}
+	c, err := d.statusDialer.Dial(t, timeout)
+	return endingConn{c, d.statusDialer, t.ID}, err
+}
+
+// endingConn is a connection that is silent once the dialer does not know its member any more.
+type endingConn struct {
+	statement.Conn
+	known  statusDialer
+	member string
+}
+
+// Control implements statement.Conn.
+func (c endingConn) Control(command statement.Control, timeout time.Duration) (takeover.Status, error) {
+	if _, ok := c.known[c.member]; !ok {
+		return takeover.Status{}, &statement.ConnError{Timeout: true, Sent: true, Err: errors.New("silent")}
+	}
+	return c.Conn.Control(command, timeout)
+}
+
+// Guards against evidence from the end of a member's process that counts although another one has run since.
+func TestEvidenceOfEndedProcessIsNotOfTheNext(t *testing.T) {
+	log := position.Position{Term: 1, Offset: 20}
+	for name, refusedAgain := range map[string]bool{"silent then": false, "refused again": true} {
+		t.Run(name, func(t *testing.T) {
+			now, refuses := 10*time.Second, true
+			d := refusingDialer{statusDialer{"a": {Primary: true, Term: 1, Received: log}, "c": {Term: 1, Received: log}}, &refuses}
+			g, record, all := newDepartureGroup(&now, d)
+			b := g.members["b"]
+			b.statusPending = true // so that only the test asks it
+			ask := func() {
+				record.Version++
+				g.UpdateRecord(record, exactTimestamp(now))
+				for _, m := range []*member{b, g.members["a"], g.members["c"]} {
+					g.askReplica(m)
+				}
+			}
+			ask()
+			now += 100 * time.Millisecond
+			ask()
+			assert.Assert(t, b.departure.Covered())
+			// It runs for a while, counted by others only, and the primary fails.
+			now += 5 * time.Second
+			refuses = refusedAgain
+			delete(d.statusDialer, "a")
+			delete(all, "b")
+			for range 7 {
+				g.UpdateMembers(all, now)
+				now += 500 * time.Millisecond
+			}
+			assert.Assert(t, b.departed)
+			ask()
+			assert.Assert(t, g.members["b"] == b, "it was forgotten on the evidence of a former process")
+		})
+	}
+}
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -54,8 +54,9 @@
 	// left means that it has ended its registration itself, so that its log does not come
 	// back.
 	left          bool
-	unanswered    bool // it did not answer the last control command
-	statusPending bool // a status query to the departed member is running
+	unanswered    bool          // it did not answer the last control command
+	statusPending bool          // a status query to the departed member is running
+	goneAt        time.Duration // when evidence.Gone was last found
 	// replacedAt is when another member or service last answered at its address; 0 if none has.
 	replacedAt time.Duration
 	departure  takeover.Departure
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -425,10 +425,10 @@
 		return
 	}
 	m.unanswered, m.evidence.Gone = !answered, gone
-	if answered && !g.uncounted(m) {
-		m.departure = takeover.Departure{}
+	if gone {
+		g.observeGone(m)
 	}
-	g.beginDeparture(m)
+	g.trackDeparture(m)
 	if id := m.Member().ID; g.members[id] == m {
 		g.forgetDeparted(id, m)
 	}
