Review case 10: an answer of the store that stops halfway holds up a version

One connection to the store goes silent while it carries a new configuration. The instance that reads the store waits 6 s for the rest, and the others rely on it: all of them serve a dropped route for 6 s, also when they are in touch again (CONFIG).

--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -30,6 +30,8 @@
 	rows    map[rowKey]row
 	history []row
 	changed chan struct{}
+	// silent is set if the connection of the next answer to rows-feed goes silent.
+	silent chan<- time.Time
 }
 
 func newStore() *store {
@@ -168,8 +170,15 @@
 				rows = append(rows, entry)
 			}
 		}
-		a, changed := s.answer(rows), s.changed
+		a, changed, silent := s.answer(rows), s.changed, s.silent
+		if len(rows) > 0 {
+			s.silent = nil
+		}
 		s.mu.Unlock()
+		if len(rows) > 0 && silent != nil {
+			beginAnswer(w, r, a, silent)
+			return
+		}
 		if len(rows) > 0 {
 			writeJSON(w, http.StatusOK, a)
 			return
