--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -29,6 +29,8 @@
 	exited           chan struct{}
 	mu               sync.Mutex
 	ended            bool
+	termAt           time.Time // of its SIGTERM
+	out              bool      // out of the platform's rotation
 }
 
 func (m *machine) front() string { return fmt.Sprintf("%s:%d", m.host, frontPort) }
