node: notice that the source's configuration is no longer followed

The class remained: if the instance that reads the store gets records but no configuration, all instances go on with the old version for as long as that lasts, in touch or not, and report ready.

Cause: an instance takes the configuration of its source for the newest one because the records are fresh. Nothing in the answers said when the configuration itself was last confirmed, and no log line or metric did.

Fix: the cursor up to which the configuration is known to be the newest one, a version of the store and its time, goes with each answer to a poll. An instance whose cursor is older than 2.5 s, and 0.5 s more for each one before it in the order of sources, asks the store for changes since then: no read of the whole configuration if there is none. It sends the new cursor with its next poll, so that its source and, through it, all others have it. A newer version reaches the source as before (ConfigOutdated). No answer of another instance is needed for any of this, and answers of earlier releases, without a cursor, change nothing.

Seen by operators: papayarail_config_age_seconds, config_unconfirmed and config_confirmed with the source, and calls "config_check".

--- a/core/source/source.go
+++ b/core/source/source.go
@@ -76,6 +76,14 @@
 	// instance that has a configuration follows that of the store on its own. A new version
 	// must be in force on a partitioned instance as well.
 	unservedBeforeConfig = time.Second
+	// configCheckAfter is the time since the configuration was last known to be the newest
+	// one after which the first candidate asks the store for a newer one, and
+	// configCheckStep what each candidate waits longer than the one before it. The answer to
+	// one of them reaches the others in one or two steps, so that the rest do not ask.
+	// Usually, the long poll of the instance that follows the configuration confirms it
+	// every 2 s, which reaches the next candidates 0.35 s later.
+	configCheckAfter = 2500 * time.Millisecond
+	configCheckStep  = 500 * time.Millisecond
 	// A starting instance reads the configuration from the store if no candidate has
 	// provided it after smallConfigWait, or after largeConfigWait in a larger deployment.
 	// The configuration of 300 instances has 7 MB, which takes a small machine 2 s to read.
@@ -172,7 +180,7 @@
 		p.started, p.startedAt, p.servedAt = true, now, now
 	}
 	before, after := p.split()
-	readFailedRecently := p.readFailed && now < p.readFailedAt+p.retryInterval()
+	readFailedRecently := p.readFailed && now < p.readFailedAt+p.RetryInterval()
 	maxFailures := unavailableBeforeRead
 	if readFailedRecently {
 		maxFailures = unavailableAfterFailedRead
@@ -190,7 +198,7 @@
 	}
 	c := Choice{ReadStore: true}
 	if p.readFailed {
-		c.Delay = max(p.readFailedAt+p.retryInterval()-now, 0)
+		c.Delay = max(p.readFailedAt+p.RetryInterval()-now, 0)
 	}
 	return c
 }
@@ -232,6 +240,14 @@
 	return largeConfigWait
 }
 
+// ConfigCheckDue reports whether this instance should ask the store for a newer configuration,
+// age after its own was last known to be the newest one: those before it have not, or not
+// with success.
+func (p *Picker) ConfigCheckDue(age time.Duration) bool {
+	before, _ := p.split()
+	return age > configCheckAfter+time.Duration(len(before))*configCheckStep
+}
+
 // ReadFailed reports whether the last read of the store by this instance failed.
 func (p *Picker) ReadFailed() bool { return p.readFailed }
 
@@ -286,8 +302,8 @@
 	return cs[i], true
 }
 
-// retryInterval returns the minimum time between reads of the store after a failed one.
-func (p *Picker) retryInterval() time.Duration {
+// RetryInterval returns the minimum time between reads of the store after a failed one.
+func (p *Picker) RetryInterval() time.Duration {
 	return max(readRetryInterval, time.Duration(len(p.candidates))*readRetryPerInstance)
 }
 
--- a/core/source/source_test.go
+++ b/core/source/source_test.go
@@ -376,3 +376,24 @@
 	}
 	return longest
 }
+
+// Guards against an instance that takes its configuration for the newest one for good, and
+// against all instances that ask the store at the same time.
+func TestConfigCheckDue(t *testing.T) {
+	candidates := []source.Candidate{{Name: "a", Weight: 3}, {Name: "b", Weight: 2}, {Name: "c", Weight: 1}}
+	var last time.Duration
+	for _, self := range []string{"a", "b", "c", "unannounced"} {
+		p := source.New(self, "", "")
+		p.SetCandidates(candidates)
+		after := last
+		for !p.ConfigCheckDue(after) {
+			after += 10 * time.Millisecond
+		}
+		assert.Check(t, after >= last+400*time.Millisecond, "%s asks after %s, the one before it after %s", self, after, last)
+		last = after
+	}
+	p := source.New("b", "", "")
+	p.SetCandidates(candidates)
+	assert.Check(t, !p.ConfigCheckDue(2400*time.Millisecond), "a long poll of 2 s confirms the configuration in time")
+	assert.Check(t, p.ConfigCheckDue(3100*time.Millisecond), "the answer must reach all instances within 4 s of a change")
+}
--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -122,6 +122,14 @@
 	Left Departures
 }
 
+// ConfigCursor is a state of the store: its version, and its clock at that version. A
+// configuration read at a cursor, or for which a call that begins at it shows no change, is the
+// newest one up to the cursor. The zero value means no state.
+type ConfigCursor struct {
+	Version  storeversion.Version
+	StoreNow time.Duration
+}
+
 // Departures names members that have left the group on their own, by ID, with their Started:
 // they have ended their registration themselves, and end or have ended. The registration of a
 // member that has crashed or is cut off expires instead, which is no departure.
--- a/proxy/metrics/metrics.go
+++ b/proxy/metrics/metrics.go
@@ -214,6 +214,12 @@
 	m.set.GetOrCreateGauge("papayarail_store_era", era)
 }
 
+// RegisterConfigAgeGauge registers the gauge of the time in seconds since the configuration of
+// this instance was last known to be the newest one; 0 if it never was.
+func (m *Metrics) RegisterConfigAgeGauge(age func() float64) {
+	m.set.GetOrCreateGauge("papayarail_config_age_seconds", age)
+}
+
 // RegisterSessionGauge registers the gauge of open sessions.
 func (m *Metrics) RegisterSessionGauge(open func() float64) {
 	m.set.GetOrCreateGauge("papayarail_sessions_open", open)
--- a/proxy/node/coldstart_test.go
+++ b/proxy/node/coldstart_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/papayarail/papayarail/core/primacy"
 	"github.com/papayarail/papayarail/core/source"
-	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/node"
 	"github.com/papayarail/papayarail/proxy/simulator"
@@ -58,8 +57,8 @@
 	return s.Store.Instances(ctx)
 }
 
-func (s *coldStore) Config(ctx context.Context, cursor storeversion.Version, wait time.Duration) (*catalog.Config, storeversion.Version, error) {
-	if cursor == 0 {
+func (s *coldStore) Config(ctx context.Context, cursor catalog.ConfigCursor, wait time.Duration) (*catalog.Config, catalog.ConfigCursor, error) {
+	if cursor.Version == 0 {
 		s.configs.add(s.name)
 	}
 	return s.Store.Config(ctx, cursor, wait)
--- a/proxy/node/config.go
+++ b/proxy/node/config.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/source"
-	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/relay"
@@ -133,13 +132,72 @@
 	return err
 }
 
+// checkConfigAge asks the store for a newer configuration, in the background, if that of this
+// instance was last known to be the newest one too long ago. Reads of the records that go on do
+// not show that the instance which follows the configuration for the others still can.
+func (r *reader) checkConfigAge(ctx context.Context) {
+	age, known := r.cache.ConfigAge()
+	if !known || r.stale() {
+		return // there is no source whose configuration could be behind its records
+	}
+	now := r.node.cfg.Clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := r.picker.ConfigCheckDue(age)
+	if due != r.configUnconfirmed {
+		r.configUnconfirmed = due
+		r.logConfigAge(age)
+	}
+	if !due || r.checkingConfig || r.configCheckedAt > 0 && now-r.configCheckedAt < r.picker.RetryInterval() {
+		return
+	}
+	r.checkingConfig, r.configCheckedAt = true, now
+	go func() {
+		defer func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.checkingConfig = false
+		}()
+		r.checkConfig(ctx)
+	}()
+}
+
+// checkConfig asks the store for a configuration that is newer than that of this instance.
+func (r *reader) checkConfig(ctx context.Context) {
+	n := r.node
+	callCtx, cancel := context.WithTimeout(ctx, backgroundTimeout)
+	defer cancel()
+	started := n.cfg.Clock()
+	c, cursor, err := n.cfg.Store.Config(callCtx, r.cache.ConfigCursor(), 0)
+	n.cfg.Metrics.StoreCall("config_check", err, n.cfg.Clock()-started)
+	if err != nil {
+		n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Info("the store could not be asked for a newer configuration")
+		return
+	}
+	r.setStoreConfig(ctx, c, cursor)
+}
+
+// logConfigAge logs that the configuration is no longer known to be the newest one, or is again.
+// r.mu is held.
+func (r *reader) logConfigAge(age time.Duration) {
+	log := r.node.cfg.Log.WithFields(logrus.Fields{"age_ms": age.Milliseconds(), "version": r.node.configVersion(), "source": r.sourceName})
+	if r.configUnconfirmed {
+		log.WithField("event", "config_unconfirmed").Warn("configuration was last known to be the newest one too long ago; asking the store")
+		return
+	}
+	log.WithField("event", "config_confirmed").Info("configuration is known to be the newest one again")
+}
+
 // setStoreConfig applies a configuration that this instance read from the store at a
-// version of the store.
-func (r *reader) setStoreConfig(ctx context.Context, c *catalog.Config, at storeversion.Version) {
-	if at.Era() > 0 && r.cache.Known().Config == 0 {
-		r.checkRestoredConfig(ctx, uint64(c.Version))
+// cursor; nil means that the store has none that is newer than at an earlier cursor.
+func (r *reader) setStoreConfig(ctx context.Context, c *catalog.Config, at catalog.ConfigCursor) {
+	if c != nil {
+		if at.Version.Era() > 0 && r.cache.Known().Config == 0 {
+			r.checkRestoredConfig(ctx, uint64(c.Version))
+		}
+		r.applyChanges(r.cache.SetConfig(c))
 	}
-	r.applyChanges(r.cache.SetConfig(c))
+	r.cache.ConfirmConfig(at)
 }
 
 // checkRestoredConfig asks some instances for a newer configuration than the version that
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -17,7 +17,6 @@
 	"github.com/papayarail/papayarail/core/gateway"
 	"github.com/papayarail/papayarail/core/ratelimit"
 	"github.com/papayarail/papayarail/core/source"
-	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/failurelog"
@@ -37,8 +36,8 @@
 	group.RecordStore
 	// Config waits up to wait for a configuration newer than the cursor; the
 	// configuration is nil if there is none. It returns the cursor for the next call,
-	// also with an error. Cursor 0 returns the current configuration at once.
-	Config(ctx context.Context, cursor storeversion.Version, wait time.Duration) (*catalog.Config, storeversion.Version, error)
+	// also with an error. The zero cursor returns the current configuration at once.
+	Config(ctx context.Context, cursor catalog.ConfigCursor, wait time.Duration) (*catalog.Config, catalog.ConfigCursor, error)
 	// Members reads the registered members, keyed by ID.
 	Members(ctx context.Context) (catalog.Snapshot[catalog.Member], error)
 	// Instances reads the announced instances, keyed by name.
@@ -132,6 +131,10 @@
 	n.limiter = limits.New(limits.Config{Instance: cfg.Settings.Instance, FailureDomain: cfg.Settings.FailureDomain, Standalone: cfg.Settings.PeerAddress == "", Dial: cfg.DialPeer, Clock: cfg.Clock, Log: cfg.Log, Metrics: cfg.Metrics,
 		Params: ratelimit.Params{Window: cfg.Settings.QuotaWindow, Overrun: cfg.Settings.QuotaOverrun, Slack: cfg.Settings.QuotaSlack}})
 	cfg.Metrics.RegisterSessionGauge(func() float64 { return float64(n.openSessions()) })
+	cfg.Metrics.RegisterConfigAgeGauge(func() float64 {
+		age, _ := n.reader.cache.ConfigAge()
+		return age.Seconds()
+	})
 	n.registerPaceGauges()
 	return n
 }
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/source"
-	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/relay"
 )
 
@@ -96,11 +96,19 @@
 	fetchingConfig     bool          // a configuration is being fetched from a peer
 	fetchTriedAt       time.Duration // last attempt that ConfigOutdated or an incomplete change caused
 	readingConfig      bool          // readConfig is running
-	// configCursor is the cursor of the store after readConfig; 0 if it has not succeeded.
-	configCursor storeversion.Version
+	// configCursor is the cursor of the store after readConfig; zero if it has not succeeded.
+	configCursor catalog.ConfigCursor
+	// confirmedBySource is the store's time up to which the polled instance has confirmed the
+	// configuration.
+	confirmedBySource time.Duration
 	// configSeen is the newest version of the configuration that a polled instance has
 	// reported, and that is being fetched from it.
 	configSeen uint64
+	// configUnconfirmed means that the configuration was last known to be the newest one too
+	// long ago. configCheckedAt is when this instance last asked the store for a newer one
+	// for that reason, and checkingConfig means that it is waiting for the answer.
+	configUnconfirmed, checkingConfig bool
+	configCheckedAt                   time.Duration
 	// startedAt is the time of the start, and configJitter a random addition to the wait for
 	// a peer's configuration.
 	startedAt, configJitter time.Duration
@@ -126,6 +134,7 @@
 	r.mu.Unlock()
 	r.discoverInstances(ctx)
 	for ctx.Err() == nil {
+		r.checkConfigAge(ctx)
 		if r.node.primaryUncertain() {
 			r.PollFaster()
 		}
@@ -191,9 +200,13 @@
 	defer cancel()
 	sentAt := n.cfg.Clock()
 	r.mu.Lock()
-	seen := r.configSeen
+	seen, confirmedBySource := r.configSeen, r.confirmedBySource
 	r.mu.Unlock()
-	answer, err := r.client.Poll(callCtx, from, r.cache.Known(), seen, announce)
+	confirmed := r.cache.ConfigCursor()
+	if confirmed.StoreNow <= confirmedBySource {
+		confirmed = catalog.ConfigCursor{}
+	}
+	answer, err := r.client.Poll(callCtx, from, r.cache.Known(), relay.ConfigState{Seen: seen, Confirmed: confirmed}, announce)
 	answeredAt := n.cfg.Clock()
 	n.cfg.Metrics.StoreCall("relayed", err, answeredAt-sentAt)
 	var changes relay.Changes
@@ -210,6 +223,7 @@
 		}
 	}
 	r.mu.Lock()
+	r.confirmedBySource = max(r.confirmedBySource, answer.Delta.ConfigConfirmed().StoreNow)
 	switch {
 	case err == nil:
 		r.picker.RecordSuccess(from.Name, answeredAt)
--- a/proxy/node/restore_test.go
+++ b/proxy/node/restore_test.go
@@ -221,18 +221,18 @@
 	cursors []storeversion.Version // of the calls of Config that follow the configuration
 }
 
-func (s *forgetfulStore) Config(ctx context.Context, cursor storeversion.Version, wait time.Duration) (*catalog.Config, storeversion.Version, error) {
-	c, _, err := s.StoreClient.Config(ctx, cursor, wait)
+func (s *forgetfulStore) Config(ctx context.Context, cursor catalog.ConfigCursor, wait time.Duration) (*catalog.Config, catalog.ConfigCursor, error) {
+	c, next, err := s.StoreClient.Config(ctx, cursor, wait)
 	if wait == 0 {
 		return c, cursor, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cursors = append(s.cursors, cursor)
+	s.cursors = append(s.cursors, cursor.Version)
 	if len(s.cursors) == 2 {
-		return nil, 0, errors.New("history is gone")
+		return nil, catalog.ConfigCursor{}, errors.New("history is gone")
 	}
-	return c, 900, err
+	return c, catalog.ConfigCursor{Version: 900, StoreNow: next.StoreNow}, err
 }
 
 // Guards against an instance that polls from a cursor of a lost history: once the store's
--- a/proxy/node/store.go
+++ b/proxy/node/store.go
@@ -8,8 +8,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/source"
-	"github.com/papayarail/papayarail/core/storeversion"
 	"github.com/papayarail/papayarail/proxy/boottime"
+	"github.com/papayarail/papayarail/proxy/catalog"
 )
 
 // readSchedule tracks when a table of the store was last read.
@@ -216,7 +216,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, backgroundTimeout)
 	defer cancel()
 	started := n.cfg.Clock()
-	c, cursor, err := n.cfg.Store.Config(callCtx, 0, 0)
+	c, cursor, err := n.cfg.Store.Config(callCtx, catalog.ConfigCursor{}, 0)
 	n.cfg.Metrics.StoreCall("config", err, n.cfg.Clock()-started)
 	if err != nil {
 		n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "error": err.Error()}).Warn("configuration could not be read from the store")
@@ -257,18 +257,18 @@
 // reads the store itself.
 func (r *reader) followConfig(ctx context.Context) {
 	n := r.node
-	var cursor storeversion.Version
+	var cursor catalog.ConfigCursor
 	for ctx.Err() == nil {
 		if !n.Configured() {
 			boottime.Sleep(ctx, retryInterval) // readStore and fetchConfig obtain the first one
 			continue
 		}
 		if !r.readsStoreItself() || !r.shouldReadConfig(n.cfg.Clock()) {
-			cursor = 0
+			cursor = catalog.ConfigCursor{}
 			boottime.Sleep(ctx, readInterval)
 			continue
 		}
-		if cursor == 0 {
+		if cursor.Version == 0 {
 			cursor = r.takeConfigCursor()
 		}
 		callCtx, cancel := context.WithTimeout(ctx, configWait+configWaitMargin)
@@ -278,22 +278,20 @@
 		n.cfg.Metrics.StoreCall("config", err, n.cfg.Clock()-started)
 		cursor = next
 		if err != nil {
-			n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "cursor": cursor, "error": err.Error()}).Info("long poll of the store for a new configuration failed")
+			n.cfg.Log.WithFields(logrus.Fields{"event": "config_failed", "cursor": cursor.Version, "error": err.Error()}).Info("long poll of the store for a new configuration failed")
 			boottime.Sleep(ctx, retryInterval)
 			continue
 		}
-		if c != nil {
-			r.setStoreConfig(ctx, c, next)
-		}
+		r.setStoreConfig(ctx, c, next)
 	}
 }
 
 // takeConfigCursor returns the cursor of the last call of readConfig, once.
-func (r *reader) takeConfigCursor() storeversion.Version {
+func (r *reader) takeConfigCursor() catalog.ConfigCursor {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	cursor := r.configCursor
-	r.configCursor = 0
+	r.configCursor = catalog.ConfigCursor{}
 	return cursor
 }
 
--- a/proxy/node/upgrade_test.go
+++ b/proxy/node/upgrade_test.go
@@ -43,7 +43,7 @@
 // earlierAnswer returns the answer of an earlier release to a poll: its change of the
 // configuration has neither workspaces nor the statement whether callers are identified.
 func earlierAnswer(ctx context.Context, store *simulator.StoreClient) (any, error) {
-	config, _, err := store.Config(ctx, 0, 0)
+	config, _, err := store.Config(ctx, catalog.ConfigCursor{}, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -53,6 +53,11 @@
 	MembersAsOf time.Duration                   `json:"members_began"`
 	Members     *mirror.Delta[catalog.Member]   `json:"members,omitempty"`
 	Instances   *mirror.Delta[source.Candidate] `json:"instances,omitempty"`
+	// ConfigCursor is the version of the store up to which the configuration is known to be
+	// the newest one, and ConfigAgeMs how much earlier than RecordsAsOf the store had it. The
+	// cursor is 0 if none is known, and from an instance of an earlier release.
+	ConfigCursor uint64 `json:"config_cursor,omitempty"`
+	ConfigAgeMs  int64  `json:"config_age,omitempty"`
 	// ConfigVersion is the newest version of the configuration. Config is the change
 	// to it; if nil although the version is newer, the change exceeds maxInlineConfig
 	// and is fetched with Client.FetchConfig.
@@ -60,6 +65,15 @@
 	Config        *ConfigDelta `json:"config,omitempty"`
 }
 
+// ConfigConfirmed returns the cursor up to which the configuration is known to be the newest
+// one; zero if none is known.
+func (d Delta) ConfigConfirmed() catalog.ConfigCursor {
+	if d.ConfigCursor == 0 {
+		return catalog.ConfigCursor{}
+	}
+	return catalog.ConfigCursor{Version: storeversion.Version(d.ConfigCursor), StoreNow: d.RecordsAsOf - time.Duration(d.ConfigAgeMs)*time.Millisecond}
+}
+
 // ConfigDelta is a change of the configuration. Routes, Services and Workspaces have the
 // same version, that of the configuration.
 type ConfigDelta struct {
@@ -113,6 +127,8 @@
 	workspaces      *mirror.Table[catalog.Workspace]
 	identified      bool // callers are identified; otherwise workspaces is empty
 	transactionIdle time.Duration
+	// configCursor is that up to which the configuration is known to be the newest one.
+	configCursor catalog.ConfigCursor
 	// left holds the departures that are no older than departureRetention, and leftSeenAt when
 	// this instance learned of each.
 	left          catalog.Departures
@@ -287,6 +303,52 @@
 	return Changes{ConfigChanged: true}
 }
 
+// ConfirmConfig notes that the store had no newer configuration than that of the cache up to a
+// cursor.
+func (cache *Cache) ConfirmConfig(at catalog.ConfigCursor) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	cache.confirmConfig(cache.routes.Version(), at)
+}
+
+// confirmConfig does what ConfirmConfig does for a cursor up to which a version of the
+// configuration is the newest one. The cursor means nothing for an older version. cache.mu is
+// held.
+func (cache *Cache) confirmConfig(version uint64, at catalog.ConfigCursor) {
+	if at.Version > 0 && version > 0 && cache.routes.Version() >= version && at.StoreNow > cache.configCursor.StoreNow {
+		cache.configCursor = at
+	}
+}
+
+// confirmFrom handles a cursor that another instance has sent for its version of the
+// configuration.
+func (cache *Cache) confirmFrom(version uint64, at catalog.ConfigCursor) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	if cache.clockOffset.Known() && cache.hasPassed(at.StoreNow, cache.clock()) {
+		cache.confirmConfig(version, at)
+	}
+}
+
+// ConfigCursor returns the cursor up to which the configuration is known to be the newest one.
+func (cache *Cache) ConfigCursor() catalog.ConfigCursor {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	return cache.configCursor
+}
+
+// ConfigAge returns an upper bound of the time since the configuration was known to be the
+// newest one; ok is false if it never was.
+func (cache *Cache) ConfigAge() (age time.Duration, ok bool) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	if cache.configCursor.Version == 0 || !cache.clockOffset.Known() {
+		return 0, false
+	}
+	now := cache.clock()
+	return now - cache.clockOffset.LocalTime(cache.configCursor.StoreNow, now).Earliest, true
+}
+
 // Apply merges a peer's answer to a poll that was sent at sentAt and answered at
 // answeredAt, on the local clock. Of an answer whose age cannot be bounded or that claims to
 // be from the future, it uses only the configuration, which has no age.
@@ -303,6 +365,9 @@
 	if !cache.clockOffset.Known() || !cache.hasPassed(a.Delta.RecordsAsOf, answeredAt) || !cache.hasPassed(a.Delta.MembersAsOf, answeredAt) {
 		return c
 	}
+	if confirmed := a.Delta.ConfigConfirmed(); cache.hasPassed(confirmed.StoreNow, answeredAt) {
+		cache.confirmConfig(a.Delta.ConfigVersion, confirmed)
+	}
 	if d := a.Delta.Instances; d != nil {
 		leaveOut(d, func(name string, i source.Candidate) bool { return i.Check() != nil || i.Name != name })
 		c.InstancesChanged = cache.instances.ApplyDelta(*d)
@@ -504,6 +569,9 @@
 	d := Delta{RecordsAsOf: cache.recordsAsOf, Era: cache.era(), EraSeenAt: cache.eraSeenAt, MembersAsOf: cache.membersAsOf, Records: cache.records.DeltaSince(k.Records), Members: cache.members.DeltaSince(k.Members),
 		Instances: cache.instances.DeltaSince(k.Instances)}
 	d.Left = cache.departuresIn(d.Members)
+	if at := cache.configCursor; at.Version > 0 {
+		d.ConfigCursor, d.ConfigAgeMs = uint64(at.Version), ceilMilliseconds(cache.recordsAsOf-at.StoreNow)
+	}
 	d.ConfigVersion = cache.routes.Version()
 	if d.ConfigVersion > k.Config {
 		c, err := cache.encodeConfigSince(k.Config)
@@ -522,6 +590,11 @@
 	return encoded, nil
 }
 
+// ceilMilliseconds returns d in ms, rounded up.
+func ceilMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1).Truncate(time.Millisecond) / time.Millisecond)
+}
+
 // encodeConfigSince returns the encoded change of the configuration from a version to
 // the newest one. cache.mu is held.
 func (cache *Cache) encodeConfigSince(from uint64) (*encodedConfigDelta, error) {
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -14,6 +14,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/source"
+	"github.com/papayarail/papayarail/core/storeversion"
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/peer"
 )
 
@@ -62,10 +64,28 @@
 	// instance to exist. A newer one is answered at once, without waiting for a newer
 	// read of the records. Nil means that the instance does not expect such answers.
 	ConfigSeen *uint64 `json:"config_seen,omitempty"`
+	// Confirmed is a cursor up to which the polling instance knows its version of the
+	// configuration to be the newest one. It is sent if the polled instance may not know it.
+	Confirmed *configCursor `json:"config_confirmed,omitempty"`
 	// Announce lists instances to be announced in the store.
 	Announce []source.Candidate `json:"announce,omitempty"`
 }
 
+// configCursor is the encoded form of a catalog.ConfigCursor.
+type configCursor struct {
+	Version storeversion.Version `json:"version"`
+	At      time.Duration        `json:"at"`
+}
+
+// ConfigState is what a polling instance knows of the configuration beyond the version that it
+// has.
+type ConfigState struct {
+	// Seen is the newest version that it knows to exist, if newer than that it has.
+	Seen uint64
+	// Confirmed is a cursor to be passed on to the polled instance; zero means none.
+	Confirmed catalog.ConfigCursor
+}
+
 // encodedDelta is a Delta as JSON, compressed if it is long.
 type encodedDelta struct {
 	Plain      json.RawMessage `json:"plain,omitempty"`
@@ -182,6 +202,9 @@
 		if req.Config > src.Cache().Known().Config {
 			src.ConfigOutdated(req.Requester)
 		}
+		if req.Confirmed != nil {
+			src.Cache().confirmFrom(req.Config, catalog.ConfigCursor{Version: req.Confirmed.Version, StoreNow: req.Confirmed.At})
+		}
 		if src.Unavailable(req.Requester) {
 			return nil, peer.NewError(codeStale, ErrStale.Error())
 		}
@@ -239,10 +262,10 @@
 
 // Poll long-polls an instance and returns what changed there since k. Without a newer
 // read, the answer comes after 350 ms, or as soon as there is a version of the configuration
-// that is newer than that of k and than configSeen. The error is ErrStale if the instance has no
+// that is newer than that of k and than config.Seen. The error is ErrStale if the instance has no
 // fresh snapshot; other errors mean that it did not answer or that its answer is
 // malformed.
-func (c *Client) Poll(ctx context.Context, from source.Candidate, k Known, configSeen uint64, announce []source.Candidate) (Answer, error) {
+func (c *Client) Poll(ctx context.Context, from source.Candidate, k Known, config ConfigState, announce []source.Candidate) (Answer, error) {
 	c.mu.Lock()
 	before := c.peer
 	if before == nil || before.Address() != from.Address {
@@ -254,8 +277,12 @@
 		before.Close()
 	}
 	var answer pollAnswer
-	configSeen = max(configSeen, k.Config)
-	err := current.Call(ctx, methodPoll, pollRequest{k, c.self, &configSeen, announce}, &answer)
+	seen := max(config.Seen, k.Config)
+	request := pollRequest{Known: k, Requester: c.self, ConfigSeen: &seen, Announce: announce}
+	if at := config.Confirmed; at.Version > 0 {
+		request.Confirmed = &configCursor{at.Version, at.StoreNow}
+	}
+	err := current.Call(ctx, methodPoll, request, &answer)
 	var answerErr *peer.Error
 	switch {
 	case err == nil:
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -51,6 +51,11 @@
 	f.cache.SetRecords(catalog.Snapshot[primacy.Record]{Rows: records, Version: version, StoreNow: now + time.Hour}, now, now)
 }
 
+// version returns that of the newest read.
+func (f *fakeSource) version() storeversion.Version {
+	return storeversion.Version(f.cache.Known().Records)
+}
+
 func serve(t *testing.T, src relay.Source) source.Candidate {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -84,7 +89,7 @@
 func (f *follower) poll() (relay.Answer, relay.Changes) {
 	f.t.Helper()
 	sentAt := boottime.Now()
-	answer, err := f.client.Poll(f.t.Context(), f.from, f.cache.Known(), 0, nil)
+	answer, err := f.client.Poll(f.t.Context(), f.from, f.cache.Known(), relay.ConfigState{}, nil)
 	assert.NilError(f.t, err)
 	return answer, f.cache.Apply(answer, sentAt, boottime.Now())
 }
@@ -284,11 +289,11 @@
 	defer client.Close()
 	stale := newSource()
 	stale.unavailable = true
-	_, err := client.Poll(t.Context(), serve(t, stale), relay.Known{}, 0, nil)
+	_, err := client.Poll(t.Context(), serve(t, stale), relay.Known{}, relay.ConfigState{}, nil)
 	assert.ErrorIs(t, err, relay.ErrStale)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = client.Poll(ctx, serve(t, newSource()), relay.Known{RecordsAsOf: time.Hour}, 0, nil)
+	_, err = client.Poll(ctx, serve(t, newSource()), relay.Known{RecordsAsOf: time.Hour}, relay.ConfigState{}, nil)
 	assert.Assert(t, err != nil, "the call ends with its context")
 }
 
@@ -301,7 +306,7 @@
 	defer client.Close()
 	assert.NilError(t, client.PollFaster(t.Context()), "must do nothing without a source")
 	self := source.Candidate{Name: "asker", Address: "10.1.0.9:1"}
-	_, err := client.Poll(t.Context(), serve(t, src), relay.Known{}, 0, []source.Candidate{self})
+	_, err := client.Poll(t.Context(), serve(t, src), relay.Known{}, relay.ConfigState{}, []source.Candidate{self})
 	assert.NilError(t, err)
 	assert.Equal(t, <-src.announce, self)
 	assert.NilError(t, client.PollFaster(t.Context()))
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -164,6 +164,7 @@
 	}
 	c.store.rows = make(map[string]storedRecord)
 	c.store.instances = make(map[string]source.Candidate)
+	c.store.configStalled = make(map[string]bool)
 	return c
 }
 
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -31,6 +31,8 @@
 	repliesToDrop int
 	// calls counts the calls that reached the store.
 	calls int
+	// configStalled names the instances whose calls of Config are not answered.
+	configStalled map[string]bool
 }
 
 // storedConfig is the variable part of the operators' configuration.
@@ -69,6 +71,14 @@
 	c.store.config = storedConfig{c.store.config.version + 1, c.store.nextVersion(), all, all != nil}
 }
 
+// StallConfig leaves the calls of Config of an instance, and those that it has open,
+// unanswered. All its other calls are answered.
+func (c *Cluster) StallConfig(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.configStalled[instance] = true
+}
+
 // CopyStore takes a copy of the store for RestoreStore.
 func (c *Cluster) CopyStore() {
 	c.mu.Lock()
@@ -201,7 +211,7 @@
 const configPollInterval = 250 * time.Millisecond
 
 // Config implements node.Store. It returns one route of each consistency to the group.
-func (c *StoreClient) Config(ctx context.Context, cursor storeversion.Version, wait time.Duration) (*catalog.Config, storeversion.Version, error) {
+func (c *StoreClient) Config(ctx context.Context, cursor catalog.ConfigCursor, wait time.Duration) (*catalog.Config, catalog.ConfigCursor, error) {
 	if err := c.call(ctx); err != nil {
 		return nil, cursor, err
 	}
@@ -209,16 +219,16 @@
 	c.cluster.mu.Unlock()
 	for end := time.Now().Add(wait); ; time.Sleep(configPollInterval) {
 		c.cluster.mu.Lock()
-		cut, stored, now := c.cluster.partitioned(c.instance, "store"), c.cluster.store.config, c.cluster.store.version
+		cut, stored, now := c.cluster.partitioned(c.instance, "store") || c.cluster.store.configStalled[c.instance], c.cluster.store.config, c.cluster.store.version
 		c.cluster.mu.Unlock()
 		switch {
 		case ctx.Err() != nil || cut:
 			<-ctx.Done()
 			return nil, cursor, errStoreUnavailable
-		case cursor == 0 || cursor.Era() < now.Era() || stored.writtenAt > cursor:
-			return stored.config(connections, otherRoutes), max(now, 1), nil
+		case cursor.Version == 0 || cursor.Version.Era() < now.Era() || stored.writtenAt > cursor.Version:
+			return stored.config(connections, otherRoutes), catalog.ConfigCursor{Version: max(now, 1), StoreNow: time.Since(c.cluster.start)}, nil
 		case !time.Now().Before(end):
-			return nil, cursor, nil
+			return nil, catalog.ConfigCursor{Version: cursor.Version, StoreNow: time.Since(c.cluster.start)}, nil
 		}
 	}
 }
