relay: pass on since when members leave

Cause: an instance counted the drain time from its own first list that showed the report, however long ago that was, and nothing shared said when it was.

Fix: an instance that has seen a member before its report knows a time no later than the report. These times are in each answer to a poll, and in a poll if the polled instance may not know them, as one that reads the store for the others and polls none. Of several the earliest counts. An instance that knows none sends the member no statement.

--- a/proxy/catalog/catalog.go
+++ b/proxy/catalog/catalog.go
@@ -135,6 +135,17 @@
 // member that has crashed or is cut off expires instead, which is no departure.
 type Departures map[string]int64
 
+// Leaving states for members, by ID, since when they have reported that they leave.
+type Leaving map[string]LeavingSince
+
+// LeavingSince is the report of one incarnation of a member that it leaves.
+type LeavingSince struct {
+	Started int64 `json:"started"`
+	// Since is no later than the report, unless the store could not be read then. It is a time
+	// of the store or, where stated, of this instance.
+	Since time.Duration `json:"since"`
+}
+
 // ByService returns the members of each service.
 func (all Members) ByService() map[string]Members {
 	byService := make(map[string]Members)
--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarail/papayarail/core/takeover"
+	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
 )
 
@@ -31,10 +32,23 @@
 	drainMargin = 300 * time.Millisecond
 )
 
+// SetLeaving sets since when the members that leave do, with times of this instance. It must be called
+// before UpdateMembers with the list that shows it. The map is not modified any more.
+func (g *Group) SetLeaving(all catalog.Leaving) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = all
+}
+
 // takesStatements reports whether a member that leaves may still be sent statements: it may end at any
-// time after its drain time. g.mu is held.
+// time after its drain time. If it is not known since when it leaves, it may end at once. g.mu is held.
 func (g *Group) takesStatements(m *member) bool {
-	return g.cfg.DrainTime == 0 || m.reportedAt == 0 || g.cfg.Clock() < m.reportedAt+g.cfg.DrainTime-drainMargin
+	entry := m.Member()
+	if g.cfg.DrainTime == 0 || !entry.Draining {
+		return true
+	}
+	report, known := g.leaving[entry.ID]
+	return known && report.Started == entry.Started && g.cfg.Clock() < report.Since+g.cfg.DrainTime-drainMargin
 }
 
 // probeDeparted checks whether a departed member still runs and, if it does not answer, whether
--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -178,6 +178,7 @@
 	leaving.Draining = true
 	all["a"] = leaving
 	now += 600 * time.Millisecond
+	g.SetLeaving(catalog.Leaving{"a": {Started: leaving.Started, Since: reportedAfter}})
 	g.UpdateMembers(all, now)
 	for ; now < reportedAfter+9*time.Second; now += 100 * time.Millisecond {
 		record.Version++
--- a/proxy/group/group.go
+++ b/proxy/group/group.go
@@ -210,6 +210,7 @@
 	lastRequestAt       time.Duration       // arrival of the last request of a caller of this instance
 	selfReported        primacy.Primary     // member that reports itself primary, with term 0 until learnPrimary knows it; used once a record shows no failover in progress
 	selfReportedAt      time.Duration
+	leaving             catalog.Leaving // see SetLeaving
 
 	lastAttemptAt time.Duration // last failover attempt; used by Run only
 	lastAckSentAt time.Duration // when the last acknowledged write was sent to the primary
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -45,7 +45,6 @@
 	*upstream.Upstream
 	missingSince time.Duration // first read without its entry; 0 if it is registered
 	leavingSince time.Duration // when it was first seen to be leaving or missing; 0 if it is neither
-	reportedAt   time.Duration // no later than its report that it leaves, unless the store could not be read; 0 if it does not leave
 	// departed means that it is no longer registered. It is kept until it is known
 	// to have stopped, because it may acknowledge commits until then.
 	departed bool
@@ -246,15 +245,6 @@
 	if old.Started != m.Started || old.Address != m.Address {
 		known.replacedAt = 0
 	}
-	switch {
-	case !m.Draining:
-		known.reportedAt = 0
-	case old.Draining:
-	case joined:
-		known.reportedAt = readAt
-	default:
-		known.reportedAt = max(g.membersAsOf, readAt-maxHolderListAge)
-	}
 	if m.Draining && !old.Draining {
 		g.cfg.Log.WithFields(logrus.Fields{"event": "member_draining", "member": id}).Info("member is draining")
 		g.signalRun()
--- a/proxy/node/apply.go
+++ b/proxy/node/apply.go
@@ -26,9 +26,9 @@
 	if c.ConfigChanged {
 		r.node.applyConfig(r.cache.Config())
 	}
-	if c.MembersRead || c.ConfigChanged || c.InstancesChanged {
+	if c.MembersRead || c.LeavingChanged || c.ConfigChanged || c.InstancesChanged {
 		if members, at := r.cache.Members(); r.cache.HasMembers() {
-			r.node.setMembers(members, r.cache.Departures(), at.Earliest, c.ConfigChanged || c.InstancesChanged)
+			r.node.setMembers(members, r.cache.Departures(), r.cache.Leaving(), at.Earliest, c.ConfigChanged || c.InstancesChanged)
 		}
 	}
 	if c.RecordsRead || c.ConfigChanged {
@@ -61,11 +61,12 @@
 // setMembers passes the members, read at readAt, on to their groups. Groups whose
 // members are complete and unchanged are left out unless all is set. reader.applyMu is
 // held.
-func (n *Node) setMembers(members catalog.Members, left catalog.Departures, readAt time.Duration, all bool) {
+func (n *Node) setMembers(members catalog.Members, left catalog.Departures, leaving catalog.Leaving, readAt time.Duration, all bool) {
 	byService := members.ByService()
 	groups := n.allGroups()
 	for _, g := range groups {
 		current := byService[g.Service()]
+		g.SetLeaving(leaving)
 		if all || g.MembersMissing() || !current.Equal(n.lastMembers[g.Service()]) {
 			g.ObserveDepartures(left)
 			g.UpdateMembers(current, readAt)
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -45,6 +45,9 @@
 	nextID atomic.Uint64
 	// pace waits between the statements of the load; nil means no wait.
 	pace func(time.Duration)
+	// drainTime is the time for which members take statements after they have reported that
+	// they leave; 0 means that there is no limit.
+	drainTime time.Duration
 	// hook sees the log of the instances that start after it is set; nil means none.
 	hook    logrus.Hook
 	metrics map[string]*metrics.Metrics // by instance
@@ -87,7 +90,7 @@
 // startWithWeight does what start does, for an instance of a weight. The one with the
 // greatest weight reads the store for the others.
 func (c *cluster) startWithWeight(name string, store node.Store, weight float64) {
-	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second, Weight: weight}
+	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second, DrainTime: c.drainTime, Weight: weight}
 	if c.place != nil {
 		settings.FailureDomain, settings.Region = c.place(name)
 	}
--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -101,6 +101,8 @@
 	// confirmedBySource is the store's time up to which the polled instance has confirmed the
 	// configuration.
 	confirmedBySource time.Duration
+	// leavingAtSource states since when members leave, as the polled instance has answered.
+	leavingAtSource catalog.Leaving
 	// configSeen is the newest version of the configuration that a polled instance has
 	// reported, and that is being fetched from it.
 	configSeen uint64
@@ -200,13 +202,13 @@
 	defer cancel()
 	sentAt := n.cfg.Clock()
 	r.mu.Lock()
-	seen, confirmedBySource := r.configSeen, r.confirmedBySource
+	seen, confirmedBySource, leavingAtSource := r.configSeen, r.confirmedBySource, r.leavingAtSource
 	r.mu.Unlock()
-	confirmed := r.cache.ConfigCursor()
-	if confirmed.StoreNow <= confirmedBySource {
-		confirmed = catalog.ConfigCursor{}
+	news := relay.News{ConfigSeen: seen, Leaving: r.cache.LeavingBeyond(leavingAtSource)}
+	if confirmed := r.cache.ConfigCursor(); confirmed.StoreNow > confirmedBySource {
+		news.ConfigConfirmed = confirmed
 	}
-	answer, err := r.client.Poll(callCtx, from, r.cache.Known(), relay.ConfigState{Seen: seen, Confirmed: confirmed}, announce)
+	answer, err := r.client.Poll(callCtx, from, r.cache.Known(), news, announce)
 	answeredAt := n.cfg.Clock()
 	n.cfg.Metrics.StoreCall("relayed", err, answeredAt-sentAt)
 	var changes relay.Changes
@@ -223,7 +225,9 @@
 		}
 	}
 	r.mu.Lock()
-	r.confirmedBySource = max(r.confirmedBySource, answer.Delta.ConfigConfirmed().StoreNow)
+	if err == nil {
+		r.confirmedBySource, r.leavingAtSource = answer.Delta.ConfigConfirmed().StoreNow, answer.Delta.Leaving
+	}
 	switch {
 	case err == nil:
 		r.picker.RecordSuccess(from.Name, answeredAt)
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -49,6 +49,9 @@
 	// Left names those of the members that Members removes that are known to have left. An
 	// instance of an earlier release does not send it.
 	Left catalog.Departures `json:"left,omitempty"`
+	// Leaving states since when the members that leave do, in the store's time. An instance of
+	// an earlier release does not send it.
+	Leaving catalog.Leaving `json:"leaving,omitempty"`
 	// MembersAsOf is the same bound for the read of the members.
 	MembersAsOf time.Duration                   `json:"members_began"`
 	Members     *mirror.Delta[catalog.Member]   `json:"members,omitempty"`
@@ -105,6 +108,8 @@
 	// the members, whether or not their rows changed.
 	RecordsRead, MembersRead                        bool
 	MembersChanged, InstancesChanged, ConfigChanged bool
+	// LeavingChanged means that there is news of since when members leave.
+	LeavingChanged bool
 	// Restored means that the records are of a later era of the store than before.
 	Restored bool
 }
@@ -129,6 +134,8 @@
 	transactionIdle time.Duration
 	// configCursor is that up to which the configuration is known to be the newest one.
 	configCursor catalog.ConfigCursor
+	// leaving holds the reports of the members in the list that leave, in the store's time.
+	leaving catalog.Leaving
 	// left holds the departures that are no older than departureRetention, and leftSeenAt when
 	// this instance learned of each.
 	left          catalog.Departures
@@ -152,7 +159,7 @@
 
 // NewCache returns an empty Cache.
 func NewCache(clock boottime.Clock) *Cache {
-	return &Cache{clock: clock, left: make(catalog.Departures), leftSeenAt: make(map[string]time.Duration), updated: make(chan struct{}), encodedDeltas: make(map[Known]*encodedDelta), configDeltas: make(map[uint64]*encodedConfigDelta),
+	return &Cache{clock: clock, leaving: make(catalog.Leaving), left: make(catalog.Departures), leftSeenAt: make(map[string]time.Duration), updated: make(chan struct{}), encodedDeltas: make(map[Known]*encodedDelta), configDeltas: make(map[uint64]*encodedConfigDelta),
 		records:   mirror.New(func(a, b primacy.Record) bool { return a.Version == b.Version }),
 		members:   mirror.New(catalog.SameMember),
 		instances: mirror.New(same[source.Candidate]),
@@ -227,9 +234,14 @@
 func (cache *Cache) SetMembers(snapshot catalog.Snapshot[catalog.Member], sentAt, answeredAt time.Duration) Changes {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
+	reports := cache.reportsIn(snapshot.Rows, cache.asOf(snapshot.StoreNow, sentAt, answeredAt))
 	changed, newer := setTable(cache, cache.members, &cache.membersAsOf, snapshot, sentAt, answeredAt)
 	cache.addDepartures(snapshot.Left)
-	return Changes{MembersRead: newer, MembersChanged: changed}
+	c := Changes{MembersRead: newer, MembersChanged: changed}
+	if newer {
+		c.LeavingChanged = cache.mergeLeaving(reports)
+	}
+	return c
 }
 
 // departureRetention is how long a departure is passed on; all instances poll more often.
@@ -375,9 +387,17 @@
 	membersCurrent := true
 	if d := a.Delta.Members; d != nil {
 		leaveOut(d, func(id string, m catalog.Member) bool { return m.Check() != nil || m.ID != id })
+		var reports catalog.Leaving
+		if cache.members.Applies(*d) {
+			reports = cache.reportsIn(d.Set, a.Delta.MembersAsOf)
+		}
 		c.MembersChanged = cache.members.ApplyDelta(*d)
 		membersCurrent = cache.members.Version() >= d.Version
 		cache.addDepartures(a.Delta.Left)
+		c.LeavingChanged = cache.mergeLeaving(reports)
+	}
+	if cache.mergeLeaving(a.Delta.Leaving) {
+		c.LeavingChanged = true
 	}
 	if membersCurrent && a.Delta.MembersAsOf > cache.membersAsOf {
 		cache.membersAsOf = a.Delta.MembersAsOf
@@ -568,7 +588,7 @@
 	}
 	d := Delta{RecordsAsOf: cache.recordsAsOf, Era: cache.era(), EraSeenAt: cache.eraSeenAt, MembersAsOf: cache.membersAsOf, Records: cache.records.DeltaSince(k.Records), Members: cache.members.DeltaSince(k.Members),
 		Instances: cache.instances.DeltaSince(k.Instances)}
-	d.Left = cache.departuresIn(d.Members)
+	d.Left, d.Leaving = cache.departuresIn(d.Members), maps.Clone(cache.leaving)
 	if at := cache.configCursor; at.Version > 0 {
 		d.ConfigCursor, d.ConfigAgeMs = uint64(at.Version), ceilMilliseconds(cache.recordsAsOf-at.StoreNow)
 	}
--- a/proxy/relay/confirmed_test.go
+++ b/proxy/relay/confirmed_test.go
@@ -79,7 +79,7 @@
 	tell := func(cursor catalog.ConfigCursor) {
 		t.Helper()
 		src.read(src.version()+1, record(12))
-		_, err := f.client.Poll(t.Context(), f.from, f.cache.Known(), relay.ConfigState{Confirmed: cursor}, nil)
+		_, err := f.client.Poll(t.Context(), f.from, f.cache.Known(), relay.News{ConfigConfirmed: cursor}, nil)
 		assert.NilError(t, err)
 	}
 	tell(f.cache.ConfigCursor())
--- a/proxy/relay/relay.go
+++ b/proxy/relay/relay.go
@@ -67,6 +67,9 @@
 	// Confirmed is a cursor up to which the polling instance knows its version of the
 	// configuration to be the newest one. It is sent if the polled instance may not know it.
 	Confirmed *configCursor `json:"config_confirmed,omitempty"`
+	// Leaving states since when members leave, in the store's time, as far as the polled
+	// instance may not know it.
+	Leaving catalog.Leaving `json:"leaving,omitempty"`
 	// Announce lists instances to be announced in the store.
 	Announce []source.Candidate `json:"announce,omitempty"`
 }
@@ -77,13 +80,15 @@
 	At      time.Duration        `json:"at"`
 }
 
-// ConfigState is what a polling instance knows of the configuration beyond the version that it
-// has.
-type ConfigState struct {
-	// Seen is the newest version that it knows to exist, if newer than that it has.
-	Seen uint64
-	// Confirmed is a cursor to be passed on to the polled instance; zero means none.
-	Confirmed catalog.ConfigCursor
+// News is what a polling instance knows beyond its snapshot.
+type News struct {
+	// ConfigSeen is the newest version of the configuration that it knows to exist, if newer
+	// than that it has.
+	ConfigSeen uint64
+	// ConfigConfirmed and Leaving are passed on to the polled instance, which may not know them;
+	// see pollRequest.
+	ConfigConfirmed catalog.ConfigCursor
+	Leaving         catalog.Leaving
 }
 
 // encodedDelta is a Delta as JSON, compressed if it is long.
@@ -205,6 +210,9 @@
 		if req.Confirmed != nil {
 			src.Cache().confirmFrom(req.Config, catalog.ConfigCursor{Version: req.Confirmed.Version, StoreNow: req.Confirmed.At})
 		}
+		if len(req.Leaving) > 0 {
+			src.Cache().leavingFrom(req.Leaving)
+		}
 		if src.Unavailable(req.Requester) {
 			return nil, peer.NewError(codeStale, ErrStale.Error())
 		}
@@ -262,10 +270,10 @@
 
 // Poll long-polls an instance and returns what changed there since k. Without a newer
 // read, the answer comes after 350 ms, or as soon as there is a version of the configuration
-// that is newer than that of k and than config.Seen. The error is ErrStale if the instance has no
+// that is newer than that of k and than news.ConfigSeen. The error is ErrStale if the instance has no
 // fresh snapshot; other errors mean that it did not answer or that its answer is
 // malformed.
-func (c *Client) Poll(ctx context.Context, from source.Candidate, k Known, config ConfigState, announce []source.Candidate) (Answer, error) {
+func (c *Client) Poll(ctx context.Context, from source.Candidate, k Known, news News, announce []source.Candidate) (Answer, error) {
 	c.mu.Lock()
 	before := c.peer
 	if before == nil || before.Address() != from.Address {
@@ -277,9 +285,9 @@
 		before.Close()
 	}
 	var answer pollAnswer
-	seen := max(config.Seen, k.Config)
-	request := pollRequest{Known: k, Requester: c.self, ConfigSeen: &seen, Announce: announce}
-	if at := config.Confirmed; at.Version > 0 {
+	seen := max(news.ConfigSeen, k.Config)
+	request := pollRequest{Known: k, Requester: c.self, ConfigSeen: &seen, Leaving: news.Leaving, Announce: announce}
+	if at := news.ConfigConfirmed; at.Version > 0 {
 		request.Confirmed = &configCursor{at.Version, at.StoreNow}
 	}
 	err := current.Call(ctx, methodPoll, request, &answer)
--- a/proxy/relay/relay_test.go
+++ b/proxy/relay/relay_test.go
@@ -89,7 +89,7 @@
 func (f *follower) poll() (relay.Answer, relay.Changes) {
 	f.t.Helper()
 	sentAt := boottime.Now()
-	answer, err := f.client.Poll(f.t.Context(), f.from, f.cache.Known(), relay.ConfigState{}, nil)
+	answer, err := f.client.Poll(f.t.Context(), f.from, f.cache.Known(), relay.News{}, nil)
 	assert.NilError(f.t, err)
 	return answer, f.cache.Apply(answer, sentAt, boottime.Now())
 }
@@ -289,11 +289,11 @@
 	defer client.Close()
 	stale := newSource()
 	stale.unavailable = true
-	_, err := client.Poll(t.Context(), serve(t, stale), relay.Known{}, relay.ConfigState{}, nil)
+	_, err := client.Poll(t.Context(), serve(t, stale), relay.Known{}, relay.News{}, nil)
 	assert.ErrorIs(t, err, relay.ErrStale)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = client.Poll(ctx, serve(t, newSource()), relay.Known{RecordsAsOf: time.Hour}, relay.ConfigState{}, nil)
+	_, err = client.Poll(ctx, serve(t, newSource()), relay.Known{RecordsAsOf: time.Hour}, relay.News{}, nil)
 	assert.Assert(t, err != nil, "the call ends with its context")
 }
 
@@ -306,7 +306,7 @@
 	defer client.Close()
 	assert.NilError(t, client.PollFaster(t.Context()), "must do nothing without a source")
 	self := source.Candidate{Name: "asker", Address: "10.1.0.9:1"}
-	_, err := client.Poll(t.Context(), serve(t, src), relay.Known{}, relay.ConfigState{}, []source.Candidate{self})
+	_, err := client.Poll(t.Context(), serve(t, src), relay.Known{}, relay.News{}, []source.Candidate{self})
 	assert.NilError(t, err)
 	assert.Equal(t, <-src.announce, self)
 	assert.NilError(t, client.PollFaster(t.Context()))
--- a/proxy/relay/simulated_test.go
+++ b/proxy/relay/simulated_test.go
@@ -73,7 +73,7 @@
 		assert.Equal(t, answer.Delta.ConfigVersion, uint64(7))
 		assert.Equal(t, time.Since(started), 20*time.Millisecond)
 		started = time.Now()
-		_, err := f.client.Poll(t.Context(), f.from, f.cache.Known(), relay.ConfigState{Seen: 7}, nil)
+		_, err := f.client.Poll(t.Context(), f.from, f.cache.Known(), relay.News{ConfigSeen: 7}, nil)
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(started) > 250*time.Millisecond, "answered after %s", time.Since(started))
 		f.client.Close()
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -51,6 +51,7 @@
 	down       bool
 	silent     bool // if down: connections time out instead of being refused
 	draining   bool
+	drainingAt time.Duration // when it reported that
 	registered bool
 	left       bool  // it has ended its registration itself
 	generation int64 // reported as catalog.Member.Started; grows with a start without the log or under another name
@@ -88,6 +89,21 @@
 	c.otherRoutes += n
 }
 
+// SetDrainTime makes it a violation to send a statement to a member that has reported for
+// longer than d that it leaves, unless it continues a transaction.
+func (c *Cluster) SetDrainTime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drainTime = d
+}
+
+// checkDrained records a violation if a member takes statements no more. c.mu is held.
+func (c *Cluster) checkDrained(m *Member, s statement.Statement, instance string) {
+	if now := c.Clock(); c.drainTime > 0 && m.draining && now > m.drainingAt+c.drainTime {
+		c.recordViolation("%s sent %s to %s, which had reported %s before that it leaves", instance, s.ID, m.ID, now-m.drainingAt)
+	}
+}
+
 // Promotions returns the number of promotions that took effect.
 func (c *Cluster) Promotions() int {
 	c.mu.Lock()
@@ -148,6 +164,9 @@
 	limited         bool
 	// otherRoutes is the number of further routes in the configuration.
 	otherRoutes int
+	// drainTime is the time for which members take statements after they have reported that
+	// they leave; 0 means that there is no limit.
+	drainTime time.Duration
 	// branches is not nil after ModelBranches.
 	branches *branches
 }
--- a/proxy/simulator/conn.go
+++ b/proxy/simulator/conn.go
@@ -124,6 +124,9 @@
 			cluster.replicate(p, m)
 		}
 	}
+	if !c.inTx {
+		cluster.checkDrained(m, s, c.instance)
+	}
 	primary, readTime := m.primary, cluster.readTime
 	_, reached := m.applied(cluster.Clock())
 	if !s.After.IsZero() && !reached.AtLeast(s.After) && !cluster.ignorePositions {
--- a/proxy/simulator/faults.go
+++ b/proxy/simulator/faults.go
@@ -75,7 +75,8 @@
 func (c *Cluster) Drain(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.member(id).draining = true
+	m := c.member(id)
+	m.draining, m.drainingAt = true, c.Clock()
 }
 
 // Deregister removes a member's registration.
