proxy/hop: keep the bytes of texts that are not UTF-8

Cause: statements are sent to a gateway as JSON, and encoding/json replaces each byte that is not part of UTF-8 by U+FFFD without an error. The users' protocol sets no encoding.

Fix: if a text of a message is not UTF-8, all are sent as bytes; other messages are as before.

--- a/proxy/hop/hop.go
+++ b/proxy/hop/hop.go
@@ -506,7 +506,7 @@
 	}
 	var answer executeAnswer
 	encoded := p.encode(j)
-	err := p.call(methodExecute, executeRequest{p.target, encoded}, &answer, j, encoded.Call)
+	err := p.call(encoded.method(methodExecute), executeRequest{p.target, encoded}, &answer, j, encoded.Call)
 	if err != nil {
 		return p.unanswered(err)
 	}
@@ -524,7 +524,13 @@
 	tx := &gatewayTx{path: p, id: p.router.lastTx.Add(1)}
 	var answer openAnswer
 	encoded := p.encode(j)
-	err := p.call(methodOpen, openRequest{p.target, tx.id, begin, encoded}, &answer, j, encoded.Call)
+	request := openRequest{target: p.target, Tx: tx.id, Begin: begin, Job: encoded}
+	request.BeginBytes = takeTexts(statementTexts(&request.Begin))
+	method := encoded.method(methodOpen)
+	if request.BeginBytes != nil {
+		method = methodOpen + bytesSuffix
+	}
+	err := p.call(method, request, &answer, j, encoded.Call)
 	if err != nil {
 		tx.Abandon() // the gateway may have begun the transaction
 		r, reached := p.unanswered(err)
@@ -711,7 +717,7 @@
 	}
 	var answer executeAnswer
 	encoded := t.path.encode(j)
-	err := t.path.call(methodNext, txRequest{t.id, encoded}, &answer, j, encoded.Call)
+	err := t.path.call(encoded.method(methodNext), txRequest{t.id, encoded}, &answer, j, encoded.Call)
 	if err == nil {
 		t.path.answered(answer.Load)
 		r := t.path.withGateway(answer.Result)
--- a/proxy/hop/hop_test.go
+++ b/proxy/hop/hop_test.go
@@ -333,7 +333,7 @@
 		r := start(t, g)
 		p := r.mustGateway(t).(*path)
 		go func() {
-			request := openRequest{p.target, 7, statement.Statement{Kind: statement.Begin}, p.encode(r.job(statement.Write, 2*time.Second))}
+			request := openRequest{target: p.target, Tx: 7, Begin: statement.Statement{Kind: statement.Begin}, Job: p.encode(r.job(statement.Write, 2*time.Second))}
 			_ = p.client.Call(t.Context(), methodOpen, request, nil) // nobody reads the answer
 		}()
 		time.Sleep(100 * time.Millisecond)
--- a/proxy/hop/server.go
+++ b/proxy/hop/server.go
@@ -92,9 +92,11 @@
 // one as a gateway.
 func Register(p *peer.Server, instance Instance, clock boottime.Clock) {
 	s := &server{instance: instance, clock: clock, txs: make(map[<-chan struct{}]map[uint64]*remoteTx), calls: make(map[callKey]*atomic.Bool)}
-	p.Handle(methodExecute, s.execute)
-	p.Handle(methodOpen, s.open)
-	p.Handle(methodNext, s.runInTx)
+	for _, suffix := range []string{"", bytesSuffix} {
+		p.Handle(methodExecute+suffix, s.execute)
+		p.Handle(methodOpen+suffix, s.open)
+		p.Handle(methodNext+suffix, s.runInTx)
+	}
 	p.Handle(methodAbandon, s.abandon)
 	p.Handle(methodConfirm, s.confirm)
 	p.Handle(methodCancel, s.cancel)
@@ -115,10 +117,13 @@
 
 // begin returns the job of a call, which the caller's instance can cancel until end is
 // called. The end of the connection cancels it, too.
-func (s *server) begin(w wireJob, closed <-chan struct{}) (j upstream.Job, end func()) {
-	j = w.toJob(s.clock)
+func (s *server) begin(w wireJob, closed <-chan struct{}) (j upstream.Job, end func(), malformed *peer.Error) {
+	j, err := w.toJob(s.clock)
+	if err != nil {
+		return j, nil, notAccepted(err.Error())
+	}
 	if w.Call == 0 {
-		return j, func() {}
+		return j, func() {}, nil
 	}
 	key, cancelled := callKey{closed, w.Call}, new(atomic.Bool)
 	j.Gone = func() bool {
@@ -136,7 +141,7 @@
 		s.mu.Lock()
 		delete(s.calls, key)
 		s.mu.Unlock()
-	}
+	}, nil
 }
 
 func (s *server) cancel(_ context.Context, params json.RawMessage, closed <-chan struct{}) (any, *peer.Error) {
@@ -158,7 +163,10 @@
 	if err := peer.Decode(params, &req); err != nil {
 		return nil, err
 	}
-	job, end := s.begin(req.Job, closed)
+	job, end, err := s.begin(req.Job, closed)
+	if err != nil {
+		return nil, err
+	}
 	defer end()
 	executor, err := s.executor(req.Service, req.Job.TimeLeft)
 	if err != nil {
@@ -176,11 +184,19 @@
 	if err := peer.Decode(params, &req); err != nil {
 		return nil, err
 	}
+	if req.BeginBytes != nil {
+		if err := req.BeginBytes.restore(statementTexts(&req.Begin)); err != nil {
+			return nil, notAccepted(err.Error())
+		}
+	}
+	job, end, err := s.begin(req.Job, closed)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
 	// The transaction is added first: it may be abandoned while executor waits.
 	tx := s.addTx(closed, req.Tx)
 	defer tx.unlock()
-	job, end := s.begin(req.Job, closed)
-	defer end()
 	executor, err := s.executor(req.Service, req.Job.TimeLeft)
 	if err != nil {
 		s.removeTx(closed, req.Tx)
@@ -250,7 +266,10 @@
 	if tx.tx == nil {
 		return nil, notAccepted("the transaction was not begun")
 	}
-	job, end := s.begin(req.Job, closed)
+	job, end, err := s.begin(req.Job, closed)
+	if err != nil {
+		return nil, err
+	}
 	defer end()
 	r := tx.tx.Run(job)
 	if req.Job.Statement.Kind == statement.Commit && r.Err == nil && r.Reply.State == statement.Idle {
--- a/proxy/hop/wire.go
+++ b/proxy/hop/wire.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"time"
+	"unicode/utf8"
 
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/schedule"
@@ -21,6 +22,10 @@
 	methodConfirm = "confirm"
 	methodPing    = "ping"
 	methodCancel  = "cancel"
+	// bytesSuffix is added to methods whose job has texts that are not UTF-8. An instance of
+	// an earlier release would run changed texts; it does not know these methods, and
+	// executes nothing.
+	bytesSuffix = "_bytes"
 )
 
 // codeNotAccepted is the JSON-RPC error code of a gateway that did not accept a call:
@@ -61,6 +66,10 @@
 	Limit         time.Duration  `json:"limit,omitempty"`
 	CommitsWrites bool           `json:"keeps,omitempty"`
 	OnlyCandidate bool           `json:"alone,omitempty"`
+	// Bytes replaces the texts from Statement, Caller, Workspace and Prepared, and ValueBytes
+	// the names and values of Values, if one of them is not UTF-8.
+	Bytes      byteTexts `json:"bytes,omitempty"`
+	ValueBytes byteTexts `json:"value_bytes,omitempty"`
 }
 
 func jobToWire(j upstream.Job, now time.Duration) wireJob {
@@ -70,17 +79,21 @@
 		left := (j.Due - now).Truncate(wirePrecision)
 		w.TimeToDue = &left
 	}
+	w.takeTexts()
 	return w
 }
 
-func (w wireJob) toJob(clock boottime.Clock) upstream.Job {
+func (w wireJob) toJob(clock boottime.Clock) (upstream.Job, error) {
+	if err := w.restoreTexts(); err != nil {
+		return upstream.Job{}, err
+	}
 	now := clock()
 	j := upstream.Job{Statement: w.Statement, Caller: w.Caller, Workspace: w.Workspace, Weight: w.Weight, Rank: w.Rank, Class: w.Class, Values: w.Values, Prepared: w.Prepared,
 		Deadline: now + w.TimeLeft, Limit: w.Limit, CommitsWrites: w.CommitsWrites, OnlyCandidate: w.OnlyCandidate}
 	if w.TimeToDue != nil {
 		j.Due = now + *w.TimeToDue
 	}
-	return j
+	return j, nil
 }
 
 // target is a member of a service. Primary means that the calling instance takes the
@@ -101,7 +114,9 @@
 	// Tx identifies the transaction on this connection.
 	Tx    uint64              `json:"tx"`
 	Begin statement.Statement `json:"begin,omitzero"`
-	Job   wireJob             `json:"job"`
+	// BeginBytes replaces the texts of Begin if one of them is not UTF-8.
+	BeginBytes byteTexts `json:"begin_bytes,omitempty"`
+	Job        wireJob   `json:"job"`
 }
 
 // txRequest runs a job in, or abandons, a transaction of the same connection.
@@ -172,13 +187,20 @@
 	Position  position.Position `json:"position,omitzero"`
 	Err       *wireError        `json:"error,omitempty"`
 	Sent      bool              `json:"sent,omitempty"`
+	// Bytes replaces Signature and Rows if one of them is not UTF-8.
+	Bytes byteTexts `json:"bytes,omitempty"`
 }
 
 func resultToWire(r upstream.Result) wireResult {
-	return wireResult{r.Reply.Rows, r.Reply.Signature, errorToWire(r.Reply.Err), r.Reply.State, r.Reply.Position, errorToWire(r.Err), r.Sent}
+	w := wireResult{Rows: r.Reply.Rows, Signature: r.Reply.Signature, ReplyErr: errorToWire(r.Reply.Err), State: r.Reply.State, Position: r.Reply.Position, Err: errorToWire(r.Err), Sent: r.Sent}
+	w.takeTexts()
+	return w
 }
 
 func (w wireResult) toResult() upstream.Result {
+	if err := w.restoreTexts(); err != nil {
+		return upstream.Result{Err: &statement.ConnError{Sent: true, Err: err}, Sent: true}
+	}
 	return upstream.Result{
 		Reply: statement.Reply{Rows: w.Rows, Signature: w.Signature, Err: w.ReplyErr.toError(), State: w.State, Position: w.Position},
 		Err:   w.Err.toError(), Sent: w.Sent,
@@ -189,8 +211,10 @@
 // member, of the connection to it, or a verdict.
 type wireError struct {
 	Upstream *statement.UpstreamError `json:"upstream,omitempty"`
-	Conn     *wireConnError           `json:"link,omitempty"`
-	Verdict  *verdict.Error           `json:"verdict,omitempty"`
+	// UpstreamText replaces the text of Upstream if that is not UTF-8.
+	UpstreamText []byte         `json:"upstream_text,omitempty"`
+	Conn         *wireConnError `json:"link,omitempty"`
+	Verdict      *verdict.Error `json:"verdict,omitempty"`
 }
 
 type wireConnError struct {
@@ -207,7 +231,11 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &u):
-		return &wireError{Upstream: u}
+		w := &wireError{Upstream: u}
+		if !utf8.ValidString(u.Text) {
+			w.UpstreamText = []byte(u.Text)
+		}
+		return w
 	case errors.As(err, &connErr):
 		return &wireError{Conn: &wireConnError{connErr.Sent, connErr.Timeout, connErr.Refused, connErr.Err.Error()}}
 	default:
@@ -219,6 +247,8 @@
 	switch {
 	case w == nil:
 		return nil
+	case w.Upstream != nil && w.UpstreamText != nil:
+		return &statement.UpstreamError{Reason: w.Upstream.Reason, Text: string(w.UpstreamText)}
 	case w.Upstream != nil:
 		return w.Upstream
 	case w.Conn != nil:
