peer: go on accepting after a failed accept

After a flood of connections that used up the descriptors, an instance served no other instance until its process was started again, while it reported ready. An instance of papayarail serve ended.

Cause: Serve took any error of Accept for the end of the listener.

Evidence: TestServerOutlastsFailedAccepts in proxy/peer and in instance/peer, an Accept that fails three times with EMFILE: before, a call gets no answer within 5 s, and Serve ends; now it is answered.

Fix: only a closed listener ends Serve. After other errors it logs, waits for 50 ms and accepts again, as the listeners for callers do. The listener of the simulator returns the error of a closed one, net.ErrClosed, like those of package net.

--- a/instance/peer/server.go
+++ b/instance/peer/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
@@ -50,7 +52,10 @@
 	conns map[net.Conn]struct{}
 }
 
-// Serve accepts links on l until ctx ends, and then closes l and all links. The
+// acceptRetryDelay is the pause after a failed accept, as for want of descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Serve accepts links on l until ctx ends or l is closed, and then closes l and all links. The
 // error is nil after the end of ctx.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
@@ -63,9 +68,14 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return Class.Wrap(err)
 		}
+		if err != nil {
+			s.Log.WithError(err).Warn("accept failed")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if !AddressAllowed(s.Allowed, c.RemoteAddr()) {
 			s.Log.WithField("remote", c.RemoteAddr().String()).Warn("refused a peer outside the allowed networks")
 			c.Close()
--- a/proxy/peer/peer.go
+++ b/proxy/peer/peer.go
@@ -46,16 +46,24 @@
 // Handle registers the handler of a method.
 func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
 
-// Serve answers calls on l until Accept fails, as it does when l is closed, and returns
-// that error. It then closes all connections.
+// acceptRetryDelay is the pause after a failed accept, as for want of descriptors.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Serve answers calls on l until l is closed, and returns the error of that. It then closes
+// all connections.
 func (s *Server) Serve(l net.Listener) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return Class.Wrap(err)
 		}
+		if err != nil {
+			s.log.WithFields(logrus.Fields{"event": "accept_failed", "listener": "peers", "error": err.Error()}).Warn("accept of a connection of another instance failed")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		stream := newStream(c)
 		conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(dispatcher{s, stream}), jsonrpc2.SetLogger(connectionLogger{s.log}))
 		go func() {
--- a/proxy/simulator/network.go
+++ b/proxy/simulator/network.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"sync"
 )
 
@@ -92,7 +91,7 @@
 	case c := <-l.incoming:
 		return c, nil
 	case <-l.closed:
-		return nil, os.ErrClosed
+		return nil, net.ErrClosed
 	}
 }
 
