node: follow the grace and drain times of the settings

If the operators shorten GraceS or DrainMs and signal it, an instance goes on with the values of its start: it is killed with requests under way, or sends statements to a member that has ended.

Cause: of the settings, a reload applied the addresses of the platform only.

TestDrainTimeFollowsSettings, 7 s to 4 s: statements reach the member later than 4 s after its report before, none now.

A stop that has begun keeps its grace time. Limits of workspaces still follow at the next start.

--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -40,6 +40,13 @@
 	g.leaving = all
 }
 
+// SetDrainTime replaces Config.DrainTime.
+func (g *Group) SetDrainTime(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cfg.DrainTime = d
+}
+
 // takesStatements reports whether a member that leaves may still be sent statements: it may end at any
 // time after its drain time. If it is not known since when it leaves, it may end at once. g.mu is held.
 func (g *Group) takesStatements(m *member) bool {
--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -90,7 +90,7 @@
 // startWithWeight does what start does, for an instance of a weight. The one with the
 // greatest weight reads the store for the others.
 func (c *cluster) startWithWeight(name string, store node.Store, weight float64) {
-	settings := node.Settings{Instance: name, FailureDomain: "a", GracePeriod: 6 * time.Second, DrainTime: c.drainTime, Weight: weight}
+	settings := node.Settings{Instance: name, FailureDomain: "a", Periods: node.Periods{GracePeriod: 6 * time.Second, DrainTime: c.drainTime}, Weight: weight}
 	if c.place != nil {
 		settings.FailureDomain, settings.Region = c.place(name)
 	}
--- a/proxy/node/draintime_test.go
+++ b/proxy/node/draintime_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/papayarail/papayarail/proxy/node"
 	"github.com/papayarail/papayarail/proxy/simulator"
 )
 
@@ -75,6 +76,24 @@
 	}
 }
 
+// Guards against statements to a leaving primary after a drain time that has become shorter
+// since the instances started.
+func TestDrainTimeFollowsSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newDrainCluster(t, "i1", "i2", "i3")
+		time.Sleep(8 * time.Second) // until the record names all members
+		c.sim.SetDrainTime(4 * time.Second)
+		for _, n := range c.nodes {
+			n.SetPeriods(node.Periods{GracePeriod: 6 * time.Second, DrainTime: 4 * time.Second})
+		}
+		c.leaveWithoutSuccessor("a")
+		stop := c.load(1)
+		time.Sleep(8 * time.Second)
+		stop()
+		c.closeSimulated()
+	})
+}
+
 // Guards against the same if all instances have started since, so that none knows when the
 // primary reported that it leaves.
 func TestAllInstancesStartWhilePrimaryLeaves(t *testing.T) {
--- a/proxy/node/node.go
+++ b/proxy/node/node.go
@@ -68,6 +68,11 @@
 	// and the number QuotaSlack.
 	QuotaWindow              time.Duration
 	QuotaOverrun, QuotaSlack float64
+	Periods
+}
+
+// Periods are the settings that may change while an instance runs.
+type Periods struct {
 	// GracePeriod is the time from the request to stop until the process must have exited.
 	GracePeriod time.Duration
 	// DrainTime is the time for which a member takes statements after it has reported that it
@@ -98,6 +103,7 @@
 	lastMembers map[string]catalog.Members
 
 	mu             sync.Mutex
+	periods        Periods // guarded by mu
 	groups         map[string]*group.Group
 	fleet          *gateway.Fleet
 	sessions       map[*openSession]struct{}
@@ -120,7 +126,7 @@
 
 // New returns a Node that does nothing until Run.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, groups: make(map[string]*group.Group), sessions: make(map[*openSession]struct{}), started: make(chan struct{})}
+	n := &Node{cfg: cfg, periods: cfg.Settings.Periods, groups: make(map[string]*group.Group), sessions: make(map[*openSession]struct{}), started: make(chan struct{})}
 	n.failures = failurelog.New(cfg.Log)
 	n.decisions = failurelog.NewDecisions(cfg.Log)
 	n.reader = newReader(n)
@@ -139,6 +145,16 @@
 	return n
 }
 
+// SetPeriods replaces the periods. A stop that has begun keeps its grace period.
+func (n *Node) SetPeriods(p Periods) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.periods = p
+	for _, g := range n.groups {
+		g.SetDrainTime(p.DrainTime)
+	}
+}
+
 // Run keeps the instance up to date until ctx ends or Stop has finished.
 func (n *Node) Run(ctx context.Context) {
 	n.mu.Lock()
@@ -258,7 +274,7 @@
 	g := group.New(group.Config{
 		Service: s.Name, Instance: n.cfg.Settings.Instance, FailureDomain: n.cfg.Settings.FailureDomain,
 		Dialer: n.cfg.Dialer, Gateways: n.router, Reachability: reachabilityObserver{n}, PoolCounters: n.cfg.Metrics, RoundTrip: n.roundTrips.get, RecordStore: n.cfg.Store, Promoter: n.cfg.Promoter, Metrics: n.cfg.Metrics, Clock: n.cfg.Clock,
-		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics, DecisionLog: n.decisions, DrainTime: n.cfg.Settings.DrainTime,
+		Log: n.cfg.Log.WithField("service", s.Name), QueueMetrics: n.cfg.Metrics, DecisionLog: n.decisions, DrainTime: n.periods.DrainTime,
 	}, s)
 	g.SetFleet(n.fleet)
 	n.groups[s.Name] = g
--- a/proxy/node/stop.go
+++ b/proxy/node/stop.go
@@ -38,13 +38,15 @@
 
 func (s *stopState) ending() bool { return s.stage.Load() >= stageEnding }
 
-// Stop shuts the instance down gracefully within Settings.GracePeriod. The instance
+// Stop shuts the instance down gracefully within the grace period. The instance
 // reports not ready at once but serves new connections and requests until the load
 // balancer has taken it out. Then it closes sessions between requests; after half
 // of the grace period it also ends transactions.
 func (n *Node) Stop() {
 	orderedAt := n.cfg.Clock()
-	grace := n.cfg.Settings.GracePeriod
+	n.mu.Lock()
+	grace := n.periods.GracePeriod
+	n.mu.Unlock()
 	n.stop.stage.Store(stageNotReady)
 	n.cfg.Log.WithFields(logrus.Fields{"event": "stop_ordered", "grace_ms": grace.Milliseconds(), "sessions": n.openSessions()}).Info("stopping")
 	n.limiter.Leave()
