relay: do not return confirmations to the instance that sent them

Times of cursors are passed on in ms, rounded down, so that the latest one that an instance has received may be a fraction of a ms later than that of the newest answer. It took that for news and sent it with every other poll. Found on reading again; no caller saw it. TestConfirmationIsPassedOn fails without the margin of 1 ms and passes with it.

--- a/proxy/node/reader.go
+++ b/proxy/node/reader.go
@@ -98,9 +98,9 @@
 	readingConfig      bool          // readConfig is running
 	// configCursor is the cursor of the store after readConfig; zero if it has not succeeded.
 	configCursor catalog.ConfigCursor
-	// confirmedBySource is the store's time up to which the polled instance has confirmed the
-	// configuration.
-	confirmedBySource time.Duration
+	// confirmedBySource is the cursor up to which the polled instance knows the configuration
+	// to be the newest one, as it has answered.
+	confirmedBySource catalog.ConfigCursor
 	// leavingAtSource states since when members leave, as the polled instance has answered.
 	leavingAtSource catalog.Leaving
 	// configSeen is the newest version of the configuration that a polled instance has
@@ -204,10 +204,7 @@
 	r.mu.Lock()
 	seen, confirmedBySource, leavingAtSource := r.configSeen, r.confirmedBySource, r.leavingAtSource
 	r.mu.Unlock()
-	news := relay.News{ConfigSeen: seen, Leaving: r.cache.LeavingBeyond(leavingAtSource)}
-	if confirmed := r.cache.ConfigCursor(); confirmed.StoreNow > confirmedBySource {
-		news.ConfigConfirmed = confirmed
-	}
+	news := relay.News{ConfigSeen: seen, ConfigConfirmed: r.cache.ConfirmedBeyond(confirmedBySource), Leaving: r.cache.LeavingBeyond(leavingAtSource)}
 	answer, err := r.client.Poll(callCtx, from, r.cache.Known(), news, announce)
 	answeredAt := n.cfg.Clock()
 	n.cfg.Metrics.StoreCall("relayed", err, answeredAt-sentAt)
@@ -226,7 +223,7 @@
 	}
 	r.mu.Lock()
 	if err == nil {
-		r.confirmedBySource, r.leavingAtSource = answer.Delta.ConfigConfirmed().StoreNow, answer.Delta.Leaving
+		r.confirmedBySource, r.leavingAtSource = answer.Delta.ConfigConfirmed(), answer.Delta.Leaving
 	}
 	switch {
 	case err == nil:
--- a/proxy/relay/cache.go
+++ b/proxy/relay/cache.go
@@ -349,6 +349,16 @@
 	return cache.configCursor
 }
 
+// ConfirmedBeyond returns the cursor up to which the configuration is known to be the newest one
+// if that is later than another one; otherwise zero. Cursors that were passed on are up to
+// storeTimeUnit too early.
+func (cache *Cache) ConfirmedBeyond(other catalog.ConfigCursor) catalog.ConfigCursor {
+	if at := cache.ConfigCursor(); at.StoreNow > other.StoreNow+storeTimeUnit {
+		return at
+	}
+	return catalog.ConfigCursor{}
+}
+
 // ConfigAge returns an upper bound of the time since the configuration was known to be the
 // newest one; ok is false if it never was.
 func (cache *Cache) ConfigAge() (age time.Duration, ok bool) {
--- a/proxy/relay/confirmed_test.go
+++ b/proxy/relay/confirmed_test.go
@@ -46,10 +46,14 @@
 	assertAge(t, f.cache, at)
 	assert.Equal(t, f.cache.ConfigCursor().Version, src.cache.ConfigCursor().Version)
 
-	time.Sleep(50 * time.Millisecond)
-	src.read(14, record(12))
-	f.poll()
-	assertAge(t, f.cache, at)
+	// The source is told nothing that it has told itself.
+	for range 20 {
+		time.Sleep(1700 * time.Microsecond)
+		src.read(src.version()+1, record(12))
+		answer, _ := f.poll()
+		assertAge(t, f.cache, at)
+		assert.Equal(t, f.cache.ConfirmedBeyond(answer.Delta.ConfigConfirmed()), catalog.ConfigCursor{})
+	}
 }
 
 // Guards against a confirmation of a version that an instance does not have yet, as when it is
