--- a/proxy/relay/confirmed_test.go
+++ b/proxy/relay/confirmed_test.go
@@ -38,9 +38,8 @@
 	_, ok := f.cache.ConfigAge()
 	assert.Assert(t, !ok, "the source does not know whether its configuration is the newest one")
 
-	at := boottime.Now()
+	at := boottime.Now() - 50*time.Millisecond
 	confirm(src.cache, at)
-	time.Sleep(50 * time.Millisecond)
 	src.read(13, record(12))
 	f.poll()
 	assertAge(t, f.cache, at)
@@ -48,7 +47,6 @@
 
 	// The source is told nothing that it has told itself.
 	for range 20 {
-		time.Sleep(1700 * time.Microsecond)
 		src.read(src.version()+1, record(12))
 		answer, _ := f.poll()
 		assertAge(t, f.cache, at)
@@ -78,7 +76,7 @@
 	src.cache.SetConfig(config(7, 3))
 	src.read(12, record(12))
 	f.poll()
-	at := boottime.Now()
+	at := boottime.Now() - 50*time.Millisecond
 	confirm(f.cache, at)
 	tell := func(cursor catalog.ConfigCursor) {
 		t.Helper()
@@ -98,7 +96,6 @@
 	f.cache.SetConfig(config(9, 3))
 	later := f.cache.ConfigCursor()
 	later.StoreNow += 10 * time.Millisecond
-	time.Sleep(20 * time.Millisecond)
 	tell(later)
 	assertAge(t, src.cache, at)
 }
--- a/proxy/relay/leaving_test.go
+++ b/proxy/relay/leaving_test.go
@@ -34,7 +34,6 @@
 func TestLeavingSinceIsPassedOn(t *testing.T) {
 	src, late := newSource(), newSource()
 	lastBefore := readMember(src.cache, 11, catalog.Member{Started: 7})
-	time.Sleep(20 * time.Millisecond)
 	readMember(src.cache, 12, catalog.Member{Started: 7, Draining: true})
 	src.read(12, record(12))
 	assertLeaving(t, src.cache, 7, lastBefore)
