node: reproduce reads that miss commits of a replica whose address is taken

Callers: reads of all kinds miss acknowledged commits, and the promoted member lacks them.

The simulator gives members an address, at which another one may start later with the log of any member. Up to now a successor had the name as its address, so that the rule `replaced` was never reached in simulated time.

--- a/proxy/simulator/branches.go
+++ b/proxy/simulator/branches.go
@@ -46,8 +46,14 @@
 func (c *Cluster) JoinFrom(id, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.member(source)
-	c.members = append(c.members, &Member{ID: id, term: p.term, registered: true, generation: 1, conns: make(map[*conn]bool), log: slices.Clone(p.log)})
+	c.addReplica(id, id, c.member(source))
+}
+
+// TakeAddress starts a replica with the log of source at the address of a member that has ended.
+func (c *Cluster) TakeAddress(of, id, source string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addReplica(id, c.member(of).address, c.member(source))
 }
 
 // IsPartitioned reports whether two nodes are partitioned.
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -44,6 +44,7 @@
 // Member is one simulated database.
 type Member struct {
 	ID         string
+	address    string // several members have had the same one; at most one of them runs
 	primary    bool
 	term       uint64
 	pausedTerm uint64  // term of the command that paused replication; 0 if it is not paused
@@ -179,7 +180,7 @@
 func NewCluster(ids ...string) *Cluster {
 	c := &Cluster{start: time.Now(), readTime: statementTime, promoteTime: promoteTime, connectionLimit: defaultConnectionLimit, partitions: make(map[[2]string]bool), readLogs: make(map[string][]entry)}
 	for i, id := range ids {
-		c.members = append(c.members, &Member{ID: id, primary: i == 0, term: 1, registered: true, generation: 1, conns: make(map[*conn]bool)})
+		c.members = append(c.members, &Member{ID: id, address: id, primary: i == 0, term: 1, registered: true, generation: 1, conns: make(map[*conn]bool)})
 	}
 	c.store.rows = make(map[string]storedRecord)
 	c.store.instances = make(map[string]source.Candidate)
@@ -211,9 +212,22 @@
 func (c *Cluster) Join(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.primaryMember()
-	m := &Member{ID: id, term: p.term, registered: true, generation: 1, conns: make(map[*conn]bool), log: slices.Clone(p.log)}
-	c.members = append(c.members, m)
+	c.addReplica(id, id, c.primaryMember())
+}
+
+// addReplica adds a replica at an address with the log of source. c.mu is held.
+func (c *Cluster) addReplica(id, address string, source *Member) {
+	c.members = append(c.members, &Member{ID: id, address: address, term: source.term, registered: true, generation: 1, conns: make(map[*conn]bool), log: slices.Clone(source.log)})
+}
+
+// listener returns the member that runs at an address, or nil. c.mu is held.
+func (c *Cluster) listener(address string) *Member {
+	for _, m := range c.members {
+		if m.address == address && !m.down {
+			return m
+		}
+	}
+	return nil
 }
 
 // Primary returns the ID of the primary of the latest term; see primaryMember.
@@ -541,7 +555,7 @@
 	all := make(catalog.Members)
 	for _, m := range c.members {
 		if m.registered && !m.down {
-			all[m.ID] = catalog.Member{ID: m.ID, Service: Service, Address: m.ID, FailureDomain: m.ID, Slots: 2, Draining: m.draining, Primary: m.primary, Started: m.generation}
+			all[m.ID] = catalog.Member{ID: m.ID, Service: Service, Address: m.address, FailureDomain: m.ID, Slots: 2, Draining: m.draining, Primary: m.primary, Started: m.generation}
 		}
 	}
 	return all
--- a/proxy/simulator/conn.go
+++ b/proxy/simulator/conn.go
@@ -22,18 +22,20 @@
 	cluster := d.cluster
 	cluster.mu.Lock()
 	m := cluster.member(t.ID)
-	if m == nil {
-		cluster.mu.Unlock()
-		time.Sleep(roundTrip)
-		return nil, &statement.UpstreamError{Reason: statement.WrongMember}
+	listener := cluster.listener(t.Address)
+	if listener == nil {
+		listener = m
 	}
-	silent := cluster.partitioned(d.instance, t.ID) || m.down && m.silent
-	down := m.down
+	silent := listener != nil && (cluster.partitioned(d.instance, listener.ID) || listener.down && listener.silent)
+	down := listener != nil && listener.down
 	cluster.mu.Unlock()
 	switch {
 	case silent:
 		time.Sleep(timeout)
 		return nil, &statement.ConnError{Timeout: true, Err: errTimeout}
+	case m == nil || listener != m:
+		time.Sleep(roundTrip)
+		return nil, &statement.UpstreamError{Reason: statement.WrongMember}
 	case down:
 		time.Sleep(roundTrip)
 		return nil, &statement.ConnError{Refused: true, Err: errBroken}
