group: log what a departed member was left out by

member_gone names the member that has the address of the departed one and, if the primary was seen since the departure, the position that another log had to reach.

--- a/core/takeover/departure.go
+++ b/core/takeover/departure.go
@@ -32,6 +32,9 @@
 func (d *Departure) Begun() bool   { return d.begun }
 func (d *Departure) Covered() bool { return d.covered }
 
+// Floor returns the position that one of the others has to reach; ok is false until the primary was seen.
+func (d *Departure) Floor() (p position.Position, ok bool) { return d.floor, d.seen }
+
 // Since returns the local time at which Begin was called first.
 func (d *Departure) Since() time.Duration { return d.since }
 
--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -264,6 +264,12 @@
 	now, primary := g.cfg.Clock(), g.tracker.Primary()
 	fields := logrus.Fields{"event": "member_gone", "member": id, "reason": reason, "lead": primary.Member, "term": primary.Term, "leaving_ms": (now - m.leavingSince).Milliseconds(),
 		"last_log": m.evidence.Log().String(), "remaining": g.remainingLogs(id), "suspected": g.suspicion.firstFailureAt != 0, "claimed": g.tracker.ReplacementClaimed()}
+	if floor, ok := m.departure.Floor(); ok {
+		fields["required"] = floor.String()
+	}
+	if other := g.runsAtAddressOf(m); other != "" {
+		fields["address_taken_by"] = other
+	}
 	if g.roster.servedAt != 0 {
 		fields["lead_served_ms"] = (now - g.roster.servedAt).Milliseconds()
 	}
@@ -276,6 +282,16 @@
 	g.signalRun()
 }
 
+// runsAtAddressOf returns the registered member that has the address of another one; empty if there is none. g.mu is held.
+func (g *Group) runsAtAddressOf(m *member) string {
+	for id, other := range g.members {
+		if other != m && other.missingSince == 0 && other.Member().Address == m.Member().Address {
+			return id
+		}
+	}
+	return ""
+}
+
 // remainingLogs formats where the logs of the members but one ended in their last answers, for the log.
 // g.mu is held.
 func (g *Group) remainingLogs(without string) (all []string) {
