group: wait for a background command in a test

The change of primary asks the former one to step down in the background, and the test moves the clock that this reads. The checks are as before.

--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -77,23 +78,26 @@
 // Guards against a quorum by one replica on the word of an acknowledgement that the primary
 // gave in an earlier term: another member may have been promoted between the two.
 func TestAcknowledgementOfEarlierTermConfirmsNoPrimary(t *testing.T) {
-	now := 10 * time.Second
-	primary := primacy.Primary{Member: "b", Term: 4}
-	g := newEvidenceGroup(&now, statusDialer{
-		"b": {Primary: true, Term: 4, Received: position.Position{Term: 4, Offset: 9}},
-		"c": {Term: 4, Received: position.Position{Term: 4, Offset: 9}},
+	synctest.Test(t, func(t *testing.T) {
+		now := 10 * time.Second
+		primary := primacy.Primary{Member: "b", Term: 4}
+		g := newEvidenceGroup(&now, statusDialer{
+			"b": {Primary: true, Term: 4, Received: position.Position{Term: 4, Offset: 9}},
+			"c": {Term: 4, Received: position.Position{Term: 4, Offset: 9}},
+		})
+		g.UpdateRecord(primacy.Record{Service: "s", Primary: primary, Version: 8}, exactTimestamp(now))
+		synctest.Wait()                    // until the former primary was asked to step down
+		now += maxCountedAge + time.Second // so that the list alone does not do
+		g.noClaimAt = now
+		for _, c := range []struct {
+			term uint64
+			want bool
+		}{{2, false}, {5, false}, {4, true}} {
+			g.WriteAcknowledged(g.members["b"].Upstream, position.Position{Term: c.term, Offset: 5}, now)
+			g.confirmByMembers(primary, now)
+			assert.Equal(t, g.rounds.last.Confirmed, c.want, "acknowledged in term %d", c.term)
+		}
 	})
-	g.UpdateRecord(primacy.Record{Service: "s", Primary: primary, Version: 8}, exactTimestamp(now))
-	now += maxCountedAge + time.Second // so that the list alone does not do
-	g.noClaimAt = now
-	for _, c := range []struct {
-		term uint64
-		want bool
-	}{{2, false}, {5, false}, {4, true}} {
-		g.WriteAcknowledged(g.members["b"].Upstream, position.Position{Term: c.term, Offset: 5}, now)
-		g.confirmByMembers(primary, now)
-		assert.Equal(t, g.rounds.last.Confirmed, c.want, "acknowledged in term %d", c.term)
-	}
 }
 
 // listingDialer is a statusDialer that lets a list of members arrive before a member answers.
