group: leave out no member because another one runs at its address

Cause: a departed member was left out of bounds and of changes of primary once another member of its service answered at its address (reason `replaced`). No log was compared. An address that has become free may be given to any database, and the log of a leaving replica may be gone with it. Decision 0015 listed this as open.

Fix: the rule is gone. The other member proves what any replica proves: that its own log has reached a position that the primary had after the departure. Without the primary, the departed member is waited for.

So that releases do not pay for it, a leaving member is covered earlier: acknowledgements count it by lists of 6 s instead of 6.5 s, and the primary is asked 6.1 s instead of 7 s after its report, before it ends. Quorums still use lists of up to 6.5 s, and a member is left out only once none of these shows it.

TestReplacedMemberIsLeftOut demanded the fault, a member left out by address while the primary is silent. TestMemberWhoseAddressIsTaken replaces it: five cases by the logs of the others, and the same bound on queries.

--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -33,9 +33,9 @@
 	// holder of a later claim knows the member: its list is no older than maxHolderListAge.
 	claimSettleTime = maxHolderListAge + 100*time.Millisecond
 	// maxCountedAge is the age of the list of members up to which an instance counts a member in
-	// it for acknowledgements. Others rely on that from departedRetention after it was missing from
+	// it for acknowledgements. Others rely on that from countedRetention after it was missing from
 	// theirs, or said there that it leaves.
-	maxCountedAge = departedRetention - 500*time.Millisecond
+	maxCountedAge = countedRetention - 100*time.Millisecond
 	// claimNoticeTime is the age of the last reading of the record without a claim up to which an
 	// instance passes on acknowledgements as if there were none. While the old primary may serve,
 	// a holder calls for a promotion no earlier than that after its claim was stored.
--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// departedRetention is the time after which no instance counts a member for acknowledgements
-	// that this one has first seen to leave or to be missing; see maxCountedAge.
-	departedRetention = 7 * time.Second
+	// countedRetention is the time after which no instance counts a member for acknowledgements
+	// that this one has first seen to leave or to be missing; see maxCountedAge. It is shorter than
+	// members serve after their reports, so that the others can be asked before one ends.
+	countedRetention = 6100 * time.Millisecond
 	// departureAskers is the number of instances that ask the remaining members at a time
 	// whether they have the commits of a departed one.
 	departureAskers = 3
@@ -164,7 +165,7 @@
 // uncounted reports whether no instance counts a member for acknowledgements, because it has left or
 // been missing for longer than any list is used. g.mu is held.
 func (g *Group) uncounted(m *member) bool {
-	return m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= departedRetention
+	return m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= countedRetention
 }
 
 // observeGone notes that a member's process does not run. Unless it is asked often, another one may
@@ -185,7 +186,7 @@
 	switch uncounted := g.uncounted(m); {
 	case !uncounted && !gone:
 		m.departure = takeover.Departure{}
-	case uncounted && !gone && m.departure.Since() < m.leavingSince+departedRetention:
+	case uncounted && !gone && m.departure.Since() < m.leavingSince+countedRetention:
 		m.departure = takeover.Departure{}
 		m.departure.Begin(now)
 	default:
@@ -216,37 +217,20 @@
 	}
 }
 
-// replaced reports whether a member has ended and another one, which every instance knows, runs at its
-// address: the platform hands the log of a database to the one that it starts there. g.mu is held.
-func (g *Group) replaced(m *member) bool {
-	if m.replacedAt == 0 || !m.evidence.Gone {
-		return false
-	}
-	for id, other := range g.members {
-		if other != m && other.missingSince == 0 && other.Member().Address == m.Member().Address && !other.logLost() && g.named(id) && g.settled(other) {
-			return true
-		}
-	}
-	return false
-}
-
 // forgetDeparted removes a departed member that does not answer once the remaining ones are known
 // to have each acknowledged commit that may rest on it, and reports whether it did: this instance has
 // seen their logs, the record, read since, names it no longer because another one has, or a member has
 // its log. g.mu is held.
 func (g *Group) forgetDeparted(id string, m *member) bool {
-	if !m.left && !m.departed || !m.unanswered || id == g.tracker.Primary().Member {
+	if !m.left && !m.departed || !m.unanswered || !g.confirmsNobody(m) || id == g.tracker.Primary().Member {
 		return false
 	}
 	g.trackDeparture(m)
 	dropped := !g.named(id) && g.lastRecordsRead.Earliest >= m.leavingSince
 	onPrimaryOnly := g.service.AcknowledgedBy == 0 && m.departure.Begun()
-	replaced := g.replaced(m)
 	switch {
-	case !m.departure.Covered() && !dropped && !onPrimaryOnly && !replaced:
+	case !m.departure.Covered() && !dropped && !onPrimaryOnly:
 		return false
-	case replaced:
-		g.removeMember(id, m, "replaced")
 	case dropped:
 		g.removeMember(id, m, "no_longer_named")
 	case m.left:
--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -58,12 +58,25 @@
 	return d.statusDialer.Dial(t, timeout)
 }
 
-// Guards against waiting for a member that was replaced at its address, and against queries that burden its successor.
-func TestReplacedMemberIsLeftOut(t *testing.T) {
-	for name, known := range map[string]bool{"its successor is known to all": true, "its successor has just joined": false} {
+// Guards against a member that is left out because another one runs at its address, and against queries that burden that one.
+func TestMemberWhoseAddressIsTaken(t *testing.T) {
+	log := position.Position{Term: 1, Offset: 20}
+	primary, replica := takeover.Status{Primary: true, Term: 1, Received: log}, takeover.Status{Term: 1, Received: log}
+	behind := takeover.Status{Term: 1, Received: position.Position{Term: 1, Offset: 19}}
+	for name, test := range map[string]struct {
+		answers statusDialer
+		joined  bool // its successor has just joined
+		leftOut bool
+	}{
+		"the primary is silent":                          {answers: statusDialer{"c": replica, "d": replica, "e": replica}},
+		"nobody else has the log of the primary":         {answers: statusDialer{"a": primary, "c": behind, "d": behind, "e": behind}},
+		"its successor has the log of the primary":       {answers: statusDialer{"a": primary, "c": behind, "d": behind, "e": replica}, leftOut: true},
+		"its successor has that log and has just joined": {answers: statusDialer{"a": primary, "c": behind, "d": behind, "e": replica}, joined: true},
+		"another replica has the log of the primary":     {answers: statusDialer{"a": primary, "c": replica, "d": behind, "e": behind}, joined: true, leftOut: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			now := 10 * time.Second
-			d := replacedDialer{statusDialer{"c": {Term: 1}, "d": {Term: 1}}, make(map[string]int)}
+			d := replacedDialer{test.answers, make(map[string]int)}
 			g, record, all := newDepartureGroup(&now, d)
 			b, successor := g.members["b"], all["b"]
 			successor.ID = "e"
@@ -71,25 +84,27 @@
 			record.Members, record.Version = append(record.Members[:4:4], nameOf(successor)), record.Version+1
 			b.statusPending = true // so that only the test asks it
 			delete(all, "b")
-			if known {
-				g.UpdateMembers(all, now)
-				g.UpdateRecord(record, exactTimestamp(now))
-			}
+			g.UpdateMembers(all, now)
+			g.UpdateRecord(record, exactTimestamp(now))
 			for range 8 {
 				g.UpdateMembers(all, now)
 				now += 500 * time.Millisecond
 			}
-			if !known {
-				e := g.members["e"]
+			if e := g.members["e"]; test.joined {
 				e.knownSince, e.namedSince = now, now
 			}
 			for range 50 {
+				record.Version++
+				g.UpdateRecord(record, exactTimestamp(now))
 				if g.members["b"] == b {
 					g.probeDeparted(b)
 				}
+				for _, id := range []string{"c", "d", "e"} {
+					g.askReplica(g.members[id])
+				}
 				now += 10 * time.Millisecond
 			}
-			assert.Equal(t, g.members["b"] == nil, known)
+			assert.Equal(t, g.members["b"] == nil, test.leftOut)
 			assert.Assert(t, d.dials["b"] <= 2, "%d connections", d.dials["b"])
 		})
 	}
--- a/proxy/group/evidence_test.go
+++ b/proxy/group/evidence_test.go
@@ -86,8 +86,8 @@
 			"c": {Term: 4, Received: position.Position{Term: 4, Offset: 9}},
 		})
 		g.UpdateRecord(primacy.Record{Service: "s", Primary: primary, Version: 8}, exactTimestamp(now))
-		synctest.Wait()                    // until the former primary was asked to step down
-		now += maxCountedAge + time.Second // so that the list alone does not do
+		synctest.Wait()                       // until the former primary was asked to step down
+		now += maxQuorumListAge + time.Second // so that the list alone does not do
 		g.noClaimAt = now
 		for _, c := range []struct {
 			term uint64
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -255,7 +255,7 @@
 	case known.leavingSince == 0:
 		known.leavingSince = g.cfg.Clock()
 		if g.service.AcknowledgedBy > 0 {
-			time.AfterFunc(departedRetention, func() { g.followMember(known) })
+			time.AfterFunc(countedRetention, func() { g.followMember(known) })
 		}
 	}
 	known.Update(m, g.connLimits(m))
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -35,6 +35,9 @@
 	// that an instance counts for acknowledgements, which it does memberSettleTime after
 	// it has read of them.
 	maxMembersAge = memberSettleTime - 300*time.Millisecond
+	// maxQuorumListAge is the age of the list of members up to which a quorum may do without the
+	// answers of some. Others leave a member out that has been missing from theirs for longer.
+	maxQuorumListAge = 6500 * time.Millisecond
 	// quorumSize is the number of members in a quorum: the primary and one replica.
 	quorumSize = 2
 	// replacedInterval separates two commands to a member at whose address another one has
@@ -191,7 +194,7 @@
 	// all members receive the primary's entries.
 	synchronous := g.service.AcknowledgedBy > 0
 	recentCommit := g.lastAckSentAt > 0 && sentAt-g.lastAckSentAt < maxCommitEvidenceAge
-	partial := synchronous && (sentAt-round.ListReadAt <= maxCountedAge || recentCommit)
+	partial := synchronous && (sentAt-round.ListReadAt <= maxQuorumListAge || recentCommit)
 	// Under a claim, a member that does not answer may have been promoted. That ends the
 	// pauses of replicas that do not learn of it and still follow this primary.
 	partial = partial && !g.tracker.ReplacementClaimed()
@@ -378,7 +381,7 @@
 // confirmsNobody reports whether no instance finds a quorum with a member that does not answer: it
 // does not run, or each list that has it is older than those that quorums rest on. g.mu is held.
 func (g *Group) confirmsNobody(m *member) bool {
-	return m.evidence.Gone || m.left || m.missingSince != 0 && g.lastMembersRead-m.missingSince > maxCountedAge
+	return m.evidence.Gone || m.left || m.missingSince != 0 && g.lastMembersRead-m.missingSince > maxQuorumListAge
 }
 
 // answer is the status of the member at an index, nil if it did not answer.
