group: a replica that leaves confirms no primary on its own

Callers: an instance that is cut off with the primary and a leaving replica went on reading from that primary by their two answers, for as long as its list of members is used for quorums (6.5 s). Others may leave the replica out in that time, if it does not answer them, and replace the primary without pausing it.

A departed member is left out once it has ended, or 7 s after it was first seen to leave or to be missing, as before.

Now each list that is used for quorums shows after 7 s that the replica leaves, and an instance without the answers of all does not confirm the primary by such a replica (TestLeavingReplicaAloneConfirmsNoPrimary, failed before). The record names it until then.

--- a/core/takeover/roster.go
+++ b/core/takeover/roster.go
@@ -14,7 +14,7 @@
 	// Registered means that it is in the latest list of the registered members.
 	Registered bool
 	Draining   bool
-	// Covered is Departure.Covered.
+	// Covered means that Departure.Covered is true and that no instance finds a quorum by its answer.
 	Covered bool
 }
 
--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -16,6 +16,9 @@
 	// that this one has first seen to leave or to be missing; see maxCountedAge. It is shorter than
 	// members serve after their reports, so that the others can be asked before one ends.
 	countedRetention = 6100 * time.Millisecond
+	// departedRetention is the time after which no instance finds a quorum with such a member; see
+	// maxQuorumListAge.
+	departedRetention = 7 * time.Second
 	// departureAskers is the number of instances that ask the remaining members at a time
 	// whether they have the commits of a departed one.
 	departureAskers = 3
@@ -168,6 +171,12 @@
 	return m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= countedRetention
 }
 
+// confirmsNoQuorum reports whether no instance finds a quorum by the answer of a member: it has ended, or
+// each list that is used for quorums lacks it or shows that it leaves. g.mu is held.
+func (g *Group) confirmsNoQuorum(m *member) bool {
+	return m.evidence.Gone || m.left || m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= departedRetention
+}
+
 // observeGone notes that a member's process does not run. Unless it is asked often, another one may
 // have run since the last time, and others may have counted it. g.mu is held.
 func (g *Group) observeGone(m *member) {
@@ -210,7 +219,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case leaves && m.departure.Covered() && !m.logLost():
+	case leaves && m.departure.Covered() && !m.logLost() && g.confirmsNoQuorum(m):
 		g.signalRun()
 	case leaves || m.logLost():
 		time.AfterFunc(followInterval, func() { g.followMember(m) })
@@ -222,7 +231,7 @@
 // seen their logs, the record, read since, names it no longer because another one has, or a member has
 // its log. g.mu is held.
 func (g *Group) forgetDeparted(id string, m *member) bool {
-	if !m.left && !m.departed || !m.unanswered || !g.confirmsNobody(m) || id == g.tracker.Primary().Member {
+	if !m.left && !m.departed || !m.unanswered || !g.confirmsNoQuorum(m) || id == g.tracker.Primary().Member {
 		return false
 	}
 	g.trackDeparture(m)
--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -280,3 +280,29 @@
 		})
 	}
 }
+
+// Guards against a quorum by a replica that others have left out since its report that it leaves.
+func TestLeavingReplicaAloneConfirmsNoPrimary(t *testing.T) {
+	primary := primacy.Primary{Member: "a", Term: 1}
+	for name, test := range map[string]struct {
+		draining, othersAnswer, confirmed bool
+	}{
+		"a replica that stays":      {confirmed: true},
+		"a replica that leaves":     {draining: true},
+		"all, one of which leaves":  {draining: true, othersAnswer: true, confirmed: true},
+		"all, none of which leaves": {othersAnswer: true, confirmed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := []takeover.Member{
+				{ID: "a", Watched: true, Status: &takeover.Status{Primary: true, Term: 1}},
+				{ID: "b", Watched: true, Draining: test.draining, Status: &takeover.Status{Term: 1}},
+				{ID: "c"},
+			}
+			if test.othersAnswer {
+				members[2].Status = &takeover.Status{Term: 1}
+			}
+			_, confirmed := quorumConfirms(primary, members, true)
+			assert.Equal(t, confirmed, test.confirmed)
+		})
+	}
+}
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -36,8 +36,9 @@
 	// it has read of them.
 	maxMembersAge = memberSettleTime - 300*time.Millisecond
 	// maxQuorumListAge is the age of the list of members up to which a quorum may do without the
-	// answers of some. Others leave a member out that has been missing from theirs for longer.
-	maxQuorumListAge = 6500 * time.Millisecond
+	// answers of some. Others rely on that from departedRetention after a member was missing from
+	// theirs, or said there that it leaves.
+	maxQuorumListAge = departedRetention - 500*time.Millisecond
 	// quorumSize is the number of members in a quorum: the primary and one replica.
 	quorumSize = 2
 	// replacedInterval separates two commands to a member at whose address another one has
@@ -247,7 +248,8 @@
 // quorumConfirms reports whether the members confirm the primary: it reports itself
 // primary of its term, and the replicas of that term receive its entries. If partial
 // is set, the primary and one such replica that are watched are enough and the others need not
-// answer; an answer that contradicts the primary counts in any case.
+// answer; an answer that contradicts the primary counts in any case. The replica must not be one that
+// leaves, which others may have left out.
 func quorumConfirms(primary primacy.Primary, members []takeover.Member, partial bool) (primaryStatus takeover.Status, ok bool) {
 	replicas, silent := 0, false
 	for _, m := range members {
@@ -263,7 +265,7 @@
 			primaryStatus, ok = *m.Status, m.Status.Primary && (m.Watched || !partial)
 		case m.Status.Primary:
 			return primaryStatus, false
-		case m.Watched || !partial:
+		case m.Watched && !m.Draining || !partial:
 			replicas++
 		}
 	}
--- a/proxy/group/roster.go
+++ b/proxy/group/roster.go
@@ -123,7 +123,7 @@
 	all := make([]takeover.KnownMember, 0, len(g.members))
 	for _, m := range g.members {
 		entry := m.Member()
-		all = append(all, takeover.KnownMember{NamedMember: nameOf(entry), Registered: m.missingSince == 0, Draining: entry.Draining, Covered: m.departure.Covered()})
+		all = append(all, takeover.KnownMember{NamedMember: nameOf(entry), Registered: m.missingSince == 0, Draining: entry.Draining, Covered: m.departure.Covered() && g.confirmsNoQuorum(m)})
 	}
 	return all
 }
