takeover: a primary whose replicas are in a later term does not stay

Callers: after a call for a promotion has taken effect late, all writes end with an unknown outcome until somebody steps in.

The call makes its member the primary of term 4 when another one leads term 3 already; the replicas follow it and receive some of its commits. It leaves before the primary of term 3 has reached it for a second. That one leads on without replicas. Its statements get no answer, so that instances compare its log with those of the replicas: theirs end in term 4, which is higher than any position of term 3, and it passed for replicated.

A log of a later term says nothing about the commits of an earlier primary, and its member does not return to that term. takeover.Replicated leaves it out, so that the primary's commits count as not acknowledged. The primary steps down, and a member of the later term is promoted to a still later one. The claim is made as before, and rule 3 decides what is promoted.

--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -455,29 +455,13 @@
 // replicationStalled reports whether all replicas are behind the primary and receive
 // nothing, so that no commit can be acknowledged.
 func (g *Group) replicationStalled(primary primacy.Primary) bool {
-	first, ok := g.maxReplicaPosition(primary)
-	if !ok {
+	first, behind := takeover.Replicated(primary, g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false))
+	if !behind {
 		return false
 	}
 	time.Sleep(replicationCheckInterval)
-	second, ok := g.maxReplicaPosition(primary)
-	return ok && first == second
-}
-
-// maxReplicaPosition returns the highest position of all replicas; ok is false if it
-// has reached the primary's position, or if the primary does not answer.
-func (g *Group) maxReplicaPosition(primary primacy.Primary) (maxReplica position.Position, ok bool) {
-	var own position.Position
-	for _, m := range g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false) {
-		switch {
-		case m.Status == nil:
-		case m.ID == primary.Member:
-			own = m.Status.Received
-		default:
-			maxReplica = position.Max(maxReplica, m.Status.Received)
-		}
-	}
-	return maxReplica, !own.IsZero() && !maxReplica.AtLeast(own)
+	second, behind := takeover.Replicated(primary, g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false))
+	return behind && first == second
 }
 
 // failoverBlockedLocked returns why this instance cannot replace the primary now, or
--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/papayarail/papayarail/proxy/simulator"
 	"github.com/papayarail/papayarail/proxy/statement"
 )
 
@@ -180,3 +181,40 @@
 		}
 	}
 }
+
+// Guards against a primary that leads without replicas for good: a late promotion has moved them to a
+// term whose primary has left.
+func TestLatePromotionOfMemberThatLeaves(t *testing.T) {
+	for _, promoteTime := range promoteTimes {
+		for _, stays := range []time.Duration{50, 300, 700} {
+			t.Run(fmt.Sprintf("promote=%s/stays=%dms", promoteTime, stays), func(t *testing.T) {
+				underLoad(t, uint64(stays), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+					c.sim.ModelBranches()
+					c.sim.SetPromoteTime(promoteTime)
+					c.sim.Join("d")
+					time.Sleep(4 * time.Second)
+					c.sim.HoldPromotions(1)
+					c.sim.Crash("a", true)
+					c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+					called := c.sim.CalledFor()
+					c.await(9*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
+					c.sim.Restart("a", false)
+					c.sim.Drain(called)
+					c.await(9*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
+					c.sim.ReleaseHeld()
+					time.Sleep(stays * time.Millisecond)
+					c.sim.Leave(called, false)
+					s := c.open("i1", simulator.Database)
+					from := time.Now()
+					for c.write(s) != nil && time.Since(from) < 15*time.Second {
+						time.Sleep(pollDelay)
+					}
+					gap := time.Since(from)
+					t.Logf("gap %s", gap)
+					assert.Check(t, gap < promoteTime+4*time.Second, "gap %s", gap)
+					s.leave()
+				})
+			})
+		}
+	}
+}
