node: reproduce commits of a replica that was missing before a gap in the lists

Callers: reads of all kinds miss acknowledged commits, and the promoted member lacks them.

Cause: an instance sees a replica missing, and then reads no list for a while. The replica is back meanwhile, and others count it. When lists are read again and it is missing or leaves, leavingSince and a departure still count from before the gap, and missingSince does once it has departed. So the instance asks the primary, and leaves the replica out, while others count it by lists that are some seconds old.

--- a/proxy/node/leftout_test.go
+++ b/proxy/node/leftout_test.go
@@ -11,6 +11,50 @@
 	"gotest.tools/v3/assert"
 )
 
+// Guards against reads and promotions that miss commits of a replica because it was missing once, and was back while no list was read.
+func TestReplicaMissingBeforeGapInLists(t *testing.T) {
+	for _, departed := range []bool{false, true} {
+		for _, leaves := range []bool{false, true} {
+			t.Run(fmt.Sprintf("departed=%t leaves=%t", departed, leaves), func(t *testing.T) {
+				underLoad(t, 1, simulated("i1", "near"), func(t *testing.T, c *cluster) {
+					c.sim.ModelBranches()
+					c.sim.Join("d")
+					c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+					time.Sleep(5 * time.Second)
+					c.sim.Deregister("b")
+					time.Sleep(1500 * time.Millisecond)
+					if departed {
+						time.Sleep(2 * time.Second)
+					}
+					c.sim.Partition("i1", "store")
+					c.sim.Register("b")
+					time.Sleep(10 * time.Second)
+					inside, outside := []string{"b", "near"}, []string{"c", "d", "i1", "store"}
+					c.isolate(inside, outside)
+					if leaves {
+						c.sim.Drain("b")
+					} else {
+						time.Sleep(2 * time.Second)
+						c.sim.Deregister("b")
+					}
+					c.sim.Heal("i1", "store")
+					time.Sleep(1500 * time.Millisecond)
+					c.isolate([]string{"a"}, outside)
+					if leaves {
+						time.Sleep(5600 * time.Millisecond)
+						c.sim.Leave("b", false)
+					} else {
+						time.Sleep(time.Second)
+					}
+					c.sim.Crash("a", true)
+					time.Sleep(8 * time.Second)
+					assert.Check(t, c.sim.Promotions() == 0, "a member without the commits of the primary was promoted")
+				})
+			})
+		}
+	}
+}
+
 // Guards against reads and promotions that miss commits of two replicas which leave at a time, each left out because the other one has them.
 func TestTwoReplicasLeaveBesideOneBehind(t *testing.T) {
 	for _, apart := range []time.Duration{0, 700} {
