node: reproduce reads by a quorum with a leaving replica that is not named

Callers: strict reads, and more of those of bounded age and of own writes, run on a replaced primary.

Cause: the record stops naming a leaving replica once the others have its commits, while it serves. An instance that starts then does not know it, and one that knows it from the record only removes it at once. Either may promote another member without pausing it. An instance without the store still finds a quorum with the old primary and that replica, by lists of up to 6.5 s.

--- a/proxy/node/leftout_test.go
+++ b/proxy/node/leftout_test.go
@@ -11,6 +11,42 @@
 	"gotest.tools/v3/assert"
 )
 
+// Guards against reads of an instance without the store that finds a quorum with a leaving replica which the record names no more.
+func TestQuorumWithLeavingReplicaNotNamed(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		t.Run(fmt.Sprintf("instance starts before the name is removed=%t", before), func(t *testing.T) {
+			underLoad(t, 1, simulated("i1", "near"), func(t *testing.T, c *cluster) {
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+				time.Sleep(5 * time.Second)
+				outside := []string{"c", "d", "i1", "new", "store"}
+				c.sim.Drain("b")
+				time.Sleep(4800 * time.Millisecond)
+				c.isolate([]string{"b"}, outside)
+				time.Sleep(1900 * time.Millisecond)
+				c.isolate([]string{"near"}, outside)
+				c.sim.Deregister("b")
+				time.Sleep(200 * time.Millisecond)
+				if before {
+					c.start("new", c.sim.Store("new"))
+				}
+				time.Sleep(time.Second) // until the name is removed
+				if !before {
+					c.start("new", c.sim.Store("new"))
+					time.Sleep(500 * time.Millisecond)
+				}
+				c.isolate([]string{"a"}, outside)
+				c.isolate([]string{"i1"}, []string{"c", "d", "store"}) // so that it does not claim
+				stop := c.loadOn(2, "new")
+				defer stop()
+				time.Sleep(8 * time.Second)
+				assert.Check(t, c.sim.Promotions() <= 1)
+			})
+		})
+	}
+}
+
 // Guards against reads and promotions that miss commits of a replica because it was missing once, and was back while no list was read.
 func TestReplicaMissingBeforeGapInLists(t *testing.T) {
 	for _, departed := range []bool{false, true} {
