node: reproduce commits of a called-for replica that leaves

Callers: reads of all kinds miss acknowledged commits, and the promoted member lacks them, after a failover has called for a leaving replica that ends before it is promoted.

Cause: a leaving replica is covered once nobody counts it and the others have the log that the primary had then. It stays covered for good. When it has ended, it is left out by the earlier evidence, and once the call counts as settled after 15 s, another member is promoted.

--- a/proxy/node/leftout_test.go
+++ b/proxy/node/leftout_test.go
@@ -129,3 +129,33 @@
 		}
 	}
 }
+
+// Guards against reads and promotions that miss commits of a leaving replica which was called for and ends before it is promoted.
+func TestCalledReplicaLeaves(t *testing.T) {
+	for _, after := range []time.Duration{7500, 8000, 9000} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "near", "idle")
+				c.sim.ModelBranches()
+				stop := c.loadOn(1, "near")
+				c.sim.Join("d")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+				time.Sleep(5 * time.Second)
+				c.sim.Drain("b")
+				time.Sleep(after * time.Millisecond)
+				c.isolate([]string{"a"}, []string{"c", "d", "i1", "idle", "store"})
+				stopOthers := c.loadOn(2, "i1", "idle")
+				c.await(5*time.Second, "a call", func() bool { return c.sim.Calls() == 1 })
+				assert.Check(t, c.sim.CalledFor() == "b")
+				time.Sleep(100 * time.Millisecond)
+				c.sim.Leave("b", false)
+				c.sim.Crash("a", true)
+				time.Sleep(25 * time.Second)
+				assert.Check(t, c.sim.Promotions() == 0, "a member without the commits of the primary was promoted")
+				stop()
+				stopOthers()
+				c.closeSimulated()
+			})
+		})
+	}
+}
