simulator: count reads that miss a commit which a later promotion has again

In simulated runs, a promotion without a commit marked the commit as rolled back for good. After a later promotion whose log has it, reads that miss it were not counted any more, so that such reads could not fail a test.

The mark is now that of the latest promotion: followBranches takes it back for each commit that the promoted member has.

--- a/proxy/simulator/branches.go
+++ b/proxy/simulator/branches.go
@@ -13,7 +13,7 @@
 type branches struct {
 	commits    map[string]commitOrigin // by ID
 	reads      map[string]string       // the member of each read and its state, by row
-	rolledBack map[string]bool         // commits that a promotion has rolled back, by ID
+	rolledBack map[string]bool         // commits that the latest promotion has left out, by ID
 }
 
 // commitOrigin is where a commit was made. Its index is the one in the log.
@@ -34,8 +34,8 @@
 //   - nothing is received from a member that does not run,
 //   - a replaced primary goes on until it has reached a later primary for a second,
 //   - Acknowledge records a violation for a commit that the latest promotion has left out, and
-//   - CheckRead does not count commits that a promotion has rolled back. Each of them that was
-//     acknowledged is a violation on its own.
+//   - CheckRead does not count commits that the latest promotion has left out. Each of them that
+//     was acknowledged is a violation on its own.
 func (c *Cluster) ModelBranches() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,7 +71,7 @@
 	}
 }
 
-// isRolledBack reports whether an earlier promotion has rolled a commit back, which was
+// isRolledBack reports whether the latest promotion has left a commit out, which was
 // recorded then. c.mu is held.
 func (c *Cluster) isRolledBack(id string) bool { return c.branches != nil && c.branches.rolledBack[id] }
 
@@ -128,7 +128,9 @@
 // followBranches completes the promotion of m. c.mu is held.
 func (c *Cluster) followBranches(m *Member, term uint64) {
 	for id, o := range c.branches.commits {
-		if !o.has(m.log, id) {
+		if o.has(m.log, id) {
+			delete(c.branches.rolledBack, id)
+		} else {
 			c.branches.rolledBack[id] = true
 		}
 	}
