simulator: count reads of other branches than that of their position

A read may demand a position. Members compare it with their own by order alone, so that one on another branch passes although it lacks the commit at the position. No test could tell how often that happens.

OtherBranchReads counts these reads, apart by whether the latest primary has the commit: if it has, the member is on a branch that was left, and the read may miss acknowledged commits.

--- a/proxy/simulator/branches.go
+++ b/proxy/simulator/branches.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/papayarail/papayarail/core/position"
 )
 
 // reachCheckInterval is the interval at which a replaced primary looks for its successor.
@@ -11,9 +13,18 @@
 
 // branches is the state of a cluster after ModelBranches.
 type branches struct {
-	commits    map[string]commitOrigin // by ID
-	reads      map[string]string       // the member of each read and its state, by row
-	rolledBack map[string]bool         // commits that the latest promotion has left out, by ID
+	commits    map[string]commitOrigin      // by ID
+	reads      map[string]string            // the member of each read and its state, by row
+	rolledBack map[string]bool              // commits that the latest promotion has left out, by ID
+	made       map[position.Position]string // IDs of the commits
+	other      OtherBranchReads
+}
+
+// OtherBranchReads counts the reads that were executed after a position whose commit is not in
+// the log that they saw: members compare positions, which do not tell branches apart.
+type OtherBranchReads struct {
+	Kept    int // the latest primary has the commit
+	LeftOut int // it has not
 }
 
 // commitOrigin is where a commit was made. Its index is the one in the log.
@@ -39,7 +50,7 @@
 func (c *Cluster) ModelBranches() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.branches = &branches{make(map[string]commitOrigin), make(map[string]string), make(map[string]bool)}
+	c.branches = &branches{make(map[string]commitOrigin), make(map[string]string), make(map[string]bool), make(map[position.Position]string), OtherBranchReads{}}
 }
 
 // JoinFrom adds a replica with the log of a member.
@@ -67,10 +78,36 @@
 func (c *Cluster) noteCommit(m *Member, id string) {
 	if c.branches != nil {
 		c.branches.commits[id] = commitOrigin{m.ID, m.term, len(m.log) - 1, c.Clock()}
+		c.branches.made[m.position()] = id
 		delete(c.branches.rolledBack, id)
 	}
 }
 
+// OtherBranchReads returns the reads of other branches so far.
+func (c *Cluster) OtherBranchReads() OtherBranchReads {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.branches.other
+}
+
+// countOtherBranch counts a statement that a member executes after a position, if the log that it
+// sees lacks the commit there. c.mu is held.
+func (c *Cluster) countOtherBranch(m *Member, after position.Position) {
+	if c.branches == nil {
+		return
+	}
+	id, made := c.branches.made[after]
+	o := c.branches.commits[id]
+	log, _ := m.applied(c.Clock())
+	switch {
+	case !made || o.has(log, id):
+	case o.has(c.primaryMember().log, id):
+		c.branches.other.Kept++
+	default:
+		c.branches.other.LeftOut++
+	}
+}
+
 // isRolledBack reports whether the latest promotion has left a commit out, which was
 // recorded then. c.mu is held.
 func (c *Cluster) isRolledBack(id string) bool { return c.branches != nil && c.branches.rolledBack[id] }
--- a/proxy/simulator/branches_test.go
+++ b/proxy/simulator/branches_test.go
@@ -56,3 +56,21 @@
 		c.Close()
 	})
 }
+
+// Guards against uncounted reads on another branch than the one of their position.
+func TestReadsOfOtherBranchesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCluster("a", "b", "c")
+		divide(t, c)
+		read := statement.Statement{ID: "r", Kind: statement.Read}
+		read.After = exec(t, c, "b", read).Position
+		assert.NilError(t, exec(t, c, "b", read).Err)
+		assert.Equal(t, c.OtherBranchReads(), OtherBranchReads{})
+		assert.NilError(t, exec(t, c, "c", read).Err)
+		assert.Equal(t, c.OtherBranchReads(), OtherBranchReads{LeftOut: 1})
+		promote(t, c, "b")
+		assert.NilError(t, exec(t, c, "c", read).Err)
+		assert.Equal(t, c.OtherBranchReads(), OtherBranchReads{LeftOut: 1, Kept: 1})
+		c.Close()
+	})
+}
--- a/proxy/simulator/conn.go
+++ b/proxy/simulator/conn.go
@@ -135,6 +135,7 @@
 		cluster.mu.Unlock()
 		return statement.Reply{Err: &statement.UpstreamError{Reason: statement.Behind}, Position: reached}, true
 	}
+	cluster.countOtherBranch(m, s.After)
 	cluster.mu.Unlock()
 	readOnly := statement.Reply{Err: &statement.UpstreamError{Reason: statement.ReadOnly}, Position: reached}
 	switch s.Kind {
