node: reproduce reads that miss commits of two replicas that depart together

A departed replica may be left out once the primary and another replica have its commits. The other one may be leaving or missing itself. Of two replicas that leave at a time, each covers the other, the record names neither, and the commits that only they and the primary have are on the primary alone. When that fails, an instance that has passed on none of them takes the remaining logs for complete: reads miss the commits, and a member without them is promoted.

--- a/proxy/node/forgotten_test.go
+++ b/proxy/node/forgotten_test.go
@@ -99,3 +99,41 @@
 		})
 	}
 }
+
+// Guards against two replicas that depart together and that are each left out because the other one has its commits.
+func TestReplicasThatDepartTogether(t *testing.T) {
+	for _, apart := range []time.Duration{0, 300, 1000} {
+		t.Run(fmt.Sprintf("apart=%dms", apart), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "near")
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				c.sim.Join("e")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d", "e")
+				stopNear := c.loadOn(1, "near")
+				time.Sleep(4 * time.Second)
+				for _, lagging := range []string{"c", "e"} {
+					c.sim.SetReceiveLag(lagging, time.Minute)
+				}
+				time.Sleep(2 * time.Second)
+				c.sim.Drain("b")
+				time.Sleep(apart * time.Millisecond)
+				c.sim.Drain("d")
+				time.Sleep(9 * time.Second)
+				c.sim.Leave("b", false)
+				c.sim.Leave("d", false)
+				c.sim.Crash("a", true)
+				c.isolate([]string{"near"}, []string{"i1", "store", "c", "e"})
+				stop := c.loadOn(2, "i1")
+				time.Sleep(12 * time.Second)
+				assert.Check(t, c.sim.Promotions() == 0, "a member without the commits of the primary was promoted")
+				c.rejoin([]string{"near"}, []string{"i1", "store", "c", "e"})
+				c.sim.Restart("a", false)
+				time.Sleep(3 * time.Second)
+				stop()
+				stopNear()
+				c.closeSimulated()
+			})
+		})
+	}
+}
