node: reproduce commits that a restarted member lacks when it is promoted late

A call for a promotion that got no answer may take effect later. The holder of the claim takes it for settled once the address of the called-for member refuses connections (unsettledCall), although the process may start again. The change is aborted, the primary goes on without that member, and the late call promotes it without the commits since.

--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -180,3 +180,27 @@
 		}
 	}
 }
+
+// Guards against commits that a member lacks which was called for, did not run meanwhile, and is promoted late.
+func TestLatePromotionOfRestartedMember(t *testing.T) {
+	for _, down := range []time.Duration{1, 3, 6, 9} {
+		t.Run(fmt.Sprintf("down=%ds", down), func(t *testing.T) {
+			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+				time.Sleep(4 * time.Second)
+				c.sim.HoldPromotions(1)
+				c.sim.Crash("a", true)
+				c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+				called := c.sim.CalledFor()
+				c.sim.Crash(called, false)
+				c.sim.Restart("a", false)
+				time.Sleep(down * time.Second)
+				c.sim.Restart(called, false)
+				c.sim.ReleaseHeld()
+				time.Sleep(6 * time.Second)
+			})
+		})
+	}
+}
