node: reproduce a group without writes after a leaving primary has stepped down

A primary that leaves is made to step down when a replica does not answer. Its last commits, which nobody has acknowledged, may be in its log only. The replicas are paused, and a former primary that leaves is not promoted, so that the change waits for a log that nobody can receive ("no replica has the log of the former primary"), also when all members answer again.

TestDecide demands this step ("the candidate needs its whole log").

--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -177,3 +177,18 @@
 		}
 	}
 }
+
+// Guards against a group without a primary after one that leaves has stepped down with a commit that no replica has.
+func TestLeavingPrimaryStepsDownBeforeReplication(t *testing.T) {
+	underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+		c.sim.ModelBranches()
+		time.Sleep(5 * time.Second)
+		c.sim.SetReceiveLag("c", 100*time.Millisecond)
+		c.sim.Crash("b", true)
+		c.sim.Drain("a")
+		time.Sleep(5 * time.Second)
+		c.sim.SetReceiveLag("c", 0)
+		c.sim.Restart("b", false)
+		assert.Check(t, c.awaitWrite(15*time.Second), "no write is served in 15 s after the replica is back")
+	})
+}
