simulator: count reads that miss a commit by consistency, and check those of own writes

Tests said that a read missed a commit, not which kind of read, so that a state that breaks only reads with bounded staleness and of own writes could not be told from one that breaks all. Reads of own writes were checked for their staleness only, not for the commits of their session.

--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -158,6 +158,9 @@
 	for _, f := range c.sim.Violations() {
 		c.t.Error(f)
 	}
+	if missed := c.sim.MissedReads(); len(missed) > 0 {
+		c.t.Logf("reads that missed a commit: %v", missed)
+	}
 }
 
 // callerStub is an in-memory caller connection.
@@ -167,6 +170,8 @@
 	wake       chan struct{}
 	ended      chan struct{} // closed when the session has ended
 	gone       atomic.Bool   // reported by Gone
+	database   string
+	acked      []string // acknowledged writes of the session
 }
 
 var _ node.Caller = (*callerStub)(nil)
@@ -206,7 +211,7 @@
 
 // openWithKey starts a session of a caller that presents a key.
 func (c *cluster) openWithKey(instance, database, key string) *callerStub {
-	s := &callerStub{statements: make(chan statement.Statement, 1), replies: make(chan statement.Reply, 1), wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	s := &callerStub{statements: make(chan statement.Statement, 1), replies: make(chan statement.Reply, 1), wake: make(chan struct{}, 1), ended: make(chan struct{}), database: database}
 	c.nodesMu.Lock()
 	n := c.nodes[instance]
 	c.nodesMu.Unlock()
@@ -244,17 +249,22 @@
 	r := s.send(statement.Statement{ID: id, Kind: statement.Write, Operands: "x 1"})
 	if r.Err == nil {
 		c.sim.Acknowledge(id)
+		s.acked = append(s.acked, id)
 	}
 	return r.Err
 }
 
 // read sends a read and checks that it sees every write that was acknowledged more than
-// staleness before it.
+// staleness before it and, if the database promises that, those of its own session.
 func (c *cluster) read(s *callerStub, staleness time.Duration) error {
 	started := c.sim.Clock()
 	r := s.send(statement.Statement{ID: "r", Kind: statement.Read, Operands: "x"})
 	if r.Err == nil {
-		c.sim.CheckRead(r.Rows[0], started-staleness)
+		read := simulator.Read{Row: r.Rows[0], Kind: simulator.ConsistencyOf(s.database), Since: started - staleness}
+		if read.Kind == catalog.ReadYourWrites {
+			read.Own = s.acked
+		}
+		c.sim.CheckRead(read)
 	}
 	return r.Err
 }
--- a/proxy/simulator/branches.go
+++ b/proxy/simulator/branches.go
@@ -108,18 +108,19 @@
 	}
 }
 
-// checkRead is CheckRead with branches. c.mu is held.
-func (c *Cluster) checkRead(row string, since time.Duration) (missed string) {
-	log := c.readLogs[row]
-	delete(c.readLogs, row)
+// checkRead is missedBy with branches. c.mu is held.
+func (c *Cluster) checkRead(r Read, log []entry) (missed string) {
+	lacks := func(id string) bool {
+		return !c.branches.rolledBack[id] && !c.branches.commits[id].has(log, id)
+	}
 	for _, a := range c.acked {
-		o := c.branches.commits[a.ID]
-		if a.At >= since || c.branches.rolledBack[a.ID] || o.has(log, a.ID) {
+		own := slices.Contains(r.Own, a.ID)
+		if !own && a.At >= r.Since || !lacks(a.ID) {
 			continue
 		}
-		p := c.primaryMember()
-		c.recordViolation("a read on %s did not see commit %s, made on %s in term %d at %s, acknowledged at %s, before its bound %s; the commit is in the log of %s, %s: %t",
-			c.branches.reads[row], a.ID, o.member, o.term, o.at-time.Hour, a.At-time.Hour, since-time.Hour, p.ID, p.describe(), o.has(p.log, a.ID))
+		o, p := c.branches.commits[a.ID], c.primaryMember()
+		c.recordViolation("a read (%s) on %s did not see commit %s (own: %t), made on %s in term %d at %s, acknowledged at %s, before its bound %s; the commit is in the log of %s, %s: %t",
+			r.Kind, c.branches.reads[r.Row], a.ID, own, o.member, o.term, o.at-time.Hour, a.At-time.Hour, r.Since-time.Hour, p.ID, p.describe(), o.has(p.log, a.ID))
 		return a.ID
 	}
 	return ""
--- a/proxy/simulator/cluster.go
+++ b/proxy/simulator/cluster.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -134,20 +135,21 @@
 // Cluster is the simulated group, the store and the network between them and the
 // instances. It is safe for concurrent use.
 type Cluster struct {
-	mu         sync.Mutex
-	start      time.Time
-	members    []*Member
-	partitions map[[2]string]bool
-	acked      []AckedWrite
-	readLogs   map[string][]entry   // the log that each read saw, by the row that it returned
-	violations []string             // violated guarantees
-	maxToken   storeversion.Version // highest fencing token of a promotion
-	calledFor  string               // member of the last promotion that was called
-	calls      int                  // promotions that were called
-	late       lateEffects
-	lastRow    int // number of reads executed
-	store      store
-	closed     bool // no more timers are set
+	mu          sync.Mutex
+	start       time.Time
+	members     []*Member
+	partitions  map[[2]string]bool
+	acked       []AckedWrite
+	readLogs    map[string][]entry // the log that each read saw, by the row that it returned
+	violations  []string           // violated guarantees
+	missedReads map[catalog.Consistency]int
+	maxToken    storeversion.Version // highest fencing token of a promotion
+	calledFor   string               // member of the last promotion that was called
+	calls       int                  // promotions that were called
+	late        lateEffects
+	lastRow     int // number of reads executed
+	store       store
+	closed      bool // no more timers are set
 	// repliesToDrop is the number of further writes whose replies are lost.
 	repliesToDrop int
 	// readTime is the execution time of a read.
@@ -178,7 +180,7 @@
 
 // NewCluster returns a cluster of members; the first one is the primary of term 1.
 func NewCluster(ids ...string) *Cluster {
-	c := &Cluster{start: time.Now(), readTime: statementTime, promoteTime: promoteTime, connectionLimit: defaultConnectionLimit, partitions: make(map[[2]string]bool), readLogs: make(map[string][]entry)}
+	c := &Cluster{start: time.Now(), readTime: statementTime, promoteTime: promoteTime, connectionLimit: defaultConnectionLimit, partitions: make(map[[2]string]bool), readLogs: make(map[string][]entry), missedReads: make(map[catalog.Consistency]int)}
 	for i, id := range ids {
 		c.members = append(c.members, &Member{ID: id, address: id, primary: i == 0, term: 1, registered: true, generation: 1, conns: make(map[*conn]bool)})
 	}
@@ -279,24 +281,61 @@
 	c.acked = append(c.acked, AckedWrite{id, c.Clock()})
 }
 
-// CheckRead records a violation if the read that returned row did not see a commit that
-// was acknowledged before since. It returns the ID of that commit, or an empty string.
-func (c *Cluster) CheckRead(row string, since time.Duration) (missed string) {
+// Read is an answered read, and what it had to see.
+type Read struct {
+	Row string // that it returned
+	// Kind is the consistency that the caller was promised, for MissedReads.
+	Kind catalog.Consistency
+	// Since is the time before which all acknowledged commits must be seen.
+	Since time.Duration
+	// Own are the acknowledged commits of the same session, which must be seen too.
+	Own []string
+}
+
+// CheckRead records a violation if a read did not see a commit that it had to see. It returns the ID of
+// that commit, or an empty string.
+func (c *Cluster) CheckRead(r Read) (missed string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	log := c.readLogs[r.Row]
+	delete(c.readLogs, r.Row)
+	missed = c.missedBy(r, log)
+	if missed != "" {
+		c.missedReads[r.Kind]++
+	}
+	return missed
+}
+
+// MissedReads returns the number of reads that missed a commit, by the consistency that their callers
+// were promised.
+func (c *Cluster) MissedReads() map[catalog.Consistency]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.missedReads)
+}
+
+// missedBy records a violation for the first commit that a read of a log had to see and missed, and
+// returns its ID. c.mu is held.
+func (c *Cluster) missedBy(r Read, log []entry) string {
 	if c.branches != nil {
-		return c.checkRead(row, since)
+		return c.checkRead(r, log)
 	}
 	seen := make(map[string]bool)
-	for _, e := range c.readLogs[row] {
+	for _, e := range log {
 		seen[e.id] = true
 	}
 	for _, a := range c.acked {
-		if a.At < since && !seen[a.ID] {
-			c.recordViolation("a read did not see commit %s, acknowledged at %s, before its bound %s", a.ID, a.At, since)
+		if a.At < r.Since && !seen[a.ID] {
+			c.recordViolation("a read (%s) did not see commit %s, acknowledged at %s, before its bound %s", r.Kind, a.ID, a.At, r.Since)
 			return a.ID
 		}
 	}
+	for _, id := range r.Own {
+		if !seen[id] {
+			c.recordViolation("a read (%s) did not see commit %s of its session", r.Kind, id)
+			return id
+		}
+	}
 	return ""
 }
 
--- a/proxy/simulator/store.go
+++ b/proxy/simulator/store.go
@@ -233,13 +233,26 @@
 	}
 }
 
+// ConsistencyOf returns the consistency that the route to a database promises.
+func ConsistencyOf(database string) catalog.Consistency {
+	switch database {
+	case Database + "_stale":
+		return catalog.BoundedStaleness
+	case Database + "_own":
+		return catalog.ReadYourWrites
+	default:
+		return catalog.Strict
+	}
+}
+
 // config returns the configuration, with the limit of connections of each member and a
 // number of further routes.
 func (s storedConfig) config(connections, otherRoutes int) *catalog.Config {
 	route := catalog.Route{Database: Database, Service: Service, Timeout: 800 * time.Millisecond, Objective: 100 * time.Millisecond}
 	stale, own := route, route
-	stale.Database, stale.Consistency, stale.Staleness, stale.Priority, stale.Open = Database+"_stale", catalog.BoundedStaleness, 1500*time.Millisecond, 2, s.open
-	own.Database, own.Consistency, own.Staleness, own.Priority = Database+"_own", catalog.ReadYourWrites, 2500*time.Millisecond, 1
+	stale.Database, stale.Staleness, stale.Priority, stale.Open = Database+"_stale", 1500*time.Millisecond, 2, s.open
+	own.Database, own.Staleness, own.Priority = Database+"_own", 2500*time.Millisecond, 1
+	stale.Consistency, own.Consistency = ConsistencyOf(stale.Database), ConsistencyOf(own.Database)
 	routes := map[string]catalog.Route{route.Database: route, stale.Database: stale, own.Database: own}
 	for i := range otherRoutes {
 		other := route
