group: log reads of older data on a primary whose proof has ended

A read with bounded staleness or of own writes may run on a primary whose proof is as old as the bound. Such a read left no line, so that a miss could not be told from one that rests on a watermark or a bound.

TestUnusualReadsOfOlderDataAreNoted fails without the change: 0 lines, 1 expected.

--- a/proxy/group/decision.go
+++ b/proxy/group/decision.go
@@ -240,8 +240,8 @@
 }
 
 // noteAnswer counts and logs the answer to a read or a commit, with the basis of the choice of
-// its member. Of reads that need not see the latest commits, those on a replica that rest on
-// something unusual are logged.
+// its member. Of reads that need not see the latest commits, those are logged that rest on something
+// unusual: on a replica, or on a primary whose proof has ended.
 func (g *Group) noteAnswer(b Basis, u *upstream.Upstream, j upstream.Job, r upstream.Result) {
 	p := r.Reply.Position
 	if b.Kind == NoBasis || r.Err != nil || r.Reply.Err != nil || p.IsZero() {
@@ -254,7 +254,7 @@
 	case b.Strict && reads:
 		event, kind = "read_decision", "read"
 		g.cfg.Metrics.CountStrictRead(b.Kind)
-	case reads && (b.Kind == ByBound || b.Kind == ByWatermark):
+	case reads && (b.Kind == ByBound || b.Kind == ByWatermark || b.Left < 0):
 		if cause := b.unusual(); cause != "" {
 			g.logChoice(Decision{Event: "read_decision", Request: j.Statement.ID, Cause: cause, Position: p}, b, u.Member().ID, j.Caller, r.Gateway)
 		}
--- a/proxy/group/decision_test.go
+++ b/proxy/group/decision_test.go
@@ -285,6 +285,7 @@
 			"bound":           func(b *Basis) { b.Kind = ByBound },
 			"claimed":         func(b *Basis) { b.Claimed = true },
 			"primary_changed": func(b *Basis) { b.SinceChange = time.Second },
+			"lease_ended":     func(b *Basis) { b.Kind, b.Left = ByLease, -time.Millisecond },
 		} {
 			now := 100 * time.Second
 			g, r := newDecisionGroup(&now, new(bytes.Buffer))
