group: count no answer of a process that the list of members may not show

What callers saw: reads missed acknowledged commits while the primary did not answer; most of them with bounded staleness or of own writes.

Cause: a bound of acknowledged commits counted the answer of a replica that had started again without its log and received a part of it, before the list of members showed the restart. Strict reads stop once the list does; the others were served from the remembered bound for up to 2.5 s after its round.

An answer counts in a bound only if its process is known to have run since the list was read, or since before the list lacked the member, so that the list shows whether it has the log. A bound is dropped when the list shows a restart. A process that has not registered yet when the list is read is seen by the second rule only.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -287,6 +287,7 @@
 	watermarks      []Watermark
 	watermarkWindow time.Duration     // how far watermarks reach back; 0: defaultWatermarkWindow
 	readPosition    Watermark         // latest position that covers all acknowledged writes whichever member is the primary
+	restartSeenAt   time.Duration     // last call of ObserveRestart; readPosition is not older
 	firstPosition   position.Position // first known position of the primary
 	lastPosition    position.Position // highest known position of the primary
 }
@@ -484,11 +485,19 @@
 // ObserveReadPosition handles a position that covers every write acknowledged before
 // the local time sentAt, whichever member is the primary: see takeover.ReadPosition.
 func (t *Tracker) ObserveReadPosition(p position.Position, sentAt time.Duration) {
-	if sentAt > t.readPosition.At {
+	if sentAt > t.readPosition.At && sentAt >= t.restartSeenAt {
 		t.readPosition = Watermark{Position: p, At: sentAt}
 	}
 }
 
+// ObserveRestart notes at the local time now that a member has started again without its log. The
+// known read position may rest on the log of the new process. It reports whether there was one.
+func (t *Tracker) ObserveRestart(now time.Duration) (dropped bool) {
+	dropped = t.readPosition.At > 0
+	t.readPosition, t.restartSeenAt = Watermark{}, now
+	return dropped
+}
+
 // ReadPosition returns the latest position passed to ObserveReadPosition; ok is false
 // if it does not cover the writes acknowledged before since.
 func (t *Tracker) ReadPosition(since time.Duration) (w Watermark, ok bool) {
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -306,3 +306,20 @@
 	r.AlsoMayLead = []primacy.LateCall{{Member: "a", Until: time.Hour}}
 	assert.Assert(t, r.Check(0) != nil, "no instance has noted such a call")
 }
+
+// Guards against reads that rest on the log of a member which has restarted without it.
+func TestRestartDropsReadPosition(t *testing.T) {
+	tr := newTrackerWithPrimary()
+	assert.Assert(t, !tr.ObserveRestart(9*time.Second), "none is known")
+	tr.ObserveReadPosition(at(1, 5), 10*time.Second)
+	assert.Assert(t, tr.ObserveRestart(11*time.Second))
+	_, ok := tr.ReadPosition(0)
+	assert.Assert(t, !ok)
+	tr.ObserveReadPosition(at(1, 5), 10900*ms) // of a round that began before
+	_, ok = tr.ReadPosition(0)
+	assert.Assert(t, !ok)
+	tr.ObserveReadPosition(at(1, 6), 11*time.Second)
+	w, ok := tr.ReadPosition(11 * time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, w.Position, at(1, 6))
+}
--- a/core/takeover/read_position.go
+++ b/core/takeover/read_position.go
@@ -12,6 +12,9 @@
 // primary and a replica have it; so if all members but one answer, at least one
 // of them has it, whichever members are or were the primary.
 //
+// A member whose process may have started since the list of members was read counts as one
+// that did not answer.
+//
 // size is the number of members of the complete group. ok is false if more than
 // one member did not answer, if one may have lost its log, or if fewer than size
 // members are known.
@@ -21,7 +24,7 @@
 		switch {
 		case m.LogLost || m.Status != nil && m.LogShrunk:
 			return position.Position{}, false
-		case m.Status != nil:
+		case m.Status != nil && !m.StartUnknown:
 			answered++
 			p = position.Max(p, m.Status.Received)
 		}
--- a/core/takeover/read_position_test.go
+++ b/core/takeover/read_position_test.go
@@ -27,6 +27,8 @@
 		"a deregistered member counts":      {[]takeover.Member{{ID: "a"}, {ID: "d", Deregistered: true}, {ID: "b", Status: at(7)}, {ID: "c", Status: at(9)}}, 0, false},
 		"one lost its log":                  {[]takeover.Member{{ID: "a"}, {ID: "b", Status: at(7), LogLost: true}, {ID: "c", Status: at(9)}}, 0, false},
 		"one has a shorter log than before": {[]takeover.Member{{ID: "a"}, {ID: "b", Status: at(7), LogShrunk: true}, {ID: "c", Status: at(9)}}, 0, false},
+		"one may have started since":        {[]takeover.Member{{ID: "a"}, {ID: "b", Status: at(7), StartUnknown: true}, {ID: "c", Status: at(9)}}, 0, false},
+		"one has, and all others answer":    {[]takeover.Member{{ID: "a", Status: at(8)}, {ID: "b", Status: at(99), StartUnknown: true}, {ID: "c", Status: at(9)}}, 9, true},
 		"one is not registered":             {[]takeover.Member{{ID: "b", Status: at(7)}, {ID: "c", Status: at(9)}}, 0, false},
 	} {
 		p, ok := takeover.ReadPosition(c.members, 3)
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -69,6 +69,9 @@
 	// LogShrunk means that the member's log is shorter than in an earlier answer
 	// under the same primary: it may have lost commits that it had confirmed.
 	LogShrunk bool
+	// StartUnknown means that the process which answered may have started after the list of members was
+	// read. The list does not show then whether it has the log of the member that is listed.
+	StartUnknown bool
 	// Gone means that it did not answer and that no instance finds a quorum with it any more.
 	Gone bool
 	// Watched means that it answered and that no promotion can have ended a pause of it unseen.
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -239,7 +239,12 @@
 		known.restart.Begin(g.cfg.Clock())
 		time.AfterFunc(followInterval, func() { g.followMember(known) })
 		known.knownSince, known.evidence, known.departure = g.cfg.Clock(), takeover.Evidence{}, takeover.Departure{}
-		g.cfg.Log.WithFields(logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}).Warn("member restarted without its log")
+		fields := logrus.Fields{"event": "member_restarted", "member": id, "floor": known.catchUpFloor.String()}
+		bound, _ := g.tracker.ReadPosition(0)
+		if g.tracker.ObserveRestart(g.cfg.Clock()) {
+			fields["dropped_bound"], fields["bound_age_ms"] = bound.Position.String(), (g.cfg.Clock() - bound.At).Milliseconds()
+		}
+		g.cfg.Log.WithFields(fields).Warn("member restarted without its log")
 		g.signalRun()
 	}
 	if old.Started != m.Started || old.Address != m.Address {
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -345,14 +345,15 @@
 				g.recordAnswer(m, entries[i], reply != nil, gone)
 				a := answer{member: i}
 				if reply != nil {
-					a.status = &reply.Status
+					a.status, a.runsSince = &reply.Status, reply.RunsSince
 				}
 				answers <- a
 			}()
 		}
 	}
+	runsSince := make([]time.Duration, len(members))
 	for _, a := range collectAnswers(answers, asked, awaited) {
-		members[a.member].Status = a.status
+		members[a.member].Status, runsSince[a.member] = a.status, a.runsSince
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -370,6 +371,11 @@
 		}
 		members[i].LogLost = m.logLost()
 		members[i].LogShrunk = !s.Received.AtLeast(m.maxPosition)
+		listedAt := round.ListReadAt
+		if m.missingSince != 0 {
+			listedAt = m.missingSince
+		}
+		members[i].StartUnknown = !m.unread && runsSince[i] > listedAt
 	}
 	round.Members = members
 	return round
@@ -383,8 +389,9 @@
 
 // answer is the status of the member at an index, nil if it did not answer.
 type answer struct {
-	member int
-	status *takeover.Status
+	member    int
+	status    *takeover.Status
+	runsSince time.Duration
 }
 
 // collectAnswers returns the answers of all members that were asked, except those that
@@ -498,7 +505,8 @@
 }
 
 // describeMembers formats the members' answers for the log. There, "held" means that
-// replication is paused, and "restarted" that the member has lost its log.
+// replication is paused, "restarted" that the member has lost its log, and "start unknown" that its
+// process may have started since the list of members was read.
 func describeMembers(members []takeover.Member) []string {
 	var out []string
 	for _, m := range members {
@@ -522,6 +530,9 @@
 		if m.LogLost {
 			text += " restarted"
 		}
+		if m.StartUnknown {
+			text += " start unknown"
+		}
 		out = append(out, text)
 	}
 	return out
--- a/proxy/node/restore_test.go
+++ b/proxy/node/restore_test.go
@@ -126,16 +126,32 @@
 
 // readStrictly reads with strict consistency on one instance until it is stopped.
 func (c *cluster) readStrictly(instance string) (stop func()) {
+	return c.readFrom(instance, simulator.Database, 0)
+}
+
+// readOn reads with each consistency on one instance until it is stopped.
+func (c *cluster) readOn(instance string) (stop func()) {
+	stops := []func(){c.readStrictly(instance), c.readFrom(instance, simulator.Database+"_stale", 1500*time.Millisecond),
+		c.readFrom(instance, simulator.Database+"_own", 2500*time.Millisecond)}
+	return func() {
+		for _, stop := range stops {
+			stop()
+		}
+	}
+}
+
+// readFrom reads from a database, with its bound on staleness, on one instance until it is stopped.
+func (c *cluster) readFrom(instance, database string, staleness time.Duration) (stop func()) {
 	var ended atomic.Bool
 	var work sync.WaitGroup
-	s := c.open(instance, simulator.Database)
+	s := c.open(instance, database)
 	work.Go(func() {
 		defer func() { s.leave() }()
 		for !ended.Load() {
 			time.Sleep(20 * time.Millisecond)
 			// Refused reads are expected under faults.
-			if errors.Is(c.read(s, 0), errEnded) {
-				s = c.open(instance, simulator.Database)
+			if errors.Is(c.read(s, staleness), errEnded) {
+				s = c.open(instance, database)
 			}
 		}
 	})
