primacy: require a recent position of a primary whose proof has ended

What callers saw: reads with bounded staleness and of own writes missed acknowledged commits; strict reads did not.

Cause: such reads may run on a primary that was proven as late as their bound asks, up to 2.5 s after its lease has ended. They required the last position that this instance had seen there, however old. If the process has started again without its log meanwhile and another member has been promoted, it receives the log of that one: it soon has the old position, but not yet the later commits that other instances acknowledged. Strict reads need a present proof, so that none is sent there.

Once the proof has ended, the instance must have seen a position at or after the time that the read has to see: it covers what was acknowledged before. Until the proof ends, no other member can have led, so that a process without its log has nobody to receive another one from.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -302,6 +302,16 @@
 // the local time at.
 func (t *Tracker) Proven(at time.Duration) bool { return t.primary.Member != "" && at <= t.provenUntil }
 
+// ProvenForRead reports whether a read that arrived at the local time arrival and must see the writes
+// acknowledged before since may run on the primary, at LastPosition or later. Until ProvenUntil no other
+// member has led, so that no other log than its own can have reached LastPosition. Later, its
+// process may have started again without its log and follow another primary: it has these writes if
+// LastPosition covers them.
+func (t *Tracker) ProvenForRead(since, arrival time.Duration) bool {
+	_, covered := t.OldestWatermark(since)
+	return t.Proven(arrival) || t.Proven(since) && covered
+}
+
 // ProvenUntil returns the latest local arrival time of a request for which the
 // primary is proven.
 func (t *Tracker) ProvenUntil() time.Duration { return t.provenUntil }
--- a/proxy/group/choose.go
+++ b/proxy/group/choose.go
@@ -148,6 +148,9 @@
 	}
 	after := position.Position{}
 	if req.Reads {
+		if !g.tracker.ProvenForRead(req.Arrival-maxAge, req.Arrival) {
+			return Choice{}, false
+		}
 		after = g.primaryPosition()
 	}
 	return Choice{Upstream: u, Primary: true, MinPosition: after, EvidenceAge: req.Arrival - g.tracker.ProvenUntil(), Basis: g.primaryBasis(req, after)}, true
@@ -198,7 +201,7 @@
 		case id == primary.Member && req.Consistency == catalog.Strict:
 			continue // choosePrimary has already rejected it
 		case id == primary.Member:
-			if m.Upstream != primaryUpstream || g.suspicion.confirmed || !g.tracker.Proven(since) || !g.takesStatements(m) {
+			if m.Upstream != primaryUpstream || g.suspicion.confirmed || !g.tracker.ProvenForRead(since, req.Arrival) || !g.takesStatements(m) {
 				continue
 			}
 			c.Primary = true
--- a/proxy/node/incarnation_test.go
+++ b/proxy/node/incarnation_test.go
@@ -7,6 +7,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/papayarail/papayarail/proxy/simulator"
 )
 
 // Guards against reads that rest on a bound which counts a replica that has restarted without its log.
@@ -42,3 +46,32 @@
 		}
 	}
 }
+
+// Guards against reads on a former primary that has restarted without its log and follows its successor.
+func TestReadOnRestartedFormerPrimary(t *testing.T) {
+	for _, after := range []time.Duration{100, 600} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "i2")
+				c.sim.ModelBranches()
+				stop := c.loadOn(1, "i1")
+				time.Sleep(5 * time.Second)
+				s := c.open("i2", simulator.Database)
+				assert.NilError(t, c.read(s, 0))
+				time.Sleep(3 * time.Second)
+				c.isolate([]string{"i2"}, []string{"b", "c", "store"})
+				c.sim.SetReceiveLag("a", 3*time.Second)
+				c.sim.Crash("a", false)
+				time.Sleep(after * time.Millisecond)
+				c.sim.Restart("a", true)
+				stopReads := c.readOn("i2")
+				time.Sleep(6 * time.Second)
+				c.rejoin([]string{"i2"}, []string{"b", "c", "store"})
+				stop()
+				stopReads()
+				s.leave()
+				c.closeSimulated()
+			})
+		})
+	}
+}
