takeover: promote no log of a process that the list of members may not show

What callers saw: an acknowledged commit was missing after a change of primary.

Cause: the holder of the claim took the log of a replica for that of the member in its list, although the process had started again without the log and the list did not show it yet. With a part of the log received again, it may be the longest that answers, and the holder knows only what it has seen of the member itself.

If the primary does not answer, a replica's log counts only if its process is known to have run since the list was read, or since before the list lacked it. The next reading of the list shows whether it has started again.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -7,8 +7,9 @@
 // A commit is acknowledged once the primary and at least one replica have it.
 // So a candidate has every acknowledged commit if one of these holds:
 //
-//  1. All replicas were paused (they receive nothing more), and the candidate
-//     has the longest log among them.
+//  1. All replicas were paused (they receive nothing more), the candidate has the
+//     longest log among them, and the list of members shows which of them have
+//     started again without their logs.
 //  2. All replicas but the candidate were paused, the candidate has reached the
 //     longest of their logs, and every instance knows the candidate. The old primary
 //     keeps serving until the candidate is promoted.
@@ -306,7 +307,7 @@
 	}
 	withLog := 0
 	for _, m := range r.answered {
-		if !m.LogLost && !m.LogShrunk {
+		if !m.LogLost && !m.LogShrunk && !m.StartUnknown {
 			withLog++
 		}
 	}
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -337,3 +337,15 @@
 	assert.Assert(t, !takeover.MayLack("b", p, []takeover.Evidence{{Member: "b", Gone: true}, {Member: "c"}}))
 	assert.Assert(t, !takeover.MayLack("", p, []takeover.Evidence{at(3, 8)}))
 }
+
+// Guards against the promotion of a member that may have started again without its log.
+func TestUnknownStartIsNotPromoted(t *testing.T) {
+	for name, unknown := range map[string][2]bool{"the longest log": {true, false}, "another one": {false, true}} {
+		members := []takeover.Member{{ID: "a"}, {ID: "b", Status: replica(9, 4), StartUnknown: unknown[0]}, {ID: "c", Status: replica(8, 4), StartUnknown: unknown[1]}}
+		step := takeover.Decide(takeover.Input{OldPrimary: oldPrimary, Members: members, GroupSize: 3})
+		assert.Equal(t, step.Action, takeover.Wait, name)
+		members[1].StartUnknown, members[2].StartUnknown = false, false
+		step = takeover.Decide(takeover.Input{OldPrimary: oldPrimary, Members: members, GroupSize: 3})
+		assert.Equal(t, step.Action, takeover.Promote, name)
+	}
+}
--- a/proxy/node/incarnation_test.go
+++ b/proxy/node/incarnation_test.go
@@ -75,3 +75,43 @@
 		})
 	}
 }
+
+// Guards against the promotion of a replica that has restarted without its log, which the list does not show.
+func TestPromotionOfRestartedReplica(t *testing.T) {
+	for _, missing := range []time.Duration{0, 1200, 2000} {
+		t.Run(fmt.Sprintf("missing=%dms", missing), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "i2")
+				c.sim.ModelBranches()
+				stops := []func(){c.loadOn(1, "i1"), c.readOn("i2")}
+				time.Sleep(5 * time.Second)
+				c.sim.SetReceiveLag("c", 30*time.Second)
+				time.Sleep(3 * time.Second)
+				if missing > 0 {
+					c.sim.Deregister("b")
+					time.Sleep(missing * time.Millisecond)
+				}
+				c.sim.SetReceiveLag("b", 2500*time.Millisecond)
+				c.sim.Crash("b", false)
+				c.sim.Restart("b", true)
+				time.Sleep(60 * time.Millisecond) // b has received a part of the log
+				c.sim.Partition("i1", "store")    // so that i2, which has not asked b, holds the claim
+				c.sim.Crash("a", missing > 0)
+				time.Sleep(3 * time.Second)
+				c.sim.Register("b")
+				time.Sleep(3 * time.Second)
+				assert.Check(t, c.sim.Promotions() == 0, "a member without the commits of the primary was promoted")
+				c.sim.Heal("i1", "store")
+				c.sim.SetReceiveLag("b", 0)
+				c.sim.SetReceiveLag("c", 0)
+				c.sim.Restart("a", false)
+				gap := c.writeGap("i2", 5*time.Second)
+				assert.Check(t, gap < 3*time.Second, "gap %s after the primary is back", gap)
+				for _, stop := range stops {
+					stop()
+				}
+				c.closeSimulated()
+			})
+		})
+	}
+}
