--- a/proxy/node/cluster_test.go
+++ b/proxy/node/cluster_test.go
@@ -51,9 +51,6 @@
 	// hook sees the log of the instances that start after it is set; nil means none.
 	hook    logrus.Hook
 	metrics map[string]*metrics.Metrics // by instance
-	// missed counts the reads that missed an acknowledged commit, by their staleness.
-	missedMu sync.Mutex
-	missed   map[time.Duration]int
 }
 
 // promoteTimeVariable is the time that promotions take in tests that do not set it, e.g. 200ms.
@@ -65,7 +62,7 @@
 
 // startCluster starts instances; with peers they discover and call each other.
 func startCluster(t *testing.T, peers bool, instances []string) *cluster {
-	c := &cluster{t: t, sim: simulator.NewCluster("a", "b", "c"), nodes: make(map[string]*node.Node), peers: peers, missed: make(map[time.Duration]int)}
+	c := &cluster{t: t, sim: simulator.NewCluster("a", "b", "c"), nodes: make(map[string]*node.Node), peers: peers}
 	if text := os.Getenv(promoteTimeVariable); text != "" {
 		promoteTime, err := time.ParseDuration(text)
 		assert.NilError(t, err)
@@ -161,6 +158,9 @@
 	for _, f := range c.sim.Violations() {
 		c.t.Error(f)
 	}
+	if missed := c.sim.MissedReads(); len(missed) > 0 {
+		c.t.Logf("reads that missed a commit: %v", missed)
+	}
 }
 
 // callerStub is an in-memory caller connection.
@@ -170,6 +170,8 @@
 	wake       chan struct{}
 	ended      chan struct{} // closed when the session has ended
 	gone       atomic.Bool   // reported by Gone
+	database   string
+	acked      []string // acknowledged writes of the session
 }
 
 var _ node.Caller = (*callerStub)(nil)
@@ -209,7 +211,7 @@
 
 // openWithKey starts a session of a caller that presents a key.
 func (c *cluster) openWithKey(instance, database, key string) *callerStub {
-	s := &callerStub{statements: make(chan statement.Statement, 1), replies: make(chan statement.Reply, 1), wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	s := &callerStub{statements: make(chan statement.Statement, 1), replies: make(chan statement.Reply, 1), wake: make(chan struct{}, 1), ended: make(chan struct{}), database: database}
 	c.nodesMu.Lock()
 	n := c.nodes[instance]
 	c.nodesMu.Unlock()
@@ -247,30 +249,26 @@
 	r := s.send(statement.Statement{ID: id, Kind: statement.Write, Operands: "x 1"})
 	if r.Err == nil {
 		c.sim.Acknowledge(id)
+		s.acked = append(s.acked, id)
 	}
 	return r.Err
 }
 
 // read sends a read and checks that it sees every write that was acknowledged more than
-// staleness before it.
+// staleness before it and, if the database promises that, those of its own session.
 func (c *cluster) read(s *callerStub, staleness time.Duration) error {
 	started := c.sim.Clock()
 	r := s.send(statement.Statement{ID: "r", Kind: statement.Read, Operands: "x"})
-	if r.Err == nil && c.sim.CheckRead(r.Rows[0], started-staleness) != "" {
-		c.missedMu.Lock()
-		defer c.missedMu.Unlock()
-		c.missed[staleness]++
+	if r.Err == nil {
+		read := simulator.Read{Row: r.Rows[0], Kind: simulator.ConsistencyOf(s.database), Since: started - staleness}
+		if read.Kind == catalog.ReadYourWrites {
+			read.Own = s.acked
+		}
+		c.sim.CheckRead(read)
 	}
 	return r.Err
 }
 
-// missedReads returns the number of reads that missed an acknowledged commit, by their staleness.
-func (c *cluster) missedReads() map[time.Duration]int {
-	c.missedMu.Lock()
-	defer c.missedMu.Unlock()
-	return maps.Clone(c.missed)
-}
-
 // eventually retries an operation until it succeeds and returns how long that took.
 func (c *cluster) eventually(limit time.Duration, op func() error) time.Duration {
 	c.t.Helper()
--- a/proxy/node/release_test.go
+++ b/proxy/node/release_test.go
@@ -49,7 +49,7 @@
 					r.replaceOne()
 				}
 				served := c.awaitWrite(15 * time.Second)
-				t.Logf("%d promotions; reads of other branches: %+v; reads that miss commits, by staleness: %v", c.sim.Promotions(), c.sim.OtherBranchReads(), c.missedReads())
+				t.Logf("%d promotions; reads of other branches: %+v; reads that miss commits: %v", c.sim.Promotions(), c.sim.OtherBranchReads(), c.sim.MissedReads())
 				assert.Check(t, served, "no write is served in 15 s after the last fault")
 			})
 		})
--- a/proxy/simulator/branches_test.go
+++ b/proxy/simulator/branches_test.go
@@ -49,10 +49,10 @@
 		c := NewCluster("a", "b", "c")
 		divide(t, c)
 		read := exec(t, c, "c", statement.Statement{ID: "r", Kind: statement.Read})
-		assert.Equal(t, c.CheckRead(read.Rows[0], c.Clock()), "", "the commit is rolled back")
+		assert.Equal(t, c.CheckRead(Read{Row: read.Rows[0], Since: c.Clock()}), "", "the commit is rolled back")
 		promote(t, c, "b")
 		read = exec(t, c, "c", statement.Statement{ID: "r", Kind: statement.Read})
-		assert.Equal(t, c.CheckRead(read.Rows[0], c.Clock()), "w")
+		assert.Equal(t, c.CheckRead(Read{Row: read.Rows[0], Since: c.Clock()}), "w")
 		c.Close()
 	})
 }
