group: a departing replica replaces the log of no other one

Callers: reads of all kinds miss acknowledged commits, and the promoted member lacks them, after two replicas have left at a time beside two that lag, and the primary fails.

Cause: the log of a departed member counted as replaced by that of any named, settled replica, also by one that departs itself. b is covered by d and d by b. Both are left out, and the commits are on the primary alone.

Fix: only a replica that is registered and does not leave covers others. When it departs later, its own departure needs another one that has what the primary has then.

--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -130,7 +130,7 @@
 		}
 		g.observeStatements(&other.departure)
 		for replicaID, r := range g.members {
-			if r != other && replicaID != primary.Member && g.named(replicaID) && g.settled(r) {
+			if r != other && replicaID != primary.Member && g.stays(r) {
 				other.departure.ObserveReplica(r.evidence.Log())
 			}
 		}
@@ -138,6 +138,12 @@
 	}
 }
 
+// stays reports whether the log of a replica may replace that of a departed member: every instance knows
+// it, and it does not depart itself. g.mu is held.
+func (g *Group) stays(m *member) bool {
+	return m.leavingSince == 0 && g.named(m.Member().ID) && g.settled(m)
+}
+
 // observeStatements handles what the answers of the proven primary to statements show of a departure or
 // restart: under load, they tell its position without a query. g.mu is held.
 func (g *Group) observeStatements(d *takeover.Departure) {
