group: count the time of a departure by the lists that were read

Callers: reads of all kinds miss acknowledged commits, and the promoted member lacks them, after an instance has seen a replica missing and then read no list for a while. The replica is back meanwhile, and others count it.

Cause: the time for which a member leaves or is missing went on by the clock, and evidence of its departure stayed. When it was missing again, left, or crashed, the instance left it out at once, or asked the primary too early.

--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -171,16 +171,28 @@
 // g.mu is held.
 func (m *member) logLost() bool { return m.restart.Begun() }
 
+// leavingFor returns for how long a member has left or been missing, 0 if it has not. While no list is
+// read, one that was missing may be registered again, and counted at once by those who have not noticed.
+// One that leaves does so for good; another process of it is counted after memberSettleTime. g.mu is held.
+func (g *Group) leavingFor(m *member) time.Duration {
+	now, until := g.cfg.Clock(), g.membersAsOf
+	if m.Member().Draining && now-until < memberSettleTime {
+		until = now
+	}
+	if m.leavingSince == 0 || until < m.leavingSince {
+		return 0
+	}
+	return until - m.leavingSince
+}
+
 // uncounted reports whether no instance counts a member for acknowledgements, because it has left or
 // been missing for longer than any list is used. g.mu is held.
-func (g *Group) uncounted(m *member) bool {
-	return m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= countedRetention
-}
+func (g *Group) uncounted(m *member) bool { return g.leavingFor(m) >= countedRetention }
 
 // confirmsNoQuorum reports whether no instance finds a quorum by the answer of a member: it has ended, or
 // each list that is used for quorums lacks it or shows that it leaves. g.mu is held.
 func (g *Group) confirmsNoQuorum(m *member) bool {
-	return m.evidence.Gone || m.left || m.leavingSince != 0 && g.cfg.Clock()-m.leavingSince >= departedRetention
+	return m.evidence.Gone || m.left || g.leavingFor(m) >= departedRetention
 }
 
 // observeGone notes that a member's process does not run. Unless it is asked often, another one may
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -176,8 +176,12 @@
 	if m.missingSince == 0 || !m.departed && readAt-g.lastMembersRead > maxMembersReadGap {
 		m.missingSince = readAt
 	}
-	if m.leavingSince == 0 {
+	switch {
+	case m.leavingSince == 0:
 		m.leavingSince = g.cfg.Clock()
+	case readAt-g.membersAsOf > maxMembersReadGap:
+		// It may have been registered in between, and counted by others.
+		m.leavingSince, m.departure = g.cfg.Clock(), takeover.Departure{}
 	}
 	if readAt-m.missingSince >= missingEntryTimeout && !m.departed {
 		m.departed = true
@@ -222,6 +226,9 @@
 	if known.missingSince != 0 {
 		// Others may have forgotten it meanwhile.
 		known.knownSince, known.evidence = g.cfg.Clock(), takeover.Evidence{}
+		if !old.Draining {
+			known.leavingSince = 0
+		}
 	}
 	if known.missingSince != 0 || !g.uncounted(known) {
 		known.departure = takeover.Departure{}
