group: a member that may be promoted is not left out by earlier evidence

Callers: reads of all kinds miss acknowledged commits, and the promoted member lacks them, after a failover has called for a leaving replica that ends before it is promoted.

Cause: a leaving replica stays covered by evidence from before it was called for.

Fix: the departure of a member that the claim or a late call names has not begun. It begins anew once none does.

--- a/proxy/group/departure.go
+++ b/proxy/group/departure.go
@@ -211,7 +211,7 @@
 	now := g.cfg.Clock()
 	gone := m.evidence.Gone && now-m.goneAt <= maxGoneGap
 	switch uncounted := g.uncounted(m); {
-	case !uncounted && !gone:
+	case !uncounted && !gone || g.mayBePromoted(m):
 		m.departure = takeover.Departure{}
 	case uncounted && !gone && m.departure.Since() < m.leavingSince+countedRetention:
 		m.departure = takeover.Departure{}
@@ -221,6 +221,13 @@
 	}
 }
 
+// mayBePromoted reports whether the record names a member as one that may lead next, so that commits may be
+// passed on because it has them, whoever counts it. g.mu is held.
+func (g *Group) mayBePromoted(m *member) bool {
+	id, record := m.Member().ID, g.tracker.Record()
+	return record.Claim != nil && (id == record.Claim.Candidate || id == record.Claim.Called) || slices.Contains(g.mayLead(), id)
+}
+
 // followMember finds out whether the remaining members have the commits of one that leaves before it
 // has ended, as the primary may fail right after that, and whether one that has restarted has them.
 func (g *Group) followMember(m *member) {
