takeover: a leaving primary that has stepped down may be promoted again

Callers: no write is served any more after a leaving primary has stepped down because a replica did not answer, also when all members answer again.

Cause: its last commits, which nobody has acknowledged, may be in its log only. The replicas are paused, and a former primary that leaves was not promoted, so that the change waited for a log that nobody can receive.

Fix: if nobody else has the log of the former primary, it is promoted again, as one that stays is. It leads a later term, the replicas receive its log, and the planned change begins anew.

TestDecide demanded the wait for a leaving former primary while b lacks an entry; the case demands now that b is paused, and another one that a is promoted then. In both, b is not promoted.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -398,8 +398,8 @@
 			complete = append(complete, m)
 		}
 	}
-	if len(complete) == 0 && r.old.Status.Received.AtLeast(longest) && !r.old.Draining {
-		complete = append(complete, r.old)
+	if len(complete) == 0 && r.old.Status.Received.AtLeast(longest) {
+		complete = append(complete, r.old) // although it may leave: nobody receives its last commits otherwise
 	}
 	if len(complete) == 0 {
 		return Step{Action: Wait, Reason: "no replica has the log of the former primary"}
