takeover: no commit is proved by a replica beside one of a later term

Callers: commits are acknowledged that the next change of primary leaves out, and reads miss them.

A call for a promotion takes effect late and moves replicas to term 4; its member leaves, and the primary of term 3 goes on. A member joins it and receives its commits. Once it is counted, its log proves them: whoever replaces the primary looks at it. But a holder promotes the longest log, and those of the replicas in term 4 are longer than any of term 3.

Prove now looks first whether another replica that runs is in a later term without the commit; the outcome is unknown then. In a change of primary whose holder has called for a member, counted replicas proved nothing before either.

The primary of the earlier term still goes on while the joined member follows it, with unknown outcomes; that is another fault.

--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -117,9 +117,9 @@
 // partition, and that no holder of a claim knows, or one that is leaving with its log. So
 // its word is no evidence. One of these is:
 //
-//   - A counted replica has the commit, and any holder looks at its log after that. Once a
-//     member is announced or called for, the replica may have been paused before its answer:
-//     a promotion ends pauses.
+//   - A counted replica has the commit, any holder looks at its log after that, and no other one has
+//     moved to a later term without it. Once a member is announced or called for, the replica may
+//     have been paused before its answer: a promotion ends pauses.
 //   - All replicas whose processes may run have it, and no instance has left out one of them.
 //   - The claim announces a candidate or names a called-for member, which has it and is known to all readers.
 func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
@@ -152,9 +152,11 @@
 
 // Prove is Contains that also returns what proves a contained commit.
 func Prove(claim *primacy.Claim, p position.Position, replicas []Evidence) (Containment, Proof) {
-	known, all, later := false, true, false
+	// A holder of a later claim prefers the log of a member that has moved to a later term.
+	later := slices.ContainsFunc(replicas, func(e Evidence) bool { return !e.Gone && e.term > p.Term && !e.Holds(p) })
+	known, all := false, true
 	for _, e := range replicas {
-		if e.Counted && holds(e.anchored, p) && (claim == nil || claim.Successor() == "") {
+		if e.Counted && !later && holds(e.anchored, p) && (claim == nil || claim.Successor() == "") {
 			return Contained, Proof{ByCounted, e.Member}
 		}
 		if claim != nil && claim.Successor() == e.Member {
@@ -170,7 +172,6 @@
 		}
 		known = known || !e.MayBeLeftOut
 		all = all && e.Holds(p)
-		later = later || e.term > p.Term && !e.Holds(p)
 	}
 	switch {
 	case known && all:
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -94,6 +94,7 @@
 	promotedWith := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 8}}
 	promotedWithout := takeover.Status{Primary: true, Term: 4, Received: position.Position{Term: 3, Offset: 7}}
 	follows := takeover.Status{Term: 4, Received: position.Position{Term: 3, Offset: 9}}
+	ahead := takeover.Status{Term: 4, Received: position.Position{Term: 4, Offset: 9}}
 	silent := takeover.Evidence{Member: "c"}
 	gone := takeover.Evidence{Member: "c", Gone: true}
 	toB, none := &primacy.Claim{OldPrimary: oldPrimary, Candidate: "b"}, &primacy.Claim{OldPrimary: oldPrimary}
@@ -121,6 +122,8 @@
 		{"all whose processes run have it", none, []takeover.Evidence{evidence("b", false, paused, before), gone}, takeover.Contained},
 		{"one was promoted", none, []takeover.Evidence{evidence("b", false, later, before), evidence("c", false, has, before)}, takeover.Superseded},
 		{"one was promoted, and no claim is known", nil, []takeover.Evidence{evidence("b", false, later, before), evidence("c", false, has, before)}, takeover.Superseded},
+		{"a counted replica has it, and another one follows a later primary", nil, []takeover.Evidence{evidence("b", counted, has, after), evidence("c", counted, ahead, after)}, takeover.Superseded},
+		{"a counted replica has it, and another one was promoted with it", nil, []takeover.Evidence{evidence("b", counted, has, after), evidence("c", counted, promotedWith, after)}, takeover.Contained},
 		{"no replica is known", nil, nil, takeover.Unproven},
 		{"no process of a replica runs", nil, []takeover.Evidence{gone}, takeover.Unproven},
 	} {
--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -189,21 +189,8 @@
 		for _, stays := range []time.Duration{50, 300, 700} {
 			t.Run(fmt.Sprintf("promote=%s/stays=%dms", promoteTime, stays), func(t *testing.T) {
 				underLoad(t, uint64(stays), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
-					c.sim.ModelBranches()
 					c.sim.SetPromoteTime(promoteTime)
-					c.sim.Join("d")
-					time.Sleep(4 * time.Second)
-					c.sim.HoldPromotions(1)
-					c.sim.Crash("a", true)
-					c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
-					called := c.sim.CalledFor()
-					c.await(9*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
-					c.sim.Restart("a", false)
-					c.sim.Drain(called)
-					c.await(9*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
-					c.sim.ReleaseHeld()
-					time.Sleep(stays * time.Millisecond)
-					c.sim.Leave(called, false)
+					promoteLateAndLeave(c, stays*time.Millisecond)
 					s := c.open("i1", simulator.Database)
 					from := time.Now()
 					for c.write(s) != nil && time.Since(from) < 15*time.Second {
@@ -218,3 +205,43 @@
 		}
 	}
 }
+
+// promoteLateAndLeave lets a promotion without an answer take effect right after that of its member's
+// successor. The member leaves, and its successor goes on in an earlier term than the others.
+func promoteLateAndLeave(c *cluster, stays time.Duration) (successor string) {
+	c.sim.ModelBranches()
+	c.sim.Join("d")
+	time.Sleep(4 * time.Second)
+	c.sim.HoldPromotions(1)
+	c.sim.Crash("a", true)
+	c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+	called := c.sim.CalledFor()
+	c.await(9*time.Second, "a new primary", func() bool { return c.sim.Promotions() == 1 })
+	c.sim.Restart("a", false)
+	c.sim.Drain(called)
+	c.await(9*time.Second, "its successor", func() bool { return c.sim.Promotions() == 2 })
+	successor = c.sim.Primary()
+	c.sim.ReleaseHeld()
+	time.Sleep(stays)
+	c.sim.Leave(called, false)
+	return successor
+}
+
+// Guards against acknowledgements by a replica that joins the primary of the earlier term then: the others
+// have longer logs, so that the next change leaves these commits out.
+func TestReplicaJoinsPrimaryOfEarlierTerm(t *testing.T) {
+	for _, outage := range []time.Duration{0, 300, 800, 1500} {
+		t.Run(fmt.Sprintf("outage=%dms", outage), func(t *testing.T) {
+			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				primary := promoteLateAndLeave(c, 50*time.Millisecond)
+				c.sim.JoinFrom("e", primary)
+				time.Sleep(6 * time.Second)
+				c.cutStore()
+				time.Sleep(outage * time.Millisecond)
+				c.sim.Crash(primary, true)
+				c.healStore()
+				time.Sleep(6 * time.Second)
+			})
+		})
+	}
+}
