node: reproduce commits on a restarted replica that others have left out

An instance takes a list of members that is younger than 6.5 s for proof that no other one has left out a replica in it (mayBeLeftOut). That holds for a replica that is silent or leaves, but one whose address refuses connections is left out sooner, after 3.6 s in this test. If it comes back with its log, and the other replicas do not run for a moment, an instance that has lost the store passes on commits that only the primary and this replica have ("proof by all"). When both fail, the others miss these commits.

--- a/proxy/node/restart_test.go
+++ b/proxy/node/restart_test.go
@@ -88,3 +88,39 @@
 		}
 	}
 }
+
+// Guards against an instance without the store that passes on commits which rest on a restarted replica that others have left out.
+func TestRestartedReplicaThatOthersHaveLeftOut(t *testing.T) {
+	for _, down := range []time.Duration{4000, 4500, 5000} {
+		t.Run(fmt.Sprintf("down=%dms", down), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "near")
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+				stopNear := c.loadOn(1, "near")
+				time.Sleep(8 * time.Second)
+				c.sim.Partition("near", "store")
+				c.sim.Crash("b", false)
+				c.sim.Deregister("b")
+				time.Sleep(down * time.Millisecond)
+				c.sim.Restart("b", false)
+				c.sim.Crash("c", false)
+				c.sim.Crash("d", false)
+				time.Sleep(time.Second)
+				c.sim.Crash("a", true)
+				c.sim.Crash("b", false)
+				c.sim.Restart("c", false)
+				c.sim.Restart("d", false)
+				stop := c.loadOn(2, "i1")
+				time.Sleep(8 * time.Second)
+				c.sim.Heal("near", "store")
+				c.sim.Restart("a", false)
+				time.Sleep(3 * time.Second)
+				stop()
+				stopNear()
+				c.closeSimulated()
+			})
+		})
+	}
+}
