node: reproduce commits of a replica that crashes within a gap in the lists

Callers: reads of all kinds miss acknowledged commits, and the promoted member lacks them.

Cause: an instance has seen a replica missing, and the others have its commits. The instance reads no list any more, and the replica is back. The time for which nobody counts it goes on by the clock, and the evidence stays. When the replica crashes, it is left out at once, without a list or a report of the primary since.

--- a/proxy/node/leftout_test.go
+++ b/proxy/node/leftout_test.go
@@ -159,3 +159,40 @@
 		})
 	}
 }
+
+// Guards against reads and promotions that miss commits of a replica which crashes while an instance that saw it missing reads no list.
+func TestReplicaCrashesWithinGapInLists(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("primary silent=%t", silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "near")
+				c.sim.ModelBranches()
+				c.sim.Join("d")
+				stop, stopNear := c.loadOn(1, "i1"), c.loadOn(2, "near")
+				c.awaitNamed(5*time.Second, "a", "b", "c", "d")
+				time.Sleep(5 * time.Second)
+				c.sim.Deregister("b")
+				time.Sleep(3500 * time.Millisecond)
+				c.sim.Partition("i1", "store")
+				c.sim.Register("b")
+				time.Sleep(8 * time.Second)
+				stop()
+				c.sim.SetReceiveLag("c", time.Minute)
+				c.sim.SetReceiveLag("d", time.Minute)
+				time.Sleep(2 * time.Second)
+				c.sim.Crash("b", false)
+				c.sim.Deregister("b")
+				stop = c.loadOn(3, "i1")
+				time.Sleep(300 * time.Millisecond)
+				c.isolate([]string{"near"}, []string{"c", "d", "store"}) // so that it does not claim
+				c.sim.Crash("a", silent)
+				c.sim.Heal("i1", "store")
+				time.Sleep(8 * time.Second)
+				assert.Check(t, c.sim.Promotions() == 0, "a member without the commits of the primary was promoted")
+				stop()
+				stopNear()
+				c.closeSimulated()
+			})
+		})
+	}
+}
