takeover: end the reliance on a named member before another one is named

Callers lost acknowledged commits when the holder of a claim gave up the member that it had announced: the primary went silent for the holder, another replica had the longer log, and the holder named and called for that one. An instance that had read the announcement up to 0.4 s before, and still reached the primary, passed on commits that only the announced member had, whose pause a restart had ended. The called-for member was already named in the claim, so that the longer log did not count any more. The same holds for a member that was called for and whose call had settled.

A holder now stores a claim that names nobody, waits until no instance relies on the former name (claimNoticeTime), and compares logs from after that before it names another member. A holder that takes over does the same. An announced candidate that is not known to all yet is no longer called for at once.

--- a/proxy/group/called_test.go
+++ b/proxy/group/called_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -82,3 +83,35 @@
 	assert.Equal(t, calls, 1)
 	assert.Equal(t, f.unsettledCall(nil), "")
 }
+
+// Guards against a call for a member while an instance may rely on the log of another one, which an
+// earlier claim names.
+func TestNobodyReliesOnAnotherMemberWhenOneIsCalledFor(t *testing.T) {
+	for name, c := range map[string]struct{ announced, called string }{"announced": {"c", ""}, "called for": {"", "c"}} {
+		t.Run(name, inBubble(func(t *testing.T) {
+			now := 10 * time.Second
+			store := &fakeRecordStore{now: &now}
+			f := newTestFailover(store, &now)
+			called := time.Duration(0)
+			f.g.cfg.Promoter = fakePromoter{before: func(Promotion) { called = f.roundAt }}
+			f.announced, f.called = c.announced, c.called
+			assert.Assert(t, f.claim(t.Context()))
+			step := takeover.Step{Action: takeover.Promote, Targets: []string{"b"}}
+			now += callSettleTime
+			endedAt := now
+			for called == 0 && now < endedAt+2*claimNoticeTime {
+				f.roundAt = now
+				now += claimNoticeTime / 2 // the answers take long
+				assert.Assert(t, f.promote(t.Context(), step, steppedDown(f)))
+				successor := store.puts[len(store.puts)-1].Claim.Successor()
+				assert.Assert(t, successor == "" || successor == "b" && f.roundAt >= endedAt+claimNoticeTime, "%q is named", successor)
+			}
+			assert.Assert(t, called >= endedAt+claimNoticeTime, "called for by logs of %s", called-endedAt)
+		}))
+	}
+}
+
+// inBubble returns a test in simulated time.
+func inBubble(f func(t *testing.T)) func(t *testing.T) {
+	return func(t *testing.T) { synctest.Test(t, f) }
+}
--- a/proxy/group/failover.go
+++ b/proxy/group/failover.go
@@ -100,6 +100,8 @@
 	unconfirmed        bool          // the record before the claim was of an earlier era of the store
 	// membersReadAt is when the list of members was read that the last round was sent to.
 	membersReadAt time.Duration
+	roundAt       time.Duration // before the last round was sent
+	succession    takeover.Succession
 	// announced is the candidate that the claim names; promoteAfter is
 	// primacy.Claim.PromoteAfter.
 	announced    string
@@ -183,11 +185,22 @@
 			f.firstClaimStoredAt, f.announced = f.startedAt, record.Claim.Candidate
 			f.called, f.calledAt, f.resumedAt = record.Claim.Called, record.Claim.CalledAt, record.Claim.ResumedAt
 			f.callUnanswered, f.callMade = f.called != "", f.called != ""
+			f.succession = takeOver(*record.Claim, f.startedAt)
 		}
 	}
 	return f
 }
 
+// takeOver returns the succession of a holder that has read the claim of an earlier one by the local
+// time readAt. A holder names a member as called for only once nobody relies on another one.
+func takeOver(claim primacy.Claim, readAt time.Duration) takeover.Succession {
+	reliedUntil := readAt + claimNoticeTime
+	if claim.Called != "" {
+		reliedUntil = 0
+	}
+	return takeover.TakeOver(claim.Successor(), reliedUntil)
+}
+
 // claim stores or renews this instance's claim, and reports whether it holds the claim.
 func (f *failover) claim(ctx context.Context) bool {
 	g := f.g
@@ -220,6 +233,7 @@
 	if f.ownClaimStoredAt == 0 {
 		f.ownClaimStoredAt = g.cfg.Clock()
 	}
+	f.succession.Stored(claim.Successor(), g.cfg.Clock()+claimNoticeTime)
 	g.UpdateRecord(r, g.timestamp(storeNow, f.claimSentAt))
 	f.log.WithFields(logrus.Fields{"event": "claimed", "reason": f.reason.text, "token": version, "candidate": f.announced}).Info("replacing the primary")
 	return true
@@ -233,6 +247,9 @@
 		f.promoteAfter = max(f.promoteAfter, f.g.storeTime()+announcementTime)
 		f.g.mu.Unlock()
 	}
+	if f.called != candidate {
+		f.forgetCall() // it is settled
+	}
 	f.announced = candidate
 	return f.claim(ctx)
 }
@@ -304,6 +321,7 @@
 		// While the primary serves, a commit that is acknowledged after a member's answer is not
 		// in it.
 		required := f.requiredLog()
+		f.roundAt = f.g.cfg.Clock()
 		round := f.g.controlMembers(statement.Control{Kind: statement.GetStatus}, nil, false, false)
 		members := round.Members
 		f.membersReadAt = round.ListReadAt
@@ -523,12 +541,15 @@
 // goes on.
 func (f *failover) promote(ctx context.Context, s takeover.Step, in takeover.Input) bool {
 	g := f.g
-	// A candidate that was not announced is promoted only after the old primary has
-	// stopped; the announced one is no evidence for its acknowledgements then.
-	announced := f.announced == s.Targets[0]
-	otherCandidate := f.announced != "" && !announced
-	if otherCandidate {
+	if f.succession.GivesUp(s.Targets[0]) {
 		f.announced = ""
+		f.forgetCall()
+		return f.claim(ctx)
+	}
+	announced := f.announced == s.Targets[0] && f.candidateKnown()
+	if wait := f.succession.Wait(f.roundAt); wait > 0 && !announced {
+		time.Sleep(min(wait, pollInterval))
+		return true
 	}
 	g.mu.Lock()
 	earlier, earlierAt, now := f.called, f.calledAt, g.storeTime()
@@ -540,7 +561,7 @@
 		f.callMade = f.callMade && earlier == s.Targets[0]
 		f.called, f.calledAt = s.Targets[0], now
 	}
-	if (otherCandidate || newCall || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
+	if (newCall || g.cfg.Clock()-f.claimSentAt > claimRenewalAge) && !f.claim(ctx) {
 		return false
 	}
 	if wait := f.untilCall(announced, in.Members); wait > 0 {
@@ -575,6 +596,11 @@
 	return true
 }
 
+// forgetCall lets the next claim name no member as called for.
+func (f *failover) forgetCall() {
+	f.called, f.calledAt, f.callUnanswered, f.callMade = "", 0, false, false
+}
+
 // untilCall returns how long the holder waits before it calls for a promotion: until each
 // instance that may pass on acknowledgements of the old primary knows of the claim, or has seen
 // the pauses.
--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,3 +178,35 @@
 		}
 	}
 }
+
+// Guards against the promotion of another member right after the announced one was given up: an
+// instance that has read the announcement passes on commits that only the announced one has.
+func TestAnnouncedCandidateIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{0, 50, 100, 200} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			underLoad(t, uint64(after), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				time.Sleep(4 * time.Second)
+				c.sim.Drain("a")
+				c.await(5*time.Second, "an announcement", func() bool { return c.sim.Claim().Candidate != "" })
+				announced, near := c.sim.Claim().Candidate, "i1"
+				if c.sim.Claim().Holder == near {
+					near = "i2"
+				}
+				others := slices.DeleteFunc([]string{"i1", "i2", "i3"}, func(i string) bool { return i == near })
+				c.sim.SetReceiveLag(announced, 60*time.Millisecond)
+				c.isolate([]string{"a"}, others)
+				c.await(5*time.Second, "the end of the announcement", func() bool { return c.sim.Claim().Candidate != announced })
+				c.sim.Partition(near, "store")
+				c.sim.SetReceiveLag(announced, 0)
+				time.Sleep(after * time.Millisecond)
+				c.sim.Crash(announced, false)
+				c.sim.Restart(announced, false)
+				c.await(5*time.Second, "a new primary", func() bool { return c.sim.Promotions() > 0 })
+				time.Sleep(time.Second)
+				c.rejoin([]string{"a"}, others)
+				c.sim.Heal(near, "store")
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
