--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -299,7 +299,7 @@
 	defer g.mu.Unlock()
 	m.maxPosition = position.Max(m.maxPosition, reply.Received)
 	m.runsSince = max(reply.RunsSince, knownSince)
-	m.watch.observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock())
+	m.watch.Observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock(), maxWatchGap)
 	g.observeServing(m, reply.Status)
 	if m.knownSince != knownSince {
 		return
--- a/proxy/group/members.go
+++ b/proxy/group/members.go
@@ -75,7 +75,7 @@
 	knownSince time.Duration
 	namedSince time.Duration // since when the record has named it; 0 if it does not
 	evidence   takeover.Evidence
-	watch      pauseWatch
+	watch      takeover.PauseWatch
 	runsSince  time.Duration // since when the process of its last answer is known to run
 	asking     bool          // a status query for an acknowledgement is due or running
 	askedAt    time.Duration // start of the last one
--- a/proxy/group/watch.go
+++ b/proxy/group/watch.go
@@ -18,36 +18,12 @@
 	watchedUse = time.Minute
 )
 
-// pauseWatch is the time for which a replica is known not to have been paused for longer than
-// maxWatchGap: a promotion ends pauses.
-type pauseWatch struct {
-	since time.Duration // of the first answer
-	until time.Duration // when the query was sent that the last answer belongs to
-}
-
-// observe handles the answer at the time now to a query that was sent at sentAt.
-func (w *pauseWatch) observe(paused bool, sentAt, now time.Duration) {
-	switch {
-	case paused:
-		*w = pauseWatch{}
-	case w.since == 0 || now-w.until > maxWatchGap:
-		*w = pauseWatch{now, sentAt}
-	default:
-		w.until = max(w.until, sentAt)
-	}
-}
-
-// covers reports whether the replica has been watched from the given time, or earlier, until now.
-func (w pauseWatch) covers(from, now time.Duration) bool {
-	return w.since != 0 && w.since <= from && now-w.until <= maxWatchGap
-}
-
 // watched reports whether no promotion can have taken effect since a holder of a claim paused
 // the replica: there was no claim when the record was last read, a short time ago, or the
 // replica has been watched since, in one process. g.mu is held.
 func (g *Group) watched(m *member) bool {
 	now := g.cfg.Clock()
-	return m.runsSince <= g.noClaimAt && (now-g.noClaimAt <= claimNoticeTime || m.watch.covers(g.noClaimAt+claimNoticeTime, now))
+	return m.runsSince <= g.noClaimAt && (now-g.noClaimAt <= claimNoticeTime || m.watch.Covers(g.noClaimAt+claimNoticeTime, now, maxWatchGap))
 }
 
 // watchMembers asks the members for their status while there is no recent reading of the record
