takeover: require the log of a named member that does not run

Callers lost acknowledged commits in a planned change: the called-for member ended, instances passed on commits that all other replicas had, and the member came back with its log and was promoted. A member whose process has ended, or that the instance does not know, was left out of the proof by all replicas, even if the claim names it, while later holders call for a named member again.

The proof by all replicas now needs the log of the member that the claim names, also if the instance has last read the claim some time ago.

Two new cases of TestContains failed before.

--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -109,6 +109,11 @@
 	return slices.ContainsFunc(replicas, func(e Evidence) bool { return e.Member == member && !e.Gone && !e.Holds(p) })
 }
 
+// Held reports whether a member is known to have the commit at p, whether or not it runs.
+func Held(member string, p position.Position, replicas []Evidence) bool {
+	return slices.ContainsFunc(replicas, func(e Evidence) bool { return e.Member == member && e.Holds(p) })
+}
+
 // Contains reports whether the commit at p, which the primary has acknowledged, is in the
 // log of whichever member is promoted next. claim is the claim against the primary, nil if
 // this instance knows of none, and replicas is what it knows of all other members.
@@ -120,7 +125,8 @@
 //   - A counted replica has the commit, and any holder looks at its log after that. Once a
 //     member is announced or called for, the replica may have been paused before its answer:
 //     a promotion ends pauses.
-//   - All replicas whose processes may run have it, and no instance has left out one of them.
+//   - All replicas whose processes may run have it, and no instance has left out one of them. So has the member that
+//     the claim names, which may come back with its log and be promoted.
 //   - The claim announces a candidate or names a called-for member, which has it and is known to all readers.
 func Contains(claim *primacy.Claim, p position.Position, replicas []Evidence) Containment {
 	c, _ := Prove(claim, p, replicas)
@@ -152,12 +158,16 @@
 
 // Prove is Contains that also returns what proves a contained commit.
 func Prove(claim *primacy.Claim, p position.Position, replicas []Evidence) (Containment, Proof) {
-	known, all, later := false, true, false
+	successor := ""
+	if claim != nil {
+		successor = claim.Successor()
+	}
+	known, all, later := false, successor == "" || Held(successor, p, replicas), false
 	for _, e := range replicas {
-		if e.Counted && holds(e.anchored, p) && (claim == nil || claim.Successor() == "") {
+		if e.Counted && holds(e.anchored, p) && successor == "" {
 			return Contained, Proof{ByCounted, e.Member}
 		}
-		if claim != nil && claim.Successor() == e.Member {
+		if e.Member == successor {
 			switch {
 			case e.Holds(p) && !e.Unsettled:
 				return Contained, Proof{ByAnnounced, e.Member}
@@ -175,7 +185,7 @@
 	switch {
 	case known && all:
 		return Contained, Proof{Kind: ByAll}
-	case later && (claim == nil || claim.Successor() == ""):
+	case later && successor == "":
 		return Superseded, Proof{}
 	default:
 		return Unproven, Proof{}
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -107,6 +107,8 @@
 		{"the candidate lacks it", toB, []takeover.Evidence{evidence("b", counted, lacks, after), evidence("c", false, has, after)}, takeover.Unproven},
 		{"the candidate does not answer", toB, []takeover.Evidence{{Member: "b"}, evidence("c", false, has, after)}, takeover.Unproven},
 		{"the candidate is not known here", toB, []takeover.Evidence{evidence("c", counted, paused, after), silent}, takeover.Unproven},
+		{"all others have it, and the candidate is not known here", toB, []takeover.Evidence{evidence("c", counted, has, after)}, takeover.Unproven},
+		{"all others have it, and the candidate does not run", toB, []takeover.Evidence{evidence("c", counted, has, after), {Member: "b", Gone: true}}, takeover.Unproven},
 		{"the candidate was promoted with it", toB, []takeover.Evidence{evidence("b", counted, promotedWith, after)}, takeover.Contained},
 		{"the candidate was promoted without it", toB, []takeover.Evidence{evidence("b", counted, promotedWithout, after)}, takeover.Superseded},
 		{"the candidate was promoted and has committed since", toB, []takeover.Evidence{evidence("b", counted, later, after)}, takeover.Superseded},
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -167,6 +167,9 @@
 		}
 	}
 	c, proof = takeover.Prove(known, p, replicas)
+	if c == takeover.Contained && claim != nil && known == nil && !takeover.Held(claim.Successor(), p, replicas) {
+		c = takeover.Unproven
+	}
 	for _, late := range g.mayLead() {
 		if c == takeover.Contained && late != id && takeover.MayLack(late, p, replicas) {
 			c = takeover.Unproven
--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -210,3 +210,31 @@
 		})
 	}
 }
+
+// Guards against commits that the called-for member lacks because it did not run when they were
+// passed on: it comes back with its log and is called for again.
+func TestCalledMemberComesBack(t *testing.T) {
+	for _, down := range []time.Duration{50, 100, 300, 500, 700, 1000} {
+		t.Run(fmt.Sprintf("down=%dms", down), func(t *testing.T) {
+			underLoad(t, uint64(down), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				time.Sleep(4 * time.Second)
+				c.sim.Drain("a")
+				c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+				called, other := c.sim.CalledFor(), "b"
+				if called == "b" {
+					other = "c"
+				}
+				c.sim.SetReceiveLag(called, time.Minute)
+				c.sim.Crash(called, false)
+				c.sim.Crash(other, false)
+				c.sim.Restart(other, false)
+				time.Sleep(down * time.Millisecond)
+				c.sim.Restart(called, false)
+				time.Sleep(4 * time.Second)
+				c.sim.SetReceiveLag(called, 0)
+				time.Sleep(6 * time.Second)
+				assert.Check(t, c.sim.Promotions() > 0)
+			})
+		})
+	}
+}
