--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -167,6 +167,9 @@
 		}
 	}
 	c, proof = takeover.Prove(known, p, replicas)
+	if c == takeover.Contained && claim != nil && known == nil && !takeover.Held(claim.Successor(), p, replicas) {
+		c = takeover.Unproven
+	}
 	for _, late := range g.mayLead() {
 		if c == takeover.Contained && late != id && takeover.MayLack(late, p, replicas) {
 			c = takeover.Unproven
@@ -299,7 +302,7 @@
 	defer g.mu.Unlock()
 	m.maxPosition = position.Max(m.maxPosition, reply.Received)
 	m.runsSince = max(reply.RunsSince, knownSince)
-	m.watch.observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock())
+	m.watch.Observe(reply.PausedTerm != 0 || m.knownSince != knownSince, sentAt, g.cfg.Clock(), maxWatchGap)
 	g.observeServing(m, reply.Status)
 	if m.knownSince != knownSince {
 		return
--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -192,3 +193,63 @@
 		assert.Check(t, c.awaitWrite(15*time.Second), "no write is served in 15 s after the replica is back")
 	})
 }
+
+// Guards against the promotion of another member right after the announced one was given up: an
+// instance that has read the announcement passes on commits that only the announced one has.
+func TestAnnouncedCandidateIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{0, 50, 100, 200} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			underLoad(t, uint64(after), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				time.Sleep(4 * time.Second)
+				c.sim.Drain("a")
+				c.await(5*time.Second, "an announcement", func() bool { return c.sim.Claim().Candidate != "" })
+				announced, near := c.sim.Claim().Candidate, "i1"
+				if c.sim.Claim().Holder == near {
+					near = "i2"
+				}
+				others := slices.DeleteFunc([]string{"i1", "i2", "i3"}, func(i string) bool { return i == near })
+				c.sim.SetReceiveLag(announced, 60*time.Millisecond)
+				c.isolate([]string{"a"}, others)
+				c.await(5*time.Second, "the end of the announcement", func() bool { return c.sim.Claim().Candidate != announced })
+				c.sim.Partition(near, "store")
+				c.sim.SetReceiveLag(announced, 0)
+				time.Sleep(after * time.Millisecond)
+				c.sim.Crash(announced, false)
+				c.sim.Restart(announced, false)
+				c.await(5*time.Second, "a new primary", func() bool { return c.sim.Promotions() > 0 })
+				time.Sleep(time.Second)
+				c.rejoin([]string{"a"}, others)
+				c.sim.Heal(near, "store")
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against commits that the called-for member lacks because it did not run when they were
+// passed on: it comes back with its log and is called for again.
+func TestCalledMemberComesBack(t *testing.T) {
+	for _, down := range []time.Duration{50, 100, 300, 500, 700, 1000} {
+		t.Run(fmt.Sprintf("down=%dms", down), func(t *testing.T) {
+			underLoad(t, uint64(down), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
+				time.Sleep(4 * time.Second)
+				c.sim.Drain("a")
+				c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+				called, other := c.sim.CalledFor(), "b"
+				if called == "b" {
+					other = "c"
+				}
+				c.sim.SetReceiveLag(called, time.Minute)
+				c.sim.Crash(called, false)
+				c.sim.Crash(other, false)
+				c.sim.Restart(other, false)
+				time.Sleep(down * time.Millisecond)
+				c.sim.Restart(called, false)
+				time.Sleep(4 * time.Second)
+				c.sim.SetReceiveLag(called, 0)
+				time.Sleep(6 * time.Second)
+				assert.Check(t, c.sim.Promotions() > 0)
+			})
+		})
+	}
+}
