primacy: read on a primary only once its position is known

What callers saw: the first reads of an instance on a service missed all commits; reads of all kinds, for about a second.

Cause: a read requires the position that the instance has seen on the primary, so that one which has started again without its log answers that it is behind. Where none was seen yet, nothing was required, and a lease does not show that the process is the one that held the log.

Reads need a position of the primary, from any answer, from the record, or from a round, which one without a position begins. A round that confirms nobody counts for this if the primary reports itself primary of its term.

Two tests of proxy/group chose a primary without any position. Their groups know one now; as replicas can then be chosen too, TestLeavingPrimaryTakesStatementsForItsDrainTime excludes them and still demands the primary.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -290,6 +290,7 @@
 	restartSeenAt   time.Duration     // last call of ObserveRestart; readPosition is not older
 	firstPosition   position.Position // first known position of the primary
 	lastPosition    position.Position // highest known position of the primary
+	observed        bool              // a position of the primary was observed
 }
 
 // Primary returns the current primary; Member is empty if none is known.
@@ -303,13 +304,14 @@
 func (t *Tracker) Proven(at time.Duration) bool { return t.primary.Member != "" && at <= t.provenUntil }
 
 // ProvenForRead reports whether a read that arrived at the local time arrival and must see the writes
-// acknowledged before since may run on the primary, at LastPosition or later. Until ProvenUntil no other
-// member has led, so that no other log than its own can have reached LastPosition. Later, its
-// process may have started again without its log and follow another primary: it has these writes if
-// LastPosition covers them.
+// acknowledged before since may run on the primary, at LastPosition or later. Its process may have started
+// again without its log. Until ProvenUntil no other member has led, so that it has not received another
+// one, and any position shows its log. Later it may follow another primary: it has these
+// writes if LastPosition covers them.
 func (t *Tracker) ProvenForRead(since, arrival time.Duration) bool {
 	_, covered := t.OldestWatermark(since)
-	return t.Proven(arrival) || t.Proven(since) && covered
+	known := t.observed || t.record.Primary == t.primary && !t.record.PromotedAt.IsZero()
+	return t.Proven(arrival) && known || t.Proven(since) && covered
 }
 
 // ProvenUntil returns the latest local arrival time of a request for which the
@@ -453,7 +455,7 @@
 	t.primary = primary
 	t.provenUntil, t.provenBy, t.provenByMembers = 0, 0, false
 	t.watermarks = t.watermarks[:0]
-	t.firstPosition, t.lastPosition = position.Position{}, position.Position{}
+	t.firstPosition, t.lastPosition, t.observed = position.Position{}, position.Position{}, false
 	return true
 }
 
@@ -467,7 +469,7 @@
 	if t.firstPosition.IsZero() {
 		t.firstPosition = p
 	}
-	t.lastPosition = position.Max(t.lastPosition, p)
+	t.lastPosition, t.observed = position.Max(t.lastPosition, p), true
 	window := cmp.Or(t.watermarkWindow, defaultWatermarkWindow)
 	if n := len(t.watermarks); n > 0 && sentAt < t.watermarks[n-1].At+max(watermarkSpacing, window/maxWatermarks) {
 		return
--- a/core/primacy/primacy_test.go
+++ b/core/primacy/primacy_test.go
@@ -324,13 +324,13 @@
 	assert.Equal(t, w.Position, at(1, 6))
 }
 
-// Guards against a read on a former primary that has restarted without its log: once the proof has ended,
-// only a position of the time that the read has to see shows that the log has it.
-func TestReadAfterProofNeedsPosition(t *testing.T) {
+// Guards against a read on a primary that has restarted without its log.
+func TestReadNeedsPositionOfPrimary(t *testing.T) {
 	tr := newTrackerWithPrimary() // proven until 10.98 s
-	assert.Assert(t, tr.ProvenForRead(9*time.Second, 10500*ms))
+	assert.Assert(t, !tr.ProvenForRead(9*time.Second, 10500*ms), "no position is known")
 	assert.Assert(t, !tr.ProvenForRead(10*time.Second, 12*time.Second))
 	tr.ObservePosition("a", at(1, 5), 9900*ms)
+	assert.Assert(t, tr.ProvenForRead(9*time.Second, 10500*ms))
 	assert.Assert(t, tr.ProvenForRead(9900*ms, 12*time.Second))
 	assert.Assert(t, !tr.ProvenForRead(10*time.Second, 12*time.Second))
 	tr.ObservePosition("a", at(1, 6), 10900*ms)
--- a/proxy/group/decision_test.go
+++ b/proxy/group/decision_test.go
@@ -39,7 +39,7 @@
 }
 
 // newDecisionGroup returns a group of the members a, the primary of term 3, b and c, whose
-// record was read at *now, and that has known the primary for 10 s. Its log goes to out.
+// record was read at *now, and that has known the primary for 10 s and its position. Its log goes to out.
 func newDecisionGroup(now *time.Duration, out *bytes.Buffer) (*Group, *decisionRecorder) {
 	g := newTestGroup(&fakeRecordStore{now: now}, func() time.Duration { return *now })
 	r := &decisionRecorder{counts: make(map[string]int)}
@@ -58,6 +58,7 @@
 	*now += 10 * time.Second
 	g.UpdateMembers(members, *now)
 	g.UpdateRecord(record, exactTimestamp(*now))
+	g.ObservePosition(g.members["a"].Upstream, at(3, 1), *now)
 	out.Reset()
 	return g, r
 }
--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -15,6 +15,7 @@
 	"github.com/papayarail/papayarail/core/takeover"
 	"github.com/papayarail/papayarail/proxy/catalog"
 	"github.com/papayarail/papayarail/proxy/statement"
+	"github.com/papayarail/papayarail/proxy/upstream"
 )
 
 // Guards against many instances that ask a primary for its log at a time, and against one that never does.
@@ -195,6 +196,12 @@
 	now += 600 * time.Millisecond
 	g.SetLeaving(catalog.Leaving{"a": {Started: leaving.Started, Since: reportedAfter}})
 	g.UpdateMembers(all, now)
+	g.UpdateRecord(record, exactTimestamp(now))
+	g.ObservePosition(g.members["a"].Upstream, at(1, 1), now)
+	replicas := make(map[*upstream.Upstream]bool)
+	for _, id := range []string{"b", "c", "d"} {
+		replicas[g.members[id].Upstream] = true
+	}
 	for ; now < reportedAfter+9*time.Second; now += 100 * time.Millisecond {
 		record.Version++
 		g.UpdateRecord(record, exactTimestamp(now))
@@ -203,7 +210,7 @@
 			{Reads: true, Consistency: catalog.BoundedStaleness, Staleness: time.Second, Arrival: now, Deadline: now + time.Second},
 		} {
 			g.mu.Lock()
-			c, ok := g.choose(req, nil)
+			c, ok := g.choose(req, replicas)
 			err := g.refusal(req, nil, 0)
 			g.mu.Unlock()
 			takes := ok && c.Primary
--- a/proxy/group/quorum.go
+++ b/proxy/group/quorum.go
@@ -52,7 +52,7 @@
 // Confirmation is the result of a quorum round: status queries to all members.
 type Confirmation struct {
 	// Primary is the primary that the round was to confirm, and Received the last
-	// position of its log.
+	// position of its log; zero if it did not report itself primary.
 	Primary  primacy.Primary   `json:"lead"`
 	Received position.Position `json:"received"`
 	// Confirmed means that a quorum of members confirms the primary.
@@ -201,6 +201,9 @@
 	partial = partial && !g.tracker.ReplacementClaimed()
 	primaryStatus, quorum := quorumConfirms(primary, members, partial)
 	c := Confirmation{Primary: primary, Received: primaryStatus.Received, Confirmed: quorum}
+	if !quorum {
+		c.Received = reportedPosition(primary, members)
+	}
 	if takeover.Abandoned(primary, members) {
 		c.LaterPrimary, _ = laterPrimary(primary, members)
 	}
@@ -234,6 +237,9 @@
 		g.tracker.ObserveQuorum(c.Primary, c.Received, sentAt)
 	} else {
 		g.rounds.failed++
+		if c.Primary == g.tracker.Primary() && !c.Received.IsZero() {
+			g.tracker.ObservePosition(c.Primary.Member, c.Received, sentAt)
+		}
 	}
 	if c.HasAckBound {
 		g.tracker.ObserveReadPosition(c.AckBound, sentAt)
@@ -272,6 +278,17 @@
 	return primaryStatus, ok && replicas > 0
 }
 
+// reportedPosition returns the last position of the primary's log if it reports itself primary of its
+// term, and zero otherwise.
+func reportedPosition(primary primacy.Primary, members []takeover.Member) position.Position {
+	for _, m := range members {
+		if m.ID == primary.Member && m.Status != nil && m.Status.Primary && m.Status.Term == primary.Term {
+			return m.Status.Received
+		}
+	}
+	return position.Position{}
+}
+
 // laterPrimary returns a primary of a later term that at least one replica follows.
 func laterPrimary(primary primacy.Primary, members []takeover.Member) (primacy.Primary, bool) {
 	for _, m := range members {
--- a/proxy/node/incarnation_test.go
+++ b/proxy/node/incarnation_test.go
@@ -115,3 +115,25 @@
 		})
 	}
 }
+
+// Guards against the first reads of an instance on a primary that has just restarted without its log.
+func TestFirstReadOnRestartedPrimary(t *testing.T) {
+	for _, after := range []time.Duration{0, 50, 150, 300} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSimulated(t, "i1", "i2")
+				c.sim.ModelBranches()
+				stop := c.loadOn(1, "i1")
+				time.Sleep(8 * time.Second)
+				c.sim.Crash("a", false)
+				c.sim.Restart("a", true)
+				time.Sleep(after * time.Millisecond)
+				stopReads := c.readOn("i2")
+				time.Sleep(6 * time.Second)
+				stop()
+				stopReads()
+				c.closeSimulated()
+			})
+		})
+	}
+}
