list of known failures: reads on a restarted former primary under a lease

A promotion may take effect before the leases on the former primary have ended if that does not serve.

A position that was seen before says nothing of the process that answers now. It would take a proof that this one has run since the position was seen.

--- a/core/primacy/primacy.go
+++ b/core/primacy/primacy.go
@@ -305,9 +305,10 @@
 
 // ProvenForRead reports whether a read that arrived at the local time arrival and must see the writes
 // acknowledged before since may run on the primary, at LastPosition or later. Its process may have started
-// again without its log. Until ProvenUntil no other member has led, so that it has not received another
-// one, and any position shows its log. Later it may follow another primary: it has these
-// writes if LastPosition covers them.
+// again without its log. Until another member leads it receives no other one, and any position shows
+// its log. Once the proof has ended, it may follow another primary: it has these writes if LastPosition
+// covers them. A promotion that takes less than ReadLease may take effect while the proof lasts, and
+// LastPosition does not show these writes then.
 func (t *Tracker) ProvenForRead(since, arrival time.Duration) bool {
 	_, covered := t.OldestWatermark(since)
 	known := t.observed || t.record.Primary == t.primary && !t.record.PromotedAt.IsZero()
