group: a primary beside a member of a later term is replaced

Callers: writes end with an unknown outcome until the primary fails.

After a late promotion whose member has left, the primary of the earlier term goes on. Once a replica joins it, the database acknowledges commits, which instances do not pass on, as a member is in a later term. Nothing counted that as a failure of the primary: it answers, and a replica has its position.

A commit that is superseded in the primary's own term now counts like a write without an answer. After two of them, the members are asked, and one in a later term is a reason for a change (member_in_later_term): it does not come back to the primary's term. The change ends in a still later term, or publishes the primary of the later one if it leads.

--- a/core/takeover/replicated.go
+++ b/core/takeover/replicated.go
@@ -1,6 +1,8 @@
 package takeover
 
 import (
+	"slices"
+
 	"github.com/papayarail/papayarail/core/position"
 	"github.com/papayarail/papayarail/core/primacy"
 )
@@ -21,3 +23,11 @@
 	}
 	return highest, !own.IsZero() && !highest.AtLeast(own)
 }
+
+// Outrun reports whether a member is in a later term than the primary. It follows the primary no
+// more, and commits that it lacks are not acknowledged any longer, although others may receive them.
+func Outrun(primary primacy.Primary, members []Member) bool {
+	return slices.ContainsFunc(members, func(m Member) bool {
+		return m.ID != primary.Member && m.Status != nil && m.Status.Term > primary.Term
+	})
+}
--- a/core/takeover/replicated_test.go
+++ b/core/takeover/replicated_test.go
@@ -33,3 +33,21 @@
 		assert.Equal(t, behind, test.behind, test.name)
 	}
 }
+
+// Guards against a primary that stays beside a member which has left its term, and against a change
+// because of a member that has not reached that term yet.
+func TestOutrun(t *testing.T) {
+	later, earlier := &takeover.Status{Term: 4}, &takeover.Status{Term: 2}
+	for _, test := range []struct {
+		name string
+		in   []takeover.Member
+		want bool
+	}{
+		{"all follow it", []takeover.Member{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(9, 0)}, {ID: "c"}}, false},
+		{"one is in a later term", []takeover.Member{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: replica(9, 0)}, {ID: "c", Status: later}}, true},
+		{"one is in an earlier term", []takeover.Member{{ID: "a", Status: primary(3, 9)}, {ID: "b", Status: earlier}}, false},
+		{"it leads a later term itself", []takeover.Member{{ID: "a", Status: primary(4, 9)}, {ID: "b", Status: replica(9, 0)}}, false},
+	} {
+		assert.Equal(t, takeover.Outrun(oldPrimary, test.in), test.want, test.name)
+	}
+}
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -117,6 +117,9 @@
 			}
 			return nil
 		case containment == takeover.Superseded || now >= deadline:
+			if containment == takeover.Superseded {
+				g.commitSuperseded(u, p)
+			}
 			g.cfg.Metrics.CountGuardedCommit(takeover.Unproven.String())
 			g.cfg.Log.WithFields(logrus.Fields{"event": "commit_unproven", "member": id, "position": p.String(), "containment": containment.String(), "claimed": claimed, "replicas": g.describeEvidence(id), "waited_ms": (now - ackedAt).Milliseconds()}).Warn("a commit was acknowledged that the next primary may lack")
 			return verdict.New(verdict.OutcomeUnknown, "the next primary may lack the commit at %s", p)
--- a/proxy/group/monitor.go
+++ b/proxy/group/monitor.go
@@ -146,6 +146,13 @@
 	g.signalRun()
 }
 
+// commitSuperseded records that a commit at p was not passed on because a member is in a later term.
+func (g *Group) commitSuperseded(u *upstream.Upstream, p position.Position) {
+	if primary, _ := g.Primary(); p.Term == primary.Term {
+		g.RequestFailed(u, true)
+	}
+}
+
 // WriteAcknowledged records that a write sent at sentAt was acknowledged at position p.
 func (g *Group) WriteAcknowledged(u *upstream.Upstream, p position.Position, sentAt time.Duration) {
 	g.mu.Lock()
@@ -372,8 +379,10 @@
 	case probeUnknown:
 		return failoverReason{}, false
 	}
-	if suspected.unansweredWrites >= unansweredWriteLimit && g.replicationStalled(primary) {
-		return failoverReason{text: "commits_unacknowledged", stepDown: true}, true
+	if suspected.unansweredWrites >= unansweredWriteLimit {
+		if text := g.whyUnacknowledged(primary); text != "" {
+			return failoverReason{text: text, stepDown: true}, true
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -452,16 +461,23 @@
 	return probeDead
 }
 
-// replicationStalled reports whether all replicas are behind the primary and receive
-// nothing, so that no commit can be acknowledged.
-func (g *Group) replicationStalled(primary primacy.Primary) bool {
-	first, behind := takeover.Replicated(primary, g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false))
+// whyUnacknowledged returns why no commit of the primary can be acknowledged; empty if that may
+// change: all replicas are behind it and receive nothing, or one has moved to a later term.
+func (g *Group) whyUnacknowledged(primary primacy.Primary) string {
+	members := g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false)
+	if takeover.Outrun(primary, members) {
+		return "member_in_later_term"
+	}
+	first, behind := takeover.Replicated(primary, members)
 	if !behind {
-		return false
+		return ""
 	}
 	time.Sleep(replicationCheckInterval)
 	second, behind := takeover.Replicated(primary, g.controlAll(statement.Control{Kind: statement.GetStatus}, nil, false))
-	return behind && first == second
+	if !behind || first != second {
+		return ""
+	}
+	return "commits_unacknowledged"
 }
 
 // failoverBlockedLocked returns why this instance cannot replace the primary now, or
--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -191,21 +191,26 @@
 				underLoad(t, uint64(stays), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
 					c.sim.SetPromoteTime(promoteTime)
 					promoteLateAndLeave(c, stays*time.Millisecond)
-					s := c.open("i1", simulator.Database)
-					from := time.Now()
-					for c.write(s) != nil && time.Since(from) < 15*time.Second {
-						time.Sleep(pollDelay)
-					}
-					gap := time.Since(from)
-					t.Logf("gap %s", gap)
+					gap := c.gapUpTo(15 * time.Second)
 					assert.Check(t, gap < promoteTime+4*time.Second, "gap %s", gap)
-					s.leave()
 				})
 			})
 		}
 	}
 }
 
+// gapUpTo returns how long it takes until i1 serves a write; more than the limit if it serves none.
+func (c *cluster) gapUpTo(limit time.Duration) time.Duration {
+	s := c.open("i1", simulator.Database)
+	defer s.leave()
+	from := time.Now()
+	for c.write(s) != nil && time.Since(from) < limit {
+		time.Sleep(pollDelay)
+	}
+	c.t.Logf("gap %s", time.Since(from))
+	return time.Since(from)
+}
+
 // promoteLateAndLeave lets a promotion without an answer take effect right after that of its member's
 // successor. The member leaves, and its successor goes on in an earlier term than the others.
 func promoteLateAndLeave(c *cluster, stays time.Duration) (successor string) {
@@ -235,7 +240,9 @@
 			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
 				primary := promoteLateAndLeave(c, 50*time.Millisecond)
 				c.sim.JoinFrom("e", primary)
-				time.Sleep(6 * time.Second)
+				gap := c.gapUpTo(6 * time.Second)
+				assert.Check(t, gap < 5*time.Second, "gap %s", gap)
+				time.Sleep(6*time.Second - gap)
 				c.cutStore()
 				time.Sleep(outage * time.Millisecond)
 				c.sim.Crash(primary, true)
