group: no proof by restarted replicas without a recent record

Callers of an instance that did not reach the store lost acknowledged commits: a member that had joined since its list was called for, all replicas that it knew restarted, which ended their pauses, and the instance proved commits of the old primary by these replicas alone. The holder had compared the logs before.

If the record was last read more than 0.4 s ago, the proof by all replicas now needs one that was seen without a pause, in a process that has run since before a reading without a claim: each holder looks at its log later. With a younger record the instance knows each member that may be called for, as the claim names it.

--- a/core/takeover/contains.go
+++ b/core/takeover/contains.go
@@ -45,7 +45,8 @@
 	// replica's answer, or has that of the old primary, which has the commit as well.
 	Counted bool
 	// MayBeLeftOut means that another instance may compute bounds and changes of primary
-	// without the replica: the record names others only, or it may have departed.
+	// without the replica, or without its last entries: the record names others only, it may have
+	// departed, or it may have been paused before and have restarted since.
 	MayBeLeftOut bool
 	// Unsettled means that an instance that reads without a primary may not know the replica.
 	Unsettled bool
@@ -99,6 +100,9 @@
 // Holds reports whether the replica has the commit at p.
 func (e Evidence) Holds(p position.Position) bool { return holds(e.received, p) }
 
+// Anchored reports whether every holder of a later claim finds the commit at p in the replica's log.
+func (e Evidence) Anchored(p position.Position) bool { return holds(e.anchored, p) }
+
 // holds reports whether a log that ends at last has the commit at p. A log that ends in
 // a later term may have begun that term without the commit.
 func holds(last, p position.Position) bool { return last.Term == p.Term && last.AtLeast(p) }
@@ -164,7 +168,7 @@
 	}
 	known, all, later := false, successor == "" || Held(successor, p, replicas), false
 	for _, e := range replicas {
-		if e.Counted && holds(e.anchored, p) && successor == "" {
+		if e.Counted && e.Anchored(p) && successor == "" {
 			return Contained, Proof{ByCounted, e.Member}
 		}
 		if e.Member == successor {
--- a/core/takeover/site_model_test.go
+++ b/core/takeover/site_model_test.go
@@ -461,6 +461,7 @@
 	if i.tracker.Replaced("a", p) {
 		return takeover.Superseded
 	}
+	outdated := s.now-i.recordReadAt > siteNoticeTime
 	var all []takeover.Evidence
 	nonePaused, primary := true, i.views["a"]
 	for _, id := range i.order {
@@ -475,13 +476,13 @@
 		e.Counted = v.missingSince == 0 && !v.draining && s.now-v.knownSince >= siteSettleTime && i.noClaimAt-v.knownSince >= siteClaimSettleTime && recent && s.watched(i, v)
 		e.Counted = e.Counted && primary != nil && s.settled(primary) && primary.runsSince <= i.noClaimAt
 		e.Counted = e.Counted || s.fault == faultUncounted
-		e.MayBeLeftOut = v.missingSince != 0 || v.draining || !recent && v.runsSince > i.membersAsOf
+		e.MayBeLeftOut = v.missingSince != 0 || v.draining || !recent && v.runsSince > i.membersAsOf || outdated && !e.Anchored(p)
 		e.Unsettled = !s.settled(v)
 		nonePaused = nonePaused && !v.paused
 		all = append(all, e)
 	}
 	known := claim
-	if claim != nil && claim.Successor() != "" && s.now-i.recordReadAt > siteNoticeTime {
+	if claim != nil && claim.Successor() != "" && outdated {
 		known = nil
 		for k := range all {
 			all[k].Counted = false
--- a/proxy/group/acknowledge.go
+++ b/proxy/group/acknowledge.go
@@ -148,17 +148,20 @@
 		return takeover.Contained, false, proof // an acknowledged commit may be on the primary alone
 	}
 	var replicas []takeover.Evidence
-	primary := g.members[id]
+	primary, outdated := g.members[id], now-g.lastRecordsRead.Earliest > claimNoticeTime
 	for other, m := range g.members {
 		if other != id {
 			e := g.evidenceOf(m)
 			// A read without the primary may miss the only replica that has the commit.
 			e.Counted = e.Counted && primary != nil && g.settled(primary) && primary.runsSince <= g.noClaimAt
+			// A member that this instance does not know may have been called for, by logs from before
+			// a restart of this replica.
+			e.MayBeLeftOut = e.MayBeLeftOut || outdated && !e.Anchored(p)
 			replicas = append(replicas, e)
 		}
 	}
 	known := claim
-	if claim != nil && claim.Successor() != "" && now-g.lastRecordsRead.Earliest > claimNoticeTime {
+	if claim != nil && claim.Successor() != "" && outdated {
 		// Another member may have been called for since, and replicas that were paused for the
 		// one that is known may receive again.
 		known = nil
--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -373,3 +373,34 @@
 		})
 	}
 }
+
+// Guards against commits that an instance without the store proves by all replicas that it knows, which
+// have restarted, while a member that has joined since its list is called for.
+func TestReplicasRestartBesideUnknownMember(t *testing.T) {
+	for _, after := range []time.Duration{0, 200, 400, 700} {
+		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
+			underLoad(t, uint64(after), simulated("i1", "i2", "near"), func(t *testing.T, c *cluster) {
+				time.Sleep(4 * time.Second)
+				c.sim.Partition("near", "store")
+				c.sim.Join("d")
+				c.sim.SetReceiveLag("b", 100*time.Millisecond)
+				c.sim.SetReceiveLag("c", 100*time.Millisecond)
+				time.Sleep(1500 * time.Millisecond)
+				c.isolate([]string{"a"}, []string{"i1", "i2"})
+				c.await(5*time.Second, "a call for a promotion", func() bool { return c.sim.CalledFor() != "" })
+				t.Logf("called for %q", c.sim.CalledFor())
+				time.Sleep(after * time.Millisecond)
+				for _, id := range []string{"b", "c"} {
+					c.sim.SetReceiveLag(id, 0)
+					c.sim.Crash(id, false)
+					c.sim.Restart(id, false)
+				}
+				time.Sleep(3 * time.Second)
+				c.rejoin([]string{"a"}, []string{"i1", "i2"})
+				c.sim.Heal("near", "store")
+				time.Sleep(3 * time.Second)
+				assert.Check(t, c.sim.Promotions() > 0)
+			})
+		})
+	}
+}
