--- a/core/takeover/site_test.go
+++ b/core/takeover/site_test.go
@@ -54,6 +54,7 @@
 				s.readList(other)
 			}
 		}
+		s.busy(t, 60, s.receiveSome, s.pass, s.restartPaused)
 		return
 	}
 	cutAt := s.now + rapid.SampledFrom([]time.Duration{0, 1, 2, 3, 4, 5, 6}).Draw(t, "cut_after_s")*time.Second
@@ -163,7 +164,7 @@
 // product. The rare ones are looked for from a later sequence on.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	for fault, from := range map[siteFault]int{
-		faultWord: 0, faultUncounted: 0, faultRestart: 0, faultNonePaused: 0, faultOldList: 0, faultNoAnnounceWait: 4000, faultNamesAtOnce: 20000,
+		faultWord: 0, faultUncounted: 1500, faultRestart: 0, faultNonePaused: 0, faultOldList: 3500, faultNoAnnounceWait: 500, faultNamesAtOnce: 21500,
 	} {
 		t.Run(string(fault), func(t *testing.T) {
 			const limit = 4000
