--- a/proxy/group/departure_test.go
+++ b/proxy/group/departure_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -43,17 +45,17 @@
 	assert.Equal(t, len(asked), instances)
 }
 
-// replacedDialer is a statusDialer that counts the connections to each member, and refuses those to b
-// because another member listens at its address.
+// replacedDialer is a statusDialer that counts the connections to b, and refuses them because another
+// member listens at its address.
 type replacedDialer struct {
 	statusDialer
-	dials map[string]int
+	dials *atomic.Int32
 }
 
 // Dial implements statement.Dialer.
 func (d replacedDialer) Dial(t statement.Target, timeout time.Duration) (statement.Conn, error) {
-	d.dials[t.ID]++
 	if t.ID == "b" {
+		d.dials.Add(1)
 		return nil, &statement.UpstreamError{Reason: statement.WrongMember}
 	}
 	return d.statusDialer.Dial(t, timeout)
@@ -76,37 +78,41 @@
 		"another replica has the log of the primary":     {answers: statusDialer{"a": primary, "c": replica, "d": behind, "e": behind}, joined: true, leftOut: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			now := 10 * time.Second
-			d := replacedDialer{test.answers, make(map[string]int)}
-			g, record, all := newDepartureGroup(&now, d)
-			b, successor := g.members["b"], all["b"]
-			successor.ID = "e"
-			all["e"] = successor
-			record.Members, record.Version = append(record.Members[:4:4], nameOf(successor)), record.Version+1
-			b.statusPending = true // so that only the test asks it
-			delete(all, "b")
-			g.UpdateMembers(all, now)
-			g.UpdateRecord(record, exactTimestamp(now))
-			for range 8 {
+			synctest.Test(t, func(t *testing.T) {
+				now := 10 * time.Second
+				d := replacedDialer{test.answers, new(atomic.Int32)}
+				g, record, all := newDepartureGroup(&now, d)
+				b, successor := g.members["b"], all["b"]
+				successor.ID = "e"
+				all["e"] = successor
+				record.Members, record.Version = append(record.Members[:4:4], nameOf(successor)), record.Version+1
+				b.statusPending = true // so that only the test asks it
+				delete(all, "b")
 				g.UpdateMembers(all, now)
-				now += 500 * time.Millisecond
-			}
-			if e := g.members["e"]; test.joined {
-				e.knownSince, e.namedSince = now, now
-			}
-			for range 50 {
-				record.Version++
 				g.UpdateRecord(record, exactTimestamp(now))
-				if g.members["b"] == b {
-					g.probeDeparted(b)
+				for range 8 {
+					g.UpdateMembers(all, now)
+					now += 500 * time.Millisecond
 				}
-				for _, id := range []string{"c", "d", "e"} {
-					g.askReplica(g.members[id])
+				if e := g.members["e"]; test.joined {
+					e.knownSince, e.namedSince = now, now
 				}
-				now += 10 * time.Millisecond
-			}
-			assert.Equal(t, g.members["b"] == nil, test.leftOut)
-			assert.Assert(t, d.dials["b"] <= 2, "%d connections", d.dials["b"])
+				for range 50 {
+					record.Version++
+					g.UpdateRecord(record, exactTimestamp(now))
+					if g.members["b"] == b {
+						g.probeDeparted(b)
+					}
+					synctest.Wait() // until all that were asked have answered
+					for _, id := range []string{"c", "d", "e"} {
+						g.askReplica(g.members[id])
+					}
+					synctest.Wait()
+					now += 10 * time.Millisecond
+				}
+				assert.Equal(t, g.members["b"] == nil, test.leftOut)
+				assert.Assert(t, d.dials.Load() <= 2, "%d connections", d.dials.Load())
+			})
 		})
 	}
 }
