--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -377,6 +377,7 @@
 // Guards against commits that an instance without the store proves by all replicas that it knows, which
 // have restarted, while a member that has joined since its list is called for.
 func TestReplicasRestartBesideUnknownMember(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{0, 200, 400, 700} {
 		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
 			underLoad(t, uint64(after), simulated("i1", "i2", "near"), func(t *testing.T, c *cluster) {
--- a/proxy/node/address_test.go
+++ b/proxy/node/address_test.go
@@ -12,6 +12,7 @@
 
 // Guards against reads and promotions that miss commits of a departed replica because another member runs at its address.
 func TestDepartedReplicaWhoseAddressIsTaken(t *testing.T) {
+	t.Parallel()
 	for _, lost := range []bool{false, true} {
 		for _, silent := range []bool{true, false} {
 			t.Run(fmt.Sprintf("lost=%t primary silent=%t", lost, silent), func(t *testing.T) {
@@ -38,6 +39,7 @@
 
 // Guards against a group without a primary in a release, after a replica was replaced with its log and the primary was lost.
 func TestPrimaryLostAfterReplicaWasReplaced(t *testing.T) {
+	t.Parallel()
 	for _, silent := range []bool{true, false} {
 		t.Run(fmt.Sprintf("primary silent=%t", silent), func(t *testing.T) {
 			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
--- a/proxy/node/forgotten_test.go
+++ b/proxy/node/forgotten_test.go
@@ -102,6 +102,7 @@
 
 // Guards against two replicas that depart together and that are each left out because the other one has its commits.
 func TestReplicasThatDepartTogether(t *testing.T) {
+	t.Parallel()
 	for _, apart := range []time.Duration{0, 300, 1000} {
 		t.Run(fmt.Sprintf("apart=%dms", apart), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/proxy/node/incarnation_test.go
+++ b/proxy/node/incarnation_test.go
@@ -15,6 +15,7 @@
 
 // Guards against reads that rest on a bound which counts a replica that has restarted without its log.
 func TestReadBoundCountsRestartedReplica(t *testing.T) {
+	t.Parallel()
 	for _, withStore := range []bool{true, false} {
 		for _, after := range []time.Duration{0, 200, 800} {
 			t.Run(fmt.Sprintf("store=%t/%dms", withStore, after), func(t *testing.T) {
@@ -49,6 +50,7 @@
 
 // Guards against reads on a former primary that has restarted without its log and follows its successor.
 func TestReadOnRestartedFormerPrimary(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{100, 600} {
 		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -78,6 +80,7 @@
 
 // Guards against the promotion of a replica that has restarted without its log, which the list does not show.
 func TestPromotionOfRestartedReplica(t *testing.T) {
+	t.Parallel()
 	for _, missing := range []time.Duration{0, 1200, 2000} {
 		t.Run(fmt.Sprintf("missing=%dms", missing), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -118,6 +121,7 @@
 
 // Guards against the first reads of an instance on a primary that has just restarted without its log.
 func TestFirstReadOnRestartedPrimary(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{0, 50, 150, 300} {
 		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -185,6 +185,7 @@
 // Guards against a primary that leads without replicas for good: a late promotion has moved them to a
 // term whose primary has left.
 func TestLatePromotionOfMemberThatLeaves(t *testing.T) {
+	t.Parallel()
 	for _, promoteTime := range promoteTimes {
 		for _, stays := range []time.Duration{50, 300, 700} {
 			t.Run(fmt.Sprintf("promote=%s/stays=%dms", promoteTime, stays), func(t *testing.T) {
@@ -235,6 +236,7 @@
 // Guards against acknowledgements by a replica that joins the primary of the earlier term then: the others
 // have longer logs, so that the next change leaves these commits out.
 func TestReplicaJoinsPrimaryOfEarlierTerm(t *testing.T) {
+	t.Parallel()
 	for _, outage := range []time.Duration{0, 300, 800, 1500} {
 		t.Run(fmt.Sprintf("outage=%dms", outage), func(t *testing.T) {
 			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
@@ -255,6 +257,7 @@
 
 // Guards against commits that a member lacks which was called for, did not run meanwhile, and is promoted late.
 func TestLatePromotionOfRestartedMember(t *testing.T) {
+	t.Parallel()
 	for _, down := range []time.Duration{1, 3, 6, 9} {
 		t.Run(fmt.Sprintf("down=%ds", down), func(t *testing.T) {
 			underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
--- a/proxy/node/leftout_test.go
+++ b/proxy/node/leftout_test.go
@@ -13,6 +13,7 @@
 
 // Guards against reads of an instance without the store that finds a quorum with a leaving replica which the record names no more.
 func TestQuorumWithLeavingReplicaNotNamed(t *testing.T) {
+	t.Parallel()
 	for _, before := range []bool{true, false} {
 		t.Run(fmt.Sprintf("instance starts before the name is removed=%t", before), func(t *testing.T) {
 			underLoad(t, 1, simulated("i1", "near"), func(t *testing.T, c *cluster) {
@@ -49,6 +50,7 @@
 
 // Guards against reads and promotions that miss commits of a replica because it was missing once, and was back while no list was read.
 func TestReplicaMissingBeforeGapInLists(t *testing.T) {
+	t.Parallel()
 	for _, departed := range []bool{false, true} {
 		for _, leaves := range []bool{false, true} {
 			t.Run(fmt.Sprintf("departed=%t leaves=%t", departed, leaves), func(t *testing.T) {
@@ -93,6 +95,7 @@
 
 // Guards against reads and promotions that miss commits of two replicas which leave at a time, each left out because the other one has them.
 func TestTwoReplicasLeaveBesideOneBehind(t *testing.T) {
+	t.Parallel()
 	for _, apart := range []time.Duration{0, 700} {
 		for _, silent := range []bool{true, false} {
 			t.Run(fmt.Sprintf("apart=%dms primary silent=%t", apart, silent), func(t *testing.T) {
@@ -132,6 +135,7 @@
 
 // Guards against reads and promotions that miss commits of a leaving replica which was called for and ends before it is promoted.
 func TestCalledReplicaLeaves(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{7500, 8000, 9000} {
 		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -162,6 +166,7 @@
 
 // Guards against reads and promotions that miss commits of a replica which crashes while an instance that saw it missing reads no list.
 func TestReplicaCrashesWithinGapInLists(t *testing.T) {
+	t.Parallel()
 	for _, silent := range []bool{true, false} {
 		t.Run(fmt.Sprintf("primary silent=%t", silent), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -181,6 +181,7 @@
 
 // Guards against a group without a primary after one that leaves has stepped down with a commit that no replica has.
 func TestLeavingPrimaryStepsDownBeforeReplication(t *testing.T) {
+	t.Parallel()
 	underLoad(t, 1, simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
 		c.sim.ModelBranches()
 		time.Sleep(5 * time.Second)
@@ -197,6 +198,7 @@
 // Guards against the promotion of another member right after the announced one was given up: an
 // instance that has read the announcement passes on commits that only the announced one has.
 func TestAnnouncedCandidateIsGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{0, 50, 100, 200} {
 		t.Run(fmt.Sprintf("after=%dms", after), func(t *testing.T) {
 			underLoad(t, uint64(after), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
@@ -229,6 +231,7 @@
 // Guards against commits that the called-for member lacks because it did not run when they were
 // passed on: it comes back with its log and is called for again.
 func TestCalledMemberComesBack(t *testing.T) {
+	t.Parallel()
 	for _, down := range []time.Duration{50, 100, 300, 500, 700, 1000} {
 		t.Run(fmt.Sprintf("down=%dms", down), func(t *testing.T) {
 			underLoad(t, uint64(down), simulated("i1", "i2", "i3"), func(t *testing.T, c *cluster) {
--- a/proxy/node/release_test.go
+++ b/proxy/node/release_test.go
@@ -27,6 +27,7 @@
 // Guards against stale reads and lost commits in releases whose members are replaced at their addresses, with
 // their logs or without, beside cuts, members that are lost, late promotions and crashes of the primary.
 func TestRandomReleases(t *testing.T) {
+	t.Parallel()
 	seeds := releaseSeeds
 	if text := os.Getenv(releaseSeedsVariable); text != "" {
 		seeds = nil
--- a/proxy/node/restart_test.go
+++ b/proxy/node/restart_test.go
@@ -91,6 +91,7 @@
 
 // Guards against an instance without the store that passes on commits which rest on a restarted replica that others have left out.
 func TestRestartedReplicaThatOthersHaveLeftOut(t *testing.T) {
+	t.Parallel()
 	for _, down := range []time.Duration{4000, 4500, 5000} {
 		t.Run(fmt.Sprintf("down=%dms", down), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
