--- a/core/takeover/replicated_test.go
+++ b/core/takeover/replicated_test.go
@@ -9,8 +9,7 @@
 	"github.com/papayarail/papayarail/core/takeover"
 )
 
-// Guards against a primary without replicas that is left in place because they have longer logs of a
-// later term.
+// Guards against a primary without replicas that stays because they have longer logs of a later term.
 func TestReplicated(t *testing.T) {
 	at := func(offset uint64) position.Position { return position.Position{Term: 3, Offset: offset} }
 	later := &takeover.Status{Term: 4, Received: position.Position{Term: 4, Offset: 12}}
@@ -34,8 +33,7 @@
 	}
 }
 
-// Guards against a primary that stays beside a member which has left its term, and against a change
-// because of a member that has not reached that term yet.
+// Guards against a primary that stays beside a member of a later term.
 func TestOutrun(t *testing.T) {
 	later, earlier := &takeover.Status{Term: 4}, &takeover.Status{Term: 2}
 	for _, test := range []struct {
--- a/proxy/group/called_test.go
+++ b/proxy/group/called_test.go
@@ -84,8 +84,7 @@
 	assert.Equal(t, f.unsettledCall(nil), "")
 }
 
-// Guards against a call for a member while an instance may rely on the log of another one, which an
-// earlier claim names.
+// Guards against a call for a member while an instance may rely on the log of another one.
 func TestNobodyReliesOnAnotherMemberWhenOneIsCalledFor(t *testing.T) {
 	for name, c := range map[string]struct{ announced, called string }{"announced": {"c", ""}, "called for": {"", "c"}} {
 		t.Run(name, inBubble(func(t *testing.T) {
--- a/proxy/node/acknowledgement_test.go
+++ b/proxy/node/acknowledgement_test.go
@@ -374,8 +374,7 @@
 	}
 }
 
-// Guards against commits that an instance without the store proves by all replicas that it knows, which
-// have restarted, while a member that has joined since its list is called for.
+// Guards against commits that restarted replicas prove to an instance which does not know the called-for member.
 func TestReplicasRestartBesideUnknownMember(t *testing.T) {
 	t.Parallel()
 	for _, after := range []time.Duration{0, 200, 400, 700} {
--- a/proxy/node/late_test.go
+++ b/proxy/node/late_test.go
@@ -182,8 +182,7 @@
 	}
 }
 
-// Guards against a primary that leads without replicas for good: a late promotion has moved them to a
-// term whose primary has left.
+// Guards against a primary that leads without replicas for good after a late promotion.
 func TestLatePromotionOfMemberThatLeaves(t *testing.T) {
 	t.Parallel()
 	for _, promoteTime := range promoteTimes {
@@ -233,8 +232,7 @@
 	return successor
 }
 
-// Guards against acknowledgements by a replica that joins the primary of the earlier term then: the others
-// have longer logs, so that the next change leaves these commits out.
+// Guards against commits that are proved by a replica of an earlier term than that of the others.
 func TestReplicaJoinsPrimaryOfEarlierTerm(t *testing.T) {
 	t.Parallel()
 	for _, outage := range []time.Duration{0, 300, 800, 1500} {
--- a/proxy/node/planned_test.go
+++ b/proxy/node/planned_test.go
@@ -195,8 +195,7 @@
 	})
 }
 
-// Guards against the promotion of another member right after the announced one was given up: an
-// instance that has read the announcement passes on commits that only the announced one has.
+// Guards against commits that only a candidate has which was announced before another one was called for.
 func TestAnnouncedCandidateIsGivenUp(t *testing.T) {
 	t.Parallel()
 	for _, after := range []time.Duration{0, 50, 100, 200} {
@@ -228,8 +227,7 @@
 	}
 }
 
-// Guards against commits that the called-for member lacks because it did not run when they were
-// passed on: it comes back with its log and is called for again.
+// Guards against commits that the called-for member lacks because it did not run when they were passed on.
 func TestCalledMemberComesBack(t *testing.T) {
 	t.Parallel()
 	for _, down := range []time.Duration{50, 100, 300, 500, 700, 1000} {
--- a/proxy/node/release_test.go
+++ b/proxy/node/release_test.go
@@ -24,8 +24,7 @@
 // addresses.
 var releaseSeeds = []uint64{12, 14, 102, 142, 159}
 
-// Guards against stale reads and lost commits in releases whose members are replaced at their addresses, with
-// their logs or without, beside cuts, members that are lost, late promotions and crashes of the primary.
+// Guards against stale reads and lost commits while members are replaced at their addresses.
 func TestRandomReleases(t *testing.T) {
 	t.Parallel()
 	seeds := releaseSeeds
